Switch a group's expert map so that no step sees two

Rank 0 decides, once; every rank promises not to begin the switch step without the decision. A decider without memory binds all ranks first and reads what was decided from their engines.

Found on the way by the schedules: with all engines replaced at once, runs and versions took the same numbers again; a first epoch from the clock keeps them apart, and nothing else depends on it.

--- /dev/null
+++ b/src/group/coordinator.ts
@@ -0,0 +1,545 @@
+/**
+ * Rank 0's decider: switches the group's expert map so that no step sees two.
+ *
+ * A switch goes through binding, staging and preparing; when every rank has
+ * promised not to begin the switch step without the decision, it is decided,
+ * once. A decider that starts without memory binds every rank first: any
+ * activation that one of them has means that it was decided so; none means that
+ * it was not, and can no longer be.
+ *
+ * @module
+ */
+import { assertNever, Debug } from "../core/debug.ts";
+import type {
+  Activation,
+  BoundMessage,
+  CoordinatorMessage,
+  Decider,
+  EngineState,
+  ExpertMap,
+  MemberMessage,
+  PreparedMessage,
+  StagedMessage,
+  TooLateMessage,
+} from "./types.ts";
+
+/** Milliseconds after which an unanswered message is sent again. */
+export const RESEND_MS = 200;
+/** Milliseconds after which a switch that is not prepared is given up. */
+export const SWITCH_LIMIT_MS = 30_000;
+const FIRST_MARGIN_STEPS = 16;
+const LARGEST_MARGIN_STEPS = 4096;
+/**
+ * Versions carry the epoch of their decider, so that none is used twice even by
+ * deciders that know nothing of each other.
+ */
+const VERSIONS_PER_EPOCH = 2 ** 20;
+
+/** A message of a rank arrived. */
+export interface MemberSaid {
+  readonly kind: "member_said";
+  readonly now: number;
+  readonly rank: number;
+  readonly message: MemberMessage;
+}
+
+/** The connection to a rank was made anew; its process may be another. */
+export interface MemberConnected {
+  readonly kind: "member_connected";
+  readonly now: number;
+  readonly rank: number;
+}
+
+/** The planner proposes a map. */
+export interface MapProposed {
+  readonly kind: "map_proposed";
+  readonly now: number;
+  readonly map: ExpertMap;
+}
+
+/** Time passed. */
+export interface CoordinatorTick {
+  readonly kind: "tick";
+  readonly now: number;
+}
+
+/** Everything that can happen to a decider. */
+export type CoordinatorEvent =
+  | MemberSaid
+  | MemberConnected
+  | MapProposed
+  | CoordinatorTick;
+
+/** Say something to a rank. */
+export interface SayToMember {
+  readonly kind: "say";
+  readonly rank: number;
+  readonly message: CoordinatorMessage;
+}
+
+/** A switch was decided, one way or the other. */
+export interface SwitchDecided {
+  readonly kind: "switch_decided";
+  readonly version: number;
+  readonly isCommitted: boolean;
+}
+
+/** A proposal came while another was under way, and is not taken up. */
+export interface ProposalDropped {
+  readonly kind: "proposal_dropped";
+}
+
+/** Everything that a decider can ask for. */
+export type CoordinatorEffect = SayToMember | SwitchDecided | ProposalDropped;
+
+interface Binding {
+  readonly kind: "binding";
+  readonly engines: Map<number, EngineState>;
+}
+
+interface Idle {
+  readonly kind: "idle";
+}
+
+interface Staging {
+  readonly kind: "staging";
+  readonly version: number;
+  readonly map: ExpertMap;
+  readonly assemble: number | undefined;
+  readonly startedAt: number;
+  readonly steps: Map<number, number>;
+}
+
+interface Preparing {
+  readonly kind: "preparing";
+  readonly version: number;
+  readonly map: ExpertMap;
+  readonly assemble: number | undefined;
+  readonly startedAt: number;
+  readonly step: number;
+  readonly prepared: Set<number>;
+}
+
+type Phase = Binding | Idle | Staging | Preparing;
+
+interface Decision {
+  readonly version: number;
+  /** Step of the switch; undefined when it was aborted. */
+  readonly step: number | undefined;
+}
+
+/** Options of a {@link GroupCoordinator}. */
+export interface GroupCoordinatorOptions {
+  readonly ranks: number;
+  /** Incarnation of this process. */
+  readonly decider: string;
+  /** Map for a group that has none yet. */
+  readonly firstMap: ExpertMap;
+  /**
+   * Epoch to begin with; later starts should give a higher one (seconds of the
+   * wall clock do). Nothing depends on it but that runs and versions keep
+   * distinct numbers after all engines of a group were replaced at once.
+   */
+  readonly firstEpoch: number;
+  /**
+   * Steps between the furthest rank and the step of a switch; doubled each time
+   * that the group proves faster than the messages.
+   */
+  readonly marginSteps?: number;
+}
+
+/** Rank 0's decider. */
+export class GroupCoordinator {
+  readonly #ranks: number;
+  readonly #decider: string;
+  #epoch: number;
+  #phase: Phase = { kind: "binding", engines: new Map() };
+  #map: ExpertMap;
+  /** Number of the lock-step run. */
+  #incarnation = 0;
+  /** Newest version that is known. */
+  #version = 0;
+  #last: Decision | undefined;
+  /** Ranks that have not carried out the last decision. */
+  readonly #owed = new Set<number>();
+  #marginSteps: number;
+  #sentAt = Number.NEGATIVE_INFINITY;
+  #effects: CoordinatorEffect[] = [];
+
+  /** Begins without memory: the first tick binds every rank. */
+  constructor(options: GroupCoordinatorOptions) {
+    this.#ranks = options.ranks;
+    this.#decider = options.decider;
+    this.#epoch = options.firstEpoch;
+    this.#marginSteps = options.marginSteps ?? FIRST_MARGIN_STEPS;
+    this.#map = options.firstMap;
+  }
+
+  /** Whether a proposal would be taken up. */
+  get isIdle(): boolean {
+    return this.#phase.kind === "idle" && this.#owed.size === 0;
+  }
+
+  /** The map decided upon last. */
+  get map(): ExpertMap {
+    return this.#map;
+  }
+
+  /** The decider's number among those of its group. */
+  get epoch(): number {
+    return this.#epoch;
+  }
+
+  /**
+   * Takes in one event and returns what is to be done, in order.
+   *
+   * @example
+   * ```ts
+   * for (const effect of coordinator.reduce(event)) perform(effect);
+   * ```
+   */
+  reduce(event: CoordinatorEvent): readonly CoordinatorEffect[] {
+    this.#effects = [];
+    switch (event.kind) {
+      case "member_said":
+        this.#memberSaid(event);
+        break;
+      case "member_connected":
+        this.#say(event.rank, this.#bindMessage());
+        break;
+      case "map_proposed":
+        this.#proposed(event.map, event.now);
+        break;
+      case "tick":
+        this.#tick(event.now);
+        break;
+      default:
+        assertNever(event);
+    }
+    return this.#effects;
+  }
+
+  #memberSaid(event: MemberSaid): void {
+    const { message, rank, now } = event;
+    if (message.kind === "outdated") return this.#outdated(message, rank);
+    if (message.epoch !== this.#epoch) return;
+    switch (message.kind) {
+      case "bound":
+        return this.#bound(message, rank, now);
+      case "staged":
+        return this.#staged(message, rank, now);
+      case "prepared":
+        return this.#prepared(message, rank);
+      case "too_late":
+        return this.#tooLate(message, now);
+      case "applied":
+        if (message.version === this.#last?.version) this.#owed.delete(rank);
+        return;
+      case "ask":
+        return this.#answerAsk(message.version, rank);
+      default:
+        assertNever(message);
+    }
+  }
+
+  /**
+   * The rank follows another decider, or one of ours from before. If its number
+   * is as high as ours, an earlier decider of the group came further.
+   */
+  #outdated(followed: Decider, rank: number): void {
+    const { epoch, decider } = followed;
+    if (epoch < this.#epoch) return this.#say(rank, this.#bindMessage());
+    if (decider === this.#decider) return;
+    this.#epoch = epoch;
+    this.#startBinding();
+  }
+
+  /** A new number makes every message sent so far, either way, worthless. */
+  #startBinding(): void {
+    this.#epoch++;
+    this.#phase = { kind: "binding", engines: new Map() };
+    this.#owed.clear();
+    this.#last = undefined;
+    this.#sayToAll(this.#bindMessage());
+  }
+
+  #bound(message: BoundMessage, rank: number, now: number): void {
+    const phase = this.#phase;
+    switch (phase.kind) {
+      case "binding":
+        phase.engines.set(rank, message.engine);
+        if (phase.engines.size === this.#ranks) this.#recover(phase, now);
+        return;
+      case "idle":
+        if (message.engine.incarnation !== this.#incarnation) {
+          return this.#startBinding();
+        }
+        if (this.#owed.has(rank)) this.#sayDecision(rank);
+        return;
+      case "staging":
+        return this.#boundWhileStaging(phase, message, rank);
+      case "preparing":
+        return this.#boundWhilePreparing(phase, message, rank);
+      default:
+        assertNever(phase);
+    }
+  }
+
+  #boundWhileStaging(
+    phase: Staging,
+    message: BoundMessage,
+    rank: number,
+  ): void {
+    const isInRun = message.engine.incarnation === this.#incarnation;
+    if (phase.assemble === undefined && !isInRun) return this.#startBinding();
+    phase.steps.delete(rank);
+    this.#say(rank, this.#stageMessage(phase));
+  }
+
+  #boundWhilePreparing(
+    phase: Preparing,
+    message: BoundMessage,
+    rank: number,
+  ): void {
+    const isStaged = message.engine.stagedVersion === phase.version;
+    if (!isStaged) return this.#startBinding();
+    this.#say(rank, this.#prepareMessage(phase));
+  }
+
+  /** Every rank is bound: what was decided before can be known now. */
+  #recover(phase: Binding, now: number): void {
+    const engines = [...phase.engines.values()];
+    this.#version = Math.max(...engines.map(highestVersionOf));
+    const versionEpoch = Math.floor(this.#version / VERSIONS_PER_EPOCH);
+    if (versionEpoch >= this.#epoch) {
+      this.#epoch = versionEpoch;
+      return this.#startBinding();
+    }
+    this.#incarnation = Math.max(...engines.map((one) => one.incarnation));
+    const isOneRun = engines.every((one) =>
+      one.incarnation === this.#incarnation
+    );
+    const committed = newestActivation(engines);
+    this.#learnMap(engines, committed?.version);
+    if (!isOneRun || committed === undefined) return this.#assemble(now);
+    this.#phase = { kind: "idle" };
+    const staged = Math.max(0, ...engines.map((one) => one.stagedVersion ?? 0));
+    if (staged > committed.version) return this.#decide(staged, undefined);
+    this.#decide(committed.version, committed.step);
+  }
+
+  #learnMap(
+    engines: readonly EngineState[],
+    version: number | undefined,
+  ): void {
+    const known = engines.flatMap((one) => one.maps)
+      .find((one) => one.version === version);
+    if (known !== undefined) this.#map = known.map;
+  }
+
+  /** A group with a new engine among its ranks begins a new run. */
+  #assemble(now: number): void {
+    this.#incarnation = Math.max(this.#incarnation + 1, this.#epoch);
+    this.#startStaging(this.#map, { assemble: this.#incarnation, now });
+  }
+
+  #proposed(map: ExpertMap, now: number): void {
+    if (!this.isIdle) {
+      this.#effects.push({ kind: "proposal_dropped" });
+      return;
+    }
+    this.#startStaging(map, { assemble: undefined, now });
+  }
+
+  #startStaging(
+    map: ExpertMap,
+    options: { readonly assemble: number | undefined; readonly now: number },
+  ): void {
+    this.#version = Math.max(
+      this.#version + 1,
+      this.#epoch * VERSIONS_PER_EPOCH,
+    );
+    const phase: Staging = {
+      kind: "staging",
+      version: this.#version,
+      map,
+      assemble: options.assemble,
+      startedAt: options.now,
+      steps: new Map(),
+    };
+    this.#phase = phase;
+    this.#sentAt = options.now;
+    this.#sayToAll(this.#stageMessage(phase));
+  }
+
+  #staged(message: StagedMessage, rank: number, now: number): void {
+    const phase = this.#phase;
+    if (phase.kind !== "staging" || message.version !== phase.version) return;
+    phase.steps.set(rank, message.step);
+    if (phase.steps.size < this.#ranks) return;
+    const furthest = Math.max(...phase.steps.values());
+    const isNewRun = phase.assemble !== undefined;
+    const step = isNewRun ? 0 : furthest + this.#marginSteps;
+    this.#startPreparing(phase, step, now);
+  }
+
+  #startPreparing(
+    phase: Staging | Preparing,
+    step: number,
+    now: number,
+  ): void {
+    const { version, map, assemble, startedAt } = phase;
+    const next: Preparing = {
+      kind: "preparing",
+      version,
+      map,
+      assemble,
+      startedAt,
+      step,
+      prepared: new Set(),
+    };
+    this.#phase = next;
+    this.#sentAt = now;
+    this.#sayToAll(this.#prepareMessage(next));
+  }
+
+  #prepared(message: PreparedMessage, rank: number): void {
+    const phase = this.#phase;
+    if (phase.kind !== "preparing" || message.version !== phase.version) return;
+    if (message.step !== phase.step) return;
+    phase.prepared.add(rank);
+    if (phase.prepared.size < this.#ranks) return;
+    this.#map = phase.map;
+    this.#phase = { kind: "idle" };
+    this.#decide(phase.version, phase.step);
+  }
+
+  /** The group was faster than the messages: the switch moves further ahead. */
+  #tooLate(message: TooLateMessage, now: number): void {
+    const phase = this.#phase;
+    if (phase.kind !== "preparing" || message.version !== phase.version) return;
+    if (message.step !== phase.step || phase.assemble !== undefined) return;
+    this.#marginSteps = Math.min(LARGEST_MARGIN_STEPS, this.#marginSteps * 2);
+    const step = Math.max(phase.step, message.engineStep) + this.#marginSteps;
+    this.#startPreparing(phase, step, now);
+  }
+
+  /** Decides, once: a version that was decided is never used again. */
+  #decide(version: number, step: number | undefined): void {
+    Debug.assert(
+      this.#last === undefined || version > this.#last.version,
+      "A version is decided once",
+    );
+    this.#last = { version, step };
+    for (let rank = 0; rank < this.#ranks; rank++) {
+      this.#owed.add(rank);
+      this.#sayDecision(rank);
+    }
+    this.#effects.push({
+      kind: "switch_decided",
+      version,
+      isCommitted: step !== undefined,
+    });
+  }
+
+  #answerAsk(version: number, rank: number): void {
+    if (version === this.#last?.version) return this.#sayDecision(rank);
+    const phase = this.#phase;
+    if (phase.kind === "binding") return;
+    if (phase.kind !== "idle" && phase.version === version) return;
+    this.#say(rank, { kind: "abort", ...this.#signature(), version });
+  }
+
+  #tick(now: number): void {
+    if (now - this.#sentAt < RESEND_MS) return;
+    this.#sentAt = now;
+    const phase = this.#phase;
+    switch (phase.kind) {
+      case "binding":
+        return this.#forEachRank((rank) => {
+          if (!phase.engines.has(rank)) this.#say(rank, this.#bindMessage());
+        });
+      case "idle":
+        return this.#owed.forEach((rank) => this.#sayDecision(rank));
+      case "staging":
+      case "preparing":
+        return this.#resendOrGiveUp(phase, now);
+      default:
+        assertNever(phase);
+    }
+  }
+
+  /** A new run is never given up: the group cannot step without it anyway. */
+  #resendOrGiveUp(phase: Staging | Preparing, now: number): void {
+    const isLate = now - phase.startedAt >= SWITCH_LIMIT_MS;
+    if (isLate && phase.assemble === undefined) {
+      this.#phase = { kind: "idle" };
+      return this.#decide(phase.version, undefined);
+    }
+    this.#forEachRank((rank) => {
+      if (phase.kind === "preparing") {
+        if (phase.prepared.has(rank)) return;
+        this.#say(rank, this.#prepareMessage(phase));
+      } else if (!phase.steps.has(rank)) {
+        this.#say(rank, this.#stageMessage(phase));
+      }
+    });
+  }
+
+  #stageMessage(phase: Staging): CoordinatorMessage {
+    const { version, map, assemble } = phase;
+    return { kind: "stage", ...this.#signature(), version, map, assemble };
+  }
+
+  #prepareMessage(phase: Preparing): CoordinatorMessage {
+    const { version, step } = phase;
+    return { kind: "prepare", ...this.#signature(), version, step };
+  }
+
+  #sayDecision(rank: number): void {
+    const { version, step } = Debug.getDefined(this.#last, "Decided before");
+    const place = { ...this.#signature(), version };
+    this.#say(
+      rank,
+      step === undefined
+        ? { kind: "abort", ...place }
+        : { kind: "commit", ...place, step },
+    );
+  }
+
+  #bindMessage(): CoordinatorMessage {
+    return { kind: "bind", ...this.#signature() };
+  }
+
+  #signature(): Decider {
+    return { epoch: this.#epoch, decider: this.#decider };
+  }
+
+  #sayToAll(message: CoordinatorMessage): void {
+    this.#forEachRank((rank) => this.#say(rank, message));
+  }
+
+  #forEachRank(callback: (rank: number) => void): void {
+    for (let rank = 0; rank < this.#ranks; rank++) callback(rank);
+  }
+
+  #say(rank: number, message: CoordinatorMessage): void {
+    this.#effects.push({ kind: "say", rank, message });
+  }
+}
+
+function highestVersionOf(engine: EngineState): number {
+  return Math.max(
+    engine.activeVersion,
+    engine.stagedVersion ?? 0,
+    engine.activation?.version ?? 0,
+  );
+}
+
+function newestActivation(
+  engines: readonly EngineState[],
+): Activation | undefined {
+  return engines
+    .flatMap((one) => one.activation === undefined ? [] : [one.activation])
+    .sort((left, right) => right.version - left.version)[0];
+}
--- /dev/null
+++ b/src/group/member_test.ts
@@ -0,0 +1,117 @@
+import assert from "node:assert/strict";
+import { describe, it } from "node:test";
+import { FakeEngine } from "../testing/fake_engine.ts";
+import { GroupMember, type MemberEffect } from "./member.ts";
+import type { CoordinatorMessage, Decider, ExpertMap } from "./types.ts";
+
+const MAP: ExpertMap = { layers: [{ experts: [[0]] }] };
+const FIRST: Decider = { epoch: 1, decider: "first" };
+const SECOND: Decider = { epoch: 2, decider: "second" };
+
+/** A member whose engine holds before step 5 with version 7 staged. */
+class HeldMember {
+  readonly member = new GroupMember();
+  readonly engine = new FakeEngine(false);
+
+  constructor() {
+    this.engine.carryOut(
+      { kind: "assemble", incarnation: 1, version: 6, map: MAP },
+      1,
+    );
+    this.engine.carryOut({ kind: "activate", version: 6, step: 0 }, 1);
+    this.engine.carryOut({ kind: "stage", version: 7, map: MAP }, 1);
+    this.engine.carryOut({ kind: "hold", version: 7, step: 5 }, 1);
+    this.member.reduce({
+      kind: "engine_said",
+      now: 0,
+      engine: this.engine.state,
+    });
+    this.say({ kind: "bind", ...FIRST });
+  }
+
+  say(message: CoordinatorMessage): readonly MemberEffect[] {
+    return this.member.reduce({ kind: "coordinator_said", now: 0, message });
+  }
+
+  carryOut(
+    effect: Extract<MemberEffect, { kind: "order" }>,
+  ): readonly MemberEffect[] {
+    this.engine.carryOut(effect.order, effect.fencingNumber);
+    return this.member.reduce({
+      kind: "engine_said",
+      now: 0,
+      engine: this.engine.state,
+      order: effect.order,
+    });
+  }
+}
+
+function getOrder(
+  effects: readonly MemberEffect[],
+): Extract<MemberEffect, { kind: "order" }> {
+  const order = effects.find((effect) => effect.kind === "order");
+  assert.ok(order?.kind === "order", "Expected an order to the engine");
+  return order;
+}
+
+describe("group member", () => {
+  it("refuses an earlier decider's late decision", () => {
+    const held = new HeldMember();
+    held.say({ kind: "bind", ...SECOND });
+    const effects = held.say({ kind: "commit", ...FIRST, version: 7, step: 5 });
+    assert.deepEqual(effects, [
+      { kind: "say", message: { kind: "outdated", ...SECOND } },
+    ]);
+  });
+
+  it("does not take two deciders for one because their numbers are equal", () => {
+    const held = new HeldMember();
+    const other: Decider = { epoch: FIRST.epoch, decider: "other" };
+    const effects = held.say({ kind: "bind", ...other });
+    assert.deepEqual(effects, [
+      { kind: "say", message: { kind: "outdated", ...FIRST } },
+    ]);
+  });
+
+  it("answers a bind only when no order is under way", () => {
+    const held = new HeldMember();
+    const order = getOrder(
+      held.say({ kind: "commit", ...FIRST, version: 7, step: 5 }),
+    );
+    assert.deepEqual(held.say({ kind: "bind", ...SECOND }), []);
+    const effects = held.carryOut(order);
+    assert.equal(effects.length, 1);
+    const [effect] = effects;
+    assert.ok(effect?.kind === "say" && effect.message.kind === "bound");
+    assert.deepEqual(effect.message.engine.activation, { version: 7, step: 5 });
+  });
+
+  it("drops an earlier decider's orders that wait", () => {
+    const held = new HeldMember();
+    const stage = getOrder(held.say({
+      kind: "stage",
+      ...FIRST,
+      version: 8,
+      map: MAP,
+      assemble: undefined,
+    }));
+    held.say({ kind: "abort", ...FIRST, version: 8 });
+    held.say({ kind: "bind", ...SECOND });
+    const effects = held.carryOut(stage);
+    assert.ok(effects.every((effect) => effect.kind !== "order"));
+  });
+
+  it("tells when the engine is another", () => {
+    const held = new HeldMember();
+    const fresh = new FakeEngine(false).state;
+    const effects = held.member.reduce({
+      kind: "engine_said",
+      now: 0,
+      engine: fresh,
+    });
+    assert.deepEqual(effects, [{
+      kind: "say",
+      message: { kind: "bound", epoch: FIRST.epoch, engine: fresh },
+    }]);
+  });
+});
