Prove accepted settings under races, lost replies and outages

Cause: only the read of the head knew of the open swap, not the reads of bodies after it. The open swap is now kept for the whole write, and whatever fails after it leaves it open.

--- a/src/settings/settings_writer.ts
+++ b/src/settings/settings_writer.ts
@@ -94,6 +94,11 @@
   readonly record: string;
 }
 
+interface WriteProgress {
+  /** Whether a swap's reply was lost. */
+  mayHaveSwapped: boolean;
+}
+
 class StopWriting extends Error {
   readonly outcome: ChangeOutcome;
 
@@ -124,19 +129,24 @@
    * ```
    */
   async write(change: ChangeRequest): Promise<ChangeOutcome> {
+    const progress: WriteProgress = { mayHaveSwapped: false };
     try {
-      return await this.#writeUntilSettled(change);
+      return await this.#writeUntilSettled(change, progress);
     } catch (error) {
       if (error instanceof StopWriting) return error.outcome;
-      return { kind: "unavailable", cause: String(error) };
+      // Whatever failed after an open swap leaves the swap open.
+      const kind = progress.mayHaveSwapped ? "unsettled" : "unavailable";
+      return { kind, cause: String(error) };
     }
   }
 
-  async #writeUntilSettled(change: ChangeRequest): Promise<ChangeOutcome> {
-    let mayHaveSwapped = false;
+  async #writeUntilSettled(
+    change: ChangeRequest,
+    progress: WriteProgress,
+  ): Promise<ChangeOutcome> {
     let base = change.baseRecord;
     for (let attempt = 0; attempt < MAX_ATTEMPTS; attempt++) {
-      const entry = await this.#readHead(change, mayHaveSwapped);
+      const entry = await this.#readHead(change);
       const held = await this.#tryRecordHash(entry, change.path);
       const done = await this.#tryFindChange(change, entry, held);
       if (done !== undefined) return done;
@@ -148,19 +158,13 @@
         expectedRevision: entry.keyRevision,
       });
       if (swap.kind === "swapped") return accept(proposal);
-      if (swap.kind === "unknown") mayHaveSwapped = true;
+      if (swap.kind === "unknown") progress.mayHaveSwapped = true;
     }
-    const cause = "Too many other changes at the same time";
-    return mayHaveSwapped
-      ? { kind: "unsettled", cause }
-      : { kind: "unavailable", cause };
+    throw new Error("Too many other changes at the same time");
   }
 
-  async #readHead(
-    change: ChangeRequest,
-    mayHaveSwapped: boolean,
-  ): Promise<HeadEntry> {
-    const entry = await this.#readHeadOrStop(mayHaveSwapped);
+  async #readHead(change: ChangeRequest): Promise<HeadEntry> {
+    const entry = await this.#readAnyHead();
     const revision = entry.head?.revision ?? 0;
     if (revision < change.lowestRevision) {
       throw new StopWriting({ kind: "behind", revision });
@@ -168,19 +172,14 @@
     return entry;
   }
 
-  async #readHeadOrStop(mayHaveSwapped: boolean): Promise<HeadEntry> {
-    try {
-      const entry = await this.#service.tryRead(HEAD_KEY);
-      if (entry === undefined) {
-        return { head: undefined, headText: "", keyRevision: 0 };
-      }
-      const head = tryParseHead(entry.value);
-      if (head === undefined) throw new Error("The head cannot be read");
-      return { head, headText: entry.value, keyRevision: entry.revision };
-    } catch (error) {
-      const kind = mayHaveSwapped ? "unsettled" : "unavailable";
-      throw new StopWriting({ kind, cause: String(error) });
+  async #readAnyHead(): Promise<HeadEntry> {
+    const entry = await this.#service.tryRead(HEAD_KEY);
+    if (entry === undefined) {
+      return { head: undefined, headText: "", keyRevision: 0 };
     }
+    const head = tryParseHead(entry.value);
+    if (head === undefined) throw new Error("The head cannot be read");
+    return { head, headText: entry.value, keyRevision: entry.revision };
   }
 
   /** Whether an earlier try, whose reply was lost, had taken effect. */
--- /dev/null
+++ b/src/testing/fake_key_value_service.ts
@@ -0,0 +1,98 @@
+/**
+ * A key-value service in memory, whose calls a test can delay, lose or refuse.
+ *
+ * @module
+ */
+import {
+  type KeyValueEntry,
+  KeyValueService,
+  KeyValueUnavailableError,
+  type SwapOptions,
+  type SwapOutcome,
+} from "../platform/key_value_service.ts";
+
+/** What becomes of one call. */
+export type CallFate = "answered" | "refused" | "reply_lost";
+
+/** Options of a {@link FakeKeyValueService}. */
+export interface FakeKeyValueOptions {
+  /** Called before and after each call takes effect; may wait. */
+  readonly pass?: () => Promise<void>;
+  /** Decides what becomes of a call. */
+  readonly fate?: (key: string) => CallFate;
+}
+
+/** A key-value service in memory. */
+export class FakeKeyValueService extends KeyValueService {
+  readonly #options: FakeKeyValueOptions;
+  #values = new Map<string, KeyValueEntry>();
+  isDown = false;
+
+  /** Begins empty. */
+  constructor(options: FakeKeyValueOptions = {}) {
+    super();
+    this.#options = options;
+  }
+
+  /** A copy of all values. */
+  backUp(): ReadonlyMap<string, KeyValueEntry> {
+    return new Map(this.#values);
+  }
+
+  /** Goes back to an older state; revisions of keys go on. */
+  restore(values: ReadonlyMap<string, KeyValueEntry>): void {
+    this.#values = new Map(values);
+  }
+
+  /** Puts another value in place, past all rules. */
+  corrupt(key: string, value: string): void {
+    const revision = this.#values.get(key)?.revision ?? 0;
+    this.#values.set(key, { value, revision: revision + 1 });
+  }
+
+  /** A value, past all faults. */
+  tryPeek(key: string): KeyValueEntry | undefined {
+    return this.#values.get(key);
+  }
+
+  override async tryRead(key: string): Promise<KeyValueEntry | undefined> {
+    await this.#options.pass?.();
+    const fate = this.#fateOf(key);
+    const entry = this.#values.get(key);
+    await this.#options.pass?.();
+    if (fate !== "answered") throw new KeyValueUnavailableError("Fault");
+    return entry;
+  }
+
+  override async compareAndSwap(
+    key: string,
+    options: SwapOptions,
+  ): Promise<SwapOutcome> {
+    await this.#options.pass?.();
+    const fate = this.#fateOf(key);
+    const outcome = fate === "refused" ? undefined : this.#swap(key, options);
+    await this.#options.pass?.();
+    if (outcome === undefined || fate === "reply_lost") {
+      return { kind: "unknown", cause: "Fault" };
+    }
+    return outcome;
+  }
+
+  override async watch(key: string): Promise<KeyValueEntry | undefined> {
+    return await this.tryRead(key);
+  }
+
+  #fateOf(key: string): CallFate {
+    if (this.isDown) return "refused";
+    return this.#options.fate?.(key) ?? "answered";
+  }
+
+  #swap(key: string, options: SwapOptions): SwapOutcome {
+    const revision = this.#values.get(key)?.revision ?? 0;
+    if (revision !== options.expectedRevision) {
+      return { kind: "conflict", revision };
+    }
+    this.#values.set(key, { value: options.value, revision: revision + 1 });
+    return { kind: "swapped", revision: revision + 1 };
+  }
+}
