--- a/src/platform/back_end.ts
+++ b/src/platform/back_end.ts
@@ -15,13 +15,18 @@
   readonly limitMs: number;
 }
 
+/**
+ * Why a call gave no whole answer: `not_begun` only if no byte of the request
+ * can have reached the back end, `late` if its limit passed, `broken` otherwise.
+ */
+export type BackEndFailure = "not_begun" | "late" | "broken";
+
 /** Hears of one call, in order; the last is `onEnd` or `onFailed`. */
 export interface BackEndListener {
   onHead(status: number, headers: readonly Header[]): void;
   onData(bytes: Uint8Array): void;
   onEnd(): void;
-  /** `mayHaveBegun` is false only if no byte can have reached the back end. */
-  onFailed(mayHaveBegun: boolean): void;
+  onFailed(failure: BackEndFailure): void;
 }
 
 /** A call under way. */
--- a/src/platform/http_back_end.ts
+++ b/src/platform/http_back_end.ts
@@ -7,6 +7,7 @@
 import {
   BackEnd,
   type BackEndCall,
+  type BackEndFailure,
   type BackEndListener,
   type BackEndRequest,
 } from "./back_end.ts";
@@ -71,11 +72,12 @@
   readonly #limit: NodeJS.Timeout;
   #controller: Dispatcher.DispatchController | undefined;
   #isCancelled = false;
+  #isLate = false;
   #isOver = false;
 
   constructor(listener: BackEndListener, limitMs: number) {
     this.#listener = listener;
-    this.#limit = setTimeout(() => this.cancel(), limitMs);
+    this.#limit = setTimeout(() => this.#endLate(), limitMs);
   }
 
   cancel(): void {
@@ -114,7 +116,17 @@
     error: Error & { readonly code?: string },
   ): void {
     if (!this.#finish()) return;
-    this.#listener.onFailed(!NOT_BEGUN_CODES.has(error.code ?? ""));
+    this.#listener.onFailed(this.#failureOf(error.code ?? ""));
+  }
+
+  #failureOf(code: string): BackEndFailure {
+    if (NOT_BEGUN_CODES.has(code)) return "not_begun";
+    return this.#isLate ? "late" : "broken";
+  }
+
+  #endLate(): void {
+    this.#isLate = true;
+    this.cancel();
   }
 
   #finish(): boolean {
--- a/src/target/target_driver.ts
+++ b/src/target/target_driver.ts
@@ -293,13 +293,13 @@
         this.#metrics.countAnswer(performance.now() - startedAt);
         this.#dispatch({ kind: "back_end_end", now: performance.now(), runId });
       },
-      onFailed: (mayHaveBegun) => {
+      onFailed: (failure) => {
         this.#calls.delete(runId);
         this.#dispatch({
           kind: "back_end_failed",
           now: performance.now(),
           runId,
-          mayHaveBegun,
+          failure,
         });
       },
     });
--- a/src/target/target_reducer.ts
+++ b/src/target/target_reducer.ts
@@ -16,6 +16,7 @@
   SubmitMessage,
 } from "../messages/types.ts";
 import { FairQueue } from "../policy/fair_queue.ts";
+import type { BackEndFailure } from "../platform/back_end.ts";
 import type { RefusalName } from "../refusals/catalogue.ts";
 import type { Outcome } from "../refusals/types.ts";
 import { type KeptAnswer, type KeyLedger } from "./key_ledger.ts";
@@ -51,6 +52,12 @@
   readonly submission: Outcome;
 }
 
+const REASON_BY_FAILURE: Readonly<Record<BackEndFailure, RefusalName>> = {
+  not_begun: "BACK_END_UNREACHABLE",
+  late: "DEADLINE",
+  broken: "BACK_END_FAILED",
+};
+
 /** Options of a {@link TargetReducer}. */
 export interface TargetReducerOptions {
   readonly limits: TargetLimits;
@@ -320,14 +327,15 @@
     const run = this.#runs.get(event.runId);
     if (run === undefined) return;
     this.#runs.delete(run.id);
-    const outcome = event.mayHaveBegun ? "unknown" : "not-run";
+    const isBegun = event.failure !== "not_begun";
     if (run.fingerprint !== undefined) {
-      if (event.mayHaveBegun) this.#gate.ledger.setUnsettled(run.fingerprint);
+      if (isBegun) this.#gate.ledger.setUnsettled(run.fingerprint);
       else this.#forgetKey(run.fingerprint);
     }
     if (run.isAbandoned) return;
+    const outcome = isBegun ? "unknown" : "not-run";
     this.#refuse(run.owner, {
-      reason: event.mayHaveBegun ? "BACK_END_FAILED" : "BACK_END_UNREACHABLE",
+      reason: REASON_BY_FAILURE[event.failure],
       outcome,
       submission: outcome,
     });
--- a/src/target/target_reducer_test.ts
+++ b/src/target/target_reducer_test.ts
@@ -121,7 +121,7 @@
       kind: "back_end_failed",
       now: 1,
       runId: 1,
-      mayHaveBegun: false,
+      failure: "not_begun",
     });
     assert.equal(refusalsOf(failed)[0]?.submission, "not-run");
   });
--- a/src/target/types.ts
+++ b/src/target/types.ts
@@ -11,6 +11,7 @@
   ReportMessage,
   SubmitMessage,
 } from "../messages/types.ts";
+import type { BackEndFailure } from "../platform/back_end.ts";
 import type { RefusalName } from "../refusals/catalogue.ts";
 
 /** The key slots that a target owns. */
@@ -83,8 +84,7 @@
   readonly kind: "back_end_failed";
   readonly now: number;
   readonly runId: number;
-  /** False only if no byte of the request can have reached the back end. */
-  readonly mayHaveBegun: boolean;
+  readonly failure: BackEndFailure;
 }
 
 /** The owner table was read, or written with success. */
--- /dev/null
+++ b/src/testing/process_cluster.ts
@@ -0,0 +1,325 @@
+/**
+ * Entries and targets as real processes before stand-ins of the platform, for
+ * tests that kill, stop and signal them.
+ *
+ * @module
+ */
+import { type ChildProcess, spawn } from "node:child_process";
+import { createHash } from "node:crypto";
+import { once } from "node:events";
+import { mkdtempSync, rmSync, writeFileSync } from "node:fs";
+import { createServer } from "node:net";
+import { tmpdir } from "node:os";
+import { join } from "node:path";
+import process from "node:process";
+import { setTimeout as sleep } from "node:timers/promises";
+import { request } from "undici";
+import { stringify } from "yaml";
+import { KeyValueStandIn } from "../../standins/key_value_stand_in.ts";
+import { MachineListStandIn } from "../../standins/machine_list_stand_in.ts";
+import type { VirtualMachine } from "../platform/virtual_machine_list.ts";
+
+/** Token that may write every path. */
+export const TEST_TOKEN = "administrator-token-of-tests";
+const SECRET = "a-secret-of-tests-only";
+const POLL_MS = 25;
+const PATIENCE_MS = 30_000;
+const HOST = "127.0.0.1";
+
+/** A running process of lagoonwharf. */
+export interface RunningProcess {
+  readonly name: string;
+  readonly role: "entry" | "target";
+  readonly child: ChildProcess;
+  /** Where callers (entry) or entries (target) connect. */
+  readonly address: string;
+  /** The administration address of an entry, the address of a target. */
+  readonly administrationAddress: string;
+  /** Everything that it logged. */
+  readLog(): string;
+}
+
+/** What a finished command printed. */
+export interface CommandResult {
+  readonly code: number | null;
+  readonly output: string;
+  readonly errors: string;
+}
+
+/** A free port on the loopback address. */
+export async function findFreeAddress(): Promise<string> {
+  const server = createServer();
+  server.listen(0, HOST);
+  await once(server, "listening");
+  const address = server.address();
+  server.close();
+  await once(server, "close");
+  if (address === null || typeof address === "string") throw new Error("Port");
+  return `${HOST}:${address.port}`;
+}
+
+/** Waits until `isTrue` says so; fails after a generous limit. */
+export async function waitUntil(
+  what: string,
+  isTrue: () => boolean | Promise<boolean>,
+): Promise<void> {
+  const end = Date.now() + PATIENCE_MS;
+  while (!await isTrue()) {
+    if (Date.now() > end) throw new Error(`Waited in vain: ${what}`);
+    await sleep(POLL_MS);
+  }
+}
+
+/** Entries and targets as real processes. */
+export class ProcessCluster {
+  readonly keyValue = new KeyValueStandIn();
+  readonly machineList = new MachineListStandIn();
+  readonly #folder = mkdtempSync(join(tmpdir(), "lagoonwharf-test-"));
+  readonly #processes: RunningProcess[] = [];
+  readonly #closers: (() => void)[] = [];
+  #machines: readonly VirtualMachine[] = [];
+  #keyValueAddress = "";
+  #machineListAddress = "";
+
+  /** Starts the stand-ins of the platform. */
+  static async create(): Promise<ProcessCluster> {
+    const cluster = new ProcessCluster();
+    cluster.#keyValueAddress = await findFreeAddress();
+    cluster.#machineListAddress = await findFreeAddress();
+    await cluster.keyValue.listen(cluster.#keyValueAddress);
+    await cluster.machineList.listen(cluster.#machineListAddress);
+    return cluster;
+  }
+
+  /** Listens with a stand-in of a back end; it is closed with the cluster. */
+  async listen(
+    backEnd: { listen(address: string): Promise<void>; close(): void },
+  ): Promise<string> {
+    const address = await findFreeAddress();
+    await backEnd.listen(address);
+    this.#closers.push(() => backEnd.close());
+    return address;
+  }
+
+  /** Starts an entry, and lists it. */
+  async startEntry(
+    name: string,
+    changes: Readonly<Record<string, unknown>> = {},
+  ): Promise<RunningProcess> {
+    const address = await findFreeAddress();
+    const administrationAddress = await findFreeAddress();
+    this.#list(name, "entry", administrationAddress, "");
+    return this.#start("entry", {
+      ...this.#common(name),
+      callerAddress: address,
+      administrationAddress,
+      administratorTokenSha256: createHash("sha256").update(TEST_TOKEN)
+        .digest("hex"),
+      ...changes,
+    }, { address, administrationAddress });
+  }
+
+  /** Starts a target, and lists it. */
+  async startTarget(
+    name: string,
+    backEndAddress: string,
+    changes: Readonly<Record<string, unknown>> = {},
+  ): Promise<RunningProcess> {
+    const address = await findFreeAddress();
+    const pool = name.replace(/-.*$/, "");
+    this.#list(name, "target", address, pool);
+    return this.#start("target", {
+      ...this.#common(name),
+      address,
+      pool,
+      backEndAddress,
+      ...changes,
+    }, { address, administrationAddress: address });
+  }
+
+  /** Writes a file of settings for the commands. */
+  writeFile(name: string, text: string): string {
+    const file = join(this.#folder, name);
+    writeFileSync(file, text);
+    return file;
+  }
+
+  /** Runs a command to its end. */
+  async run(words: readonly string[]): Promise<CommandResult> {
+    const child = spawnProgram(words);
+    let output = "";
+    let errors = "";
+    child.stdout?.on("data", (chunk) => output += chunk);
+    child.stderr?.on("data", (chunk) => errors += chunk);
+    const [code] = await once(child, "close");
+    return { code: code as number | null, output, errors };
+  }
+
+  /** Applies a settings document through an entry; it must be accepted. */
+  async apply(
+    entry: RunningProcess,
+    path: string,
+    text: string,
+  ): Promise<number> {
+    const response = await request(
+      `http://${entry.administrationAddress}/administration/v1/settings${path}`,
+      {
+        method: "PUT",
+        headers: { authorization: `Bearer ${TEST_TOKEN}` },
+        body: JSON.stringify({
+          text,
+          changeId: `${path}-${Date.now()}-${Math.random()}`,
+        }),
+      },
+    );
+    const body = await response.body.json() as { readonly revision?: number };
+    if (response.statusCode !== 200 || body.revision === undefined) {
+      throw new Error(`Not accepted: ${JSON.stringify(body)}`);
+    }
+    return body.revision;
+  }
+
+  /** The state that an entry tells. */
+  async readStatus(entry: RunningProcess): Promise<StatusBody> {
+    const response = await request(
+      `http://${entry.administrationAddress}/administration/v1/status`,
+    );
+    return await response.body.json() as StatusBody;
+  }
+
+  /** Waits until an entry has targets and settings to serve with. */
+  async waitForTargets(
+    entry: RunningProcess,
+    names: readonly string[],
+  ): Promise<void> {
+    await waitUntil(`${entry.name} sees ${names.join(" ")}`, async () => {
+      const status = await this.#tryStatus(entry);
+      return names.every((name) =>
+        status?.targets.some((target) =>
+          target.name === name && target.kind === "answered"
+        )
+      );
+    });
+  }
+
+  /** Waits until every process has a revision in force. */
+  async waitForRevision(
+    entry: RunningProcess,
+    revision: number,
+  ): Promise<void> {
+    await waitUntil(`revision ${revision} at ${entry.name}`, async () => {
+      const status = await this.#tryStatus(entry);
+      return status !== undefined && status.revision >= revision &&
+        status.targets.every((target) => (target.revision ?? 0) >= revision);
+    });
+  }
+
+  /** Changes what the machine list says of a machine. */
+  setState(name: string, state: VirtualMachine["state"]): void {
+    this.#machines = this.#machines.map((machine) =>
+      machine.name === name ? { ...machine, state } : machine
+    );
+    this.machineList.setMachines(this.#machines);
+  }
+
+  /** Ends whatever this cluster started. */
+  async close(): Promise<void> {
+    for (const { child } of this.#processes) {
+      child.kill("SIGCONT");
+      child.kill("SIGKILL");
+    }
+    await Promise.all(this.#processes.map(({ child }) => exitOf(child)));
+    for (const close of this.#closers) close();
+    this.keyValue.close();
+    this.machineList.close();
+    rmSync(this.#folder, { recursive: true, force: true });
+  }
+
+  async #tryStatus(entry: RunningProcess): Promise<StatusBody | undefined> {
+    try {
+      return await this.readStatus(entry);
+    } catch {
+      return undefined;
+    }
+  }
+
+  #common(name: string): Readonly<Record<string, unknown>> {
+    return {
+      name,
+      deployment: "test",
+      failureDomain: "a",
+      secret: SECRET,
+      keyValueAddress: this.#keyValueAddress,
+      machineListAddress: this.#machineListAddress,
+    };
+  }
+
+  #list(
+    name: string,
+    role: VirtualMachine["role"],
+    address: string,
+    pool: string,
+  ): void {
+    const others = this.#machines.filter((machine) => machine.name !== name);
+    this.#machines = [...others, {
+      name,
+      address,
+      role,
+      failureDomain: "a",
+      pool,
+      state: "live",
+    }];
+    this.machineList.setMachines(this.#machines);
+  }
+
+  #start(
+    role: "entry" | "target",
+    settings: Readonly<Record<string, unknown>>,
+    addresses: {
+      readonly address: string;
+      readonly administrationAddress: string;
+    },
+  ): RunningProcess {
+    const name = String(settings["name"]);
+    const file = this.writeFile(`${name}.yaml`, stringify(settings));
+    const child = spawnProgram([role, file]);
+    let log = "";
+    child.stderr?.on("data", (chunk) => log += chunk);
+    const running = { name, role, child, ...addresses, readLog: () => log };
+    this.#processes.push(running);
+    return running;
+  }
+}
+
+/** The part of an entry's status that tests read. */
+export interface StatusBody {
+  readonly revision: number;
+  readonly inFlight: number;
+  readonly targets: readonly {
+    readonly kind: string;
+    readonly name: string;
+    readonly revision?: number;
+    readonly running?: number;
+    readonly leaving?: boolean;
+  }[];
+}
+
+/** The exit code of a process, once it has one; null after a signal. */
+export async function exitOf(child: ChildProcess): Promise<number | null> {
+  if (child.exitCode !== null || child.signalCode !== null) {
+    return child.exitCode;
+  }
+  await once(child, "exit");
+  return child.exitCode;
+}
+
+function spawnProgram(words: readonly string[]): ChildProcess {
+  return spawn(
+    process.execPath,
+    ["--import", "tsx", "src/main.ts", ...words],
+    {
+      stdio: ["ignore", "pipe", "pipe"],
+      env: { ...process.env, LAGOONWHARF_TOKEN: TEST_TOKEN },
+    },
+  );
+}
--- a/src/testing/request_world.ts
+++ b/src/testing/request_world.ts
@@ -258,7 +258,7 @@
       kind: "back_end_failed",
       now: this.#now,
       runId: run.runId,
-      mayHaveBegun: true,
+      failure: "broken",
     });
   }
 
@@ -644,7 +644,7 @@
           kind: "back_end_failed",
           now: this.#now,
           runId: effect.runId,
-          mayHaveBegun: true,
+          failure: "broken",
         });
       }
       default:
--- a/standins/key_value_stand_in.ts
+++ b/standins/key_value_stand_in.ts
@@ -145,7 +145,7 @@
         this.#waiters.delete(wake);
         resolve();
       };
-      const timer = setTimeout(wake, limitMs);
+      const timer = setTimeout(wake, limitMs).unref();
       this.#waiters.add(wake);
     });
   }
