Prove outages, restores, races and bad messages with processes

Found: an entry started during an outage of the key-value service never got settings from a target, because a target that followed by the newest changes held neither pages nor root. Cause: only records were read on that way. Pages and root follow from the records byte for byte, so whoever follows makes them itself, and checks the root's hash by the way. A service that just failed is not asked for each body of a tree again; peers are.

--- a/src/entry/administration.ts
+++ b/src/entry/administration.ts
@@ -93,7 +93,7 @@
       return refuse(context, 403, "FORBIDDEN");
     }
     const { settings } = this.#options;
-    const hash = settings.keeper.snapshot?.records.get(path);
+    const hash = settings.keeper.snapshot?.tree.tryGet(path);
     const record = await settings.tryRecord(path);
     if (record === undefined) return refuse(context, 404, "NO_SUCH_PATH");
     return context.json({ ...record, record: hash });
--- a/src/entry/entry_settings.ts
+++ b/src/entry/entry_settings.ts
@@ -8,6 +8,7 @@
 import type { PeerBodySource } from "../links/peer_body_source.ts";
 import type { KeyValueService } from "../platform/key_value_service.ts";
 import { BodyCache, KeyValueBodySource } from "../settings/body_source.ts";
+import { reachableFrom } from "../settings/reachable.ts";
 import { SettingsExchange } from "../settings/settings_exchange.ts";
 import { SettingsKeeper } from "../settings/settings_keeper.ts";
 import { SettingsRestorer } from "../settings/settings_restorer.ts";
@@ -94,7 +95,7 @@
 
   /** The record of a path in force. */
   async tryRecord(path: string): Promise<SettingsRecord | undefined> {
-    const hash = this.keeper.snapshot?.records.get(path);
+    const hash = this.keeper.snapshot?.tree.tryGet(path);
     return hash === undefined ? undefined : await this.tryRecordBody(hash);
   }
 
@@ -114,13 +115,8 @@
     }
     onSnapshot(snapshot);
     this.exchange.offerToAll();
-    void this.#prune(snapshot);
-  }
-
-  /** Old pages and records can be had from the service; targets need none. */
-  async #prune(snapshot: SettingsSnapshot): Promise<void> {
-    const reachable = await this.#bodies.reachableFrom(snapshot);
-    if (this.keeper.snapshot === snapshot) this.#bodies.retain(reachable);
+    // Old pages and records can be had from the service; targets need none.
+    this.#bodies.retain(reachableFrom(snapshot));
   }
 
   async #restore(revision: number): Promise<void> {
--- /dev/null
+++ b/src/links/link_faults_test.ts
@@ -0,0 +1,237 @@
+import assert from "node:assert/strict";
+import { once } from "node:events";
+import { after, before, describe, it } from "node:test";
+import { Hono } from "hono";
+import { Packr } from "msgpackr";
+import { WebSocket } from "ws";
+import { LINK_FAULT_CODES, type LinkFault } from "../messages/codec.ts";
+import { createProof } from "../messages/handshake.ts";
+import type { Message, WelcomeMessage } from "../messages/types.ts";
+import { HttpListener } from "../process/http_listener.ts";
+import { findFreeAddress } from "../testing/process_cluster.ts";
+import type { Link } from "./link.ts";
+import { LinkClient } from "./link_client.ts";
+import { LINK_PATH, type LinkIdentity, LinkServer } from "./link_server.ts";
+
+const PACKER = new Packr({ useRecords: false });
+const IDENTITY: LinkIdentity = {
+  deployment: "test",
+  secret: "the-secret-of-the-deployment",
+  name: "target-1",
+  incarnation: "1",
+  failureDomain: "a",
+};
+
+interface Challenge {
+  readonly nonce: string;
+}
+
+function createHello(
+  challenge: Challenge,
+  changes: Readonly<Record<string, unknown>> = {},
+  secret = IDENTITY.secret,
+) {
+  const hello = {
+    kind: "hello",
+    protocol: 1,
+    deployment: "test",
+    role: "entry",
+    name: "entry-1",
+    incarnation: "1",
+    failureDomain: "a",
+    nonce: "our-nonce",
+    ...changes,
+  };
+  const proof = createProof({
+    secret,
+    side: "dialling",
+    deployment: hello.deployment,
+    name: hello.name,
+    incarnation: hello.incarnation,
+    nonces: [challenge.nonce, hello.nonce],
+  });
+  return { ...hello, proof };
+}
+
+/** A frame of one message. */
+function frame(message: unknown): Uint8Array {
+  return PACKER.pack([message]);
+}
+
+interface FaultRow {
+  readonly name: string;
+  /** What is sent after the challenge, and after a welcome. */
+  readonly first: (challenge: Challenge) => Uint8Array | string;
+  readonly second?: Uint8Array | string;
+  readonly fault: LinkFault | "TOO_LARGE";
+}
+
+const FAULT_ROWS: readonly FaultRow[] = [
+  {
+    name: "text in place of bytes",
+    first: () => "hello",
+    fault: "UNREADABLE_FRAME",
+  },
+  {
+    name: "bytes that are no frame",
+    first: () => new Uint8Array([0xc1, 0xff, 0x00]),
+    fault: "UNREADABLE_FRAME",
+  },
+  {
+    name: "a frame that was cut short",
+    first: (challenge) => frame(createHello(challenge)).subarray(0, 40),
+    fault: "UNREADABLE_FRAME",
+  },
+  {
+    name: "a frame that is no list",
+    first: () => PACKER.pack({ kind: "hello" }),
+    fault: "UNREADABLE_FRAME",
+  },
+  {
+    name: "a message of an unknown kind",
+    first: () => frame({ kind: "obey" }),
+    fault: "UNKNOWN_MESSAGE",
+  },
+  {
+    name: "a message with a field of another type",
+    first: (challenge) => frame(createHello(challenge, { protocol: "1" })),
+    fault: "UNKNOWN_MESSAGE",
+  },
+  {
+    name: "another version of the messages",
+    first: (challenge) => frame(createHello(challenge, { protocol: 2 })),
+    fault: "WRONG_PROTOCOL",
+  },
+  {
+    name: "another deployment",
+    first: (challenge) =>
+      frame(createHello(challenge, { deployment: "other" })),
+    fault: "WRONG_DEPLOYMENT",
+  },
+  {
+    name: "another secret",
+    first: (challenge) => frame(createHello(challenge, {}, "another-secret")),
+    fault: "WRONG_PROOF",
+  },
+  {
+    name: "a proof from another connection",
+    first: () => frame(createHello({ nonce: "of-another-connection" })),
+    fault: "WRONG_PROOF",
+  },
+  {
+    name: "an order before the proof",
+    first: () => frame({ kind: "cancel", requestId: 1, attempt: 1 }),
+    fault: "UNEXPECTED_MESSAGE",
+  },
+  {
+    name: "a bad message after the proof",
+    first: (challenge) => frame(createHello(challenge)),
+    second: frame({ kind: "submit" }),
+    fault: "UNKNOWN_MESSAGE",
+  },
+  {
+    name: "a frame larger than any may be",
+    first: (challenge) => frame(createHello(challenge)),
+    second: new Uint8Array(17 * 1024 * 1024),
+    fault: "TOO_LARGE",
+  },
+];
+
+/** Close code of the protocol itself for frames over the limit. */
+const TOO_LARGE_CODE = 1009;
+
+describe("connections between our processes", () => {
+  let listener: HttpListener;
+  let address: string;
+  let received: Message[];
+  let good: LinkClient;
+  let goodLink: Link;
+  let goodIsOpen = false;
+
+  before(async () => {
+    listener = new HttpListener(new Hono());
+    address = await findFreeAddress();
+    received = [];
+    new LinkServer(listener.server, {
+      identity: IDENTITY,
+      welcome: { pool: "plan", concurrency: 1 },
+      listener: {
+        onPeer: () => ({
+          onMessage: (message) => received.push(message),
+          onClose: () => undefined,
+        }),
+        onRejected: () => undefined,
+      },
+    });
+    await listener.listen(address);
+    await new Promise<WelcomeMessage>((resolve) => {
+      good = new LinkClient({
+        address,
+        role: "entry",
+        identity: { ...IDENTITY, name: "good" },
+        listener: {
+          onConnected: (link, welcome) => {
+            goodLink = link;
+            goodIsOpen = true;
+            resolve(welcome);
+          },
+          onMessage: () => undefined,
+          onDisconnected: () => goodIsOpen = false,
+          onDialFailed: () => undefined,
+        },
+      });
+    });
+  });
+
+  after(() => {
+    good.stop();
+    listener.close();
+  });
+
+  for (const row of FAULT_ROWS) {
+    it(`closes with a number and harms no other: ${row.name}`, async () => {
+      received.length = 0;
+      const socket = new WebSocket(`ws://${address}${LINK_PATH}`);
+      const closed = once(socket, "close");
+      const [challengeFrame] = await once(socket, "message");
+      const [challenge] = PACKER.unpack(challengeFrame);
+      socket.send(row.first(challenge));
+      if (row.second !== undefined) {
+        await once(socket, "message");
+        socket.send(row.second);
+      }
+      const [code] = await closed;
+      const expected = row.fault === "TOO_LARGE"
+        ? TOO_LARGE_CODE
+        : LINK_FAULT_CODES[row.fault];
+      assert.equal(code, expected);
+      assert.deepEqual(received, []);
+      assert.ok(goodIsOpen, "Another connection was harmed");
+      goodLink.send({ kind: "status_request" });
+      while (received.length === 0) {
+        await new Promise((resolve) => setImmediate(resolve));
+      }
+      assert.deepEqual(received, [{ kind: "status_request" }]);
+    });
+  }
+
+  it("does not join a process that cannot prove itself", async () => {
+    const answers: string[] = [];
+    const stranger = new LinkClient({
+      address,
+      role: "entry",
+      identity: { ...IDENTITY, secret: "another-secret-than-ours" },
+      listener: {
+        onConnected: () => answers.push("connected"),
+        onMessage: () => undefined,
+        onDisconnected: () => undefined,
+        onDialFailed: () => answers.push("rejected"),
+      },
+    });
+    while (answers.length === 0) {
+      await new Promise((resolve) => setImmediate(resolve));
+    }
+    stranger.stop();
+    assert.deepEqual(answers, ["rejected"]);
+  });
+});
--- /dev/null
+++ b/src/policy/placement/load_estimator.ts
@@ -0,0 +1,75 @@
+/**
+ * Estimates of tokens per expert and of rank speeds, from reports that come
+ * late and with gaps.
+ *
+ * @module
+ */
+import type { LayerLoad } from "./types.ts";
+
+/** What one interval showed of a layer. */
+export interface LayerReport {
+  /** Tokens a step for each expert; undefined where the report is missing. */
+  readonly tokens: readonly (number | undefined)[];
+  /** Time of each rank over that of a rank of usual speed, if reported. */
+  readonly slowdowns: readonly (number | undefined)[];
+}
+
+/** Weight of the newest interval. */
+const TOKEN_SMOOTHING = 0.4;
+const SPEED_SMOOTHING = 0.5;
+/**
+ * Relative change of the whole layer after which old intervals are forgotten: a
+ * sudden shift must not be averaged away over several intervals.
+ */
+const SHIFT_SHARE = 0.25;
+
+/** Estimates the load of one layer. */
+export class LoadEstimator {
+  #tokens: number[];
+  readonly #speeds: number[];
+
+  /** Begins with an even load and ranks of usual speed. */
+  constructor(experts: number, ranks: number) {
+    this.#tokens = new Array<number>(experts).fill(0);
+    this.#speeds = new Array<number>(ranks).fill(1);
+  }
+
+  /** The load as it is thought to be. */
+  get load(): LayerLoad {
+    return { tokens: [...this.#tokens], speeds: [...this.#speeds] };
+  }
+
+  /**
+   * Takes in the report of an interval.
+   *
+   * @example
+   * ```ts
+   * estimator.observe(report);
+   * const planned = planner.plan(placement, estimator.load);
+   * ```
+   */
+  observe(report: LayerReport): void {
+    const weight = this.#isShift(report) ? 1 : TOKEN_SMOOTHING;
+    this.#tokens = this.#tokens.map((old, expert) => {
+      const seen = report.tokens[expert];
+      return seen === undefined ? old : old + weight * (seen - old);
+    });
+    for (const [rank, slowdown] of report.slowdowns.entries()) {
+      if (slowdown === undefined || slowdown <= 0) continue;
+      const old = this.#speeds[rank] as number;
+      const seen = 1 / slowdown;
+      this.#speeds[rank] = old + SPEED_SMOOTHING * (seen - old);
+    }
+  }
+
+  #isShift(report: LayerReport): boolean {
+    let change = 0;
+    let total = 0;
+    for (const [expert, seen] of report.tokens.entries()) {
+      if (seen === undefined) continue;
+      change += Math.abs(seen - (this.#tokens[expert] as number));
+      total += seen;
+    }
+    return change > SHIFT_SHARE * total;
+  }
+}
--- /dev/null
+++ b/src/policy/placement/rank_times.ts
@@ -0,0 +1,83 @@
+/**
+ * How long each rank of a group takes for one layer of a step.
+ *
+ * @module
+ */
+import type { LayerPlacement } from "../../group/types.ts";
+import type { LayerLoad } from "./types.ts";
+
+/**
+ * Time of each rank for a layer, in token times of a rank of usual speed.
+ * Tokens of an expert are split evenly over its replicas.
+ *
+ * @example
+ * ```ts
+ * const slowest = Math.max(...rankTimes(placement, load));
+ * ```
+ */
+export function rankTimes(
+  placement: LayerPlacement,
+  load: LayerLoad,
+): readonly number[] {
+  const replicas = countReplicas(placement, load.tokens.length);
+  return placement.experts.map((experts, rank) => {
+    let tokens = 0;
+    for (const expert of experts) {
+      tokens += (load.tokens[expert] ?? 0) / (replicas[expert] ?? 1);
+    }
+    return tokens / (load.speeds[rank] ?? 1);
+  });
+}
+
+/** Replicas of each expert. */
+export function countReplicas(
+  placement: LayerPlacement,
+  experts: number,
+): number[] {
+  const replicas = new Array<number>(experts).fill(0);
+  for (const expert of placement.experts.flat()) {
+    replicas[expert] = (replicas[expert] ?? 0) + 1;
+  }
+  return replicas;
+}
+
+/** Experts that ranks have in `after` and had not in `before`. */
+export function countMoves(
+  before: LayerPlacement,
+  after: LayerPlacement,
+): number {
+  let moves = 0;
+  for (const [rank, experts] of after.experts.entries()) {
+    const had = new Set(before.experts[rank]);
+    for (const expert of new Set(experts)) if (!had.has(expert)) moves++;
+  }
+  return moves;
+}
+
+/**
+ * A time that no placement with these slots can beat: the work spread over all
+ * ranks, and the hottest experts split as often as the slots allow.
+ *
+ * @example
+ * ```ts
+ * const ratio = slowest / lowestSlowestTime(load, slots);
+ * ```
+ */
+export function lowestSlowestTime(load: LayerLoad, slots: number): number {
+  const tokens = load.tokens.reduce((sum, count) => sum + count, 0);
+  const speed = load.speeds.reduce((sum, one) => sum + one, 0);
+  const spread = tokens / speed;
+  const fastest = Math.max(...load.speeds);
+  let low = spread;
+  let high = Math.max(spread, ...load.tokens.map((count) => count / fastest));
+  for (let round = 0; round < 40; round++) {
+    const middle = (low + high) / 2;
+    const needed = load.tokens.reduce(
+      (sum, count) => sum + Math.max(1, Math.ceil(count / (middle * fastest))),
+      0,
+    );
+    if (needed <= slots) high = middle;
+    else low = middle;
+  }
+  return high;
+}
--- /dev/null
+++ b/src/process/platform_faults_test.ts
@@ -0,0 +1,236 @@
+import assert from "node:assert/strict";
+import { createHash } from "node:crypto";
+import { after, before, describe, it } from "node:test";
+import { request } from "undici";
+import { PlainServiceStandIn } from "../../standins/plain_service_stand_in.ts";
+import {
+  ProcessCluster,
+  type RunningProcess,
+  waitUntil,
+} from "../testing/process_cluster.ts";
+
+const SERVICE =
+  "# path: /organisations/a/services/confirm\nkind: service\npathPrefix: /confirm\npool: confirm\n";
+
+describe("faults of the platform, with processes", () => {
+  let cluster: ProcessCluster;
+  let entry: RunningProcess;
+  let target: RunningProcess;
+  let plain: PlainServiceStandIn;
+
+  async function statusOfCall(from: RunningProcess): Promise<number> {
+    const response = await request(`http://${from.address}/confirm`, {
+      method: "POST",
+      body: "body",
+    });
+    await response.body.dump();
+    return response.statusCode;
+  }
+
+  function settings(words: readonly string[]) {
+    return cluster.run([
+      "settings",
+      ...words,
+      "--entry",
+      entry.administrationAddress,
+    ]);
+  }
+
+  before(async () => {
+    cluster = await ProcessCluster.create();
+    entry = await cluster.startEntry("entry-1");
+    plain = new PlainServiceStandIn("confirm");
+    target = await cluster.startTarget(
+      "confirm-1",
+      await cluster.listen(plain),
+    );
+    await cluster.waitForTargets(entry, ["confirm-1"]);
+    await cluster.apply(entry, "/organisations/a", "kind: organisation\n");
+  });
+
+  after(async () => await cluster.close());
+
+  it("says accepted although the swap's reply was lost", async () => {
+    const file = cluster.writeFile("service.yaml", SERVICE);
+    cluster.keyValue.faults.lostReplies = 1;
+    const result = await settings(["apply", file]);
+    assert.equal(result.code, 0, result.errors);
+    assert.match(result.output, /accepted .* at revision 2/);
+    const waited = await settings(["wait", "2"]);
+    assert.equal(waited.code, 0, waited.output);
+    assert.equal(await statusOfCall(entry), 200);
+  });
+
+  it("shows every finding with its place and accepts nothing", async () => {
+    const file = cluster.writeFile(
+      "bad.yaml",
+      "# path: /organisations/a/services/bad\nkind: service\npathPrefix: bad\nretryShare: 2\ncolour: red\n",
+    );
+    const result = await settings(["apply", file]);
+    assert.equal(result.code, 2);
+    assert.match(result.errors, /bad.yaml:3:1 - error LW1002: pathPrefix/);
+    assert.match(result.errors, /bad.yaml:4:1 - error LW1002: retryShare/);
+    assert.match(result.errors, /bad.yaml:5:1 - error LW1003: .*'colour'/);
+    assert.match(result.errors, /LW1002: pool/);
+  });
+
+  it("shows both sides of a conflict", async () => {
+    const shown = await settings(["show", "/organisations/a"]);
+    const mine = cluster.writeFile("mine.yaml", `${shown.output}weight: 2\n`);
+    await cluster.apply(
+      entry,
+      "/organisations/a",
+      "kind: organisation\nweight: 3\n",
+    );
+    const result = await settings(["apply", mine]);
+    assert.equal(result.code, 4, result.errors);
+    assert.match(
+      result.errors,
+      /theirs\n[^]*weight: 3[^]*yours\n[^]*weight: 2/,
+    );
+  });
+
+  it("goes on serving through an outage, and starts new processes", async () => {
+    cluster.keyValue.faults.isDown = true;
+    cluster.machineList.isDown = true;
+    assert.equal(await statusOfCall(entry), 200);
+    const second = await cluster.startEntry("entry-2", {
+      targets: [target.address],
+    });
+    await waitUntil("the new entry serves", async () => {
+      try {
+        return await statusOfCall(second) === 200;
+      } catch {
+        return false;
+      }
+    });
+    const file = cluster.writeFile("outage.yaml", SERVICE);
+    const refused = await settings(["apply", file]);
+    assert.equal(refused.code, 1, refused.errors);
+    cluster.machineList.isDown = false;
+    cluster.keyValue.faults.isDown = false;
+    const accepted = await settings(["apply", file]);
+    assert.equal(accepted.code, 0, accepted.errors);
+  });
+
+  it("puts accepted settings back into a restored service", async () => {
+    const old = cluster.keyValue.backUp();
+    const revision = await cluster.apply(
+      entry,
+      "/organisations/a",
+      "kind: organisation\nweight: 7\n",
+    );
+    await cluster.waitForRevision(entry, revision);
+    cluster.keyValue.restore(old);
+    await waitUntil(
+      "the settings are put back",
+      () => entry.readLog().includes("SETTINGS_RESTORED"),
+    );
+    const shown = await settings(["show", "/organisations/a"]);
+    assert.match(shown.output, /weight: 7/);
+    const next = await cluster.apply(
+      entry,
+      "/organisations/a",
+      "kind: organisation\nweight: 8\n",
+    );
+    assert.equal(next, revision + 1);
+  });
+
+  it("catches up after it stood still", async () => {
+    const second = await cluster.startEntry("entry-3");
+    await cluster.waitForTargets(second, ["confirm-1"]);
+    await waitUntil(
+      "it has settings",
+      async () => (await cluster.readStatus(second)).revision > 0,
+    );
+    second.child.kill("SIGSTOP");
+    const revision = await cluster.apply(
+      entry,
+      "/organisations/a",
+      "kind: organisation\nweight: 9\n",
+    );
+    second.child.kill("SIGCONT");
+    await waitUntil(
+      "it catches up",
+      async () => (await cluster.readStatus(second)).revision === revision,
+    );
+  });
+
+  it("writes only with a token, and only below its path", async () => {
+    const address = entry.administrationAddress;
+    const rows = [
+      { token: "nobody", status: 403 },
+      { token: "team-token", status: 403, path: "/organisations/a" },
+      { token: "team-token", status: 403, path: "/teams/other" },
+      { token: "team-token", status: 200, path: "/organisations/b" },
+    ];
+    await cluster.apply(
+      entry,
+      "/teams/b",
+      "kind: team\nsubtree: /organisations/b\n" +
+        `tokenSha256: ${sha256("team-token")}\n`,
+    );
+    for (const { token, status, path = "/organisations/b" } of rows) {
+      const response = await request(
+        `http://${address}/administration/v1/settings${path}`,
+        {
+          method: "PUT",
+          headers: { authorization: `Bearer ${token}` },
+          body: JSON.stringify({
+            text: "kind: organisation\n",
+            changeId: `change-of-${token}-${path}`,
+          }),
+        },
+      );
+      await response.body.dump();
+      assert.equal(response.statusCode, status, `${token} ${path}`);
+    }
+  });
+
+  it("moves a service from the scripts and back by one change", async () => {
+    const scripts = new PlainServiceStandIn("scripts");
+    const scriptsAddress = await cluster.listen(scripts);
+    const path = "/organisations/a/services/confirm";
+    const document = "kind: service\npathPrefix: /confirm\npool: confirm\n";
+    const handedOver = `handover: scripts\nscriptsAddress: ${scriptsAddress}\n`;
+    for (
+      const [text, service] of [
+        [document + handedOver, "scripts"],
+        [document, "confirm"],
+      ] as const
+    ) {
+      const revision = await cluster.apply(entry, path, text);
+      await cluster.waitForRevision(entry, revision);
+      const response = await request(`http://${entry.address}/confirm`, {
+        method: "POST",
+        body: "body",
+      });
+      const answer = await response.body.json() as { readonly service: string };
+      assert.equal(answer.service, service);
+    }
+  });
+
+  it("starts nothing with bad process settings, and says all", async () => {
+    const file = cluster.writeFile("entry.yaml", "name: UPPER\ncolour: red\n");
+    const result = await cluster.run(["entry", file]);
+    assert.equal(result.code, 2);
+    assert.match(result.errors, /name: /);
+    assert.match(result.errors, /callerAddress: /);
+    assert.match(result.errors, /colour/);
+  });
+
+  it("says plainly that a port is in use", async () => {
+    const taken = await cluster.startEntry("entry-4", {
+      callerAddress: entry.address,
+    });
+    await waitUntil(
+      "it gives up",
+      () => taken.readLog().includes("START_FAILED"),
+    );
+    assert.match(taken.readLog(), /EADDRINUSE/);
+  });
+});
+
+function sha256(text: string): string {
+  return createHash("sha256").update(text).digest("hex");
+}
--- a/src/settings/body_source.ts
+++ b/src/settings/body_source.ts
@@ -3,9 +3,9 @@
  *
  * @module
  */
+import { performance } from "node:perf_hooks";
 import type { KeyValueService } from "../platform/key_value_service.ts";
-import { BODY_KEY_PREFIX, hashOf, tryParseRoot } from "./tree.ts";
-import type { SettingsSnapshot } from "./types.ts";
+import { BODY_KEY_PREFIX, hashOf } from "./tree.ts";
 
 /** Gives bodies by their hash. */
 export abstract class BodySource {
@@ -13,9 +13,13 @@
   abstract tryRead(hash: string): Promise<string | undefined>;
 }
 
+/** Milliseconds for which a service that failed is not asked again. */
+const FAILURE_PAUSE_MS = 2000;
+
 /** Reads bodies from the platform's key-value service. */
 export class KeyValueBodySource extends BodySource {
   readonly #service: KeyValueService;
+  #failedAt = Number.NEGATIVE_INFINITY;
 
   /** Takes the service to read from. */
   constructor(service: KeyValueService) {
@@ -24,9 +28,13 @@
   }
 
   override async tryRead(hash: string): Promise<string | undefined> {
+    // In a slow outage each body would wait for its time-out: ask peers.
+    const now = performance.now();
+    if (now - this.#failedAt < FAILURE_PAUSE_MS) return undefined;
     try {
       return (await this.#service.tryRead(BODY_KEY_PREFIX + hash))?.value;
     } catch {
+      this.#failedAt = performance.now();
       return undefined;
     }
   }
@@ -63,18 +71,6 @@
     return true;
   }
 
-  /** Hashes of the root, pages and records of a snapshot. */
-  async reachableFrom(
-    snapshot: SettingsSnapshot,
-  ): Promise<ReadonlySet<string>> {
-    const hashes = new Set(snapshot.records.values());
-    hashes.add(snapshot.head.root);
-    const rootText = await this.tryRead(snapshot.head.root);
-    const root = rootText === undefined ? undefined : tryParseRoot(rootText);
-    for (const page of Object.values(root?.pages ?? {})) hashes.add(page);
-    return hashes;
-  }
-
   /** Drops all bodies but those named. */
   retain(hashes: ReadonlySet<string>): void {
     for (const hash of this.#bodies.keys()) {
--- a/src/settings/load_snapshot.ts
+++ b/src/settings/load_snapshot.ts
@@ -4,8 +4,9 @@
  *
  * @module
  */
-import type { BodySource } from "./body_source.ts";
+import type { BodyCache, BodySource } from "./body_source.ts";
 import { checkDocument } from "./check_document.ts";
+import { SettingsTree } from "./settings_tree.ts";
 import {
   tryParseHead,
   tryParsePage,
@@ -15,6 +16,7 @@
 import type {
   SettingsDocument,
   SettingsHead,
+  SettingsPage,
   SettingsSnapshot,
 } from "./types.ts";
 
@@ -24,7 +26,7 @@
 /** What a snapshot is made from. */
 export interface LoadOptions {
   readonly headText: string;
-  readonly bodies: BodySource;
+  readonly bodies: BodyCache;
   /** The snapshot in force, whose documents need not be read again. */
   readonly current?: SettingsSnapshot;
 }
@@ -42,90 +44,87 @@
 ): Promise<SettingsSnapshot | undefined> {
   const head = tryParseHead(options.headText);
   if (head === undefined) return undefined;
-  const records = await tryRecordsOf(head, options);
-  if (records === undefined) return undefined;
-  return await tryReadDocuments(head, records, options);
+  const tree = tryFollow(head, options) ?? await tryReadTree(head, options);
+  if (tree === undefined) return undefined;
+  return await tryReadDocuments(head, tree, options);
 }
 
 /**
- * The record of each path: from the newest changes where they reach back to
- * the current snapshot, otherwise from the tree.
+ * The tree by the newest changes alone, if they reach back to the current
+ * snapshot. Pages and root are made here, so that peers can be given them.
  */
-async function tryRecordsOf(
+function tryFollow(
   head: SettingsHead,
   options: LoadOptions,
-): Promise<ReadonlyMap<string, string> | undefined> {
+): SettingsTree | undefined {
   const { current, bodies } = options;
-  if (current !== undefined && reachesBackTo(head, current.head.revision)) {
-    return applyRecent(head, current);
+  if (current === undefined) return undefined;
+  const missing = head.revision - current.head.revision;
+  if (missing < 0 || missing > head.recent.length) return undefined;
+  const changes = head.recent
+    .filter((change) => change.revision > current.head.revision)
+    .sort((left, right) => left.revision - right.revision);
+  const tree = changes.reduce(
+    (before, change) => before.with(change.path, change.record),
+    current.tree,
+  );
+  const root = tree.createRoot();
+  if (root.hash !== head.root) return undefined;
+  bodies.keep(root.hash, root.body);
+  for (const change of changes) {
+    const page = tree.createPageOf(change.path);
+    bodies.keep(page.hash, page.body);
   }
-  const rootText = await bodies.tryRead(head.root);
+  return tree;
+}
+
+async function tryReadTree(
+  head: SettingsHead,
+  options: LoadOptions,
+): Promise<SettingsTree | undefined> {
+  const rootText = await options.bodies.tryRead(head.root);
   const root = rootText === undefined ? undefined : tryParseRoot(rootText);
   if (root === undefined) return undefined;
-  const records = new Map<string, string>();
-  const hashes = Object.values(root.pages);
-  const texts = await readAll(hashes, bodies);
-  for (const text of texts) {
+  const names = Object.keys(root.pages);
+  const texts = await readAll(Object.values(root.pages), options.bodies);
+  const pages = new Map<string, SettingsPage>();
+  for (const [index, name] of names.entries()) {
+    const text = texts[index];
     const page = text === undefined ? undefined : tryParsePage(text);
     if (page === undefined) return undefined;
-    for (const [path, hash] of Object.entries(page.records)) {
-      records.set(path, hash);
-    }
+    pages.set(name, page);
   }
-  return records;
-}
-
-function reachesBackTo(head: SettingsHead, revision: number): boolean {
-  const missing = head.revision - revision;
-  return missing >= 0 && missing <= head.recent.length;
-}
-
-function applyRecent(
-  head: SettingsHead,
-  current: SettingsSnapshot,
-): ReadonlyMap<string, string> {
-  const records = new Map(current.records);
-  const changes = head.recent
-    .filter((change) => change.revision > current.head.revision)
-    .sort((left, right) => left.revision - right.revision);
-  for (const change of changes) records.set(change.path, change.record);
-  return records;
+  return SettingsTree.fromPages(root, pages);
 }
 
 async function tryReadDocuments(
   head: SettingsHead,
-  records: ReadonlyMap<string, string>,
+  tree: SettingsTree,
   options: LoadOptions,
 ): Promise<SettingsSnapshot | undefined> {
+  const { current, bodies, headText } = options;
   const documents = new Map<string, SettingsDocument>();
   const unreadable: string[] = [];
-  const changed: string[] = [];
-  for (const [path, hash] of records) {
-    const old = options.current?.documents.get(path);
-    const isSame = options.current?.records.get(path) === hash;
-    if (!isSame) changed.push(path);
+  const changed: (readonly [path: string, record: string])[] = [];
+  for (const entry of tree.entries()) {
+    const [path, hash] = entry;
+    const old = current?.documents.get(path);
+    if (current?.tree.tryGet(path) !== hash) changed.push(entry);
     else if (old !== undefined) documents.set(path, old);
   }
-  const hashes = changed.map((path) => records.get(path) as string);
-  const texts = await readAll(hashes, options.bodies);
-  for (const [index, path] of changed.entries()) {
+  const texts = await readAll(changed.map(([, hash]) => hash), bodies);
+  for (const [index, [path]] of changed.entries()) {
     const text = texts[index];
     const record = text === undefined ? undefined : tryParseRecord(text);
     if (record === undefined || record.path !== path) return undefined;
     if (record.text === null) continue;
     const checked = checkDocument({ path, text: record.text, file: path });
-    const old = options.current?.documents.get(path);
+    const old = current?.documents.get(path);
     if (checked.isOk()) documents.set(path, checked.value);
     else unreadable.push(path);
     if (checked.isErr() && old !== undefined) documents.set(path, old);
   }
-  return {
-    head,
-    headText: options.headText,
-    records,
-    documents,
-    unreadable,
-  };
+  return { head, headText, tree, documents, unreadable };
 }
 
 async function readAll(
--- /dev/null
+++ b/src/settings/reachable.ts
@@ -0,0 +1,16 @@
+/**
+ * Which bodies a snapshot is made of.
+ *
+ * @module
+ */
+import type { SettingsSnapshot } from "./types.ts";
+
+/** Hashes of the root, the pages and the records of a snapshot. */
+export function reachableFrom(
+  snapshot: SettingsSnapshot,
+): ReadonlySet<string> {
+  const hashes = new Set([snapshot.head.root]);
+  for (const page of Object.values(snapshot.tree.pageHashes)) hashes.add(page);
+  for (const [, record] of snapshot.tree.entries()) hashes.add(record);
+  return hashes;
+}
--- a/src/settings/settings_restorer.ts
+++ b/src/settings/settings_restorer.ts
@@ -12,6 +12,7 @@
   tryParseHead,
   tryParseRecord,
 } from "./tree.ts";
+import { reachableFrom } from "./reachable.ts";
 import type { SettingsSnapshot } from "./types.ts";
 
 /** The service holds again what is in force here. */
@@ -98,7 +99,7 @@
     change: { readonly path: string; readonly record: string },
     snapshot: SettingsSnapshot,
   ): Promise<boolean> {
-    let hash = snapshot.records.get(change.path) ?? null;
+    let hash = snapshot.tree.tryGet(change.path) ?? null;
     for (let depth = 0; hash !== null && depth < MAX_HISTORY; depth++) {
       if (hash === change.record) return true;
       const text = await this.#bodies.tryRead(hash);
@@ -109,7 +110,7 @@
   }
 
   async #writeBodies(snapshot: SettingsSnapshot): Promise<void> {
-    for (const hash of await this.#bodies.reachableFrom(snapshot)) {
+    for (const hash of reachableFrom(snapshot)) {
       const value = await this.#bodies.tryRead(hash);
       if (value === undefined) throw new Error(`Body ${hash} cannot be had`);
       const outcome = await this.#service.compareAndSwap(
--- a/src/settings/settings_writer.ts
+++ b/src/settings/settings_writer.ts
@@ -17,6 +17,7 @@
   tryParseRecord,
   tryParseRoot,
 } from "./tree.ts";
+import { type HashedBody, SettingsTree } from "./settings_tree.ts";
 import type { SettingsHead, SettingsRecord } from "./types.ts";
 
 /** Swaps that lost against changes of other paths before we give up. */
@@ -147,12 +148,13 @@
     let base = change.baseRecord;
     for (let attempt = 0; attempt < MAX_ATTEMPTS; attempt++) {
       const entry = await this.#readHead(change);
-      const held = await this.#tryRecordHash(entry, change.path);
+      const tree = await this.#readTree(entry, change.path);
+      const held = tree.tryGet(change.path);
       const done = await this.#tryFindChange(change, entry, held);
       if (done !== undefined) return done;
       if (base === undefined) base = held ?? null;
       if (base !== (held ?? null)) return await this.#conflict(held);
-      const proposal = await this.#propose(change, entry, held);
+      const proposal = await this.#propose(change, entry, tree);
       const swap = await this.#service.compareAndSwap(HEAD_KEY, {
         value: proposal.headText,
         expectedRevision: entry.keyRevision,
@@ -213,19 +215,19 @@
   async #propose(
     change: ChangeRequest,
     entry: HeadEntry,
-    held: string | undefined,
+    tree: SettingsTree,
   ): Promise<Proposal> {
     const revision = (entry.head?.revision ?? 0) + 1;
-    const record = await this.#writeBody({
+    const record = await this.#writeRecord({
       path: change.path,
       text: change.text,
       changeId: change.changeId,
       revision,
       author: change.author,
       at: change.at,
-      previous: held ?? null,
+      previous: tree.tryGet(change.path) ?? null,
     });
-    const root = await this.#writeTree(entry, change.path, record);
+    const root = await this.#writeTree(tree, change.path, record);
     const recent = [
       { revision, path: change.path, record },
       ...entry.head?.recent ?? [],
@@ -235,44 +237,28 @@
   }
 
   async #writeTree(
-    entry: HeadEntry,
+    tree: SettingsTree,
     path: string,
     record: string,
   ): Promise<string> {
-    const pages = await this.#pagesOf(entry);
-    const name = pageOf(path);
-    const records = await this.#recordsOf(pages[name]);
-    const page = await this.#writeBody({
-      records: sortKeys({ ...records, [path]: record }),
-    });
-    return await this.#writeBody({
-      pages: sortKeys({ ...pages, [name]: page }),
-    });
+    const next = tree.with(path, record);
+    await this.#writeHashed(next.createPageOf(path));
+    const root = next.createRoot();
+    await this.#writeHashed(root);
+    return root.hash;
   }
 
-  async #tryRecordHash(
-    entry: HeadEntry,
-    path: string,
-  ): Promise<string | undefined> {
-    const pages = await this.#pagesOf(entry);
-    const records = await this.#recordsOf(pages[pageOf(path)]);
-    return records[path];
-  }
-
-  async #pagesOf(entry: HeadEntry): Promise<Readonly<Record<string, string>>> {
-    if (entry.head === undefined) return {};
+  /** The tree as far as one path needs it: its page, and all page hashes. */
+  async #readTree(entry: HeadEntry, path: string): Promise<SettingsTree> {
+    if (entry.head === undefined) return SettingsTree.EMPTY;
     const root = tryParseRoot(await this.#getBody(entry.head.root));
     if (root === undefined) throw new Error("The settings root is malformed");
-    return root.pages;
-  }
-
-  async #recordsOf(
-    page: string | undefined,
-  ): Promise<Readonly<Record<string, string>>> {
-    if (page === undefined) return {};
-    const parsed = tryParsePage(await this.#getBody(page));
-    if (parsed === undefined) throw new Error("A settings page is malformed");
-    return parsed.records;
+    const name = pageOf(path);
+    const hash = root.pages[name];
+    if (hash === undefined) return SettingsTree.fromPages(root, new Map());
+    const page = tryParsePage(await this.#getBody(hash));
+    if (page === undefined) throw new Error("A settings page is malformed");
+    return SettingsTree.fromPages(root, new Map([[name, page]]));
   }
 
   async #getRecord(hash: string): Promise<SettingsRecord> {
@@ -287,10 +273,15 @@
     return body;
   }
 
-  /** Bodies never change, so a conflict means that it is already there. */
-  async #writeBody(value: unknown): Promise<string> {
-    const body = JSON.stringify(value);
+  async #writeRecord(record: SettingsRecord): Promise<string> {
+    const body = JSON.stringify(record);
     const hash = hashOf(body);
+    await this.#writeHashed({ hash, body });
+    return hash;
+  }
+
+  /** Bodies never change, so a conflict means that it is already there. */
+  async #writeHashed({ hash, body }: HashedBody): Promise<void> {
     // Written even when held here: the service may have lost it in a restore.
     const outcome = await this.#service.compareAndSwap(BODY_KEY_PREFIX + hash, {
       value: body,
@@ -298,7 +289,6 @@
     });
     if (outcome.kind === "unknown") throw new Error(outcome.cause);
     this.#bodies.keep(hash, body);
-    return hash;
   }
 }
 
@@ -310,11 +300,3 @@
     headText: proposal.headText,
   };
 }
-
-function sortKeys(
-  record: Readonly<Record<string, string>>,
-): Readonly<Record<string, string>> {
-  return Object.fromEntries(
-    Object.entries(record).sort(([left], [right]) => left < right ? -1 : 1),
-  );
-}
--- a/src/settings/types.ts
+++ b/src/settings/types.ts
@@ -5,6 +5,7 @@
  * @module
  */
 import type { Priority } from "../messages/types.ts";
+import type { SettingsTree } from "./settings_tree.ts";
 
 /** An organisation's limits. Path: `/organisations/NAME`. */
 export interface OrganisationDocument {
@@ -117,8 +118,8 @@
   readonly head: SettingsHead;
   /** The head value as it was read. */
   readonly headText: string;
-  /** Hash of the record of each path. */
-  readonly records: ReadonlyMap<string, string>;
+  /** Which record each path has. */
+  readonly tree: SettingsTree;
   /** Documents by path; removed ones are not there. */
   readonly documents: ReadonlyMap<string, SettingsDocument>;
   /** Paths whose document this version cannot read; an older one is in force. */
--- a/src/target/target_driver.ts
+++ b/src/target/target_driver.ts
@@ -26,6 +26,7 @@
 import type { TargetProcessSettings } from "../process/process_settings.ts";
 import type { Drainable } from "../process/shutdown.ts";
 import { BodyCache } from "../settings/body_source.ts";
+import { reachableFrom } from "../settings/reachable.ts";
 import { SettingsExchange } from "../settings/settings_exchange.ts";
 import { SettingsKeeper } from "../settings/settings_keeper.ts";
 import type { SettingsSnapshot } from "../settings/types.ts";
@@ -229,6 +230,7 @@
     this.#options.log.write("SETTINGS_IN_FORCE", {
       revision: snapshot.head.revision,
     });
+    this.#bodies.retain(reachableFrom(snapshot));
     this.#exchange.offerToAll();
   }
 
