--- a/src/policy/placement/layer_state.ts
+++ b/src/policy/placement/layer_state.ts
@@ -1,50 +1,51 @@
 /**
- * A placement that can be changed step by step, with the rank times kept up to
- * date.
+ * A placement that can be changed step by step. What a change would do is told
+ * without making it, in time that grows with the replicas concerned, not with
+ * the group.
  *
  * @module
  * @internal
  */
 import type { LayerPlacement } from "../../group/types.ts";
-import { countReplicas } from "./rank_times.ts";
 import type { LayerLoad } from "./types.ts";
 
-/** Another expert in one slot. */
-export interface SlotChange {
+/** One slot of one rank. */
+export interface SlotPlace {
   readonly rank: number;
   readonly slot: number;
-  readonly expert: number;
 }
 
-/** How strongly the slowest ranks count against the others. */
-const POTENTIAL_POWER = 8;
-
 /** A placement that can be changed step by step. */
 export class LayerState {
   readonly #experts: number[][];
-  readonly #replicas: number[];
   readonly #load: LayerLoad;
   /** Ranks that hold each expert, once for each replica. */
   readonly #holders: number[][];
-  readonly #times: number[];
+  readonly #times: Float64Array;
+  /** What a change under consideration adds to each rank's time. */
+  readonly #deltas: Float64Array;
+  readonly #touched: number[] = [];
   readonly #mean: number;
+  #potential = 0;
 
   /** Begins with a copy of a placement. */
   constructor(placement: LayerPlacement, load: LayerLoad) {
     this.#experts = placement.experts.map((experts) => [...experts]);
     this.#load = load;
-    this.#replicas = countReplicas(placement, load.tokens.length);
     this.#holders = load.tokens.map(() => []);
     for (const [rank, experts] of this.#experts.entries()) {
       for (const expert of experts) this.#holders[expert]?.push(rank);
     }
-    this.#times = this.#experts.map(() => 0);
-    for (let expert = 0; expert < load.tokens.length; expert++) {
-      this.#addTime(expert, 1);
-    }
     const speed = load.speeds.reduce((sum, one) => sum + one, 0);
     const tokens = load.tokens.reduce((sum, one) => sum + one, 0);
     this.#mean = Math.max(tokens / speed, Number.MIN_VALUE);
+    this.#times = new Float64Array(this.#experts.length);
+    this.#deltas = new Float64Array(this.#experts.length);
+    for (let expert = 0; expert < load.tokens.length; expert++) {
+      this.#addHolders(expert, this.#holdersOf(expert), 1);
+    }
+    this.#commit();
+    this.#potential = this.#sumPowers();
   }
 
   /** Ranks of the group. */
@@ -54,21 +55,26 @@
 
   /** Time of the slowest rank over that of a perfect spread. */
   get slowest(): number {
-    return Math.max(...this.#times) / this.#mean;
+    return this.#times[this.slowestRank()] as number;
   }
 
   /** Falls when the slowest ranks get faster, even if several are slowest. */
   get potential(): number {
-    let sum = 0;
-    for (const time of this.#times) {
-      sum += (time / this.#mean) ** POTENTIAL_POWER;
-    }
-    return sum;
+    return this.#potential;
   }
 
   /** The slowest rank. */
   slowestRank(): number {
-    return this.#times.indexOf(Math.max(...this.#times));
+    let slowest = 0;
+    for (let rank = 1; rank < this.ranks; rank++) {
+      if (this.timeOf(rank) > this.timeOf(slowest)) slowest = rank;
+    }
+    return slowest;
+  }
+
+  /** Time of a rank over that of a perfect spread. */
+  timeOf(rank: number): number {
+    return this.#times[rank] as number;
   }
 
   /** Experts of a rank, by slot. */
@@ -76,9 +82,14 @@
     return this.#experts[rank] as readonly number[];
   }
 
+  /** The expert in a slot. */
+  expertAt(place: SlotPlace): number {
+    return this.expertsOf(place.rank)[place.slot] as number;
+  }
+
   /** Whether an expert has more than one replica. */
   isReplicated(expert: number): boolean {
-    return (this.#replicas[expert] as number) > 1;
+    return this.#holdersOf(expert).length > 1;
   }
 
   /** Whether a rank holds an expert. */
@@ -86,11 +97,42 @@
     return this.expertsOf(rank).includes(expert);
   }
 
-  /** Puts other experts into slots. */
-  apply(changes: readonly SlotChange[]): readonly SlotChange[] {
-    const undo: SlotChange[] = [];
-    for (const change of changes) undo.unshift(this.#applyOne(change));
-    return undo;
+  /** The potential if a slot held another expert. */
+  potentialAfterReplace(place: SlotPlace, expert: number): number {
+    this.#considerReplace(place, expert);
+    return this.#considered();
+  }
+
+  /** The potential if two slots of different ranks changed experts. */
+  potentialAfterSwap(left: SlotPlace, right: SlotPlace): number {
+    this.#considerSwap(left, right);
+    return this.#considered();
+  }
+
+  /** Puts another expert into a slot. */
+  replace(place: SlotPlace, expert: number): void {
+    const removed = this.expertAt(place);
+    this.#considerReplace(place, expert);
+    this.#commit();
+    this.#setExpert(place, expert);
+    this.#removeHolder(removed, place.rank);
+    this.#holdersOf(expert).push(place.rank);
+    this.#potential = this.#sumPowers();
+  }
+
+  /** Exchanges the experts of two slots of different ranks. */
+  swap(left: SlotPlace, right: SlotPlace): void {
+    const leftExpert = this.expertAt(left);
+    const rightExpert = this.expertAt(right);
+    this.#considerSwap(left, right);
+    this.#commit();
+    this.#setExpert(left, rightExpert);
+    this.#setExpert(right, leftExpert);
+    this.#removeHolder(leftExpert, left.rank);
+    this.#removeHolder(rightExpert, right.rank);
+    this.#holdersOf(leftExpert).push(right.rank);
+    this.#holdersOf(rightExpert).push(left.rank);
+    this.#potential = this.#sumPowers();
   }
 
   /** The placement as it is now. */
@@ -98,29 +140,96 @@
     return { experts: this.#experts.map((experts) => [...experts]) };
   }
 
-  #applyOne(change: SlotChange): SlotChange {
-    const experts = this.#experts[change.rank] as number[];
-    const removed = experts[change.slot] as number;
-    this.#addTime(removed, -1);
-    this.#addTime(change.expert, -1);
-    experts[change.slot] = change.expert;
-    const holders = this.#holders[removed] as number[];
-    holders.splice(holders.indexOf(change.rank), 1);
-    (this.#holders[change.expert] as number[]).push(change.rank);
-    this.#replicas[removed] = holders.length;
-    this.#replicas[change.expert] =
-      (this.#holders[change.expert] as number[]).length;
-    this.#addTime(removed, 1);
-    this.#addTime(change.expert, 1);
-    return { ...change, expert: removed };
-  }
-
-  #addTime(expert: number, sign: 1 | -1): void {
-    const holders = this.#holders[expert] as number[];
-    const tokens = (this.#load.tokens[expert] as number) / holders.length;
-    for (const rank of holders) {
-      const time = tokens / (this.#load.speeds[rank] as number);
-      this.#times[rank] = (this.#times[rank] as number) + sign * time;
+  #considerReplace(place: SlotPlace, expert: number): void {
+    const removed = this.expertAt(place);
+    const before = this.#holdersOf(removed);
+    this.#addHolders(removed, before, -1);
+    const share = this.#shareOf(removed, before.length - 1);
+    for (const rank of before) this.#add(rank, share);
+    this.#add(place.rank, -share);
+    const holders = this.#holdersOf(expert);
+    this.#addHolders(expert, holders, -1);
+    const newShare = this.#shareOf(expert, holders.length + 1);
+    for (const rank of holders) this.#add(rank, newShare);
+    this.#add(place.rank, newShare);
+  }
+
+  #considerSwap(left: SlotPlace, right: SlotPlace): void {
+    const leftExpert = this.expertAt(left);
+    const rightExpert = this.expertAt(right);
+    const leftShare = this.#shareOf(
+      leftExpert,
+      this.#holdersOf(leftExpert).length,
+    );
+    const rightShare = this.#shareOf(
+      rightExpert,
+      this.#holdersOf(rightExpert).length,
+    );
+    this.#add(left.rank, rightShare - leftShare);
+    this.#add(right.rank, leftShare - rightShare);
+  }
+
+  #considered(): number {
+    let potential = this.#potential;
+    for (const rank of this.#touched) {
+      const delta = this.#deltas[rank] as number;
+      if (delta === 0) continue;
+      const time = this.timeOf(rank);
+      potential += power(time + delta) - power(time);
+      this.#deltas[rank] = 0;
+    }
+    this.#touched.length = 0;
+    return potential;
+  }
+
+  #commit(): void {
+    for (const rank of this.#touched) {
+      this.#times[rank] = this.timeOf(rank) + (this.#deltas[rank] as number);
+      this.#deltas[rank] = 0;
     }
+    this.#touched.length = 0;
+  }
+
+  #addHolders(expert: number, holders: readonly number[], sign: 1 | -1): void {
+    const share = this.#shareOf(expert, holders.length);
+    for (const rank of holders) this.#add(rank, sign * share);
+  }
+
+  /** Adds tokens, as a share of a perfect spread, to what is considered. */
+  #add(rank: number, share: number): void {
+    this.#touched.push(rank);
+    this.#deltas[rank] = (this.#deltas[rank] as number) +
+      share / (this.#load.speeds[rank] as number);
+  }
+
+  #shareOf(expert: number, replicas: number): number {
+    if (replicas === 0) return 0;
+    return (this.#load.tokens[expert] as number) / replicas / this.#mean;
+  }
+
+  #sumPowers(): number {
+    let sum = 0;
+    for (const time of this.#times) sum += power(time);
+    return sum;
   }
+
+  #setExpert(place: SlotPlace, expert: number): void {
+    (this.#experts[place.rank] as number[])[place.slot] = expert;
+  }
+
+  #removeHolder(expert: number, rank: number): void {
+    const holders = this.#holdersOf(expert);
+    holders.splice(holders.indexOf(rank), 1);
+  }
+
+  #holdersOf(expert: number): number[] {
+    return this.#holders[expert] as number[];
+  }
+}
+
+/** The eighth power: the slowest ranks count far more than the others. */
+function power(time: number): number {
+  const square = time * time;
+  const fourth = square * square;
+  return fourth * fourth;
 }
--- a/src/policy/placement/rebalancer.ts
+++ b/src/policy/placement/rebalancer.ts
@@ -3,8 +3,9 @@
  *
  * @module
  */
+import { assertNever } from "../../core/debug.ts";
 import type { LayerPlacement } from "../../group/types.ts";
-import { LayerState, type SlotChange } from "./layer_state.ts";
+import { LayerState, type SlotPlace } from "./layer_state.ts";
 import { countMoves } from "./rank_times.ts";
 import {
   type LayerLoad,
@@ -27,15 +28,29 @@
 
 /** Presets of the two users; docs/DESIGN.md shows the sweeps. */
 export const REBALANCE_PRESETS = {
-  skew: { pricePerMove: 0.002, smallestGain: 0.01, longestPlan: 24 },
-  cost: { pricePerMove: 0.008, smallestGain: 0.04, longestPlan: 24 },
+  skew: { pricePerMove: 0.003, smallestGain: 0.02, longestPlan: 24 },
+  cost: { pricePerMove: 0.012, smallestGain: 0.03, longestPlan: 24 },
 } as const satisfies Readonly<Record<string, RebalanceWeights>>;
 
-interface Candidate {
-  readonly changes: readonly SlotChange[];
-  readonly potential: number;
+/** Ranks, fastest first, that the slowest rank's experts may go to. */
+const RANKS_CONSIDERED = 8;
+/** Relative fall of the potential below which a change is not worth a look. */
+const SMALLEST_FALL = 1e-4;
+
+interface Replacement {
+  readonly kind: "replace";
+  readonly place: SlotPlace;
+  readonly expert: number;
+}
+
+interface Swap {
+  readonly kind: "swap";
+  readonly left: SlotPlace;
+  readonly right: SlotPlace;
 }
 
+type Change = Replacement | Swap;
+
 /**
  * Lowers the slowest rank change by change, and keeps the part of the way that
  * is worth most after its moves are paid for.
@@ -55,10 +70,12 @@
     const before = state.slowest;
     let best: PlannedLayer = { placement: current, moves: 0 };
     let bestWorth = 0;
+    // Nothing is faster than a perfect spread, whose time is 1.
+    if (before - 1 < smallestGain) return best;
     for (let length = 0; length < longestPlan; length++) {
-      const next = tryBestChange(state);
-      if (next === undefined) break;
-      state.apply(next.changes);
+      const change = new ChangeSearch(state).tryBest();
+      if (change === undefined) break;
+      make(state, change);
       const gain = before - state.slowest;
       if (gain < smallestGain) continue;
       const placement = state.toPlacement();
@@ -72,50 +89,80 @@
   }
 }
 
-/** The change that lowers the potential most; undefined if none does. */
-function tryBestChange(state: LayerState): Candidate | undefined {
-  const slowest = state.slowestRank();
-  let best: Candidate | undefined;
-  let lowest = state.potential * (1 - Number.EPSILON);
-  for (const changes of candidateChanges(state, slowest)) {
-    const undo = state.apply(changes);
-    const { potential } = state;
-    state.apply(undo);
-    // A swap moves two experts, so it must be worth twice as much.
-    if (potential >= lowest) continue;
-    lowest = potential;
-    best = { changes, potential };
+function make(state: LayerState, change: Change): void {
+  switch (change.kind) {
+    case "replace":
+      return state.replace(change.place, change.expert);
+    case "swap":
+      return state.swap(change.left, change.right);
+    default:
+      assertNever(change);
   }
-  return best;
 }
 
-function* candidateChanges(
-  state: LayerState,
-  slowest: number,
-): IterableIterator<readonly SlotChange[]> {
-  for (const [slot, expert] of state.expertsOf(slowest).entries()) {
-    for (let rank = 0; rank < state.ranks; rank++) {
-      if (rank === slowest) continue;
-      const place: SlotChange = { rank: slowest, slot, expert };
-      yield* changesWithRank(state, place, rank);
+/** Finds the change that lowers the potential most for each move. */
+class ChangeSearch {
+  readonly #state: LayerState;
+  #best: Change | undefined;
+  #bestFall: number;
+
+  constructor(state: LayerState) {
+    this.#state = state;
+    this.#bestFall = state.potential * SMALLEST_FALL;
+  }
+
+  tryBest(): Change | undefined {
+    const slowest = this.#state.slowestRank();
+    const others = this.#fastestRanks(slowest);
+    for (const [slot] of this.#state.expertsOf(slowest).entries()) {
+      for (const rank of others) this.#lookAt({ rank: slowest, slot }, rank);
     }
+    return this.#best;
+  }
+
+  #fastestRanks(slowest: number): readonly number[] {
+    return Array.from({ length: this.#state.ranks }, (_, rank) => rank)
+      .filter((rank) => rank !== slowest)
+      .sort((left, right) =>
+        this.#state.timeOf(left) - this.#state.timeOf(right)
+      )
+      .slice(0, RANKS_CONSIDERED);
+  }
+
+  #lookAt(hot: SlotPlace, rank: number): void {
+    const state = this.#state;
+    const expert = state.expertAt(hot);
+    const isHeldThere = state.holds(rank, expert);
+    for (const [slot, other] of state.expertsOf(rank).entries()) {
+      if (other === expert) continue;
+      const place: SlotPlace = { rank, slot };
+      const isHeldHere = state.holds(hot.rank, other);
+      if (!isHeldThere && state.isReplicated(other)) {
+        this.#considerReplace(place, expert);
+      }
+      if (!isHeldHere && state.isReplicated(expert)) {
+        this.#considerReplace(hot, other);
+      }
+      if (!isHeldThere && !isHeldHere) this.#considerSwap(hot, place);
+    }
+  }
+
+  #considerReplace(place: SlotPlace, expert: number): void {
+    const after = this.#state.potentialAfterReplace(place, expert);
+    const fall = this.#state.potential - after;
+    this.#keepIfBetter({ kind: "replace", place, expert }, fall);
+  }
+
+  #considerSwap(left: SlotPlace, right: SlotPlace): void {
+    const after = this.#state.potentialAfterSwap(left, right);
+    const fall = this.#state.potential - after;
+    this.#keepIfBetter({ kind: "swap", left, right }, fall);
   }
-}
 
-/** Swaps with a rank, and replicas there in place of others. */
-function* changesWithRank(
-  state: LayerState,
-  hot: SlotChange,
-  rank: number,
-): IterableIterator<readonly SlotChange[]> {
-  const isHeldThere = state.holds(rank, hot.expert);
-  for (const [slot, other] of state.expertsOf(rank).entries()) {
-    if (other === hot.expert) continue;
-    const toOther: SlotChange = { rank, slot, expert: hot.expert };
-    const toHot: SlotChange = { ...hot, expert: other };
-    const isHeldHere = state.holds(hot.rank, other);
-    if (!isHeldThere && state.isReplicated(other)) yield [toOther];
-    if (!isHeldHere && state.isReplicated(hot.expert)) yield [toHot];
-    if (!isHeldThere && !isHeldHere) yield [toOther, toHot];
+  #keepIfBetter(change: Change, fall: number): void {
+    const fallPerMove = change.kind === "replace" ? fall : fall / 2;
+    if (fallPerMove <= this.#bestFall) return;
+    this.#best = change;
+    this.#bestFall = fallPerMove;
   }
 }
