--- a/src/policy/placement/rebalancer.ts
+++ b/src/policy/placement/rebalancer.ts
@@ -49,14 +49,7 @@
   readonly right: SlotPlace;
 }
 
-/** A replacement whose loser takes the place of a spare replica elsewhere. */
-interface Chain {
-  readonly kind: "chain";
-  readonly first: Replacement;
-  readonly second: Replacement;
-}
-
-type Change = Replacement | Swap | Chain;
+type Change = Replacement | Swap;
 
 /**
  * Lowers the slowest rank change by change, and keeps the part of the way that
@@ -102,9 +95,6 @@
       return state.replace(change.place, change.expert);
     case "swap":
       return state.swap(change.left, change.right);
-    case "chain":
-      make(state, change.first);
-      return make(state, change.second);
     default:
       assertNever(change);
   }
@@ -127,62 +117,9 @@
     for (const [slot] of this.#state.expertsOf(slowest).entries()) {
       for (const rank of others) this.#lookAt({ rank: slowest, slot }, rank);
     }
-    if (this.#best === undefined) this.#lookAtChains(slowest, others);
     return this.#best;
   }
 
-  /**
-   * Where no single change helps, the slots that a hot expert needs hold
-   * experts without a spare replica, which must first find another place.
-   */
-  #lookAtChains(slowest: number, others: readonly number[]): void {
-    const state = this.#state;
-    const spares = this.#sparePlaces();
-    for (const expert of state.expertsOf(slowest)) {
-      for (const rank of others) {
-        if (state.holds(rank, expert)) continue;
-        for (const [slot, loser] of state.expertsOf(rank).entries()) {
-          if (state.isReplicated(loser)) continue;
-          const first: Replacement = {
-            kind: "replace",
-            place: { rank, slot },
-            expert,
-          };
-          this.#lookAtChain(first, loser, spares);
-        }
-      }
-    }
-  }
-
-  #lookAtChain(
-    first: Replacement,
-    loser: number,
-    spares: readonly SlotPlace[],
-  ): void {
-    const state = this.#state;
-    const before = state.potential;
-    state.replace(first.place, first.expert);
-    for (const place of spares) {
-      if (place.rank === first.place.rank) continue;
-      if (state.expertAt(place) === first.expert) continue;
-      const after = state.potentialAfterReplace(place, loser);
-      const second: Replacement = { kind: "replace", place, expert: loser };
-      this.#keepIfBetter({ kind: "chain", first, second }, before - after);
-    }
-    state.replace(first.place, loser);
-  }
-
-  /** Slots whose expert has another replica. */
-  #sparePlaces(): readonly SlotPlace[] {
-    const places: SlotPlace[] = [];
-    for (let rank = 0; rank < this.#state.ranks; rank++) {
-      for (const [slot, expert] of this.#state.expertsOf(rank).entries()) {
-        if (this.#state.isReplicated(expert)) places.push({ rank, slot });
-      }
-    }
-    return places;
-  }
-
   #fastestRanks(slowest: number): readonly number[] {
     return Array.from({ length: this.#state.ranks }, (_, rank) => rank)
       .filter((rank) => rank !== slowest)
