Choose targets by two draws, own counts, failures, silence and prefixes

Time to first byte below twice the pool's is noise and now counts for nothing.

A deadline without a first byte now counts against the target: a frozen one was only known by its silence.

--- /dev/null
+++ b/bench/event_queue.ts
@@ -0,0 +1,84 @@
+/**
+ * A queue of events in virtual time.
+ *
+ * @module
+ */
+
+interface PlannedEvent {
+  readonly at: number;
+  readonly order: number;
+  readonly run: () => void;
+}
+
+/** Runs callbacks in the order of their virtual times. */
+export class EventQueue {
+  readonly #heap: PlannedEvent[] = [];
+  #now = 0;
+  #order = 0;
+
+  /** Virtual milliseconds. */
+  get now(): number {
+    return this.#now;
+  }
+
+  /** Runs a callback after some virtual milliseconds. */
+  after(milliseconds: number, run: () => void): void {
+    this.#push({ at: this.#now + milliseconds, order: this.#order++, run });
+  }
+
+  /** Runs all that is planned up to a time. */
+  runUntil(end: number): void {
+    while (this.#heap.length > 0 && (this.#heap[0] as PlannedEvent).at <= end) {
+      const event = this.#pop();
+      this.#now = event.at;
+      event.run();
+    }
+    this.#now = end;
+  }
+
+  #push(event: PlannedEvent): void {
+    this.#heap.push(event);
+    let index = this.#heap.length - 1;
+    while (index > 0) {
+      const parent = (index - 1) >> 1;
+      if (!this.#isBefore(index, parent)) return;
+      this.#exchange(index, parent);
+      index = parent;
+    }
+  }
+
+  #pop(): PlannedEvent {
+    const first = this.#heap[0] as PlannedEvent;
+    const last = this.#heap.pop() as PlannedEvent;
+    if (this.#heap.length === 0) return first;
+    this.#heap[0] = last;
+    let index = 0;
+    while (true) {
+      const child = this.#smallerChild(index);
+      if (child === undefined || !this.#isBefore(child, index)) return first;
+      this.#exchange(index, child);
+      index = child;
+    }
+  }
+
+  #smallerChild(index: number): number | undefined {
+    const left = 2 * index + 1;
+    const right = left + 1;
+    if (left >= this.#heap.length) return undefined;
+    if (right >= this.#heap.length) return left;
+    return this.#isBefore(right, left) ? right : left;
+  }
+
+  #isBefore(left: number, right: number): boolean {
+    const one = this.#heap[left] as PlannedEvent;
+    const other = this.#heap[right] as PlannedEvent;
+    return one.at < other.at ||
+      (one.at === other.at && one.order < other.order);
+  }
+
+  #exchange(left: number, right: number): void {
+    const one = this.#heap[left] as PlannedEvent;
+    this.#heap[left] = this.#heap[right] as PlannedEvent;
+    this.#heap[right] = one;
+  }
+}
--- a/src/entry/entry_reducer.ts
+++ b/src/entry/entry_reducer.ts
@@ -424,6 +424,7 @@
     }
     for (const inFlight of [...this.#inFlight.values()]) {
       if (inFlight.deadlineAt > now) continue;
+      this.#countSilence(inFlight, now);
       this.#cancel(inFlight);
       this.#fail(inFlight, {
         reason: "DEADLINE",
@@ -433,6 +434,13 @@
     }
   }
 
+  /** A target that gave no first byte before the deadline may be frozen. */
+  #countSilence(inFlight: InFlightRequest, now: number): void {
+    if (inFlight.head !== undefined) return;
+    const target = this.#registry.tryGet(inFlight.targetName ?? "");
+    target?.countAttempt(true, now);
+  }
+
   #cancel(inFlight: InFlightRequest): void {
     if (inFlight.targetName === undefined) return;
     this.#effects.push({
--- a/src/entry/target_registry.ts
+++ b/src/entry/target_registry.ts
@@ -11,6 +11,9 @@
 /** Bounds of how slow a target is thought to be against its pool. */
 const MAX_SLOWNESS = 10;
 
+/** Differences up to this come and go with the load, and mean nothing. */
+const USUAL_SLOWNESS = 2;
+
 interface SlotClaim {
   readonly targetName: string;
   /** Version of the owner table in which the claim was made. */
@@ -130,5 +133,6 @@
 ): number {
   if (median === undefined || median <= 0) return 1;
   const ratio = (target.firstByteMs ?? median) / median;
-  return Math.min(MAX_SLOWNESS, Math.max(1, ratio));
+  if (ratio < USUAL_SLOWNESS) return 1;
+  return Math.min(MAX_SLOWNESS, ratio);
 }
--- a/src/policy/target_choice.ts
+++ b/src/policy/target_choice.ts
@@ -84,11 +84,11 @@
 
 /** Values that the bench chose; docs/DESIGN.md shows the sweeps. */
 export const SCORED_CHOICE_DEFAULTS: ScoredChoiceOptions = {
-  drawn: 4,
+  drawn: 2,
   domainPenalty: 0.25,
   failurePenalty: 4,
   prefixWeight: 1,
-  stuckAfterMs: 1000,
+  stuckAfterMs: 300,
 };
 
 /**
