Give up work that would start too late, at once

Cause of the low goodput under a flood: quick requests go first, so the flood's normal work waited 1.35 s in a full queue with a deadline of 1 s; what started just before its deadline ran for nothing. Ruled out: the others' share (all answered) and the length of the queue (even load has the same one and wastes nothing, since all lines move). Work may now wait for half of its time and is refused then, not at its deadline.

--- a/src/policy/fair_queue.ts
+++ b/src/policy/fair_queue.ts
@@ -18,8 +18,27 @@
   readonly organisation: string;
   readonly weight: number;
   readonly priority: Priority;
-  /** Work is useless after this, in milliseconds of a monotonic clock. */
-  readonly deadlineAt: number;
+  /** The work is given up unless it starts by then, see {@link latestStart}. */
+  readonly startBy: number;
+}
+
+/**
+ * Share of the time up to its deadline that work may wait. What starts at the
+ * last moment mostly ends too late, and so costs others their turn; and who is
+ * given up should hear of it in time to come back.
+ */
+const LONGEST_WAIT_SHARE = 0.5;
+
+/**
+ * When work must start at the latest.
+ *
+ * @example
+ * ```ts
+ * const startBy = latestStart(now, request.remainingMs);
+ * ```
+ */
+export function latestStart(now: number, remainingMs: number): number {
+  return now + LONGEST_WAIT_SHARE * remainingMs;
 }
 
 interface OrganisationLine<T> {
--- a/src/target/target_reducer.ts
+++ b/src/target/target_reducer.ts
@@ -15,7 +15,7 @@
   RefusedMessage,
   SubmitMessage,
 } from "../messages/types.ts";
-import { FairQueue } from "../policy/fair_queue.ts";
+import { FairQueue, latestStart } from "../policy/fair_queue.ts";
 import type { BackEndFailure } from "../platform/back_end.ts";
 import type { RefusalName } from "../refusals/catalogue.ts";
 import type { Outcome } from "../refusals/types.ts";
@@ -42,6 +42,7 @@
   readonly organisation: string;
   readonly weight: number;
   readonly priority: SubmitMessage["priority"];
+  readonly startBy: number;
   readonly deadlineAt: number;
 }
 
@@ -201,8 +202,7 @@
         submission: "not-run",
       });
     }
-    const deadlineAt = event.now + request.remainingMs;
-    if (!isKeyed) return this.#enqueue(owner, request, { deadlineAt });
+    if (!isKeyed) return this.#enqueue(owner, request, { now: event.now });
     this.#submittedWithKey(owner, request, event);
   }
 
@@ -216,7 +216,7 @@
     switch (decision.kind) {
       case "may_run":
         return this.#enqueue(owner, request, {
-          deadlineAt: event.now + request.remainingMs,
+          now: event.now,
           fingerprint: decision.fingerprint,
         });
       case "replay":
@@ -231,7 +231,7 @@
   #enqueue(
     owner: RunOwner,
     request: SubmitMessage,
-    details: { readonly deadlineAt: number; readonly fingerprint?: string },
+    details: { readonly now: number; readonly fingerprint?: string },
   ): void {
     const dropped = this.#queue.add({
       owner,
@@ -239,7 +239,9 @@
       organisation: request.organisation,
       weight: request.weight,
       priority: request.priority,
-      ...details,
+      startBy: latestStart(details.now, request.remainingMs),
+      deadlineAt: details.now + request.remainingMs,
+      fingerprint: details.fingerprint,
     });
     if (dropped !== undefined) this.#refuseWaiting(dropped, "QUEUE_FULL");
   }
@@ -266,13 +268,13 @@
     while (this.#runs.size < this.#limits.concurrency) {
       const item = this.#queue.tryTake();
       if (item === undefined) return;
-      if (item.deadlineAt > now) this.#start(item, now);
+      if (item.startBy > now) this.#start(item, now);
       else this.#refuseWaiting(item, "DEADLINE_BEFORE_START");
     }
   }
 
   #dropLate(now: number): void {
-    const late = this.#queue.removeWhere((item) => item.deadlineAt <= now);
+    const late = this.#queue.removeWhere((item) => item.startBy <= now);
     for (const item of late) this.#refuseWaiting(item, "DEADLINE_BEFORE_START");
   }
 
