Put a change of settings in force in the time of the change

Cause: every change went through all paths, made all routes anew and listed every body that may be kept. A property compares the followed table with one made anew.

--- /dev/null
+++ b/bench/main.ts
@@ -0,0 +1,72 @@
+/**
+ * Runs the benches: `npm run bench`, or `npm run bench -- placement`.
+ *
+ * @module
+ */
+import { mkdirSync, writeFileSync } from "node:fs";
+import process from "node:process";
+import { runChoiceBench } from "./choice_bench.ts";
+import { runLimitsBench, runRetryBench } from "./limits_bench.ts";
+import { runPathBench } from "./path_bench.ts";
+import { runPlacementBench } from "./placement_bench.ts";
+import { writePlots } from "./plots.ts";
+import { controlMessageBytes, runSizeBench } from "./size_bench.ts";
+import { formatTable, type TableRow } from "./table.ts";
+
+const RESULTS_FOLDER = "docs/bench";
+
+interface Bench {
+  readonly name: string;
+  readonly run: () => Promise<readonly TableRow[]>;
+}
+
+const BENCHES: readonly Bench[] = [
+  { name: "placement", run: () => Promise.resolve(rows(runPlacementBench())) },
+  {
+    name: "placement-late-reports",
+    run: () =>
+      Promise.resolve(rows(runPlacementBench({
+        faults: { lag: 3, missing: 0.2 },
+        shapes: ["32 ranks, 128 experts, 32 spare"],
+      }))),
+  },
+  { name: "choice", run: () => Promise.resolve(rows(runChoiceBench())) },
+  { name: "limits", run: () => Promise.resolve(rows(runLimitsBench())) },
+  { name: "retries", run: () => Promise.resolve(rows(runRetryBench())) },
+  { name: "size", run: async () => rows(await runSizeBench()) },
+  {
+    name: "messages",
+    run: () =>
+      Promise.resolve(
+        Object.entries(controlMessageBytes())
+          .map(([message, bytes]) => ({ message, bytes })),
+      ),
+  },
+  {
+    name: "path",
+    run: async () => {
+      const { ways, roles } = await runPathBench();
+      process.stdout.write(`${formatTable(rows(ways))}\n\n`);
+      return rows(roles);
+    },
+  },
+];
+
+/** Results are plain objects of strings and numbers. */
+function rows(results: readonly object[]): readonly TableRow[] {
+  return results as readonly TableRow[];
+}
+
+async function run(wanted: readonly string[]): Promise<void> {
+  mkdirSync(RESULTS_FOLDER, { recursive: true });
+  for (const bench of BENCHES) {
+    if (wanted.length > 0 && !wanted.includes(bench.name)) continue;
+    const results = await bench.run();
+    process.stdout.write(`## ${bench.name}\n\n${formatTable(results)}\n\n`);
+    const json = JSON.stringify(results, undefined, 2);
+    writeFileSync(`${RESULTS_FOLDER}/${bench.name}.json`, `${json}\n`);
+  }
+  writePlots(RESULTS_FOLDER);
+}
+
+await run(process.argv.slice(2));
--- a/src/entry/admission.ts
+++ b/src/entry/admission.ts
@@ -21,12 +21,14 @@
   readonly #organisations = new Map<string, OrganisationState>();
 
   /** Puts new settings in force. */
-  setRoutes(routes: RoutingTable, now: number): void {
+  setRoutes(routes: RoutingTable): void {
     this.#routes = routes;
-    for (const route of routes.routes()) {
-      const state = this.#organisations.get(route.organisation);
-      state?.bucket.setOptions(bucketOptionsOf(route), now);
-    }
+  }
+
+  /** New limits of an organisation are in force. */
+  setLimits(route: Route, now: number): void {
+    const state = this.#organisations.get(route.organisation);
+    state?.bucket.setOptions(bucketOptionsOf(route), now);
   }
 
   /**
--- a/src/entry/entry_driver.ts
+++ b/src/entry/entry_driver.ts
@@ -29,6 +29,7 @@
 import type { EntryProcessSettings } from "../process/process_settings.ts";
 import type { Drainable } from "../process/shutdown.ts";
 import { createProblem } from "../refusals/problem.ts";
+import type { SettingsSnapshot } from "../settings/types.ts";
 import { createAdministrationApplication } from "./administration.ts";
 import { CallerConnection } from "./caller_connection.ts";
 import { EntryReducer } from "./entry_reducer.ts";
@@ -76,6 +77,7 @@
   #dialler: TargetDialler | undefined;
   #machineReader: MachineListReader | undefined;
   #machines: readonly VirtualMachine[] = [];
+  #routes = new RoutingTable(new Map());
   #tick: NodeJS.Timeout | undefined;
   #tickedAt = performance.now();
   #catchUp: Promise<void> | undefined;
@@ -94,12 +96,7 @@
       keyValueService: options.keyValueService,
       peers: new PeerBodySource(),
       log: options.log,
-      onSnapshot: (snapshot) =>
-        this.#dispatch({
-          kind: "settings_in_force",
-          now: performance.now(),
-          routes: new RoutingTable(snapshot.documents, snapshot.head.revision),
-        }),
+      onSnapshot: (snapshot) => this.#onSnapshot(snapshot),
     });
     this.#metrics = new Metrics(() => ({
       inFlight: this.inFlight,
@@ -207,6 +204,20 @@
     this.#options.log.write("LINK_FAULT", { fault });
   }
 
+  #onSnapshot(snapshot: SettingsSnapshot): void {
+    const { changed, documents } = snapshot;
+    const routes = changed === undefined
+      ? new RoutingTable(documents)
+      : this.#routes;
+    this.#routes = routes;
+    this.#dispatch({
+      kind: "settings_in_force",
+      now: performance.now(),
+      routes,
+      changed: changed && routes.refresh(changed, documents),
+    });
+  }
+
   #startMachineReader(): void {
     const { machineList, log } = this.#options;
     if (machineList === undefined) return;
--- a/src/entry/entry_reducer.ts
+++ b/src/entry/entry_reducer.ts
@@ -403,8 +403,13 @@
   }
 
   #settingsInForce(event: SettingsInForce): void {
-    this.#admission.setRoutes(event.routes, event.now);
-    for (const route of event.routes.routes()) {
+    const { routes, changed, now } = event;
+    this.#admission.setRoutes(routes);
+    const concerned = changed === undefined
+      ? routes.routes()
+      : changed.flatMap((path) => routes.tryGet(path) ?? []);
+    for (const route of concerned) {
+      this.#admission.setLimits(route, now);
       const budget = this.#budgets.get(route.servicePath);
       budget?.setShare(route.service.retryShare);
     }
--- a/src/entry/entry_settings.ts
+++ b/src/entry/entry_settings.ts
@@ -115,8 +115,9 @@
     }
     onSnapshot(snapshot);
     this.exchange.offerToAll();
-    // Old pages and records can be had from the service; targets need none.
-    this.#bodies.retain(reachableFrom(snapshot));
+    if (snapshot.changed === undefined) {
+      this.#bodies.retain(reachableFrom(snapshot));
+    }
   }
 
   async #restore(revision: number): Promise<void> {
--- a/src/entry/routing_table.ts
+++ b/src/entry/routing_table.ts
@@ -19,25 +19,18 @@
   readonly limits: OrganisationDocument;
 }
 
+type Documents = ReadonlyMap<string, SettingsDocument>;
+
 /** Finds services by path prefix; the longest prefix wins. */
 export class RoutingTable {
   readonly #byPrefix = new Map<string, Route>();
-  readonly #revision: number;
+  readonly #byService = new Map<string, Route>();
+  /** Paths of the services of each organisation, by its path. */
+  readonly #services = new Map<string, Set<string>>();
 
   /** Indexes the services among the documents. */
-  constructor(
-    documents: ReadonlyMap<string, SettingsDocument>,
-    revision: number,
-  ) {
-    this.#revision = revision;
-    for (const [path, document] of documents) {
-      if (document.kind === "service") this.#add(path, document, documents);
-    }
-  }
-
-  /** Revision of the settings that the table was made from. */
-  get revision(): number {
-    return this.#revision;
+  constructor(documents: Documents) {
+    for (const path of documents.keys()) this.#update(path, documents);
   }
 
   /** Services in the table. */
@@ -47,7 +40,12 @@
 
   /** Every route. */
   routes(): IterableIterator<Route> {
-    return this.#byPrefix.values();
+    return this.#byService.values();
+  }
+
+  /** The route of a service's settings path. */
+  tryGet(servicePath: string): Route | undefined {
+    return this.#byService.get(servicePath);
   }
 
   /**
@@ -68,20 +66,47 @@
     }
   }
 
-  #add(
-    path: string,
-    service: ServiceDocument,
-    documents: ReadonlyMap<string, SettingsDocument>,
-  ): void {
+  /**
+   * Takes in changed paths; the work grows with them, not with the table.
+   *
+   * @returns the settings paths of the services that changed
+   */
+  refresh(
+    paths: readonly string[],
+    documents: Documents,
+  ): readonly string[] {
+    const services = new Set(paths.flatMap((path) => this.#servicesAt(path)));
+    // All leave before any comes: prefixes may pass from one to another.
+    for (const service of services) this.#remove(service);
+    for (const service of services) this.#update(service, documents);
+    return [...services];
+  }
+
+  /** The services whose route depends on a path. */
+  #servicesAt(path: string): readonly string[] {
+    return [path, ...this.#services.get(path) ?? []];
+  }
+
+  #remove(path: string): void {
+    const route = this.#byService.get(path);
+    if (route === undefined) return;
+    this.#byService.delete(path);
+    const prefix = withoutTrailingSlash(route.service.pathPrefix);
+    if (this.#byPrefix.get(prefix) === route) this.#byPrefix.delete(prefix);
+  }
+
+  #update(path: string, documents: Documents): void {
+    const service = documents.get(path);
+    if (service?.kind !== "service") return;
     const organisationPath = organisationPathOf(path);
+    const siblings = this.#services.get(organisationPath) ?? new Set();
+    this.#services.set(organisationPath, siblings.add(path));
     const limits = documents.get(organisationPath);
     if (limits?.kind !== "organisation") return;
-    this.#byPrefix.set(withoutTrailingSlash(service.pathPrefix), {
-      servicePath: path,
-      organisation: nameOfPath(organisationPath),
-      service,
-      limits,
-    });
+    const organisation = nameOfPath(organisationPath);
+    const route: Route = { servicePath: path, organisation, service, limits };
+    this.#byService.set(path, route);
+    this.#byPrefix.set(withoutTrailingSlash(service.pathPrefix), route);
   }
 }
 
--- /dev/null
+++ b/src/entry/routing_table_test.ts
@@ -0,0 +1,118 @@
+import assert from "node:assert/strict";
+import { describe, it } from "node:test";
+import fc from "fast-check";
+import type { SettingsDocument } from "../settings/types.ts";
+import { createDocuments } from "../testing/fixtures.ts";
+import { RoutingTable } from "./routing_table.ts";
+
+const ORGANISATIONS = ["a", "b"] as const;
+const SERVICES = ["one", "two", "three"] as const;
+const PREFIXES = ["/x", "/x/y", "/z", "/"] as const;
+const SEED = 20261202;
+
+interface Change {
+  readonly path: string;
+  /** Undefined: the path is removed. */
+  readonly text: string | undefined;
+}
+
+const CHANGE: fc.Arbitrary<Change> = fc.oneof(
+  fc.record({
+    path: fc.constantFrom(...ORGANISATIONS).map((name) =>
+      `/organisations/${name}`
+    ),
+    text: fc.option(
+      fc.integer({ min: 1, max: 9 }).map((weight) =>
+        `kind: organisation\nweight: ${weight}`
+      ),
+      { nil: undefined },
+    ),
+  }),
+  fc.record({
+    path: fc.tuple(
+      fc.constantFrom(...ORGANISATIONS),
+      fc.constantFrom(...SERVICES),
+    ).map(([name, service]) => `/organisations/${name}/services/${service}`),
+    text: fc.option(
+      fc.constantFrom(...PREFIXES).map((prefix) =>
+        `kind: service\npathPrefix: ${prefix}\npool: p`
+      ),
+      { nil: undefined },
+    ),
+  }),
+);
+
+/** What a table says of every prefix, weights included. */
+function summaryOf(table: RoutingTable): string {
+  return JSON.stringify([
+    table.size,
+    [...table.routes()].map((route) => [route.servicePath, route.limits.weight])
+      .sort(),
+  ]);
+}
+
+/** Whether two services have one prefix, which the settings' check forbids. */
+function hasSharedPrefix(
+  documents: ReadonlyMap<string, SettingsDocument>,
+): boolean {
+  const prefixes = [...documents.values()].flatMap((document) =>
+    document.kind === "service" ? [document.pathPrefix] : []
+  );
+  return new Set(prefixes).size < prefixes.length;
+}
+
+describe("routing table", () => {
+  it("follows changes to the same table as one made anew", () => {
+    fc.assert(
+      fc.property(
+        fc.array(fc.array(CHANGE, { minLength: 1, maxLength: 4 }), {
+          maxLength: 12,
+        }),
+        (batches) => {
+          const documents = new Map<string, SettingsDocument>();
+          const table = new RoutingTable(documents);
+          for (const batch of batches) {
+            for (const { path, text } of batch) {
+              if (text === undefined) documents.delete(path);
+              else {
+                const [document] = createDocuments([{ path, text }]).values();
+                documents.set(path, document as SettingsDocument);
+              }
+            }
+            table.refresh(batch.map((change) => change.path), documents);
+            // Once two services had a prefix, which one keeps it is open.
+            if (hasSharedPrefix(documents)) return;
+            const anew = new RoutingTable(documents);
+            assert.equal(summaryOf(table), summaryOf(anew));
+          }
+        },
+      ),
+      { seed: SEED, numRuns: 500 },
+    );
+  });
+
+  it("takes the longest prefix, by whole parts of the path", () => {
+    const documents = createDocuments([
+      { path: "/organisations/a", text: "kind: organisation" },
+      {
+        path: "/organisations/a/services/short",
+        text: "kind: service\npathPrefix: /x\npool: p",
+      },
+      {
+        path: "/organisations/a/services/long",
+        text: "kind: service\npathPrefix: /x/y/\npool: p",
+      },
+    ]);
+    const table = new RoutingTable(documents);
+    const rows = [
+      ["/x", "/organisations/a/services/short"],
+      ["/x/z", "/organisations/a/services/short"],
+      ["/x/y/z", "/organisations/a/services/long"],
+      ["/xy", undefined],
+      ["/", undefined],
+    ] as const;
+    for (const [path, service] of rows) {
+      assert.equal(table.tryRoute(path)?.servicePath, service, path);
+    }
+  });
+});
--- /dev/null
+++ b/src/policy/fair_queue_test.ts
@@ -0,0 +1,86 @@
+import assert from "node:assert/strict";
+import { describe, it } from "node:test";
+import type { Priority } from "../messages/types.ts";
+import { FairQueue, type QueuedItem } from "./fair_queue.ts";
+
+interface Item extends QueuedItem {
+  readonly name: string;
+}
+
+function createItem(
+  name: string,
+  changes: Partial<QueuedItem> = {},
+): Item {
+  return {
+    name,
+    organisation: "a",
+    weight: 1,
+    priority: "normal" as Priority,
+    startBy: 1000,
+    ...changes,
+  };
+}
+
+function drain(queue: FairQueue<Item>): readonly Item[] {
+  const items: Item[] = [];
+  for (;;) {
+    const item = queue.tryTake();
+    if (item === undefined) return items;
+    items.push(item);
+  }
+}
+
+describe("fair queue", () => {
+  it("shares by weight between organisations that always have work", () => {
+    const queue = new FairQueue<Item>(1000);
+    for (let index = 0; index < 90; index++) {
+      queue.add(createItem(`a${index}`, { organisation: "a", weight: 2 }));
+      queue.add(createItem(`b${index}`, { organisation: "b", weight: 1 }));
+    }
+    const first = drain(queue).slice(0, 90);
+    const ofA = first.filter((item) => item.organisation === "a").length;
+    assert.ok(Math.abs(ofA - 60) <= 1, `${ofA} of 90`);
+  });
+
+  it("gives no more to who sends one at a time", () => {
+    const queue = new FairQueue<Item>(1000);
+    for (let index = 0; index < 100; index++) {
+      queue.add(createItem(`busy${index}`, { organisation: "busy" }));
+    }
+    let ofSingle = 0;
+    for (let turn = 0; turn < 60; turn++) {
+      if (turn % 2 === 0) {
+        queue.add(createItem(`single${turn}`, { organisation: "single" }));
+      }
+      if (queue.tryTake()?.organisation === "single") ofSingle++;
+    }
+    assert.ok(ofSingle <= 31, `${ofSingle} of 60`);
+  });
+
+  it("takes quick work first", () => {
+    const queue = new FairQueue<Item>(10);
+    queue.add(createItem("background", { priority: "background" }));
+    queue.add(createItem("normal"));
+    queue.add(createItem("quick", { priority: "quick" }));
+    const names = drain(queue).map((item) => item.name);
+    assert.deepEqual(names, ["quick", "normal", "background"]);
+  });
+
+  it("drops the newest of the longest line when it is full", () => {
+    const queue = new FairQueue<Item>(2);
+    queue.add(createItem("flood1", { organisation: "flood" }));
+    queue.add(createItem("flood2", { organisation: "flood" }));
+    const dropped = queue.add(createItem("other", { organisation: "other" }));
+    assert.equal(dropped?.name, "flood2");
+    assert.equal(queue.length, 2);
+  });
+
+  it("keeps its order when some are taken out", () => {
+    const queue = new FairQueue<Item>(10);
+    for (const name of ["1", "2", "3"]) queue.add(createItem(name));
+    const removed = queue.removeWhere((item) => item.name === "2");
+    assert.deepEqual(removed.map((item) => item.name), ["2"]);
+    assert.deepEqual(drain(queue).map((item) => item.name), ["1", "3"]);
+    assert.equal(queue.length, 0);
+  });
+});
--- a/src/settings/body_source.ts
+++ b/src/settings/body_source.ts
@@ -71,6 +71,11 @@
     return true;
   }
 
+  /** Drops a body, if it is held. */
+  drop(hash: string | undefined): void {
+    if (hash !== undefined) this.#bodies.delete(hash);
+  }
+
   /** Drops all bodies but those named. */
   retain(hashes: ReadonlySet<string>): void {
     for (const hash of this.#bodies.keys()) {
--- a/src/settings/load_snapshot.ts
+++ b/src/settings/load_snapshot.ts
@@ -17,6 +17,7 @@
   SettingsDocument,
   SettingsHead,
   SettingsPage,
+  SettingsRecord,
   SettingsSnapshot,
 } from "./types.ts";
 
@@ -44,20 +45,19 @@
 ): Promise<SettingsSnapshot | undefined> {
   const head = tryParseHead(options.headText);
   if (head === undefined) return undefined;
-  const tree = tryFollow(head, options) ?? await tryReadTree(head, options);
-  if (tree === undefined) return undefined;
-  return await tryReadDocuments(head, tree, options);
+  return await tryFollow(head, options) ?? await tryLoadWhole(head, options);
 }
 
 /**
- * The tree by the newest changes alone, if they reach back to the current
- * snapshot. Pages and root are made here, so that peers can be given them.
+ * By the newest changes alone, if they reach back to the current snapshot: the
+ * work grows with the changes, not with the settings. Pages and root are made
+ * here, so that peers can be given them.
  */
-function tryFollow(
+async function tryFollow(
   head: SettingsHead,
   options: LoadOptions,
-): SettingsTree | undefined {
-  const { current, bodies } = options;
+): Promise<SettingsSnapshot | undefined> {
+  const { current, bodies, headText } = options;
   if (current === undefined) return undefined;
   const missing = head.revision - current.head.revision;
   if (missing < 0 || missing > head.recent.length) return undefined;
@@ -68,25 +68,65 @@
     (before, change) => before.with(change.path, change.record),
     current.tree,
   );
-  const root = tree.createRoot();
-  if (root.hash !== head.root) return undefined;
-  bodies.keep(root.hash, root.body);
-  for (const change of changes) {
-    const page = tree.createPageOf(change.path);
-    bodies.keep(page.hash, page.body);
+  if (tree.createRoot().hash !== head.root) return undefined;
+  const changed = [...new Set(changes.map((change) => change.path))];
+  const records = await tryReadRecords(changed, { tree, bodies });
+  if (records === undefined) return undefined;
+  // Nothing has been changed so far; from here on nothing waits or fails.
+  exchangeBodies(current.tree, tree, { changed, bodies });
+  const { documents, unreadable } = createDocuments(records, current);
+  return { head, headText, tree, documents, changed, unreadable };
+}
+
+/** Drops the bodies that the changes replaced, and keeps the new ones. */
+function exchangeBodies(
+  before: SettingsTree,
+  after: SettingsTree,
+  options: {
+    readonly changed: readonly string[];
+    readonly bodies: BodyCache;
+  },
+): void {
+  const { changed, bodies } = options;
+  bodies.drop(before.createRoot().hash);
+  for (const path of changed) {
+    bodies.drop(before.createPageOf(path).hash);
+    bodies.drop(before.tryGet(path));
   }
-  return tree;
+  const kept = [
+    after.createRoot(),
+    ...changed.map((path) => after.createPageOf(path)),
+  ];
+  for (const { hash, body } of kept) bodies.keep(hash, body);
 }
 
-async function tryReadTree(
+async function tryLoadWhole(
   head: SettingsHead,
   options: LoadOptions,
+): Promise<SettingsSnapshot | undefined> {
+  const { bodies, headText, current } = options;
+  const tree = await tryReadTree(head, bodies);
+  if (tree === undefined) return undefined;
+  const paths = [...tree.entries()].map(([path]) => path);
+  const records = await tryReadRecords(paths, { tree, bodies });
+  if (records === undefined) return undefined;
+  const { documents, unreadable } = createDocuments(records, {
+    documents: new Map(),
+    older: current?.documents,
+  });
+  const changed = undefined;
+  return { head, headText, tree, documents, changed, unreadable };
+}
+
+async function tryReadTree(
+  head: SettingsHead,
+  bodies: BodySource,
 ): Promise<SettingsTree | undefined> {
-  const rootText = await options.bodies.tryRead(head.root);
+  const rootText = await bodies.tryRead(head.root);
   const root = rootText === undefined ? undefined : tryParseRoot(rootText);
   if (root === undefined) return undefined;
   const names = Object.keys(root.pages);
-  const texts = await readAll(Object.values(root.pages), options.bodies);
+  const texts = await readAll(Object.values(root.pages), bodies);
   const pages = new Map<string, SettingsPage>();
   for (const [index, name] of names.entries()) {
     const text = texts[index];
@@ -97,34 +137,56 @@
   return SettingsTree.fromPages(root, pages);
 }
 
-async function tryReadDocuments(
-  head: SettingsHead,
-  tree: SettingsTree,
-  options: LoadOptions,
-): Promise<SettingsSnapshot | undefined> {
-  const { current, bodies, headText } = options;
-  const documents = new Map<string, SettingsDocument>();
-  const unreadable: string[] = [];
-  const changed: (readonly [path: string, record: string])[] = [];
-  for (const entry of tree.entries()) {
-    const [path, hash] = entry;
-    const old = current?.documents.get(path);
-    if (current?.tree.tryGet(path) !== hash) changed.push(entry);
-    else if (old !== undefined) documents.set(path, old);
-  }
-  const texts = await readAll(changed.map(([, hash]) => hash), bodies);
-  for (const [index, [path]] of changed.entries()) {
-    const text = texts[index];
+/** The records of paths, in their order; undefined when one cannot be had. */
+async function tryReadRecords(
+  paths: readonly string[],
+  options: { readonly tree: SettingsTree; readonly bodies: BodySource },
+): Promise<readonly SettingsRecord[] | undefined> {
+  const hashes = paths.map((path) => options.tree.tryGet(path) ?? "");
+  const texts = await readAll(hashes, options.bodies);
+  const records: SettingsRecord[] = [];
+  for (const [index, text] of texts.entries()) {
     const record = text === undefined ? undefined : tryParseRecord(text);
-    if (record === undefined || record.path !== path) return undefined;
-    if (record.text === null) continue;
-    const checked = checkDocument({ path, text: record.text, file: path });
-    const old = current?.documents.get(path);
-    if (checked.isOk()) documents.set(path, checked.value);
-    else unreadable.push(path);
-    if (checked.isErr() && old !== undefined) documents.set(path, old);
+    if (record === undefined || record.path !== paths[index]) return undefined;
+    records.push(record);
+  }
+  return records;
+}
+
+interface DocumentsBefore {
+  /** Taken over and changed. */
+  readonly documents: ReadonlyMap<string, SettingsDocument>;
+  /** Where the old document of an unreadable path is, if not there. */
+  readonly older?: ReadonlyMap<string, SettingsDocument>;
+  readonly unreadable?: readonly string[];
+}
+
+/** A document that this version cannot read leaves the old one in force. */
+function createDocuments(
+  records: readonly SettingsRecord[],
+  before: DocumentsBefore,
+): {
+  readonly documents: ReadonlyMap<string, SettingsDocument>;
+  readonly unreadable: readonly string[];
+} {
+  const documents = before.documents as Map<string, SettingsDocument>;
+  const unreadable = new Set(before.unreadable);
+  for (const { path, text } of records) {
+    unreadable.delete(path);
+    if (text === null) {
+      documents.delete(path);
+      continue;
+    }
+    const checked = checkDocument({ path, text, file: path });
+    if (checked.isOk()) {
+      documents.set(path, checked.value);
+      continue;
+    }
+    unreadable.add(path);
+    const old = before.older?.get(path);
+    if (old !== undefined) documents.set(path, old);
   }
-  return { head, headText, tree, documents, unreadable };
+  return { documents, unreadable: [...unreadable] };
 }
 
 async function readAll(
--- a/src/settings/types.ts
+++ b/src/settings/types.ts
@@ -120,8 +120,13 @@
   readonly headText: string;
   /** Which record each path has. */
   readonly tree: SettingsTree;
-  /** Documents by path; removed ones are not there. */
+  /**
+   * Documents by path; removed ones are not there. A snapshot that follows
+   * another takes over its map: only the newest snapshot's may be read.
+   */
   readonly documents: ReadonlyMap<string, SettingsDocument>;
+  /** Paths that changed since the one before; undefined: any may have. */
+  readonly changed: readonly string[] | undefined;
   /** Paths whose document this version cannot read; an older one is in force. */
   readonly unreadable: readonly string[];
 }
--- a/src/target/target_driver.ts
+++ b/src/target/target_driver.ts
@@ -230,7 +230,9 @@
     this.#options.log.write("SETTINGS_IN_FORCE", {
       revision: snapshot.head.revision,
     });
-    this.#bodies.retain(reachableFrom(snapshot));
+    if (snapshot.changed === undefined) {
+      this.#bodies.retain(reachableFrom(snapshot));
+    }
     this.#exchange.offerToAll();
   }
 
--- a/src/testing/fixtures.ts
+++ b/src/testing/fixtures.ts
@@ -88,5 +88,5 @@
       text: service.join("\n"),
     },
   ]);
-  return new RoutingTable(documents, 1);
+  return new RoutingTable(documents);
 }
