Run the switch of expert maps between real processes

Each rank's target is a member that gives its engine orders one by one; the one at rank 0 dials all ranks, decides, and plans from what they count. Engines are behind an abstract class with an HTTP adapter; the stand-in of a group steps in lock-step and checks each step's maps.

Proved with processes: a switch between two steps under a shift of popularity, kill -9 of rank 0 and of a member, and a replaced engine, which begins a new run.

--- a/src/commands/target_command.ts
+++ b/src/commands/target_command.ts
@@ -8,6 +8,7 @@
 import { EventLog } from "../events/event_log.ts";
 import { HttpBackEnd } from "../platform/http_back_end.ts";
 import { HttpKeyValueService } from "../platform/http_key_value_service.ts";
+import { HttpRankEngine } from "../platform/http_rank_engine.ts";
 import { HttpVirtualMachineList } from "../platform/http_virtual_machine_list.ts";
 import {
   readProcessSettings,
@@ -39,6 +40,9 @@
       address: settings.backEndAddress,
       concurrency: settings.concurrency,
     }),
+    rankEngine: settings.group === undefined
+      ? undefined
+      : new HttpRankEngine(settings.group.engineAddress),
     keyValueService: keyValueAddress === undefined
       ? undefined
       : new HttpKeyValueService(keyValueAddress),
--- a/src/events/catalogue.ts
+++ b/src/events/catalogue.ts
@@ -143,6 +143,19 @@
     text: "Released its key slots",
     action: NOTHING,
   },
+  MAP_PROPOSED: {
+    code: 2601,
+    level: "info",
+    text: "A new expert map is worth its moves",
+    action: NOTHING,
+  },
+  MAP_DECIDED: {
+    code: 2602,
+    level: "info",
+    text: "The switch to an expert map was decided",
+    action:
+      "If `isCommitted` is often false, see which rank's engine loads slowly.",
+  },
   PAUSED: {
     code: 2501,
     level: "warn",
--- /dev/null
+++ b/src/group/coordinator_driver.ts
@@ -0,0 +1,160 @@
+/**
+ * Runs rank 0's decider: dials every rank, its own process included, and
+ * proposes maps from what the ranks count.
+ *
+ * @module
+ */
+import { performance } from "node:perf_hooks";
+import { assertNever } from "../core/debug.ts";
+import type { EventLog } from "../events/event_log.ts";
+import type { Link } from "../links/link.ts";
+import { LinkClient } from "../links/link_client.ts";
+import type { LinkIdentity } from "../links/link_server.ts";
+import type { Message } from "../messages/types.ts";
+import type { RankLoad } from "../platform/rank_engine.ts";
+import {
+  REBALANCE_PRESETS,
+  Rebalancer,
+} from "../policy/placement/rebalancer.ts";
+import type { GroupDocument } from "../settings/types.ts";
+import {
+  type CoordinatorEffect,
+  type CoordinatorEvent,
+  GroupCoordinator,
+} from "./coordinator.ts";
+import { createFirstMap, type GroupShape, MapPlanner } from "./map_planner.ts";
+
+const TICK_MS = 50;
+const DEFAULT_INTERVAL_MS = 30_000;
+const MS_PER_SECOND = 1000;
+
+/** Options of a {@link CoordinatorDriver}. */
+export interface CoordinatorDriverOptions {
+  readonly identity: LinkIdentity;
+  /** Addresses of the targets before the ranks, in the order of the ranks. */
+  readonly memberAddresses: readonly string[];
+  readonly shape: GroupShape;
+  /** The group's settings, once there are any. */
+  readonly trySettings: () => GroupDocument | undefined;
+  readonly log: EventLog;
+}
+
+/** Runs rank 0's decider. */
+export class CoordinatorDriver {
+  readonly #options: CoordinatorDriverOptions;
+  readonly #coordinator: GroupCoordinator;
+  readonly #planner: MapPlanner;
+  readonly #clients: readonly LinkClient[];
+  readonly #links = new Map<number, Link>();
+  #loads: (RankLoad | undefined)[] = [];
+  #plannedAt = performance.now();
+  readonly #timer: NodeJS.Timeout;
+
+  /** Dials at once. */
+  constructor(options: CoordinatorDriverOptions) {
+    this.#options = options;
+    this.#planner = new MapPlanner(options.shape);
+    this.#coordinator = new GroupCoordinator({
+      ranks: options.shape.ranks,
+      decider: options.identity.incarnation,
+      firstMap: createFirstMap(options.shape),
+      firstEpoch: Math.floor(Date.now() / MS_PER_SECOND),
+    });
+    this.#clients = options.memberAddresses.map((address, rank) =>
+      this.#dial(address, rank)
+    );
+    this.#timer = setInterval(() => this.#tick(), TICK_MS);
+  }
+
+  /** Decides no more. */
+  stop(): void {
+    clearInterval(this.#timer);
+    for (const client of this.#clients) client.stop();
+  }
+
+  #dial(address: string, rank: number): LinkClient {
+    return new LinkClient({
+      address,
+      role: "target",
+      identity: this.#options.identity,
+      listener: {
+        onConnected: (link) => {
+          this.#links.set(rank, link);
+          this.#dispatch({
+            kind: "member_connected",
+            now: performance.now(),
+            rank,
+          });
+        },
+        onMessage: (message) => this.#onMessage(rank, message),
+        onDisconnected: () => this.#links.delete(rank),
+        onDialFailed: () => undefined,
+      },
+    });
+  }
+
+  #onMessage(rank: number, message: Message): void {
+    if (message.kind === "rank_load") {
+      this.#loads[rank] = message.load;
+      return;
+    }
+    if (message.kind !== "group_report") return;
+    this.#dispatch({
+      kind: "member_said",
+      now: performance.now(),
+      rank,
+      message: message.report,
+    });
+  }
+
+  #tick(): void {
+    const now = performance.now();
+    this.#dispatch({ kind: "tick", now });
+    const settings = this.#options.trySettings();
+    const intervalMs = settings?.intervalMs ?? DEFAULT_INTERVAL_MS;
+    if (now - this.#plannedAt < intervalMs) return;
+    this.#plannedAt = now;
+    this.#plan(settings?.preset ?? "skew");
+    for (const link of this.#links.values()) {
+      link.send({ kind: "rank_load_request" });
+    }
+  }
+
+  /** Plans with what the ranks answered since the last interval. */
+  #plan(preset: GroupDocument["preset"]): void {
+    const { ranks } = this.#options.shape;
+    const loads = Array.from({ length: ranks }, (_, rank) => this.#loads[rank]);
+    this.#loads = [];
+    if (loads.every((load) => load === undefined)) return;
+    this.#planner.observe(loads);
+    if (!this.#coordinator.isIdle) return;
+    const rebalancer = new Rebalancer(REBALANCE_PRESETS[preset]);
+    const proposal = this.#planner.tryPlan(this.#coordinator.map, rebalancer);
+    if (proposal === undefined) return;
+    const { map, moves } = proposal;
+    this.#options.log.write("MAP_PROPOSED", { moves });
+    this.#dispatch({ kind: "map_proposed", now: performance.now(), map });
+  }
+
+  #dispatch(event: CoordinatorEvent): void {
+    for (const effect of this.#coordinator.reduce(event)) this.#perform(effect);
+  }
+
+  #perform(effect: CoordinatorEffect): void {
+    switch (effect.kind) {
+      case "say":
+        this.#links.get(effect.rank)
+          ?.send({ kind: "group_order", order: effect.message });
+        return;
+      case "switch_decided":
+        return this.#options.log.write("MAP_DECIDED", {
+          version: effect.version,
+          isCommitted: effect.isCommitted,
+        });
+      case "proposal_dropped":
+        return;
+      default:
+        assertNever(effect);
+    }
+  }
+}
--- /dev/null
+++ b/src/group/group_process_test.ts
@@ -0,0 +1,125 @@
+import assert from "node:assert/strict";
+import { after, before, describe, it } from "node:test";
+import { RankGroupStandIn } from "../../standins/rank_group_stand_in.ts";
+import {
+  exitOf,
+  findFreeAddress,
+  ProcessCluster,
+  type RunningProcess,
+  waitUntil,
+} from "../testing/process_cluster.ts";
+
+const RANKS = 3;
+const EVEN = [10, 10, 10, 10, 10, 10];
+const HOT = [100, 10, 10, 10, 10, 10];
+
+describe("a rank group as processes", () => {
+  let cluster: ProcessCluster;
+  let group: RankGroupStandIn;
+  const addresses: string[] = [];
+  const engineAddresses: string[] = [];
+  const targets: RunningProcess[] = [];
+
+  async function startRank(rank: number): Promise<RunningProcess> {
+    return await cluster.startTarget(
+      `rank-${rank}`,
+      engineAddresses[rank] as string,
+      {
+        address: addresses[rank],
+        ownsKeys: false,
+        group: {
+          name: "planner",
+          rank,
+          engineAddress: engineAddresses[rank],
+          memberAddresses: rank === 0 ? addresses : [],
+          layers: 1,
+          experts: EVEN.length,
+          slotsPerRank: 3,
+        },
+      },
+    );
+  }
+
+  async function waitForSteps(): Promise<void> {
+    const wanted = group.steps + 20;
+    await waitUntil("the group steps", () => group.steps >= wanted);
+  }
+
+  async function waitForMap(): Promise<void> {
+    const versions = group.versions;
+    await waitUntil("a new map is in use", () => group.versions > versions);
+  }
+
+  before(async () => {
+    cluster = await ProcessCluster.create();
+    group = new RankGroupStandIn({ ranks: RANKS, stepMs: 5, tokens: EVEN });
+    for (let rank = 0; rank < RANKS; rank++) {
+      addresses.push(await findFreeAddress());
+      const address = await findFreeAddress();
+      engineAddresses.push(address);
+      await group.listen(rank, address);
+    }
+    group.start();
+    for (let rank = 0; rank < RANKS; rank++) {
+      targets.push(await startRank(rank));
+    }
+    const entry = await cluster.startEntry("entry-1", { targets: addresses });
+    await cluster.waitForTargets(entry, ["rank-0", "rank-1", "rank-2"]);
+    await cluster.apply(
+      entry,
+      "/groups/planner",
+      "kind: group\npreset: skew\nintervalMs: 1000\n",
+    );
+  });
+
+  after(async () => {
+    group.close();
+    await cluster.close();
+  });
+
+  it("begins once every rank has the map", async () => {
+    await waitForSteps();
+    assert.equal(group.versions, 1);
+  });
+
+  it("switches the map when popularity shifts, between two steps", async () => {
+    group.tokens = HOT;
+    await waitForMap();
+    await waitForSteps();
+    assert.deepEqual(group.faults, []);
+  });
+
+  it("goes on when rank 0's process is killed and restarted", async () => {
+    const [first] = targets as [RunningProcess];
+    first.child.kill("SIGKILL");
+    await exitOf(first.child);
+    await waitForSteps();
+    targets[0] = await startRank(0);
+    group.tokens = EVEN.map((_, expert) => expert === 5 ? 200 : 10);
+    await waitForMap();
+    group.tokens = EVEN.map((_, expert) => expert < 3 ? 100 : 10);
+    await waitForMap();
+    await waitForSteps();
+    assert.deepEqual(group.faults, []);
+  });
+
+  it("begins a new run when a rank's engine is replaced", async () => {
+    const before = group.incarnationOf(0);
+    group.replace(2);
+    await waitForSteps();
+    assert.ok(group.incarnationOf(0) > before);
+    assert.equal(group.incarnationOf(2), group.incarnationOf(0));
+    assert.deepEqual(group.faults, []);
+  });
+
+  it("asks again after a member's process was killed", async () => {
+    const last = targets[2] as RunningProcess;
+    last.child.kill("SIGKILL");
+    await exitOf(last.child);
+    targets[2] = await startRank(2);
+    group.tokens = EVEN.map((_, expert) => expert % 2 === 0 ? 150 : 10);
+    await waitForMap();
+    await waitForSteps();
+    assert.deepEqual(group.faults, []);
+  });
+});
--- /dev/null
+++ b/src/group/member_driver.ts
@@ -0,0 +1,106 @@
+/**
+ * Performs the effects of a member and feeds it events. Calls of the engine go
+ * one after the other, so that what it says of itself is never older than the
+ * last order that it answered.
+ *
+ * @module
+ */
+import { performance } from "node:perf_hooks";
+import { setTimeout as sleep } from "node:timers/promises";
+import type { RankEngine, RankLoad } from "../platform/rank_engine.ts";
+import { GroupMember, type MemberEffect, type MemberEvent } from "./member.ts";
+import type {
+  CoordinatorMessage,
+  EngineOrder,
+  MemberMessage,
+} from "./types.ts";
+
+const TICK_MS = 50;
+const RETRY_PAUSE_MS = 100;
+
+/** Options of a {@link MemberDriver}. */
+export interface MemberDriverOptions {
+  readonly engine: RankEngine;
+  /** Sends to rank 0, if it is connected. */
+  readonly say: (message: MemberMessage) => void;
+}
+
+/** A running member. */
+export class MemberDriver {
+  readonly #options: MemberDriverOptions;
+  readonly #member = new GroupMember();
+  #turn: Promise<void> = Promise.resolve();
+  #isStopped = false;
+
+  /** Begins to watch the engine at once. */
+  constructor(options: MemberDriverOptions) {
+    this.#options = options;
+    void this.#watch();
+  }
+
+  /** Rank 0 said something. */
+  receive(message: CoordinatorMessage): void {
+    const now = performance.now();
+    this.#dispatch({ kind: "coordinator_said", now, message });
+  }
+
+  /** What the engine counted; undefined when it does not answer. */
+  async tryLoad(): Promise<RankLoad | undefined> {
+    try {
+      return await this.#options.engine.readLoad();
+    } catch {
+      return undefined;
+    }
+  }
+
+  /** Watches no more. */
+  stop(): void {
+    this.#isStopped = true;
+  }
+
+  async #watch(): Promise<void> {
+    while (!this.#isStopped) {
+      await this.#inTurn(() => this.#readState());
+      this.#dispatch({ kind: "tick", now: performance.now() });
+      await sleep(TICK_MS, undefined, { ref: false });
+    }
+  }
+
+  async #readState(): Promise<void> {
+    try {
+      const engine = await this.#options.engine.readState();
+      this.#dispatch({ kind: "engine_said", now: performance.now(), engine });
+    } catch {
+      // The next look tells whether it answers again.
+    }
+  }
+
+  async #giveOrder(order: EngineOrder, fencingNumber: number): Promise<void> {
+    while (!this.#isStopped) {
+      try {
+        const engine = await this.#options.engine
+          .carryOut(order, fencingNumber);
+        const now = performance.now();
+        this.#dispatch({ kind: "engine_said", now, engine, order });
+        return;
+      } catch {
+        await sleep(RETRY_PAUSE_MS, undefined, { ref: false });
+      }
+    }
+  }
+
+  #inTurn(work: () => Promise<void>): Promise<void> {
+    this.#turn = this.#turn.then(work);
+    return this.#turn;
+  }
+
+  #dispatch(event: MemberEvent): void {
+    for (const effect of this.#member.reduce(event)) this.#perform(effect);
+  }
+
+  #perform(effect: MemberEffect): void {
+    if (effect.kind === "say") return this.#options.say(effect.message);
+    const { order, fencingNumber } = effect;
+    void this.#inTurn(() => this.#giveOrder(order, fencingNumber));
+  }
+}
--- /dev/null
+++ b/src/group/schema.ts
@@ -0,0 +1,79 @@
+/**
+ * Shapes of what ranks and engines say, checked on arrival.
+ *
+ * @module
+ */
+import { z } from "zod";
+import type {
+  CoordinatorMessage,
+  EngineState,
+  ExpertMap,
+  MemberMessage,
+} from "./types.ts";
+
+const COUNT = z.number().int().nonnegative();
+const OPTIONAL_COUNT = COUNT.optional();
+const MAP_SCHEMA: z.ZodType<ExpertMap> = z.object({
+  layers: z.array(z.object({ experts: z.array(z.array(COUNT)) })),
+});
+
+/** Shape of what an engine says of itself. */
+export const ENGINE_STATE_SCHEMA: z.ZodType<EngineState> = z.object({
+  incarnation: COUNT,
+  step: COUNT,
+  activeVersion: COUNT,
+  stagedVersion: OPTIONAL_COUNT,
+  holdBefore: OPTIONAL_COUNT,
+  activation: z.object({ version: COUNT, step: COUNT }).optional(),
+  maps: z.array(z.object({ version: COUNT, map: MAP_SCHEMA })),
+}) as z.ZodType<EngineState>;
+
+const DECIDER = { epoch: COUNT, decider: z.string() };
+const VERSIONED = { epoch: COUNT, version: COUNT };
+
+/** Shape of what rank 0 says to a member. */
+export const COORDINATOR_MESSAGE_SCHEMA: z.ZodType<CoordinatorMessage> = z
+  .discriminatedUnion("kind", [
+    z.object({ kind: z.literal("bind"), ...DECIDER }),
+    z.object({
+      kind: z.literal("stage"),
+      ...DECIDER,
+      version: COUNT,
+      map: MAP_SCHEMA,
+      assemble: OPTIONAL_COUNT,
+    }),
+    z.object({
+      kind: z.literal("prepare"),
+      ...DECIDER,
+      version: COUNT,
+      step: COUNT,
+    }),
+    z.object({
+      kind: z.literal("commit"),
+      ...DECIDER,
+      version: COUNT,
+      step: COUNT,
+    }),
+    z.object({ kind: z.literal("abort"), ...DECIDER, version: COUNT }),
+  ]) as z.ZodType<CoordinatorMessage>;
+
+/** Shape of what a member says to rank 0. */
+export const MEMBER_MESSAGE_SCHEMA: z.ZodType<MemberMessage> = z
+  .discriminatedUnion("kind", [
+    z.object({
+      kind: z.literal("bound"),
+      epoch: COUNT,
+      engine: ENGINE_STATE_SCHEMA,
+    }),
+    z.object({ kind: z.literal("outdated"), ...DECIDER }),
+    z.object({ kind: z.literal("staged"), ...VERSIONED, step: COUNT }),
+    z.object({ kind: z.literal("prepared"), ...VERSIONED, step: COUNT }),
+    z.object({
+      kind: z.literal("too_late"),
+      ...VERSIONED,
+      step: COUNT,
+      engineStep: COUNT,
+    }),
+    z.object({ kind: z.literal("applied"), ...VERSIONED }),
+    z.object({ kind: z.literal("ask"), ...VERSIONED }),
+  ]);
--- a/src/messages/schema.ts
+++ b/src/messages/schema.ts
@@ -4,6 +4,10 @@
  * @module
  */
 import { z } from "zod";
+import {
+  COORDINATOR_MESSAGE_SCHEMA,
+  MEMBER_MESSAGE_SCHEMA,
+} from "../group/schema.ts";
 import { REFUSAL_NAMES, type RefusalName } from "../refusals/catalogue.ts";
 import type { Message } from "./types.ts";
 
@@ -109,4 +113,17 @@
     running: COUNT,
     leaving: z.boolean(),
   }),
+  z.object({
+    kind: z.literal("group_order"),
+    order: COORDINATOR_MESSAGE_SCHEMA,
+  }),
+  z.object({ kind: z.literal("group_report"), report: MEMBER_MESSAGE_SCHEMA }),
+  z.object({ kind: z.literal("rank_load_request") }),
+  z.object({
+    kind: z.literal("rank_load"),
+    load: z.object({
+      tokens: z.array(z.array(z.number().nonnegative())),
+      slowdown: z.number().positive(),
+    }),
+  }),
 ]);
--- a/src/messages/types.ts
+++ b/src/messages/types.ts
@@ -5,6 +5,8 @@
  *
  * @module
  */
+import type { CoordinatorMessage, MemberMessage } from "../group/types.ts";
+import type { RankLoad } from "../platform/rank_engine.ts";
 import type { RefusalName } from "../refusals/catalogue.ts";
 import type { Outcome } from "../refusals/types.ts";
 
@@ -178,6 +180,29 @@
   readonly leaving: boolean;
 }
 
+/** Rank 0's word to a rank of its group. */
+export interface GroupOrderMessage {
+  readonly kind: "group_order";
+  readonly order: CoordinatorMessage;
+}
+
+/** A rank's word to rank 0 of its group. */
+export interface GroupReportMessage {
+  readonly kind: "group_report";
+  readonly report: MemberMessage;
+}
+
+/** Asks a rank for what its engine counted. */
+export interface RankLoadRequestMessage {
+  readonly kind: "rank_load_request";
+}
+
+/** What a rank's engine counted. */
+export interface RankLoadMessage {
+  readonly kind: "rank_load";
+  readonly load: RankLoad;
+}
+
 /** Every message between processes. */
 export type Message =
   | ChallengeMessage
@@ -196,7 +221,11 @@
   | SettingsFetchMessage
   | SettingsBodiesMessage
   | StatusRequestMessage
-  | StatusMessage;
+  | StatusMessage
+  | GroupOrderMessage
+  | GroupReportMessage
+  | RankLoadRequestMessage
+  | RankLoadMessage;
 
 /** Messages that belong to one attempt of one request. */
 export type AttemptMessage =
--- a/src/process/process_settings.ts
+++ b/src/process/process_settings.ts
@@ -53,6 +53,18 @@
   ledgerLength: z.number().int().min(0).max(10_000_000).default(50_000),
   keptAnswerBytes: z.number().int().min(0).max(1_048_576).default(16_384),
   keptBytes: z.number().int().min(0).max(1_073_741_824).default(8_388_608),
+  /** The rank of a lock-step group that the engine is. */
+  group: z.strictObject({
+    name: NAME,
+    rank: z.number().int().min(0).max(1023),
+    /** Host and port at which the engine takes orders. */
+    engineAddress: ADDRESS,
+    /** At rank 0: the targets before all ranks, in their order. */
+    memberAddresses: z.array(ADDRESS).default([]),
+    layers: z.number().int().min(1).max(1000).default(1),
+    experts: z.number().int().min(1).max(10_000).default(8),
+    slotsPerRank: z.number().int().min(1).max(10_000).default(8),
+  }).optional(),
   /** Whether the target claims key slots of its pool. */
   ownsKeys: z.boolean().default(true),
   /**
--- a/src/target/target_driver.ts
+++ b/src/target/target_driver.ts
@@ -8,6 +8,7 @@
 import { assertNever } from "../core/debug.ts";
 import { forwardedHeadersOf } from "../core/http_headers.ts";
 import type { EventLog } from "../events/event_log.ts";
+import { GroupPart } from "../group/group_part.ts";
 import type { Link } from "../links/link.ts";
 import { LinkServer, type LinkServerListener } from "../links/link_server.ts";
 import { PeerBodySource } from "../links/peer_body_source.ts";
@@ -19,6 +20,7 @@
 } from "../messages/types.ts";
 import type { BackEnd, BackEndCall } from "../platform/back_end.ts";
 import type { KeyValueService } from "../platform/key_value_service.ts";
+import type { RankEngine } from "../platform/rank_engine.ts";
 import { MachineListReader } from "../platform/machine_list_reader.ts";
 import type { VirtualMachineList } from "../platform/virtual_machine_list.ts";
 import { HttpListener } from "../process/http_listener.ts";
@@ -29,7 +31,7 @@
 import { reachableFrom } from "../settings/reachable.ts";
 import { SettingsExchange } from "../settings/settings_exchange.ts";
 import { SettingsKeeper } from "../settings/settings_keeper.ts";
-import type { SettingsSnapshot } from "../settings/types.ts";
+import type { GroupDocument, SettingsSnapshot } from "../settings/types.ts";
 import { ClaimKeeper } from "./claim_keeper.ts";
 import { TargetReducer } from "./target_reducer.ts";
 import type { StartBackEnd, TargetEffect, TargetEvent } from "./types.ts";
@@ -41,6 +43,7 @@
   readonly settings: TargetProcessSettings;
   readonly incarnation: string;
   readonly backEnd: BackEnd;
+  readonly rankEngine?: RankEngine;
   readonly keyValueService?: KeyValueService;
   readonly machineList?: VirtualMachineList;
   readonly log: EventLog;
@@ -58,6 +61,7 @@
   readonly #exchange: SettingsExchange;
   readonly #bodies = new BodyCache();
   #claims: ClaimKeeper | undefined;
+  #group: GroupPart | undefined;
   #machines: MachineListReader | undefined;
   #tick: NodeJS.Timeout | undefined;
   #nextLinkId = 1;
@@ -116,6 +120,7 @@
         now: performance.now(),
       }), TICK_MS);
     this.#startClaims();
+    this.#startGroup();
     if (machineList !== undefined) {
       this.#machines = new MachineListReader({
         list: machineList,
@@ -141,6 +146,7 @@
   async close(): Promise<void> {
     clearInterval(this.#tick);
     this.#claims?.stop();
+    this.#group?.stop();
     this.#machines?.stop();
     for (const link of this.#links.values()) link.close();
     await this.#options.backEnd.close();
@@ -148,6 +154,7 @@
   }
 
   onPeer(link: Link, hello: HelloMessage) {
+    if (hello.role === "target") return this.#onGroupPeer(link);
     const linkId = this.#nextLinkId++;
     this.#links.set(linkId, link);
     this.#options.log.write("ENTRY_CONNECTED", { entry: hello.name });
@@ -159,12 +166,39 @@
     };
   }
 
+  /** Rank 0 of this target's group, or a stranger that finds no group here. */
+  #onGroupPeer(link: Link) {
+    this.#group?.addLink(link);
+    return {
+      onMessage: (message: Message) => this.#group?.receive(link, message),
+      onClose: (fault?: LinkFault) => this.#countFault(fault),
+    };
+  }
+
   onRejected(fault: LinkFault | undefined): void {
     if (fault === undefined) return;
     this.#metrics.countLinkFault(fault);
     this.#options.log.write("PEER_REJECTED", { fault });
   }
 
+  #startGroup(): void {
+    const { settings, incarnation, rankEngine, log } = this.#options;
+    const { group } = settings;
+    if (group === undefined || rankEngine === undefined) return;
+    this.#group = new GroupPart({
+      group,
+      identity: { ...settings, incarnation },
+      engine: rankEngine,
+      trySettings: () => this.#tryGroupSettings(group.name),
+      log,
+    });
+  }
+
+  #tryGroupSettings(name: string): GroupDocument | undefined {
+    const document = this.#keeper.snapshot?.documents.get(`/groups/${name}`);
+    return document?.kind === "group" ? document : undefined;
+  }
+
   #startClaims(): void {
     const { settings, keyValueService, incarnation, log } = this.#options;
     if (keyValueService === undefined || !settings.ownsKeys) return;
@@ -219,13 +253,16 @@
     const link = this.#links.get(linkId);
     this.#links.delete(linkId);
     if (link !== undefined) this.#exchange.removeLink(link);
-    if (fault !== undefined) {
-      this.#metrics.countLinkFault(fault);
-      this.#options.log.write("LINK_FAULT", { fault });
-    }
+    this.#countFault(fault);
     this.#dispatch({ kind: "link_closed", now: performance.now(), linkId });
   }
 
+  #countFault(fault: LinkFault | undefined): void {
+    if (fault === undefined) return;
+    this.#metrics.countLinkFault(fault);
+    this.#options.log.write("LINK_FAULT", { fault });
+  }
+
   #onSnapshot(snapshot: SettingsSnapshot): void {
     this.#options.log.write("SETTINGS_IN_FORCE", {
       revision: snapshot.head.revision,
