Gather tokens of a stream for 20 ms after the first

The entry's cost is the write to the caller for each message; the target's is reading the engine's answer, which gathering does not change. The first token is never held.

--- a/src/process/process_settings.ts
+++ b/src/process/process_settings.ts
@@ -53,6 +53,8 @@
   ledgerLength: z.number().int().min(0).max(10_000_000).default(50_000),
   keptAnswerBytes: z.number().int().min(0).max(1_048_576).default(16_384),
   keptBytes: z.number().int().min(0).max(1_073_741_824).default(8_388_608),
+  /** Milliseconds for which tokens are gathered; 0 sends each at once. */
+  gatherMs: z.number().int().min(0).max(1000).default(20),
   /** The rank of a lock-step group that the engine is. */
   group: z.strictObject({
     name: NAME,
--- a/src/target/run.ts
+++ b/src/target/run.ts
@@ -12,6 +12,9 @@
 } from "../messages/types.ts";
 import type { KeptAnswer } from "./key_ledger.ts";
 
+/** Gathered bytes that go without waiting. */
+const MAX_GATHERED_BYTES = 16_384;
+
 /** The attempt that a run belongs to. */
 export interface RunOwner {
   readonly linkId: number;
@@ -28,6 +31,8 @@
   readonly startedAt: number;
   /** Largest answer that is kept for a key, in bytes. */
   readonly keptAnswerBytes: number;
+  /** Milliseconds for which pieces of an answer are gathered. */
+  readonly gatherMs: number;
 }
 
 /** Status and headers of an answer. */
@@ -47,6 +52,9 @@
   readonly #options: RunOptions;
   readonly #kept: Uint8Array[] = [];
   #start: AnswerStart | undefined;
+  #gathered: Uint8Array[] = [];
+  #gatheredBytes = 0;
+  #gatheredAt = Number.NEGATIVE_INFINITY;
   #sequence = 0;
   #byteCount = 0;
   #isAbandoned = false;
@@ -97,12 +105,39 @@
     };
   }
 
-  /** A message with a piece of the answer's body. */
-  createData(bytes: Uint8Array): AnswerDataMessage {
+  /**
+   * Takes in a piece of the answer's body. Pieces that follow each other
+   * closely, as tokens do, go together; the first goes at once.
+   *
+   * @returns the message that is due now, if any
+   */
+  addData(bytes: Uint8Array, now: number): AnswerDataMessage | undefined {
     this.#byteCount += bytes.length;
     const isKept = this.#options.fingerprint !== undefined &&
       this.#byteCount <= this.#options.keptAnswerBytes;
     if (isKept) this.#kept.push(bytes);
+    this.#gathered.push(bytes);
+    this.#gatheredBytes += bytes.length;
+    return this.tryGathered(now);
+  }
+
+  /** What was gathered, if it is due. */
+  tryGathered(now: number): AnswerDataMessage | undefined {
+    const isDue = now - this.#gatheredAt >= this.#options.gatherMs ||
+      this.#gatheredBytes >= MAX_GATHERED_BYTES;
+    return isDue ? this.tryRest(now) : undefined;
+  }
+
+  /** What was gathered, due or not. */
+  tryRest(now: number): AnswerDataMessage | undefined {
+    if (this.#gathered.length === 0) return undefined;
+    const [first] = this.#gathered;
+    const bytes = this.#gathered.length === 1
+      ? first as Uint8Array
+      : Buffer.concat(this.#gathered);
+    this.#gathered = [];
+    this.#gatheredBytes = 0;
+    this.#gatheredAt = now;
     return { kind: "answer_data", ...this.#nextPlace(), bytes };
   }
 
--- a/src/target/target_driver.ts
+++ b/src/target/target_driver.ts
@@ -36,7 +36,8 @@
 import { TargetReducer } from "./target_reducer.ts";
 import type { StartBackEnd, TargetEffect, TargetEvent } from "./types.ts";
 
-const TICK_MS = 100;
+/** Also how late gathered tokens may be sent. */
+const TICK_MS = 10;
 
 /** What a target's driver works with. */
 export interface TargetDriverOptions {
--- a/src/target/target_reducer.ts
+++ b/src/target/target_reducer.ts
@@ -298,6 +298,7 @@
       fingerprint,
       startedAt: now,
       keptAnswerBytes: this.#limits.keptAnswerBytes,
+      gatherMs: this.#limits.gatherMs,
     });
     this.#runs.set(run.id, run);
     this.#effects.push({
@@ -316,7 +317,7 @@
   #backEndData(event: BackEndData): void {
     const run = this.#runs.get(event.runId);
     if (run === undefined) return;
-    this.#replyTo(run, run.createData(event.bytes));
+    this.#replyTo(run, run.addData(event.bytes, event.now));
   }
 
   #backEndEnd(event: BackEndEnd): void {
@@ -324,6 +325,7 @@
     if (run === undefined) return;
     this.#runs.delete(run.id);
     this.#reporter.countRun(event.now - run.startedAt);
+    this.#replyTo(run, run.tryRest(event.now));
     this.#replyTo(run, run.createEnd(this.#load()));
     if (run.fingerprint === undefined) return;
     this.#gate.ledger.setAnswered(run.fingerprint, run.tryKeptAnswer());
@@ -356,6 +358,9 @@
 
   #tick(now: number): void {
     this.#dropLate(now);
+    for (const run of this.#runs.values()) {
+      this.#replyTo(run, run.tryGathered(now));
+    }
     const report = this.#reporter.tryReport(this.#load(), now);
     if (report === undefined) return;
     this.#effects.push({ kind: "broadcast", message: report });
@@ -380,10 +385,11 @@
       owner,
       startedAt: 0,
       keptAnswerBytes: 0,
+      gatherMs: 0,
     });
     this.#replyTo(run, run.createHead(answer));
     if (answer.body.length > 0) {
-      this.#replyTo(run, run.createData(answer.body));
+      this.#replyTo(run, run.addData(answer.body, 0));
     }
     this.#replyTo(run, run.createEnd(this.#load()));
   }
@@ -419,8 +425,9 @@
     if (fingerprint !== undefined) this.#gate.ledger.forget(fingerprint);
   }
 
-  #replyTo(run: Run, message: Message): void {
-    if (!run.isAbandoned) this.#reply(run.owner.linkId, message);
+  #replyTo(run: Run, message: Message | undefined): void {
+    if (message === undefined || run.isAbandoned) return;
+    this.#reply(run.owner.linkId, message);
   }
 
   #reply(linkId: number, message: Message): void {
--- a/src/target/target_reducer_test.ts
+++ b/src/target/target_reducer_test.ts
@@ -1,4 +1,5 @@
 import assert from "node:assert/strict";
+import { Buffer } from "node:buffer";
 import { describe, it } from "node:test";
 import { createSubmit } from "../testing/fixtures.ts";
 import type { Message, RefusedMessage } from "../messages/types.ts";
@@ -12,6 +13,7 @@
   ledgerLength: 10,
   keptAnswerBytes: 100,
   keptBytes: 1000,
+  gatherMs: 20,
 };
 
 function createTarget(limits: Partial<TargetLimits> = {}): TargetReducer {
@@ -47,6 +49,14 @@
   );
 }
 
+function textsOf(effects: readonly TargetEffect[]): readonly string[] {
+  return effects.flatMap((effect) =>
+    effect.kind === "reply" && effect.message.kind === "answer_data"
+      ? [Buffer.from(effect.message.bytes).toString()]
+      : []
+  );
+}
+
 function startsOf(effects: readonly TargetEffect[]): readonly number[] {
   return effects.flatMap((effect) =>
     effect.kind === "start_back_end" ? [effect.request.requestId] : []
@@ -168,6 +178,35 @@
     assert.equal(refusal?.requestId, 3);
   });
 
+  it("sends the first token at once and gathers those that follow", () => {
+    const target = createTarget();
+    receive(target, createSubmit());
+    const place = { runId: 1, now: 0 };
+    target.reduce({
+      kind: "back_end_head",
+      ...place,
+      status: 200,
+      headers: [],
+    });
+    const token = (text: string, now: number) =>
+      target.reduce({
+        kind: "back_end_data",
+        runId: 1,
+        now,
+        bytes: Buffer.from(text),
+      });
+    assert.deepEqual(textsOf(token("a", 100)), ["a"]);
+    assert.deepEqual(textsOf(token("b", 105)), []);
+    assert.deepEqual(textsOf(token("c", 110)), []);
+    assert.deepEqual(textsOf(target.reduce({ kind: "tick", now: 115 })), []);
+    assert.deepEqual(textsOf(target.reduce({ kind: "tick", now: 120 })), [
+      "bc",
+    ]);
+    assert.deepEqual(textsOf(token("d", 125)), []);
+    const ended = target.reduce({ kind: "back_end_end", runId: 1, now: 126 });
+    assert.deepEqual(textsOf(ended), ["d"]);
+  });
+
   it("asks for its claims after a pause", () => {
     const target = createTarget();
     target.reduce({ kind: "tick", now: 5000 });
--- a/src/target/types.ts
+++ b/src/target/types.ts
@@ -185,4 +185,6 @@
   readonly keptAnswerBytes: number;
   /** Bytes of all kept answers together. */
   readonly keptBytes: number;
+  /** Milliseconds for which pieces of an answer are gathered. */
+  readonly gatherMs: number;
 }
--- a/src/testing/request_world.ts
+++ b/src/testing/request_world.ts
@@ -439,6 +439,7 @@
           ledgerLength: 1000,
           keptAnswerBytes: 1000,
           keptBytes: 100_000,
+          gatherMs: 20,
         },
         now: this.#now,
       }),
