Bound what grows with the fleet: connections, reports, reads at a start

Pools above a limit are now dialled in part, chosen by the hash of both names, three quarters in the own failure domain; a test holds evenness and that one machine's leaving changes one choice. - A target reported to all entries once a second: 31 KB/s into an entry with 600 targets in view. Reports now cost a target 2.5 messages a second however many listen, and an entry that just had an answer gets none: 1.8 KB/s at most. - A starting entry read each record from the key-value service: 36,257 calls.

--- a/src/entry/entry_driver.ts
+++ b/src/entry/entry_driver.ts
@@ -135,6 +135,11 @@
     this.#dialler = new TargetDialler({
       identity: { ...settings, incarnation },
       fixedAddresses: settings.targets,
+      subset: {
+        entryName: settings.name,
+        failureDomain: settings.failureDomain,
+        limit: settings.targetsInView,
+      },
       listener: this,
       log,
     });
--- a/src/entry/target_dialler.ts
+++ b/src/entry/target_dialler.ts
@@ -11,6 +11,7 @@
 import type { LinkFault } from "../messages/codec.ts";
 import type { Message, WelcomeMessage } from "../messages/types.ts";
 import type { VirtualMachine } from "../platform/virtual_machine_list.ts";
+import { chooseSubset, type SubsetOptions } from "../policy/target_subset.ts";
 
 /** What the owner of a dialler wants to hear. */
 export interface TargetDiallerListener {
@@ -25,6 +26,7 @@
   readonly identity: LinkIdentity;
   /** Addresses that are dialled whatever the machine list says. */
   readonly fixedAddresses: readonly string[];
+  readonly subset: SubsetOptions;
   readonly listener: TargetDiallerListener;
   readonly log: EventLog;
 }
@@ -49,10 +51,11 @@
   /** Dials the targets of the list; those that left it are dialled no more. */
   setMachines(machines: readonly VirtualMachine[]): void {
     const wanted = new Set(this.#options.fixedAddresses);
-    for (const machine of machines) {
-      if (machine.role === "target" && machine.state !== "gone") {
-        wanted.add(machine.address);
-      }
+    const present = machines.filter((machine) =>
+      machine.role === "target" && machine.state !== "gone"
+    );
+    for (const { address } of chooseSubset(present, this.#options.subset)) {
+      wanted.add(address);
     }
     for (const address of wanted) this.#dial(address);
     for (const [address, client] of this.#clients) {
--- /dev/null
+++ b/src/policy/target_subset.ts
@@ -0,0 +1,67 @@
+/**
+ * Which targets of a large pool an entry connects to: not all, so that neither
+ * side holds more connections than it can speak on.
+ *
+ * @module
+ */
+import { createHash } from "node:crypto";
+import type { VirtualMachine } from "../platform/virtual_machine_list.ts";
+
+/** Who chooses, and how many at most. */
+export interface SubsetOptions {
+  readonly entryName: string;
+  readonly failureDomain: string;
+  /** Targets of one pool; smaller pools are taken whole. */
+  readonly limit: number;
+}
+
+/** Share of the limit that goes to the entry's own failure domain. */
+const NEAR_SHARE = 0.75;
+
+/**
+ * Chooses by the hash of entry and target together: entries choose differently,
+ * targets are chosen about equally often, and a machine that comes or goes
+ * changes the choice by itself and at most one other.
+ *
+ * @example
+ * ```ts
+ * const dialled = chooseSubset(machines, { entryName, failureDomain, limit });
+ * ```
+ */
+export function chooseSubset(
+  machines: readonly VirtualMachine[],
+  options: SubsetOptions,
+): readonly VirtualMachine[] {
+  const pools = new Map<string, VirtualMachine[]>();
+  for (const machine of machines) {
+    const pool = pools.get(machine.pool) ?? [];
+    pool.push(machine);
+    pools.set(machine.pool, pool);
+  }
+  return [...pools.values()].flatMap((pool) => chooseOfPool(pool, options));
+}
+
+function chooseOfPool(
+  pool: readonly VirtualMachine[],
+  options: SubsetOptions,
+): readonly VirtualMachine[] {
+  if (pool.length <= options.limit) return pool;
+  const ranked = pool
+    .map((machine) => ({ machine, rank: rankOf(machine, options.entryName) }))
+    .sort((left, right) => left.rank < right.rank ? -1 : 1)
+    .map(({ machine }) => machine);
+  const near = ranked
+    .filter((machine) => machine.failureDomain === options.failureDomain)
+    .slice(0, Math.floor(options.limit * NEAR_SHARE));
+  const chosen = new Set(near);
+  for (const machine of ranked) {
+    if (chosen.size >= options.limit) break;
+    chosen.add(machine);
+  }
+  return [...chosen];
+}
+
+function rankOf(machine: VirtualMachine, entryName: string): string {
+  return createHash("sha1").update(`${entryName}\n${machine.name}`)
+    .digest("hex");
+}
--- /dev/null
+++ b/src/policy/target_subset_test.ts
@@ -0,0 +1,64 @@
+import assert from "node:assert/strict";
+import { describe, it } from "node:test";
+import type { VirtualMachine } from "../platform/virtual_machine_list.ts";
+import { chooseSubset } from "./target_subset.ts";
+
+const DOMAINS = 4;
+const TARGETS = 800;
+const ENTRIES = 120;
+const LIMIT = 100;
+
+function createMachines(count: number): readonly VirtualMachine[] {
+  return Array.from({ length: count }, (_, index): VirtualMachine => ({
+    name: `target-${index}`,
+    address: `10.0.0.1:${index}`,
+    role: "target",
+    failureDomain: String(index % DOMAINS),
+    pool: "plan",
+    state: "live",
+  }));
+}
+
+function choose(entry: number, machines: readonly VirtualMachine[]) {
+  return chooseSubset(machines, {
+    entryName: `entry-${entry}`,
+    failureDomain: String(entry % DOMAINS),
+    limit: LIMIT,
+  });
+}
+
+describe("subset of a large pool", () => {
+  it("takes small pools whole", () => {
+    const machines = createMachines(LIMIT);
+    assert.deepEqual(choose(0, machines), machines);
+  });
+
+  it("keeps to its limit, mostly within the own failure domain", () => {
+    const chosen = choose(1, createMachines(TARGETS));
+    assert.equal(chosen.length, LIMIT);
+    const near = chosen.filter((machine) => machine.failureDomain === "1");
+    assert.ok(near.length >= LIMIT * 0.75, String(near.length));
+    assert.ok(near.length < LIMIT, "Some way must lead to other domains");
+  });
+
+  it("spreads entries evenly over the targets", () => {
+    const counts = new Map<string, number>();
+    for (let entry = 0; entry < ENTRIES; entry++) {
+      for (const { name } of choose(entry, createMachines(TARGETS))) {
+        counts.set(name, (counts.get(name) ?? 0) + 1);
+      }
+    }
+    const mean = ENTRIES * LIMIT / TARGETS;
+    assert.equal(counts.size, TARGETS, "A target is not chosen by anyone");
+    assert.ok(Math.max(...counts.values()) <= 2.5 * mean);
+  });
+
+  it("hardly changes when a machine goes", () => {
+    const machines = createMachines(TARGETS);
+    const before = choose(0, machines);
+    const gone = before[0] as VirtualMachine;
+    const after = choose(0, machines.filter((machine) => machine !== gone));
+    const kept = after.filter((machine) => before.includes(machine));
+    assert.equal(kept.length, LIMIT - 1);
+  });
+});
--- a/src/process/process_settings.ts
+++ b/src/process/process_settings.ts
@@ -38,6 +38,8 @@
   administrationAddress: ADDRESS,
   /** Targets that are dialled whatever the machine list says. */
   targets: z.array(ADDRESS).default([]),
+  /** Targets of one pool that are connected to; smaller pools are whole. */
+  targetsInView: z.number().int().min(1).max(10_000).default(200),
   /** SHA-256 of the token that may write every path. */
   administratorTokenSha256: SHA_256.optional(),
 });
--- a/src/settings/body_source.ts
+++ b/src/settings/body_source.ts
@@ -9,6 +9,14 @@
 
 /** Gives bodies by their hash. */
 export abstract class BodySource {
+  /**
+   * Those of many bodies that can be had here in few messages. Sources for
+   * which many cost as much as one by one give none.
+   */
+  readMany(_hashes: readonly string[]): Promise<readonly string[]> {
+    return Promise.resolve([]);
+  }
+
   /** The body with this hash; undefined when it cannot be had here. */
   abstract tryRead(hash: string): Promise<string | undefined>;
 }
@@ -71,6 +79,16 @@
     return true;
   }
 
+  /** Gets what is missing of many bodies, as far as few messages can. */
+  async prefetch(hashes: readonly string[]): Promise<void> {
+    for (const source of this.#sources) {
+      const missing = hashes.filter((hash) => !this.#bodies.has(hash));
+      if (missing.length === 0) return;
+      const bodies = await source.readMany(missing);
+      for (const body of bodies) this.keep(hashOf(body), body);
+    }
+  }
+
   /** Drops a body, if it is held. */
   drop(hash: string | undefined): void {
     if (hash !== undefined) this.#bodies.delete(hash);
--- a/src/settings/load_snapshot.ts
+++ b/src/settings/load_snapshot.ts
@@ -21,8 +21,10 @@
   SettingsSnapshot,
 } from "./types.ts";
 
-/** Bodies that are asked for at the same time. */
+/** Bodies that are asked for one by one at the same time. */
 const PARALLEL_READS = 16;
+/** Bodies that are asked for in one message. */
+const BULK_READS = 256;
 
 /** What a snapshot is made from. */
 export interface LoadOptions {
@@ -120,7 +122,7 @@
 
 async function tryReadTree(
   head: SettingsHead,
-  bodies: BodySource,
+  bodies: BodyCache,
 ): Promise<SettingsTree | undefined> {
   const rootText = await bodies.tryRead(head.root);
   const root = rootText === undefined ? undefined : tryParseRoot(rootText);
@@ -140,7 +142,7 @@
 /** The records of paths, in their order; undefined when one cannot be had. */
 async function tryReadRecords(
   paths: readonly string[],
-  options: { readonly tree: SettingsTree; readonly bodies: BodySource },
+  options: { readonly tree: SettingsTree; readonly bodies: BodyCache },
 ): Promise<readonly SettingsRecord[] | undefined> {
   const hashes = paths.map((path) => options.tree.tryGet(path) ?? "");
   const texts = await readAll(hashes, options.bodies);
@@ -190,6 +192,20 @@
 }
 
 async function readAll(
+  hashes: readonly string[],
+  bodies: BodyCache,
+): Promise<readonly (string | undefined)[]> {
+  const texts: (string | undefined)[] = [];
+  for (let start = 0; start < hashes.length; start += BULK_READS) {
+    await bodies.prefetch(hashes.slice(start, start + BULK_READS));
+    texts.push(
+      ...await readEach(hashes.slice(start, start + BULK_READS), bodies),
+    );
+  }
+  return texts;
+}
+
+async function readEach(
   hashes: readonly string[],
   bodies: BodySource,
 ): Promise<readonly (string | undefined)[]> {
--- a/src/settings/settings_exchange.ts
+++ b/src/settings/settings_exchange.ts
@@ -11,6 +11,9 @@
 import type { BodyCache } from "./body_source.ts";
 import type { SettingsKeeper } from "./settings_keeper.ts";
 
+/** Characters of bodies in one answer, well below the largest frame. */
+const MAX_ANSWER_LENGTH = 2_000_000;
+
 /** The parts that an exchange works with. */
 export interface SettingsExchangeParts {
   readonly keeper: SettingsKeeper;
@@ -62,10 +65,16 @@
   }
 
   #answer(link: Link, hashes: readonly string[]): void {
-    const bodies = hashes.flatMap((hash) => {
+    const bodies: string[] = [];
+    let length = 0;
+    for (const hash of hashes) {
       const body = this.#parts.bodies.tryHeld(hash);
-      return body === undefined ? [] : [body];
-    });
+      if (body === undefined) continue;
+      length += body.length;
+      // What does not fit is asked for again, one by one.
+      if (length > MAX_ANSWER_LENGTH && bodies.length > 0) break;
+      bodies.push(body);
+    }
     link.send({ kind: "settings_bodies", asked: hashes, bodies });
   }
 
--- a/src/target/load_reporter.ts
+++ b/src/target/load_reporter.ts
@@ -1,43 +1,66 @@
 /**
- * Decides when a target tells its load without being asked: on change, and
- * seldom, since each answer carries the load as well.
+ * Decides when a target tells its load to which entry: seldom, since each
+ * answer carries the load as well, and the more seldom the more entries there
+ * are, so that reports cost a target the same however many listen.
  *
  * @module
  */
 import type { ReportMessage } from "../messages/types.ts";
 import type { TargetLoad } from "./run.ts";
 
-/** Shortest time between two reports, in milliseconds. */
+/** Shortest time between two words to one entry, in milliseconds. */
 const MIN_INTERVAL_MS = 1000;
+/** Reports that a target sends a second, to all entries together. */
+const REPORTS_PER_SECOND = 2.5;
 /** Change of the load, as a share, that is worth a report. */
 const MIN_CHANGE = 0.25;
 /** Weight of the newest run in the mean. */
 const SMOOTHING = 0.1;
+const MS_PER_SECOND = 1000;
+
+interface LastWord {
+  load: number;
+  at: number;
+}
 
 /** Decides when a target tells its load. */
 export class LoadReporter {
   #meanRunMs = 0;
-  #reportedLoad = 0;
-  #reportedAt = Number.NEGATIVE_INFINITY;
+  readonly #lastWords = new Map<number, LastWord>();
 
   /** A run has ended. */
   countRun(milliseconds: number): void {
     this.#meanRunMs += SMOOTHING * (milliseconds - this.#meanRunMs);
   }
 
+  /** An entry heard the load, by a report or with an answer. */
+  noteTold(linkId: number, load: TargetLoad, now: number): void {
+    this.#lastWords.set(linkId, { load: load.queued + load.running, at: now });
+  }
+
+  /** The connection was lost. */
+  forget(linkId: number): void {
+    this.#lastWords.delete(linkId);
+  }
+
   /** A report of this load. */
   createReport(load: TargetLoad): ReportMessage {
     return { kind: "report", ...load, meanRunMs: this.#meanRunMs };
   }
 
-  /** A report, if the load changed enough and the last one is old enough. */
-  tryReport(load: TargetLoad, now: number): ReportMessage | undefined {
+  /** Entries whose last word is old and no longer true. */
+  dueLinks(load: TargetLoad, now: number): readonly number[] {
     const total = load.queued + load.running;
-    if (now - this.#reportedAt < MIN_INTERVAL_MS) return undefined;
-    const change = Math.abs(total - this.#reportedLoad);
-    if (change <= MIN_CHANGE * this.#reportedLoad) return undefined;
-    this.#reportedLoad = total;
-    this.#reportedAt = now;
-    return this.createReport(load);
+    const interval = Math.max(
+      MIN_INTERVAL_MS,
+      this.#lastWords.size * MS_PER_SECOND / REPORTS_PER_SECOND,
+    );
+    const due: number[] = [];
+    for (const [linkId, last] of this.#lastWords) {
+      if (now - last.at < interval) continue;
+      const change = Math.abs(total - last.load);
+      if (change > MIN_CHANGE * last.load) due.push(linkId);
+    }
+    return due;
   }
 }
--- a/src/target/target_reducer.ts
+++ b/src/target/target_reducer.ts
@@ -128,7 +128,7 @@
   #reduce(event: TargetEvent): void {
     switch (event.kind) {
       case "link_opened":
-        return this.#linkOpened(event.linkId);
+        return this.#linkOpened(event.linkId, event.now);
       case "link_closed":
         return this.#linkClosed(event.linkId);
       case "message_received":
@@ -152,8 +152,9 @@
     }
   }
 
-  #linkOpened(linkId: number): void {
+  #linkOpened(linkId: number, now: number): void {
     this.#openLinks.add(linkId);
+    this.#reporter.noteTold(linkId, this.#load(), now);
     this.#reply(linkId, this.#claims());
     this.#reply(linkId, this.#reporter.createReport(this.#load()));
     if (this.#isLeaving) this.#reply(linkId, { kind: "leaving" });
@@ -166,6 +167,7 @@
    */
   #linkClosed(linkId: number): void {
     this.#openLinks.delete(linkId);
+    this.#reporter.forget(linkId);
     const dropped = this.#queue.removeWhere((item) =>
       item.owner.linkId === linkId
     );
@@ -327,6 +329,9 @@
     this.#reporter.countRun(event.now - run.startedAt);
     this.#replyTo(run, run.tryRest(event.now));
     this.#replyTo(run, run.createEnd(this.#load()));
+    if (this.#openLinks.has(run.owner.linkId)) {
+      this.#reporter.noteTold(run.owner.linkId, this.#load(), event.now);
+    }
     if (run.fingerprint === undefined) return;
     this.#gate.ledger.setAnswered(run.fingerprint, run.tryKeptAnswer());
   }
@@ -361,9 +366,11 @@
     for (const run of this.#runs.values()) {
       this.#replyTo(run, run.tryGathered(now));
     }
-    const report = this.#reporter.tryReport(this.#load(), now);
-    if (report === undefined) return;
-    this.#effects.push({ kind: "broadcast", message: report });
+    const load = this.#load();
+    for (const linkId of this.#reporter.dueLinks(load, now)) {
+      this.#reply(linkId, this.#reporter.createReport(load));
+      this.#reporter.noteTold(linkId, load, now);
+    }
   }
 
   #drainRequested(): void {
--- a/src/target/types.ts
+++ b/src/target/types.ts
@@ -8,7 +8,6 @@
   Header,
   LeavingMessage,
   Message,
-  ReportMessage,
   SubmitMessage,
 } from "../messages/types.ts";
 import type { BackEndFailure } from "../platform/back_end.ts";
@@ -131,7 +130,7 @@
 /** Send a message on every connection. */
 export interface Broadcast {
   readonly kind: "broadcast";
-  readonly message: LeavingMessage | ReportMessage | ClaimsMessage;
+  readonly message: LeavingMessage | ClaimsMessage;
 }
 
 /** Hand a request to the back end. It counts as begun from here on. */
