--- a/src/entry/administration.ts
+++ b/src/entry/administration.ts
@@ -7,6 +7,7 @@
 import { createHash, timingSafeEqual } from "node:crypto";
 import { Buffer } from "node:buffer";
 import { type Context, Hono } from "hono";
+import { match, P } from "ts-pattern";
 import { z } from "zod";
 import {
   formatDiagnostics,
@@ -194,22 +195,18 @@
 }
 
 function respond(context: Context, outcome: ChangeOutcome): Response {
-  switch (outcome.kind) {
-    case "accepted":
-      return context.json({
-        kind: "accepted",
-        revision: outcome.revision,
-        record: outcome.record,
-      });
-    case "conflict":
-      return context.json(outcome, 409);
-    case "behind":
-      return context.json(outcome, 503);
-    case "unavailable":
-    case "unsettled":
+  return match(outcome)
+    .with(
+      { kind: "accepted" },
+      ({ kind, revision, record }) => context.json({ kind, revision, record }),
+    )
+    .with({ kind: "conflict" }, (conflict) => context.json(conflict, 409))
+    .with({ kind: "behind" }, (behind) => context.json(behind, 503))
+    .with({ kind: P.union("unavailable", "unsettled") }, (open) => {
       context.header("retry-after", "2");
-      return context.json(outcome, 503);
-  }
+      return context.json(open, 503);
+    })
+    .exhaustive();
 }
 
 function refuse(
--- a/src/group/coordinator_driver.ts
+++ b/src/group/coordinator_driver.ts
@@ -5,7 +5,7 @@
  * @module
  */
 import { performance } from "node:perf_hooks";
-import { assertNever } from "../core/debug.ts";
+import { match } from "ts-pattern";
 import type { EventLog } from "../events/event_log.ts";
 import type { Link } from "../links/link.ts";
 import { LinkClient } from "../links/link_client.ts";
@@ -141,20 +141,19 @@
   }
 
   #perform(effect: CoordinatorEffect): void {
-    switch (effect.kind) {
-      case "say":
-        this.#links.get(effect.rank)
-          ?.send({ kind: "group_order", order: effect.message });
-        return;
-      case "switch_decided":
-        return this.#options.log.write("MAP_DECIDED", {
-          version: effect.version,
-          isCommitted: effect.isCommitted,
-        });
-      case "proposal_dropped":
-        return;
-      default:
-        assertNever(effect);
-    }
+    match(effect)
+      .with(
+        { kind: "say" },
+        ({ rank, message }) =>
+          this.#links.get(rank)?.send({ kind: "group_order", order: message }),
+      )
+      .with(
+        { kind: "switch_decided" },
+        ({ version, isCommitted }) =>
+          this.#options.log.write("MAP_DECIDED", { version, isCommitted }),
+      )
+      // The planner asks again in its next interval.
+      .with({ kind: "proposal_dropped" }, () => undefined)
+      .exhaustive();
   }
 }
--- a/src/policy/placement/rebalancer.ts
+++ b/src/policy/placement/rebalancer.ts
@@ -3,7 +3,7 @@
  *
  * @module
  */
-import { assertNever } from "../../core/debug.ts";
+import { match } from "ts-pattern";
 import type { LayerPlacement } from "../../group/types.ts";
 import { LayerState, type SlotPlace } from "./layer_state.ts";
 import { countMoves } from "./rank_times.ts";
@@ -90,14 +90,13 @@
 }
 
 function make(state: LayerState, change: Change): void {
-  switch (change.kind) {
-    case "replace":
-      return state.replace(change.place, change.expert);
-    case "swap":
-      return state.swap(change.left, change.right);
-    default:
-      assertNever(change);
-  }
+  match(change)
+    .with(
+      { kind: "replace" },
+      ({ place, expert }) => state.replace(place, expert),
+    )
+    .with({ kind: "swap" }, ({ left, right }) => state.swap(left, right))
+    .exhaustive();
 }
 
 /** Finds the change that lowers the potential most for each move. */
--- a/src/target/key_gate.ts
+++ b/src/target/key_gate.ts
@@ -4,6 +4,7 @@
  *
  * @module
  */
+import { match, P } from "ts-pattern";
 import {
   fingerprintOf,
   requestHashOf,
@@ -12,7 +13,12 @@
 } from "../core/idempotency_key.ts";
 import type { SubmitMessage } from "../messages/types.ts";
 import type { RefusalName } from "../refusals/catalogue.ts";
-import { type KeptAnswer, KeyLedger, type LedgerLimits } from "./key_ledger.ts";
+import {
+  type KeptAnswer,
+  KeyLedger,
+  type KeyState,
+  type LedgerLimits,
+} from "./key_ledger.ts";
 import type { OwnedSlots } from "./types.ts";
 
 /**
@@ -150,18 +156,17 @@
   }
 }
 
-function decideOnKnown(
-  state: import("./key_ledger.ts").KeyState,
-): KeyDecision {
-  switch (state.kind) {
-    case "running":
-      return refuse("KEY_IN_PROGRESS");
-    case "unsettled":
-      return refuse("KEY_OUTCOME_UNKNOWN");
-    case "answered":
-      if (state.answer === undefined) return refuse("KEY_ANSWER_NOT_KEPT");
-      return { kind: "replay", answer: state.answer };
-  }
+function decideOnKnown(state: KeyState): KeyDecision {
+  return match(state)
+    .returnType<KeyDecision>()
+    .with({ kind: "running" }, () => refuse("KEY_IN_PROGRESS"))
+    .with({ kind: "unsettled" }, () => refuse("KEY_OUTCOME_UNKNOWN"))
+    .with({ kind: "answered", answer: P.nonNullable }, ({ answer }) => ({
+      kind: "replay",
+      answer,
+    }))
+    .with({ kind: "answered" }, () => refuse("KEY_ANSWER_NOT_KEPT"))
+    .exhaustive();
 }
 
 /** Whether the key may have been used before this owner knew of it. */
