Let a target leave by list and by settings, and offer settings by number

Leaving is now heard by the target itself from the list and the settings (/targets/NAME) too, and it refuses new work for entries that heard nothing; the entries hear both as well.

The list's word may be taken back, so only a signal is final now.

Heartbeats are left out on connections that were heard from. Planning gives other work its turn between layers.

--- a/bench/size_bench.ts
+++ b/bench/size_bench.ts
@@ -429,7 +429,8 @@
       slotCount: 64,
       slots: Array.from({ length: 22 }, (_, slot) => slot),
     },
-    "settings offer": { kind: "settings_offer", revision: 1, head },
+    "settings offer": { kind: "settings_offer", revision: 1 },
+    "settings head": { kind: "settings_head", head },
     submit: createSubmit(),
   };
   return Object.fromEntries(
--- a/src/entry/entry_driver.ts
+++ b/src/entry/entry_driver.ts
@@ -215,11 +215,13 @@
       ? new RoutingTable(documents)
       : this.#routes;
     this.#routes = routes;
+    const changedServices = changed && routes.refresh(changed, documents);
     this.#dispatch({
       kind: "settings_in_force",
       now: performance.now(),
       routes,
-      changed: changed && routes.refresh(changed, documents),
+      changed: changedServices,
+      leavingTargets: routes.leavingTargets,
     });
   }
 
--- a/src/entry/entry_reducer.ts
+++ b/src/entry/entry_reducer.ts
@@ -243,7 +243,9 @@
       case "report":
         return target.setReportedLoad(message.queued + message.running, now);
       case "leaving":
-        return target.setLeaving();
+        return target.setLeaving(true);
+      case "serving":
+        return target.setLeaving(false);
       case "claims":
         return this.#registry.setClaims(target, message);
       default:
@@ -331,7 +333,7 @@
     at: { readonly target: TargetRecord; readonly now: number },
   ): void {
     at.target.countAttempt(isTargetsFault(message.reason), at.now);
-    if (message.reason === "TARGET_LEAVING") at.target.setLeaving();
+    if (message.reason === "TARGET_LEAVING") at.target.setLeaving(true);
     this.#attemptFailed(inFlight, message, at.now);
   }
 
@@ -405,6 +407,7 @@
   #settingsInForce(event: SettingsInForce): void {
     const { routes, changed, now } = event;
     this.#admission.setRoutes(routes);
+    this.#registry.setLeavingBySettings(event.leavingTargets ?? new Set());
     const concerned = changed === undefined
       ? routes.routes()
       : changed.flatMap((path) => routes.tryGet(path) ?? []);
--- a/src/entry/routing_table.ts
+++ b/src/entry/routing_table.ts
@@ -19,6 +19,9 @@
   readonly limits: OrganisationDocument;
 }
 
+/** Settings paths of targets begin with this. */
+const TARGETS_PREFIX = "/targets/";
+
 type Documents = ReadonlyMap<string, SettingsDocument>;
 
 /** Finds services by path prefix; the longest prefix wins. */
@@ -27,10 +30,14 @@
   readonly #byService = new Map<string, Route>();
   /** Paths of the services of each organisation, by its path. */
   readonly #services = new Map<string, Set<string>>();
+  readonly #leavingTargets = new Set<string>();
 
   /** Indexes the services among the documents. */
   constructor(documents: Documents) {
-    for (const path of documents.keys()) this.#update(path, documents);
+    for (const path of documents.keys()) {
+      this.#update(path, documents);
+      this.#updateTarget(path, documents);
+    }
   }
 
   /** Services in the table. */
@@ -38,6 +45,11 @@
     return this.#byPrefix.size;
   }
 
+  /** Targets that take no new work by the operators' word. */
+  get leavingTargets(): ReadonlySet<string> {
+    return this.#leavingTargets;
+  }
+
   /** Every route. */
   routes(): IterableIterator<Route> {
     return this.#byService.values();
@@ -79,6 +91,7 @@
     // All leave before any comes: prefixes may pass from one to another.
     for (const service of services) this.#remove(service);
     for (const service of services) this.#update(service, documents);
+    for (const path of paths) this.#updateTarget(path, documents);
     return [...services];
   }
 
@@ -87,6 +100,14 @@
     return [path, ...this.#services.get(path) ?? []];
   }
 
+  #updateTarget(path: string, documents: Documents): void {
+    if (!path.startsWith(TARGETS_PREFIX)) return;
+    const document = documents.get(path);
+    const isLeaving = document?.kind === "target" && document.leaving;
+    if (isLeaving) this.#leavingTargets.add(nameOfPath(path));
+    else this.#leavingTargets.delete(nameOfPath(path));
+  }
+
   #remove(path: string): void {
     const route = this.#byService.get(path);
     if (route === undefined) return;
--- a/src/entry/target_record.ts
+++ b/src/entry/target_record.ts
@@ -19,6 +19,7 @@
   #isConnected = true;
   #saidLeaving = false;
   #isListedLeaving = false;
+  #isSetLeaving = false;
   #reportedLoad = 0;
   #ownInReport = 0;
   #reportedAt = 0;
@@ -91,7 +92,8 @@
 
   /** Whether new work may be sent. */
   get isServing(): boolean {
-    return this.#isConnected && !this.#saidLeaving && !this.#isListedLeaving;
+    return this.#isConnected && !this.#saidLeaving &&
+      !this.#isListedLeaving && !this.#isSetLeaving;
   }
 
   /** Whether messages reach the target now. */
@@ -111,9 +113,9 @@
     this.#silent.clear();
   }
 
-  /** The target said that it is leaving. */
-  setLeaving(): void {
-    this.#saidLeaving = true;
+  /** The target said that it is leaving, or that it serves again. */
+  setLeaving(isLeaving: boolean): void {
+    this.#saidLeaving = isLeaving;
   }
 
   /** What the platform's list says. */
@@ -121,6 +123,11 @@
     this.#isListedLeaving = isLeaving;
   }
 
+  /** What the operators' settings say. */
+  setSetLeaving(isLeaving: boolean): void {
+    this.#isSetLeaving = isLeaving;
+  }
+
   /** Its time to first byte against the pool's. */
   setSlowness(slowness: number): void {
     this.#slowness = slowness;
--- a/src/entry/target_registry.ts
+++ b/src/entry/target_registry.ts
@@ -27,6 +27,7 @@
   /** Newest claim of each slot, by pool; kept when the claimant is lost. */
   readonly #claims = new Map<string, Map<number, SlotClaim>>();
   #leavingNames: ReadonlySet<string> = new Set();
+  #setLeavingNames: ReadonlySet<string> = new Set();
 
   /** Every target that was ever connected and is still listed. */
   all(): IterableIterator<TargetRecord> {
@@ -49,12 +50,21 @@
     this.#remove(identity.name);
     const record = new TargetRecord(identity);
     record.setListedLeaving(this.#leavingNames.has(identity.name));
+    record.setSetLeaving(this.#setLeavingNames.has(identity.name));
     this.#byName.set(identity.name, record);
     const pool = this.#byPool.get(identity.pool) ?? [];
     this.#byPool.set(identity.pool, [...pool, record]);
     return record;
   }
 
+  /** The targets that leave by the operators' settings. */
+  setLeavingBySettings(names: ReadonlySet<string>): void {
+    this.#setLeavingNames = names;
+    for (const record of this.#byName.values()) {
+      record.setSetLeaving(names.has(record.name));
+    }
+  }
+
   /** The platform's list was read. */
   setMachines(machines: readonly VirtualMachine[]): void {
     this.#leavingNames = new Set(
--- a/src/entry/types.ts
+++ b/src/entry/types.ts
@@ -95,6 +95,8 @@
   readonly kind: "settings_in_force";
   readonly now: number;
   readonly routes: RoutingTable;
+  /** Targets that take no new work by the operators' word. */
+  readonly leavingTargets?: ReadonlySet<string>;
   /** Services that changed since the last time; undefined: any may have. */
   readonly changed?: readonly string[];
 }
--- a/src/group/coordinator_driver.ts
+++ b/src/group/coordinator_driver.ts
@@ -114,14 +114,14 @@
     const intervalMs = settings?.intervalMs ?? DEFAULT_INTERVAL_MS;
     if (now - this.#plannedAt < intervalMs) return;
     this.#plannedAt = now;
-    this.#plan(settings?.preset ?? "skew");
+    void this.#plan(settings?.preset ?? "skew");
     for (const link of this.#links.values()) {
       link.send({ kind: "rank_load_request" });
     }
   }
 
   /** Plans with what the ranks answered since the last interval. */
-  #plan(preset: GroupDocument["preset"]): void {
+  async #plan(preset: GroupDocument["preset"]): Promise<void> {
     const { ranks } = this.#options.shape;
     const loads = Array.from({ length: ranks }, (_, rank) => this.#loads[rank]);
     this.#loads = [];
@@ -129,8 +129,9 @@
     this.#planner.observe(loads);
     if (!this.#coordinator.isIdle) return;
     const rebalancer = new Rebalancer(REBALANCE_PRESETS[preset]);
-    const proposal = this.#planner.tryPlan(this.#coordinator.map, rebalancer);
-    if (proposal === undefined) return;
+    const current = this.#coordinator.map;
+    const proposal = await this.#planner.tryPlan(current, rebalancer);
+    if (proposal === undefined || this.#coordinator.map !== current) return;
     const { map, moves } = proposal;
     this.#options.log.write("MAP_PROPOSED", { moves });
     this.#dispatch({ kind: "map_proposed", now: performance.now(), map });
--- a/src/group/map_planner.ts
+++ b/src/group/map_planner.ts
@@ -3,11 +3,12 @@
  *
  * @module
  */
+import { setImmediate as nextTurn } from "node:timers/promises";
 import { packGreedily } from "../policy/placement/greedy_packer.ts";
 import { LoadEstimator } from "../policy/placement/load_estimator.ts";
 import type { PlacementPlanner } from "../policy/placement/types.ts";
 import type { RankLoad } from "../platform/rank_engine.ts";
-import type { ExpertMap } from "./types.ts";
+import type { ExpertMap, LayerPlacement } from "./types.ts";
 
 /** Size of a group. */
 export interface GroupShape {
@@ -65,18 +66,23 @@
     }
   }
 
-  /** A better map than the present one; undefined when none is worth it. */
-  tryPlan(
+  /**
+   * A better map than the present one; undefined when none is worth it. Other
+   * work of the process gets its turn between two layers.
+   */
+  async tryPlan(
     current: ExpertMap,
     planner: PlacementPlanner,
-  ): MapProposal | undefined {
+  ): Promise<MapProposal | undefined> {
     let moves = 0;
-    const layers = current.layers.map((placement, layer) => {
+    const layers: LayerPlacement[] = [];
+    for (const [layer, placement] of current.layers.entries()) {
       const estimator = this.#estimators[layer] as LoadEstimator;
       const planned = planner.plan(placement, estimator.load);
       moves += planned.moves;
-      return planned.placement;
-    });
+      layers.push(planned.placement);
+      await nextTurn();
+    }
     return moves === 0 ? undefined : { map: { layers }, moves };
   }
 }
--- a/src/links/link.ts
+++ b/src/links/link.ts
@@ -33,6 +33,7 @@
   #outbox: Message[] = [];
   #flushIsPlanned = false;
   #missedHeartbeats = 0;
+  #hasHeard = true;
   #fault: LinkFault | undefined;
   readonly #heartbeat: NodeJS.Timeout;
 
@@ -42,7 +43,9 @@
     this.#listener = listener;
     this.#heartbeat = setInterval(() => this.#beat(), HEARTBEAT_MS);
     socket.on("message", (data, isBinary) => this.#receive(data, isBinary));
-    socket.on("pong", () => this.#missedHeartbeats = 0);
+    socket.on("pong", () => {
+      this.#missedHeartbeats = 0;
+    });
     socket.on("error", () => socket.terminate());
     socket.on("close", () => this.#closed());
   }
@@ -91,6 +94,7 @@
 
   #receive(data: RawData, isBinary: boolean): void {
     this.#missedHeartbeats = 0;
+    this.#hasHeard = true;
     if (this.#fault !== undefined) return;
     if (!isBinary) return this.close("UNREADABLE_FRAME");
     const frame = decodeFrame(data as Uint8Array);
@@ -106,6 +110,10 @@
     if (this.#missedHeartbeats >= MAX_MISSED_HEARTBEATS) {
       return this.terminate("PEER_SILENT");
     }
+    const isSilent = !this.#hasHeard;
+    this.#hasHeard = false;
+    // Whatever arrives shows that the other side lives.
+    if (!isSilent) return;
     this.#missedHeartbeats++;
     if (this.#socket.readyState === this.#socket.OPEN) this.#socket.ping();
   }
--- a/src/messages/schema.ts
+++ b/src/messages/schema.ts
@@ -88,17 +88,16 @@
     meanRunMs: z.number().nonnegative(),
   }),
   z.object({ kind: z.literal("leaving") }),
+  z.object({ kind: z.literal("serving") }),
   z.object({
     kind: z.literal("claims"),
     version: COUNT,
     slotCount: COUNT,
     slots: z.array(COUNT),
   }),
-  z.object({
-    kind: z.literal("settings_offer"),
-    revision: COUNT,
-    head: z.string(),
-  }),
+  z.object({ kind: z.literal("settings_offer"), revision: COUNT }),
+  z.object({ kind: z.literal("settings_head_request") }),
+  z.object({ kind: z.literal("settings_head"), head: z.string() }),
   z.object({ kind: z.literal("settings_fetch"), hashes: z.array(HASH) }),
   z.object({
     kind: z.literal("settings_bodies"),
--- a/src/messages/types.ts
+++ b/src/messages/types.ts
@@ -136,6 +136,11 @@
   readonly kind: "leaving";
 }
 
+/** The target takes new work again. */
+export interface ServingMessage {
+  readonly kind: "serving";
+}
+
 /** The key slots that this target owns, by its last word from the platform. */
 export interface ClaimsMessage {
   readonly kind: "claims";
@@ -145,10 +150,20 @@
   readonly slots: readonly number[];
 }
 
-/** The newest settings head that the sender has in force. */
+/** The revision of the settings that the sender has in force. */
 export interface SettingsOfferMessage {
   readonly kind: "settings_offer";
   readonly revision: number;
+}
+
+/** Asks for the head of what was offered. */
+export interface SettingsHeadRequestMessage {
+  readonly kind: "settings_head_request";
+}
+
+/** The newest settings head that the sender has in force. */
+export interface SettingsHeadMessage {
+  readonly kind: "settings_head";
   /** The head value, as in the key-value service. */
   readonly head: string;
 }
@@ -216,10 +231,9 @@
   | RefusedMessage
   | ReportMessage
   | LeavingMessage
+  | ServingMessage
   | ClaimsMessage
-  | SettingsOfferMessage
-  | SettingsFetchMessage
-  | SettingsBodiesMessage
+  | SettingsMessage
   | StatusRequestMessage
   | StatusMessage
   | GroupOrderMessage
@@ -237,6 +251,8 @@
 /** Messages about settings, which both sides may send. */
 export type SettingsMessage =
   | SettingsOfferMessage
+  | SettingsHeadRequestMessage
+  | SettingsHeadMessage
   | SettingsFetchMessage
   | SettingsBodiesMessage;
 
@@ -246,10 +262,17 @@
     message.kind === "answer_end" || message.kind === "refused";
 }
 
+const SETTINGS_KINDS: ReadonlySet<Message["kind"]> = new Set([
+  "settings_offer",
+  "settings_head_request",
+  "settings_head",
+  "settings_fetch",
+  "settings_bodies",
+]);
+
 /** Whether the message is about settings. */
 export function isSettingsMessage(
   message: Message,
 ): message is SettingsMessage {
-  return message.kind === "settings_offer" ||
-    message.kind === "settings_fetch" || message.kind === "settings_bodies";
+  return SETTINGS_KINDS.has(message.kind);
 }
--- a/src/settings/check_document.ts
+++ b/src/settings/check_document.ts
@@ -21,6 +21,7 @@
   { pattern: /^\/organisations\/[^/]+\/services\/[^/]+$/, kind: "service" },
   { pattern: /^\/teams\/[^/]+$/, kind: "team" },
   { pattern: /^\/groups\/[^/]+$/, kind: "group" },
+  { pattern: /^\/targets\/[^/]+$/, kind: "target" },
 ];
 const PATH_PATTERN = /^(\/[a-z0-9][a-z0-9_-]{0,62})+$/;
 
--- a/src/settings/schema.ts
+++ b/src/settings/schema.ts
@@ -59,10 +59,17 @@
   intervalMs: z.number().int().min(1000).max(3_600_000).default(30_000),
 });
 
+/** Shape of what operators say of one target. */
+export const TARGET_SCHEMA = z.strictObject({
+  kind: z.literal("target"),
+  leaving: z.boolean().default(false),
+});
+
 /** Shape of any document. */
 export const DOCUMENT_SCHEMA = z.discriminatedUnion("kind", [
   ORGANISATION_SCHEMA,
   SERVICE_SCHEMA,
   TEAM_SCHEMA,
   GROUP_SCHEMA,
+  TARGET_SCHEMA,
 ]);
--- a/src/settings/types.ts
+++ b/src/settings/types.ts
@@ -63,12 +63,20 @@
   readonly intervalMs: number;
 }
 
+/** What operators say of one target. Path: `/targets/NAME`. */
+export interface TargetDocument {
+  readonly kind: "target";
+  /** The target takes no new work from now on. */
+  readonly leaving: boolean;
+}
+
 /** Any settings document. */
 export type SettingsDocument =
   | OrganisationDocument
   | ServiceDocument
   | TeamDocument
-  | GroupDocument;
+  | GroupDocument
+  | TargetDocument;
 
 /** The value that says what is accepted; moved by compare-and-swap only. */
 export interface SettingsHead {
--- a/src/target/target_driver.ts
+++ b/src/target/target_driver.ts
@@ -22,7 +22,10 @@
 import type { KeyValueService } from "../platform/key_value_service.ts";
 import type { RankEngine } from "../platform/rank_engine.ts";
 import { MachineListReader } from "../platform/machine_list_reader.ts";
-import type { VirtualMachineList } from "../platform/virtual_machine_list.ts";
+import type {
+  VirtualMachine,
+  VirtualMachineList,
+} from "../platform/virtual_machine_list.ts";
 import { HttpListener } from "../process/http_listener.ts";
 import { Metrics } from "../process/metrics.ts";
 import type { TargetProcessSettings } from "../process/process_settings.ts";
@@ -66,6 +69,8 @@
   #machines: MachineListReader | undefined;
   #tick: NodeJS.Timeout | undefined;
   #nextLinkId = 1;
+  #isListedLeaving = false;
+  #isSetLeaving = false;
   #onDrained: (() => void) | undefined;
 
   /** Does not listen yet. */
@@ -125,7 +130,7 @@
     if (machineList !== undefined) {
       this.#machines = new MachineListReader({
         list: machineList,
-        onList: (machines) => this.#claims?.setMachines(machines),
+        onList: (machines) => this.#onMachines(machines),
         onReachable: (isReachable) =>
           log.write(isReachable ? "PLATFORM_REACHED" : "PLATFORM_UNREACHABLE", {
             service: "machine list",
@@ -258,6 +263,23 @@
     this.#dispatch({ kind: "link_closed", now: performance.now(), linkId });
   }
 
+  /** Whoever hears first that this target leaves, refuses new work for all. */
+  #onMachines(machines: readonly VirtualMachine[]): void {
+    this.#claims?.setMachines(machines);
+    const { name } = this.#options.settings;
+    const own = machines.find((machine) => machine.name === name);
+    this.#isListedLeaving = own?.state === "leaving";
+    this.#setLeaving();
+  }
+
+  #setLeaving(): void {
+    this.#dispatch({
+      kind: "leaving_set",
+      now: performance.now(),
+      isLeaving: this.#isListedLeaving || this.#isSetLeaving,
+    });
+  }
+
   #countFault(fault: LinkFault | undefined): void {
     if (fault === undefined) return;
     this.#metrics.countLinkFault(fault);
@@ -272,6 +294,10 @@
       this.#bodies.retain(reachableFrom(snapshot));
     }
     this.#exchange.offerToAll();
+    const { name } = this.#options.settings;
+    const own = snapshot.documents.get(`/targets/${name}`);
+    this.#isSetLeaving = own?.kind === "target" && own.leaving;
+    this.#setLeaving();
   }
 
   #dispatch(event: TargetEvent): void {
--- a/src/target/target_reducer.ts
+++ b/src/target/target_reducer.ts
@@ -75,7 +75,10 @@
   readonly #reporter = new LoadReporter();
   readonly #openLinks = new Set<number>();
   #nextRunId = 1;
-  #isLeaving = false;
+  /** Told to end; there is no way back. */
+  #isDraining = false;
+  /** Leaving by the word of the platform's list or of the settings. */
+  #isSetLeaving = false;
   #saidDrained = false;
   #effects: TargetEffect[] = [];
 
@@ -98,7 +101,7 @@
 
   /** Whether new work is refused. */
   get isLeaving(): boolean {
-    return this.#isLeaving;
+    return this.#isDraining || this.#isSetLeaving;
   }
 
   /** The remembered keys. */
@@ -119,7 +122,9 @@
     if (this.#gate.notePassing(event.now)) {
       this.#effects.push({ kind: "confirm_claims" });
     }
+    const wasLeaving = this.isLeaving;
     this.#reduce(event);
+    if (this.isLeaving !== wasLeaving) this.#tellLeaving();
     this.#startWork(event.now);
     this.#checkDrained();
     return this.#effects;
@@ -146,7 +151,11 @@
       case "tick":
         return this.#tick(event.now);
       case "drain_requested":
-        return this.#drainRequested();
+        this.#isDraining = true;
+        return;
+      case "leaving_set":
+        this.#isSetLeaving = event.isLeaving;
+        return;
       default:
         assertNever(event);
     }
@@ -157,7 +166,7 @@
     this.#reporter.noteTold(linkId, this.#load(), now);
     this.#reply(linkId, this.#claims());
     this.#reply(linkId, this.#reporter.createReport(this.#load()));
-    if (this.#isLeaving) this.#reply(linkId, { kind: "leaving" });
+    if (this.isLeaving) this.#reply(linkId, { kind: "leaving" });
   }
 
   /**
@@ -197,7 +206,7 @@
       attempt: request.attempt,
     };
     const isKeyed = request.idempotencyKey !== undefined;
-    if (this.#isLeaving) {
+    if (this.isLeaving) {
       return this.#refuse(owner, {
         reason: "TARGET_LEAVING",
         isKeyed,
@@ -373,14 +382,13 @@
     }
   }
 
-  #drainRequested(): void {
-    if (this.#isLeaving) return;
-    this.#isLeaving = true;
-    this.#effects.push({ kind: "broadcast", message: { kind: "leaving" } });
+  #tellLeaving(): void {
+    const kind = this.isLeaving ? "leaving" : "serving";
+    this.#effects.push({ kind: "broadcast", message: { kind } });
   }
 
   #checkDrained(): void {
-    if (!this.#isLeaving || this.#saidDrained) return;
+    if (!this.#isDraining || this.#saidDrained) return;
     if (this.#runs.size > 0 || this.#queue.length > 0) return;
     this.#saidDrained = true;
     this.#effects.push({ kind: "drained" });
--- a/src/target/target_reducer_test.ts
+++ b/src/target/target_reducer_test.ts
@@ -153,6 +153,29 @@
     assert.ok(has(second, "drained"));
   });
 
+  it("leaves by the platform's or the operators' word, and may come back", () => {
+    const target = createTarget();
+    const left = target.reduce({
+      kind: "leaving_set",
+      now: 1,
+      isLeaving: true,
+    });
+    assert.deepEqual(left, [
+      { kind: "broadcast", message: { kind: "leaving" } },
+    ]);
+    const refused = receive(target, createSubmit(), 1);
+    assert.equal(refusalsOf(refused)[0]?.reason, "TARGET_LEAVING");
+    const back = target.reduce({
+      kind: "leaving_set",
+      now: 2,
+      isLeaving: false,
+    });
+    assert.deepEqual(back, [
+      { kind: "broadcast", message: { kind: "serving" } },
+    ]);
+    assert.deepEqual(startsOf(receive(target, createSubmit(), 2)), [1]);
+  });
+
   it("tells a new entry at once that it is leaving", () => {
     const target = createTarget();
     target.reduce({ kind: "drain_requested", now: 1 });
--- a/src/target/types.ts
+++ b/src/target/types.ts
@@ -8,6 +8,7 @@
   Header,
   LeavingMessage,
   Message,
+  ServingMessage,
   SubmitMessage,
 } from "../messages/types.ts";
 import type { BackEndFailure } from "../platform/back_end.ts";
@@ -101,6 +102,13 @@
   readonly now: number;
 }
 
+/** What the platform's list and the settings say of this target. */
+export interface LeavingSet {
+  readonly kind: "leaving_set";
+  readonly now: number;
+  readonly isLeaving: boolean;
+}
+
 /** The process was told to end. */
 export interface TargetDrainRequested {
   readonly kind: "drain_requested";
@@ -118,6 +126,7 @@
   | BackEndFailed
   | ClaimsConfirmed
   | TargetTick
+  | LeavingSet
   | TargetDrainRequested;
 
 /** Send a message on one connection. */
@@ -130,7 +139,7 @@
 /** Send a message on every connection. */
 export interface Broadcast {
   readonly kind: "broadcast";
-  readonly message: LeavingMessage | ClaimsMessage;
+  readonly message: LeavingMessage | ServingMessage | ClaimsMessage;
 }
 
 /** Hand a request to the back end. It counts as begun from here on. */
--- a/src/testing/request_world.ts
+++ b/src/testing/request_world.ts
@@ -105,6 +105,8 @@
   #now = 1000;
   #table: OwnerTable = createOwnerTable(WORLD_EPOCH_MS);
   #nextConnection = 1;
+  readonly #runTimes: { readonly target: number; readonly at: number }[] = [];
+  #planned: { readonly time: number; readonly run: () => void }[] = [];
   readonly #entries: EntryReducer[] = [];
   readonly #targets: TargetProcess[] = [];
   #connections: Connection[] = [];
@@ -270,6 +272,9 @@
 
   #step(milliseconds: number): void {
     this.#now += milliseconds;
+    const due = this.#planned.filter((one) => one.time <= this.#now);
+    this.#planned = this.#planned.filter((one) => one.time > this.#now);
+    for (const { run } of due) run();
     for (const [entry] of this.#entries.entries()) {
       this.#toEntry(entry, { kind: "tick", now: this.#now });
     }
@@ -391,6 +396,66 @@
     this.finishLook(target);
   }
 
+  /** Does something once virtual time has come so far. */
+  at(time: number, run: () => void): void {
+    this.#planned.push({ time, run });
+  }
+
+  /** Runs that a target has begun. */
+  runsAt(target: number): number {
+    return this.#runTimes.filter((one) => one.target === target).length;
+  }
+
+  /** When a target last began a run. */
+  lastRunAt(target: number): number {
+    const times = this.#runTimes.filter((one) => one.target === target)
+      .map((one) => one.at);
+    return Math.max(Number.NEGATIVE_INFINITY, ...times);
+  }
+
+  /** The next message from a target to an entry is lost. */
+  dropNext(entry: number, target: number): void {
+    const connection = this.#connections.find((one) =>
+      one.entry === entry && one.target === target
+    );
+    connection?.toEntry.shift();
+  }
+
+  /** The target learns from the list or the settings whether it is leaving. */
+  setLeaving(target: number, isLeaving: boolean): void {
+    this.#toTarget(target, { kind: "leaving_set", now: this.#now, isLeaving });
+  }
+
+  /** Entries read in the list that a target is leaving. */
+  listLeaving(entries: readonly number[], target: number): void {
+    for (const entry of entries) {
+      this.#toEntry(entry, {
+        kind: "machines_listed",
+        now: this.#now,
+        machines: [{
+          name: nameOf(target),
+          address: "127.0.0.1:1",
+          role: "target",
+          failureDomain: `domain-${target}`,
+          pool: POOL,
+          state: "leaving",
+        }],
+      });
+    }
+  }
+
+  /** Entries take in settings by which a target is leaving. */
+  setLeavingBySettings(entries: readonly number[], target: number): void {
+    for (const entry of entries) {
+      this.#toEntry(entry, {
+        kind: "settings_in_force",
+        now: this.#now,
+        routes: createRoutes({ service: this.#options.service }),
+        leavingTargets: new Set([nameOf(target)]),
+      });
+    }
+  }
+
   /** A target is told to end. */
   drain(target: number): void {
     const process = this.#target(target);
@@ -631,6 +696,7 @@
           .find(([name]) => name === "x-submission");
         const submission = this.#submission(Number(header?.[1]));
         submission.runs++;
+        this.#runTimes.push({ target, at: this.#now });
         if (submission.key !== undefined) {
           const runs = this.runsByKey.get(submission.key) ?? 0;
           this.runsByKey.set(submission.key, runs + 1);
