--- a/src/testing/process_cluster.ts
+++ b/src/testing/process_cluster.ts
@@ -81,6 +81,11 @@
   #keyValueAddress = "";
   #machineListAddress = "";
 
+  /** Where the stand-in of the key-value service listens. */
+  get keyValueAddress(): string {
+    return this.#keyValueAddress;
+  }
+
   /** Starts the stand-ins of the platform. */
   static async create(): Promise<ProcessCluster> {
     const cluster = new ProcessCluster();
