Hand a drained target's keys over to their new owners

Cause of most unknown outcomes after ordinary restarts: a slot's new owner knows nothing of its keys. A target that drained releases its slots with its address and stays up to 4 s; who takes a slot asks for its keys, answers included, and knows its history as far back as the old owner did.

Processes: eight keys answered again with the same answers after a SIGTERM of their owner.

--- a/src/links/link_client.ts
+++ b/src/links/link_client.ts
@@ -9,6 +9,7 @@
 import { createNonce, createProof, isProofOf } from "../messages/handshake.ts";
 import {
   type ChallengeMessage,
+  type LinkRole,
   type Message,
   PROTOCOL_VERSION,
   type WelcomeMessage,
@@ -35,7 +36,7 @@
 export interface LinkClientOptions {
   /** Host and port. */
   readonly address: string;
-  readonly role: "entry" | "target";
+  readonly role: LinkRole;
   readonly identity: LinkIdentity;
   readonly listener: LinkClientListener;
 }
--- a/src/messages/schema.ts
+++ b/src/messages/schema.ts
@@ -28,7 +28,7 @@
     kind: z.literal("hello"),
     protocol: COUNT,
     deployment: NAME,
-    role: z.enum(["entry", "target"]),
+    role: z.enum(["entry", "target", "successor"]),
     name: NAME,
     incarnation: NAME,
     failureDomain: NAME,
@@ -117,6 +117,20 @@
     order: COORDINATOR_MESSAGE_SCHEMA,
   }),
   z.object({ kind: z.literal("group_report"), report: MEMBER_MESSAGE_SCHEMA }),
+  z.object({ kind: z.literal("ledger_request"), slot: COUNT }),
+  z.object({
+    kind: z.literal("ledger_slot"),
+    slot: COUNT,
+    movedAt: z.number().nonnegative(),
+    keys: z.array(z.object({
+      fingerprint: NAME,
+      requestHash: NAME,
+      remainingMs: z.number(),
+      isAnswered: z.boolean(),
+      answer: z.object({ status: COUNT, headers: HEADERS, body: BYTES })
+        .optional(),
+    })),
+  }),
   z.object({ kind: z.literal("rank_load_request") }),
   z.object({
     kind: z.literal("rank_load"),
--- a/src/messages/types.ts
+++ b/src/messages/types.ts
@@ -19,6 +19,12 @@
 /** One header, name in lower case. A list, since names may repeat. */
 export type Header = readonly [name: string, value: string];
 
+/**
+ * Why a process dials a target: as an entry, as rank 0 of its group, or as the
+ * new owner of key slots that it released.
+ */
+export type LinkRole = "entry" | "target" | "successor";
+
 /** First word of the side that was dialled. */
 export interface ChallengeMessage {
   readonly kind: "challenge";
@@ -31,7 +37,7 @@
   readonly kind: "hello";
   readonly protocol: number;
   readonly deployment: string;
-  readonly role: "entry" | "target";
+  readonly role: LinkRole;
   readonly name: string;
   readonly incarnation: string;
   readonly failureDomain: string;
@@ -218,6 +224,40 @@
   readonly load: RankLoad;
 }
 
+/** Asks a target that released a key slot for what it knows of its keys. */
+export interface LedgerRequestMessage {
+  readonly kind: "ledger_request";
+  readonly slot: number;
+}
+
+/** One key, as its old owner remembers it. */
+export interface HandedOverKey {
+  readonly fingerprint: string;
+  readonly requestHash: string;
+  /** Milliseconds for which it is still to be remembered. */
+  readonly remainingMs: number;
+  /** False when it was begun and its end is not known. */
+  readonly isAnswered: boolean;
+  /** The answer, if it was kept. */
+  readonly answer?: KeptAnswerMessage;
+}
+
+/** An answer that can be given again. */
+export interface KeptAnswerMessage {
+  readonly status: number;
+  readonly headers: readonly Header[];
+  readonly body: Uint8Array;
+}
+
+/** Everything that is known of a key slot since a time. */
+export interface LedgerSlotMessage {
+  readonly kind: "ledger_slot";
+  readonly slot: number;
+  /** Wall-clock milliseconds since which all its keys are here; 0: ever. */
+  readonly movedAt: number;
+  readonly keys: readonly HandedOverKey[];
+}
+
 /** Every message between processes. */
 export type Message =
   | ChallengeMessage
@@ -239,7 +279,9 @@
   | GroupOrderMessage
   | GroupReportMessage
   | RankLoadRequestMessage
-  | RankLoadMessage;
+  | RankLoadMessage
+  | LedgerRequestMessage
+  | LedgerSlotMessage;
 
 /** Messages that belong to one attempt of one request. */
 export type AttemptMessage =
--- a/src/process/process_test.ts
+++ b/src/process/process_test.ts
@@ -75,6 +75,7 @@
   let cluster: ProcessCluster;
   let entry: RunningProcess;
   let plain: PlainServiceStandIn;
+  const targets = new Map<string, RunningProcess>();
   const engines = new Map<string, ModelEngineStandIn>();
 
   async function startPlanTarget(name: string): Promise<RunningProcess> {
@@ -93,7 +94,10 @@
     cluster = await ProcessCluster.create();
     entry = await cluster.startEntry("entry-1");
     plain = new PlainServiceStandIn("confirm");
-    await cluster.startTarget("confirm-1", await cluster.listen(plain));
+    targets.set(
+      "confirm-1",
+      await cluster.startTarget("confirm-1", await cluster.listen(plain)),
+    );
     await startPlanTarget("plan-1");
     await cluster.waitForTargets(entry, ["confirm-1", "plan-1"]);
     await cluster.waitForRevision(entry, await applyAll(cluster, entry));
@@ -234,6 +238,33 @@
     cluster.setState("plan-3", "gone");
   });
 
+  it("hands over the keys of a target that is drained", async () => {
+    const second = new PlainServiceStandIn("confirm");
+    await cluster.startTarget("confirm-2", await cluster.listen(second));
+    await cluster.waitForTargets(entry, ["confirm-2"]);
+    const keys = Array.from(
+      { length: 8 },
+      (_, index) => `handed-over-${index}`,
+    );
+    const submit = (key: string) =>
+      call(entry, "/confirm", { headers: { "idempotency-key": key } });
+    const answers = await Promise.all(keys.map(submit));
+    const first = targets.get("confirm-1") as RunningProcess;
+    cluster.setState("confirm-1", "leaving");
+    first.child.kill("SIGTERM");
+    assert.equal(await exitOf(first.child), 0);
+    cluster.setState("confirm-1", "gone");
+    for (const [index, key] of keys.entries()) {
+      let again = await submit(key);
+      await waitUntil("the key has an owner", async () => {
+        again = await submit(key);
+        return JSON.parse(again.text).reason !== "NO_KEY_OWNER";
+      });
+      assert.equal(again.text, answers[index]?.text);
+      assert.equal(plain.runsOf(key) + second.runsOf(key), 1);
+    }
+  });
+
   it("drains an entry without cutting its stream", async () => {
     const second = await cluster.startEntry("entry-2");
     await cluster.waitForTargets(second, ["plan-1"]);
--- a/src/target/claim_keeper.ts
+++ b/src/target/claim_keeper.ts
@@ -13,6 +13,8 @@
   ownedSlotsOf,
   type OwnerTable,
   ownerTableKey,
+  type ReleasedSlot,
+  releasedSlotsTaken,
   tryClaim,
   tryParseOwnerTable,
   tryRelease,
@@ -31,6 +33,8 @@
 export interface ClaimKeeperOptions {
   readonly service: KeyValueService;
   readonly pool: string;
+  /** Host and port of this target. */
+  readonly address: string;
   readonly targetName: string;
   readonly incarnation: string;
   /** Milliseconds for which a machine must be gone before it loses slots. */
@@ -39,6 +43,8 @@
   readonly monotonicNow: () => number;
   /** Called with what the table says, and when it was asked for. */
   readonly onConfirmed: (claims: OwnedSlots, askedAt: number) => void;
+  /** Called with slots that were taken from one who released them. */
+  readonly onTaken: (slots: readonly ReleasedSlot[]) => void;
 }
 
 interface ReadTable {
@@ -87,22 +93,24 @@
     this.#round = new AbortController();
   }
 
-  /** Gives back all slots; best effort. */
-  async release(): Promise<boolean> {
+  /** Gives back all slots; best effort. Returns how many. */
+  async release(): Promise<number> {
     this.#isStopped = true;
     this.#round.abort();
     for (let attempt = 0; attempt < MAX_RELEASE_ATTEMPTS; attempt++) {
       const read = await this.#tryRead();
-      if (read === undefined) return false;
-      const next = tryRelease(read.table, this.#context());
-      if (next === undefined) return true;
+      if (read === undefined) return 0;
+      const owned = ownedSlotsOf(read.table, this.#options).slots.length;
+      const { address } = this.#options;
+      const next = tryRelease(read.table, this.#context(), address);
+      if (next === undefined) return 0;
       const swap = await this.#options.service.compareAndSwap(this.#key, {
         value: JSON.stringify(next),
         expectedRevision: read.keyRevision,
       });
-      if (swap.kind === "swapped") return true;
+      if (swap.kind === "swapped") return owned;
     }
-    return false;
+    return 0;
   }
 
   /** Claims no more. */
@@ -138,6 +146,8 @@
     if (swap.kind !== "swapped") return false;
     this.#keyRevision = swap.revision;
     this.#confirmed(next, askedAt);
+    const taken = releasedSlotsTaken(read.table, next);
+    if (taken.length > 0) this.#options.onTaken(taken);
     return true;
   }
 
--- a/src/target/key_gate.ts
+++ b/src/target/key_gate.ts
@@ -11,12 +11,17 @@
   slotOf,
   tryTimeOfKey,
 } from "../core/idempotency_key.ts";
-import type { SubmitMessage } from "../messages/types.ts";
+import type {
+  HandedOverKey,
+  LedgerSlotMessage,
+  SubmitMessage,
+} from "../messages/types.ts";
 import type { RefusalName } from "../refusals/catalogue.ts";
 import {
   type KeptAnswer,
   KeyLedger,
   type KeyState,
+  type LedgerEntry,
   type LedgerLimits,
 } from "./key_ledger.ts";
 import type { OwnedSlots } from "./types.ts";
@@ -52,6 +57,13 @@
 /** What may be done with a keyed request. */
 export type KeyDecision = KeyMayRun | KeyReplay | KeyRefused;
 
+/** Since when a slot's keys are known, by its old owner's word. */
+interface HandedOverHistory {
+  /** The move, by the owner table, after which it was handed over. */
+  readonly tableMovedAt: number;
+  readonly movedAt: number;
+}
+
 /** Times at which a decision is made. */
 export interface DecisionTime {
   readonly now: number;
@@ -65,6 +77,8 @@
   #movedAtBySlot: ReadonlyMap<number, number> = new Map();
   #lastTickAt: number;
   #uncertainSince: number | undefined;
+  /** Histories that old owners handed over, by slot. */
+  readonly #handedOver = new Map<number, HandedOverHistory>();
 
   /** Owns nothing at first. */
   constructor(limits: LedgerLimits, now: number) {
@@ -120,6 +134,41 @@
       this.#movedAtBySlot.has(slotOf(fingerprint));
   }
 
+  /** What is known of a slot, for its new owner. */
+  handOver(slot: number, now: number): LedgerSlotMessage {
+    const entries = this.#ledger.entriesWhere((fingerprint) =>
+      slotOf(fingerprint) === slot
+    );
+    return {
+      kind: "ledger_slot",
+      slot,
+      movedAt: this.#tryKnownSince(slot) ?? Number.MAX_SAFE_INTEGER,
+      keys: entries.map((entry) => createHandedOverKey(entry, now)),
+    };
+  }
+
+  /** Takes over what the old owner of a slot knew. */
+  takeOver(history: LedgerSlotMessage, now: number): void {
+    const { slot, movedAt, keys } = history;
+    const tableMovedAt = this.#movedAtBySlot.get(slot);
+    if (tableMovedAt === undefined) return;
+    const isWhole = keys.every((key) =>
+      this.#ledger.tryTakeOver(createLedgerEntry(key, now), now)
+    );
+    if (!isWhole || movedAt > tableMovedAt) return;
+    this.#handedOver.set(slot, { tableMovedAt, movedAt });
+  }
+
+  /** Wall-clock time since which all keys of an owned slot are known. */
+  #tryKnownSince(slot: number): number | undefined {
+    const tableMovedAt = this.#movedAtBySlot.get(slot);
+    const history = this.#handedOver.get(slot);
+    // A later move makes what was handed over before it worthless.
+    const isValid = history !== undefined &&
+      history.tableMovedAt === tableMovedAt;
+    return isValid ? history.movedAt : tableMovedAt;
+  }
+
   /**
    * Decides on a keyed request.
    *
@@ -134,7 +183,7 @@
   ): KeyDecision {
     const fingerprint = fingerprintOf(request);
     if (this.#uncertainSince !== undefined) return refuse("OWNER_UNCERTAIN");
-    const movedAt = this.#movedAtBySlot.get(slotOf(fingerprint));
+    const movedAt = this.#tryKnownSince(slotOf(fingerprint));
     if (movedAt === undefined) return refuse("NOT_OWNER");
     const requestHash = requestHashOf(request);
     const entry = this.#ledger.tryGet(fingerprint, time.now);
@@ -183,6 +232,28 @@
   return madeAt <= movedAt + CLOCK_MARGIN_MS;
 }
 
+function createHandedOverKey(entry: LedgerEntry, now: number): HandedOverKey {
+  const { fingerprint, requestHash, expiresAt, state } = entry;
+  const isAnswered = state.kind === "answered";
+  return {
+    fingerprint,
+    requestHash,
+    remainingMs: expiresAt - now,
+    isAnswered,
+    answer: isAnswered ? state.answer : undefined,
+  };
+}
+
+function createLedgerEntry(key: HandedOverKey, now: number): LedgerEntry {
+  const { fingerprint, requestHash, remainingMs, isAnswered, answer } = key;
+  return {
+    fingerprint,
+    requestHash,
+    expiresAt: now + remainingMs,
+    state: isAnswered ? { kind: "answered", answer } : { kind: "unsettled" },
+  };
+}
+
 function refuse(reason: RefusalName): KeyRefused {
   return { kind: "refused", reason };
 }
--- a/src/target/key_ledger.ts
+++ b/src/target/key_ledger.ts
@@ -108,6 +108,29 @@
     this.#setState(fingerprint, { kind: "unsettled" });
   }
 
+  /** Every key for which `isWanted` holds. */
+  entriesWhere(
+    isWanted: (fingerprint: string) => boolean,
+  ): readonly LedgerEntry[] {
+    return [...this.#entries.values()].filter((entry) =>
+      isWanted(entry.fingerprint)
+    );
+  }
+
+  /**
+   * Takes over a key from its old owner; false when there is no room, in which
+   * case its slot's history is not known here.
+   */
+  tryTakeOver(entry: LedgerEntry, now: number): boolean {
+    const { fingerprint, state } = entry;
+    if (this.#entries.has(fingerprint)) return true;
+    if (!this.tryAdd({ ...entry, state: { kind: "unsettled" } }, now)) {
+      return false;
+    }
+    if (state.kind === "answered") this.setAnswered(fingerprint, state.answer);
+    return true;
+  }
+
   #setState(fingerprint: string, state: KeyState): void {
     const entry = this.#entries.get(fingerprint);
     if (entry !== undefined) {
--- a/src/target/key_ownership_test.ts
+++ b/src/target/key_ownership_test.ts
@@ -181,6 +181,99 @@
     ]);
   });
 
+  it("hands its keys over when it leaves, and they are answered again", () => {
+    const world = createWorld();
+    const old = createOwnedKey(world, "old");
+    const first = world.submit(0, { key: old });
+    world.settle();
+    leaveAndHandOver(world);
+    const again = world.submit(1, { key: old });
+    const unused = world.submit(1, { key: createSlotMate(world, old) });
+    world.settle();
+    assert.equal(again.outcome?.body, first.outcome?.body);
+    assert.equal(world.runsByKey.get(old), 1);
+    assert.equal(reasonOf(unused), "answered");
+  });
+
+  it("hands over that an end is not known", () => {
+    const world = createWorld();
+    const key = createOwnedKey(world, "old");
+    world.submit(0, { key });
+    world.deliverAll();
+    world.failRun(OWNER, 0);
+    leaveAndHandOver(world);
+    const again = world.submit(1, { key });
+    world.settle();
+    assert.equal(reasonOf(again), "KEY_OUTCOME_UNKNOWN");
+    assert.equal(world.runsByKey.get(key), 1);
+  });
+
+  it("hands over no more history than it has", () => {
+    const world = createWorld();
+    const key = createOwnedKey(world, "old");
+    world.submit(0, { key });
+    world.settle();
+    world.kill(OWNER);
+    moveSlots(world);
+    world.restart(OWNER);
+    world.listLive(OWNER);
+    world.drain(OTHER);
+    world.settle();
+    world.release(OTHER);
+    world.listGone(OTHER);
+    world.lookAtTable(OWNER);
+    world.handOverAll(OWNER);
+    world.settle();
+    const again = world.submit(0, { key });
+    world.settle();
+    assert.equal(reasonOf(again), "KEY_HISTORY_UNKNOWN");
+    assert.equal(world.runsByKey.get(key), 1);
+  });
+
+  it("forgets what was handed over once the slot has moved again", () => {
+    const world = createWorld();
+    const key = createOwnedKey(world, "old");
+    leaveAndHandOver(world);
+    world.restart(OWNER);
+    world.listLive(OWNER);
+    world.pause(OTHER);
+    world.listGone(OTHER);
+    world.tick(GONE_GRACE_MS + 1);
+    world.lookAtTable(OWNER);
+    world.settle();
+    const first = world.submit(0, { key });
+    world.settle();
+    assert.equal(world.runsByKey.get(key) ?? 0, 0, reasonOf(first));
+    const fresh = createUuid({
+      msecs: WORLD_EPOCH_MS + world.now + 2 * MINUTE_MS,
+    });
+    const late = findSlotMateOf(world, key, fresh);
+    world.submit(0, { key: late });
+    world.settle();
+    assert.equal(world.runsByKey.get(late), 1);
+    world.kill(OWNER);
+    world.listGone(OWNER);
+    world.wake(OTHER);
+    world.listLive(OTHER);
+    world.tick(GONE_GRACE_MS + 1);
+    world.lookAtTable(OTHER);
+    world.settle();
+    const again = world.submit(1, { key: late });
+    world.settle();
+    assert.equal(reasonOf(again), "KEY_HISTORY_UNKNOWN");
+    assert.equal(world.runsByKey.get(late), 1);
+  });
+
+  it("takes no keys over from one who may still run some", () => {
+    const world = createWorld();
+    const old = createOwnedKey(world, "old");
+    world.submit(0, { key: old });
+    while (world.runsByKey.get(old) !== 1) world.deliver(0);
+    world.drain(OWNER);
+    world.release(OWNER);
+    assert.equal(world.ownerOf(old), OWNER, "It has not drained yet");
+  });
+
   it("says that a key has not run only where that is known", () => {
     const world = createWorld();
     const key = createOwnedKey(world, "k");
@@ -192,6 +285,31 @@
   });
 });
 
+/** A key of the same slot that says it was made at the time of `sample`. */
+function findSlotMateOf(
+  world: RequestWorld,
+  key: string,
+  sample: string,
+): string {
+  const time = sample.slice(0, 13);
+  for (let number = 0; number < 10_000; number++) {
+    const tail = number.toString(16).padStart(12, "0");
+    const mate = `${time}-7000-8000-${tail}`;
+    if (world.slotOf(mate) === world.slotOf(key)) return mate;
+  }
+  throw new Error("No other key of the slot was found");
+}
+
+function leaveAndHandOver(world: RequestWorld): void {
+  world.drain(OWNER);
+  world.settle();
+  world.release(OWNER);
+  world.listGone(OWNER);
+  world.lookAtTable(OTHER);
+  world.handOverAll(OTHER);
+  world.settle();
+}
+
 /** Another key of the same slot. */
 function createSlotMate(
   world: RequestWorld,
--- a/src/target/owner_table.ts
+++ b/src/target/owner_table.ts
@@ -19,6 +19,8 @@
   readonly since: number;
   /** Whether it never had an owner. */
   readonly isNew: boolean;
+  /** Host and port of who released it and still knows its keys. */
+  readonly releasedBy?: string;
 }
 
 /** One incarnation of a target's process owns the slot. */
@@ -49,6 +51,7 @@
       kind: z.literal("free"),
       since: z.number(),
       isNew: z.boolean(),
+      releasedBy: z.string().optional(),
     }),
     z.object({
       kind: z.literal("taken"),
@@ -141,10 +144,14 @@
   return { format: 1, version: table.version + 1, slots };
 }
 
-/** The table after this target has released what it owns. */
+/**
+ * The table after this target has released what it owns. `address` is where its
+ * keys can be asked for until it ends.
+ */
 export function tryRelease(
   table: OwnerTable,
   context: ClaimContext,
+  address: string,
 ): OwnerTable | undefined {
   if (ownedSlotsOf(table, context).slots.length === 0) return undefined;
   const slots = table.slots.map((state): SlotState => {
@@ -152,11 +159,36 @@
       state.targetName === context.targetName &&
       state.incarnation === context.incarnation;
     if (!isOwn) return state;
-    return { kind: "free", since: context.wallNow, isNew: false };
+    return {
+      kind: "free",
+      since: context.wallNow,
+      isNew: false,
+      releasedBy: address,
+    };
   });
   return { format: 1, version: table.version + 1, slots };
 }
 
+/** Slots that the next table gives to this target from one who released them. */
+export function releasedSlotsTaken(
+  before: OwnerTable,
+  after: OwnerTable,
+): readonly ReleasedSlot[] {
+  return before.slots.flatMap((state, slot) => {
+    const isTaken = state.kind === "free" &&
+      after.slots[slot]?.kind === "taken";
+    if (!isTaken || state.releasedBy === undefined) return [];
+    return [{ slot, address: state.releasedBy }];
+  });
+}
+
+/** A slot and who still knows its keys. */
+export interface ReleasedSlot {
+  readonly slot: number;
+  /** Host and port. */
+  readonly address: string;
+}
+
 function createTakenSlot(context: ClaimContext, movedAt: number): TakenSlot {
   return {
     kind: "taken",
--- a/src/target/request_schedules_test.ts
+++ b/src/target/request_schedules_test.ts
@@ -4,6 +4,7 @@
 import {
   RequestWorld,
   type RequestWorldOptions,
+  type Submission,
 } from "../testing/request_world.ts";
 
 const SEED = 20261202;
@@ -33,7 +34,9 @@
   | "key_value"
   | "start_look"
   | "finish_look"
-  | "drain";
+  | "drain"
+  | "release"
+  | "hand_over";
 
 interface Action {
   readonly kind: ActionKind;
@@ -92,7 +95,15 @@
   },
   {
     name: "targets leaving",
-    faults: { drain: 1, restart: 1, connect: 2, start_look: 4, finish_look: 4 },
+    faults: {
+      drain: 1,
+      restart: 1,
+      connect: 2,
+      start_look: 4,
+      finish_look: 4,
+      release: 4,
+      hand_over: 20,
+    },
   },
   {
     name: "everything at once",
@@ -109,6 +120,8 @@
       list_live: 1,
       key_value: 1,
       drain: 1,
+      release: 3,
+      hand_over: 15,
       long_tick: 1,
     },
   },
@@ -182,13 +195,18 @@
       return world.finishLook(target);
     case "drain":
       return world.drain(target);
+    case "release":
+      return world.release(target);
+    case "hand_over":
+      return world.handOver(target);
   }
 }
 
 describe("requests under faults", () => {
   for (const row of FAULT_ROWS) {
     it(`runs a key at most once and tells no lie: ${row.name}`, (context) => {
-      const counts = { answered: 0, notRun: 0, unknown: 0, cut: 0 };
+      const counts = createCounts();
+      const keyed = createCounts();
       fc.assert(
         fc.property(
           fc.array(actionArbitrary(row), { minLength: 30, maxLength: 250 }),
@@ -207,13 +225,18 @@
             for (let target = 0; target < TARGETS; target++) world.wake(target);
             world.settle();
             world.checkInvariants();
-            count(world, counts);
+            count(world.submissions, counts);
+            count(
+              world.submissions.filter((one) => one.key !== undefined),
+              keyed,
+            );
           },
         ),
         { seed: SEED, numRuns: RUNS, includeErrorInReport: true },
       );
       assert.ok(counts.answered > RUNS, JSON.stringify(counts));
-      context.diagnostic(JSON.stringify(counts));
+      context.diagnostic(`all ${JSON.stringify(counts)}`);
+      context.diagnostic(`keyed ${JSON.stringify(keyed)}`);
     });
   }
 });
@@ -225,8 +248,15 @@
   cut: number;
 }
 
-function count(world: RequestWorld, counts: OutcomeCounts): void {
-  for (const { outcome } of world.submissions) {
+function createCounts(): OutcomeCounts {
+  return { answered: 0, notRun: 0, unknown: 0, cut: 0 };
+}
+
+function count(
+  submissions: readonly Submission[],
+  counts: OutcomeCounts,
+): void {
+  for (const { outcome } of submissions) {
     if (outcome === undefined) continue;
     if (outcome.isCut) counts.cut++;
     else if (outcome.problem === undefined) counts.answered++;
--- a/src/target/target_driver.ts
+++ b/src/target/target_driver.ts
@@ -36,11 +36,14 @@
 import { SettingsKeeper } from "../settings/settings_keeper.ts";
 import type { GroupDocument, SettingsSnapshot } from "../settings/types.ts";
 import { ClaimKeeper } from "./claim_keeper.ts";
+import { HistoryFetcher } from "./history_fetcher.ts";
 import { TargetReducer } from "./target_reducer.ts";
 import type { StartBackEnd, TargetEffect, TargetEvent } from "./types.ts";
 
 /** Also how late gathered tokens may be sent. */
 const TICK_MS = 10;
+/** Milliseconds that a drained target waits for the new owners of its keys. */
+const HAND_OVER_LIMIT_MS = 4000;
 
 /** What a target's driver works with. */
 export interface TargetDriverOptions {
@@ -72,6 +75,7 @@
   #isListedLeaving = false;
   #isSetLeaving = false;
   #onDrained: (() => void) | undefined;
+  #slotsToHandOver = 0;
 
   /** Does not listen yet. */
   constructor(options: TargetDriverOptions) {
@@ -161,6 +165,7 @@
 
   onPeer(link: Link, hello: HelloMessage) {
     if (hello.role === "target") return this.#onGroupPeer(link);
+    if (hello.role === "successor") return this.#onSuccessor(link);
     const linkId = this.#nextLinkId++;
     this.#links.set(linkId, link);
     this.#options.log.write("ENTRY_CONNECTED", { entry: hello.name });
@@ -181,6 +186,30 @@
     };
   }
 
+  /** The new owner of slots that this target released. */
+  #onSuccessor(link: Link) {
+    const linkId = this.#nextLinkId++;
+    this.#links.set(linkId, link);
+    return {
+      onMessage: (message: Message) => {
+        if (message.kind !== "ledger_request") return;
+        const { slot } = message;
+        this.#dispatch({
+          kind: "hand_over_asked",
+          now: performance.now(),
+          linkId,
+          slot,
+        });
+        link.flush();
+        this.#slotsToHandOver--;
+        if (this.#slotsToHandOver === 0) this.#onDrained?.();
+      },
+      onClose: () => {
+        this.#links.delete(linkId);
+      },
+    };
+  }
+
   onRejected(fault: LinkFault | undefined): void {
     if (fault === undefined) return;
     this.#metrics.countLinkFault(fault);
@@ -209,13 +238,24 @@
     const { settings, keyValueService, incarnation, log } = this.#options;
     if (keyValueService === undefined || !settings.ownsKeys) return;
     let version = 0;
+    const fetcher = new HistoryFetcher({
+      identity: { ...settings, incarnation },
+      onHistory: (history) =>
+        this.#dispatch({
+          kind: "history_received",
+          now: performance.now(),
+          history,
+        }),
+    });
     this.#claims = new ClaimKeeper({
       service: keyValueService,
       pool: settings.pool,
+      address: settings.address,
       targetName: settings.name,
       incarnation,
       goneGraceMs: settings.goneGraceMs,
       monotonicNow: () => performance.now(),
+      onTaken: (slots) => fetcher.fetch(slots),
       onConfirmed: (claims, askedAt) => {
         if (claims.version !== version) {
           version = claims.version;
@@ -375,11 +415,13 @@
   }
 
   async #finishDrain(): Promise<void> {
-    if (this.#claims !== undefined && await this.#claims.release()) {
-      this.#options.log.write("SLOTS_RELEASED");
-    }
+    const released = await this.#claims?.release() ?? 0;
     for (const link of this.#links.values()) link.flush();
-    this.#onDrained?.();
+    if (released === 0) return this.#onDrained?.();
+    this.#options.log.write("SLOTS_RELEASED", { slots: released });
+    // New owners ask for the keys; without one there is nobody to wait for.
+    this.#slotsToHandOver = released;
+    setTimeout(() => this.#onDrained?.(), HAND_OVER_LIMIT_MS);
   }
 
   #createApplication(): Hono {
--- a/src/target/target_reducer.ts
+++ b/src/target/target_reducer.ts
@@ -29,6 +29,7 @@
   BackEndFailed,
   BackEndHead,
   ClaimsConfirmed,
+  HandOverAsked,
   MessageReceived,
   TargetEffect,
   TargetEvent,
@@ -148,6 +149,10 @@
         return this.#backEndFailed(event);
       case "claims_confirmed":
         return this.#claimsConfirmed(event);
+      case "hand_over_asked":
+        return this.#handOver(event);
+      case "history_received":
+        return this.#gate.takeOver(event.history, event.now);
       case "tick":
         return this.#tick(event.now);
       case "drain_requested":
@@ -370,6 +375,12 @@
     this.#effects.push({ kind: "broadcast", message: claims });
   }
 
+  /** Only a target that will run nothing more knows all there is to know. */
+  #handOver(event: HandOverAsked): void {
+    if (!this.#saidDrained) return;
+    this.#reply(event.linkId, this.#gate.handOver(event.slot, event.now));
+  }
+
   #tick(now: number): void {
     this.#dropLate(now);
     for (const run of this.#runs.values()) {
--- a/src/target/types.ts
+++ b/src/target/types.ts
@@ -7,6 +7,7 @@
   ClaimsMessage,
   Header,
   LeavingMessage,
+  LedgerSlotMessage,
   Message,
   ServingMessage,
   SubmitMessage,
@@ -96,6 +97,21 @@
   readonly askedAt: number;
 }
 
+/** The new owner of a released slot asks for its keys. */
+export interface HandOverAsked {
+  readonly kind: "hand_over_asked";
+  readonly now: number;
+  readonly linkId: number;
+  readonly slot: number;
+}
+
+/** The old owner of a slot told its keys. */
+export interface HistoryReceived {
+  readonly kind: "history_received";
+  readonly now: number;
+  readonly history: LedgerSlotMessage;
+}
+
 /** Time passed. */
 export interface TargetTick {
   readonly kind: "tick";
@@ -125,6 +141,8 @@
   | BackEndEnd
   | BackEndFailed
   | ClaimsConfirmed
+  | HandOverAsked
+  | HistoryReceived
   | TargetTick
   | LeavingSet
   | TargetDrainRequested;
--- a/src/testing/request_world.ts
+++ b/src/testing/request_world.ts
@@ -11,13 +11,16 @@
 import { RandomSource } from "../core/random_source.ts";
 import { EntryReducer } from "../entry/entry_reducer.ts";
 import type { EntryEffect, EntryEvent } from "../entry/types.ts";
-import type { Message } from "../messages/types.ts";
+import type { LedgerSlotMessage, Message } from "../messages/types.ts";
 import type { ProblemDetails } from "../refusals/types.ts";
 import {
   createOwnerTable,
   ownedSlotsOf,
   type OwnerTable,
+  type ReleasedSlot,
+  releasedSlotsTaken,
   tryClaim,
+  tryRelease,
 } from "../target/owner_table.ts";
 import { TargetReducer } from "../target/target_reducer.ts";
 import type { TargetEffect, TargetEvent } from "../target/types.ts";
@@ -29,6 +32,8 @@
 export const GONE_GRACE_MS = 60_000;
 
 const POOL = "confirm";
+/** Number of no entry's connection. */
+const SUCCESSOR_LINK = -1;
 const SERVICE = "/organisations/andamaq/services/confirm";
 const ANSWER_PARTS = 3;
 const STEP_MS = 1000;
@@ -81,6 +86,9 @@
   /** A read of the owner table that is under way. */
   read: { readonly table: OwnerTable; readonly askedAt: number } | undefined;
   runs: BackEndRun[];
+  isDrained: boolean;
+  /** Slots taken from one who released them, whose keys were not asked for. */
+  taken: ReleasedSlot[];
 }
 
 /** Options of a {@link RequestWorld}. */
@@ -381,6 +389,7 @@
     if (next !== undefined) {
       if (this.#table.version !== read.table.version) return;
       this.#table = next;
+      process.taken.push(...releasedSlotsTaken(read.table, next));
     }
     this.#toTarget(target, {
       kind: "claims_confirmed",
@@ -413,6 +422,57 @@
     return Math.max(Number.NEGATIVE_INFINITY, ...times);
   }
 
+  /** A drained target gives back its slots, and waits for their new owners. */
+  release(target: number): void {
+    const process = this.#target(target);
+    if (!process.isUp || process.isPaused || !process.isDrained) return;
+    if (this.isKeyValueDown) return;
+    const next = tryRelease(this.#table, {
+      targetName: nameOf(target),
+      incarnation: String(process.incarnation),
+      wallNow: WORLD_EPOCH_MS + this.#now,
+      liveTargets: this.#targets.length,
+      isGone: () => false,
+    }, nameOf(target));
+    if (next !== undefined) this.#table = next;
+  }
+
+  /** A new owner asks for the keys of one slot that it took. */
+  handOver(target: number): void {
+    const process = this.#target(target);
+    if (!process.isUp || process.isPaused) return;
+    const taken = process.taken.shift();
+    const from = this.#targets.findIndex((_, index) =>
+      nameOf(index) === taken?.address
+    );
+    const old = this.#targets[from];
+    if (taken === undefined || !old?.isUp || old.isPaused) return;
+    const effects = old.reducer.reduce({
+      kind: "hand_over_asked",
+      now: this.#now,
+      linkId: SUCCESSOR_LINK,
+      slot: taken.slot,
+    });
+    for (const effect of effects) {
+      const isHistory = effect.kind === "reply" &&
+        effect.message.kind === "ledger_slot";
+      if (!isHistory) {
+        this.#performTarget(from, effect);
+        continue;
+      }
+      this.#toTarget(target, {
+        kind: "history_received",
+        now: this.#now,
+        history: effect.message as LedgerSlotMessage,
+      });
+    }
+  }
+
+  /** A new owner asks for the keys of all slots that it took. */
+  handOverAll(target: number): void {
+    while (this.#target(target).taken.length > 0) this.handOver(target);
+  }
+
   /** The next message from a target to an entry is lost. */
   dropNext(entry: number, target: number): void {
     const connection = this.#connections.find((one) =>
@@ -514,6 +574,8 @@
       goneAt: undefined,
       read: undefined,
       runs: [],
+      isDrained: false,
+      taken: [],
     };
   }
 
@@ -714,6 +776,9 @@
           failure: "broken",
         });
       }
+      case "drained":
+        process.isDrained = true;
+        return;
       default:
         return;
     }
