Claim no free key slots before the list says who shares them

Cause: a target looked at the owner table before it had read the machine list, took itself for the only one and claimed all 64 slots; the other domain then owned no keys. Ruled out: the hand-over, which does not take part.

--- a/src/target/claim_keeper.ts
+++ b/src/target/claim_keeper.ts
@@ -37,6 +37,8 @@
   readonly address: string;
   readonly targetName: string;
   readonly incarnation: string;
+  /** Whether there is a list to wait for. */
+  readonly hasMachineList: boolean;
   /** Milliseconds for which a machine must be gone before it loses slots. */
   readonly goneGraceMs: number;
   /** Milliseconds of a monotonic clock. */
@@ -57,7 +59,8 @@
   readonly #options: ClaimKeeperOptions;
   readonly #key: string;
   readonly #goneSince = new Map<string, number>();
-  #liveTargets = 1;
+  /** Before the list is read there may be any number of them. */
+  #liveTargets = Number.POSITIVE_INFINITY;
   #hasMachineList = false;
   #listed: ReadonlySet<string> = new Set();
   #listReadAt = 0;
@@ -65,10 +68,15 @@
   #keyRevision = 0;
   #round = new AbortController();
   #isStopped = false;
+  #isLookWanted = false;
 
-  /** Starts claiming at once. */
+  /**
+   * Starts claiming at once: its machine's own slots, and its share of the free
+   * ones as soon as the list tells how many share them.
+   */
   constructor(options: ClaimKeeperOptions) {
     this.#options = options;
+    if (!options.hasMachineList) this.#liveTargets = 1;
     this.#key = ownerTableKey(options.pool);
     void this.#follow();
   }
@@ -80,15 +88,18 @@
     const present = machines.filter((machine) => machine.state !== "gone");
     this.#listed = new Set(present.map((machine) => machine.name));
     for (const name of this.#listed) this.#goneSince.delete(name);
-    this.#liveTargets =
-      machines.filter((machine) =>
-        machine.role === "target" && machine.state === "live" &&
-        machine.pool === this.#options.pool
-      ).length;
+    const wasUnknown = this.#liveTargets === Number.POSITIVE_INFINITY;
+    const live = machines.filter((machine) =>
+      machine.role === "target" && machine.state === "live" &&
+      machine.pool === this.#options.pool
+    );
+    this.#liveTargets = live.length;
+    if (wasUnknown) this.confirm();
   }
 
   /** Reads the table now, before anything else. */
   confirm(): void {
+    this.#isLookWanted = true;
     this.#round.abort();
     this.#round = new AbortController();
   }
@@ -124,11 +135,13 @@
       const isAnswered = await this.#look();
       const pause = isAnswered ? LOOK_PAUSE_MS : RETRY_PAUSE_MS;
       await sleep(pause, undefined, { ref: false });
-      if (isAnswered && !this.#isStopped) await this.#waitForChange();
+      const mayWait = isAnswered && !this.#isLookWanted && !this.#isStopped;
+      if (mayWait) await this.#waitForChange();
     }
   }
 
   async #look(): Promise<boolean> {
+    this.#isLookWanted = false;
     const askedAt = this.#options.monotonicNow();
     const read = await this.#tryRead();
     if (read === undefined || this.#isStopped) return read !== undefined;
--- /dev/null
+++ b/src/target/owner_table_test.ts
@@ -0,0 +1,116 @@
+import assert from "node:assert/strict";
+import { describe, it } from "node:test";
+import { SLOT_COUNT } from "../core/idempotency_key.ts";
+import {
+  type ClaimContext,
+  createOwnerTable,
+  LEFTOVER_MS,
+  ownedSlotsOf,
+  type OwnerTable,
+  tryClaim,
+  tryParseOwnerTable,
+  tryRelease,
+} from "./owner_table.ts";
+
+const NOW = 1_000_000;
+
+function createContext(changes: Partial<ClaimContext> = {}): ClaimContext {
+  return {
+    targetName: "one",
+    incarnation: "1",
+    wallNow: NOW,
+    liveTargets: 2,
+    isGone: () => false,
+    ...changes,
+  };
+}
+
+function claim(
+  table: OwnerTable,
+  changes: Partial<ClaimContext> = {},
+): OwnerTable {
+  return tryClaim(table, createContext(changes)) ?? table;
+}
+
+function countOf(table: OwnerTable, targetName: string): number {
+  return table.slots.filter((slot) =>
+    slot.kind === "taken" && slot.targetName === targetName
+  ).length;
+}
+
+describe("owner table", () => {
+  it("shares free slots between the targets that live", () => {
+    let table = claim(createOwnerTable(NOW));
+    table = claim(table, { targetName: "two" });
+    assert.equal(countOf(table, "one"), SLOT_COUNT / 2);
+    assert.equal(countOf(table, "two"), SLOT_COUNT / 2);
+  });
+
+  it("takes nothing free while it is not known how many share it", () => {
+    const liveTargets = Number.POSITIVE_INFINITY;
+    const table = createOwnerTable(NOW);
+    assert.equal(tryClaim(table, createContext({ liveTargets })), undefined);
+    const wallNow = NOW + LEFTOVER_MS;
+    const later = claim(table, { liveTargets, wallNow });
+    assert.equal(countOf(later, "one"), SLOT_COUNT, "Leftovers are anybody's");
+  });
+
+  it("moves nothing by time alone", () => {
+    const table = claim(createOwnerTable(NOW), { liveTargets: 1 });
+    const wallNow = NOW + 365 * 86_400_000;
+    const other = createContext({ targetName: "two", wallNow });
+    assert.equal(tryClaim(table, other), undefined);
+  });
+
+  it("takes the slots of a machine that is gone, and marks the move", () => {
+    const table = claim(createOwnerTable(NOW), { liveTargets: 1 });
+    const moved = claim(table, {
+      targetName: "two",
+      liveTargets: 1,
+      wallNow: NOW + 5,
+      isGone: (name) => name === "one",
+    });
+    const { slots } = ownedSlotsOf(moved, {
+      targetName: "two",
+      incarnation: "1",
+    });
+    assert.equal(slots.length, SLOT_COUNT);
+    assert.ok(slots.every((slot) => slot.movedAt === NOW + 5));
+  });
+
+  it("takes its own machine's slots for its new process", () => {
+    const table = claim(createOwnerTable(NOW), { liveTargets: 1 });
+    const moved = claim(table, { incarnation: "2", wallNow: NOW + 5 });
+    const old = ownedSlotsOf(moved, { targetName: "one", incarnation: "1" });
+    assert.equal(old.slots.length, 0);
+    assert.equal(countOf(moved, "one"), SLOT_COUNT);
+  });
+
+  it("gives released slots to others, from the time of the release", () => {
+    const table = claim(createOwnerTable(NOW), { liveTargets: 1 });
+    const released = tryRelease(
+      table,
+      createContext({ wallNow: NOW + 5 }),
+      "127.0.0.1:1",
+    );
+    assert.ok(released !== undefined);
+    const moved = claim(released, {
+      targetName: "two",
+      liveTargets: 1,
+      wallNow: NOW + 9,
+    });
+    const { slots } = ownedSlotsOf(moved, {
+      targetName: "two",
+      incarnation: "1",
+    });
+    assert.ok(slots.every((slot) => slot.movedAt === NOW + 5));
+  });
+
+  it("is read as it was written, and not otherwise", () => {
+    const table = claim(createOwnerTable(NOW));
+    assert.deepEqual(tryParseOwnerTable(JSON.stringify(table)), table);
+    for (const text of ["", "{}", '{"format":2}', "[]"]) {
+      assert.equal(tryParseOwnerTable(text), undefined);
+    }
+  });
+});
--- a/src/target/target_driver.ts
+++ b/src/target/target_driver.ts
@@ -253,6 +253,7 @@
       address: settings.address,
       targetName: settings.name,
       incarnation,
+      hasMachineList: this.#options.machineList !== undefined,
       goneGraceMs: settings.goneGraceMs,
       monotonicNow: () => performance.now(),
       onTaken: (slots) => fetcher.fetch(slots),
