--- a/src/commands/entry_command.ts
+++ b/src/commands/entry_command.ts
@@ -4,18 +4,15 @@
  * @module
  */
 import { randomInt, randomUUID } from "node:crypto";
-import process from "node:process";
 import { EntryDriver } from "../entry/entry_driver.ts";
 import { EventLog } from "../events/event_log.ts";
-import { HttpKeyValueService } from "../platform/http_key_value_service.ts";
-import { HttpVirtualMachineList } from "../platform/http_virtual_machine_list.ts";
 import {
   ENTRY_PROCESS_SCHEMA,
   readProcessSettings,
 } from "../process/process_settings.ts";
-import { drainOnSignal } from "../process/shutdown.ts";
-import { EXIT_CODES, type ExitCode } from "./exit_codes.ts";
+import type { ExitCode } from "./exit_codes.ts";
 import { printFindings } from "./print_findings.ts";
+import { createPlatform, runProcess } from "./run_process.ts";
 
 const SEED_LIMIT = 2 ** 31;
 
@@ -32,27 +29,13 @@
   if (checked.isErr()) return printFindings(file, checked.error);
   const settings = checked.value;
   const log = new EventLog({ role: "entry", processName: settings.name });
-  const { keyValueAddress, machineListAddress } = settings;
   const driver = new EntryDriver({
     settings,
     incarnation: randomUUID(),
-    keyValueService: keyValueAddress === undefined
-      ? undefined
-      : new HttpKeyValueService(keyValueAddress),
-    machineList: machineListAddress === undefined
-      ? undefined
-      : new HttpVirtualMachineList(machineListAddress),
+    ...createPlatform(settings),
     log,
     seed: randomInt(SEED_LIMIT),
   });
-  try {
-    await driver.start();
-  } catch (error) {
-    log.write("START_FAILED", { cause: String(error) });
-    process.exitCode = EXIT_CODES.FAILED;
-    await driver.close();
-    return EXIT_CODES.FAILED;
-  }
-  drainOnSignal(driver, { log, drainLimitMs: settings.drainLimitMs });
-  return undefined;
+  const { drainLimitMs } = settings;
+  return await runProcess(driver, { log, drainLimitMs });
 }
--- a/src/entry/entry_reducer.ts
+++ b/src/entry/entry_reducer.ts
@@ -22,6 +22,7 @@
 import { Admission } from "./admission.ts";
 import { InFlightRequest } from "./in_flight_request.ts";
 import { mayRetry } from "./retry_rules.ts";
+import { createSubmit } from "./submit_message.ts";
 import type { Route } from "./routing_table.ts";
 import type { TargetRecord } from "./target_record.ts";
 import { TargetRegistry } from "./target_registry.ts";
@@ -180,22 +181,7 @@
     this.#effects.push({
       kind: "send",
       targetName: target.name,
-      message: {
-        kind: "submit",
-        requestId: request.id,
-        attempt: inFlight.attempt,
-        organisation: route.organisation,
-        service: route.servicePath,
-        method: request.method,
-        path: request.path,
-        headers: request.headers,
-        body: request.body,
-        priority: request.priority ?? route.service.priority,
-        weight: route.limits.weight,
-        remainingMs: inFlight.deadlineAt - now,
-        idempotencyKey: request.idempotencyKey,
-        keyRetentionMs: route.service.keyRetentionMs,
-      },
+      message: createSubmit(inFlight, now),
     });
   }
 
--- a/src/group/coordinator.ts
+++ b/src/group/coordinator.ts
@@ -17,11 +17,20 @@
   Decider,
   EngineState,
   ExpertMap,
-  MemberMessage,
   PreparedMessage,
   StagedMessage,
   TooLateMessage,
 } from "./types.ts";
+import type {
+  Binding,
+  CoordinatorEffect,
+  CoordinatorEvent,
+  Decision,
+  MemberSaid,
+  Phase,
+  Preparing,
+  Staging,
+} from "./coordinator_types.ts";
 
 /** Milliseconds after which an unanswered message is sent again. */
 export const RESEND_MS = 200;
@@ -35,99 +44,6 @@
  */
 const VERSIONS_PER_EPOCH = 2 ** 20;
 
-/** A message of a rank arrived. */
-export interface MemberSaid {
-  readonly kind: "member_said";
-  readonly now: number;
-  readonly rank: number;
-  readonly message: MemberMessage;
-}
-
-/** The connection to a rank was made anew; its process may be another. */
-export interface MemberConnected {
-  readonly kind: "member_connected";
-  readonly now: number;
-  readonly rank: number;
-}
-
-/** The planner proposes a map. */
-export interface MapProposed {
-  readonly kind: "map_proposed";
-  readonly now: number;
-  readonly map: ExpertMap;
-}
-
-/** Time passed. */
-export interface CoordinatorTick {
-  readonly kind: "tick";
-  readonly now: number;
-}
-
-/** Everything that can happen to a decider. */
-export type CoordinatorEvent =
-  | MemberSaid
-  | MemberConnected
-  | MapProposed
-  | CoordinatorTick;
-
-/** Say something to a rank. */
-export interface SayToMember {
-  readonly kind: "say";
-  readonly rank: number;
-  readonly message: CoordinatorMessage;
-}
-
-/** A switch was decided, one way or the other. */
-export interface SwitchDecided {
-  readonly kind: "switch_decided";
-  readonly version: number;
-  readonly isCommitted: boolean;
-}
-
-/** A proposal came while another was under way, and is not taken up. */
-export interface ProposalDropped {
-  readonly kind: "proposal_dropped";
-}
-
-/** Everything that a decider can ask for. */
-export type CoordinatorEffect = SayToMember | SwitchDecided | ProposalDropped;
-
-interface Binding {
-  readonly kind: "binding";
-  readonly engines: Map<number, EngineState>;
-}
-
-interface Idle {
-  readonly kind: "idle";
-}
-
-interface Staging {
-  readonly kind: "staging";
-  readonly version: number;
-  readonly map: ExpertMap;
-  readonly assemble: number | undefined;
-  readonly startedAt: number;
-  readonly steps: Map<number, number>;
-}
-
-interface Preparing {
-  readonly kind: "preparing";
-  readonly version: number;
-  readonly map: ExpertMap;
-  readonly assemble: number | undefined;
-  readonly startedAt: number;
-  readonly step: number;
-  readonly prepared: Set<number>;
-}
-
-type Phase = Binding | Idle | Staging | Preparing;
-
-interface Decision {
-  readonly version: number;
-  /** Step of the switch; undefined when it was aborted. */
-  readonly step: number | undefined;
-}
-
 /** Options of a {@link GroupCoordinator}. */
 export interface GroupCoordinatorOptions {
   readonly ranks: number;
--- a/src/group/coordinator_driver.ts
+++ b/src/group/coordinator_driver.ts
@@ -17,11 +17,11 @@
   Rebalancer,
 } from "../policy/placement/rebalancer.ts";
 import type { GroupDocument } from "../settings/types.ts";
-import {
-  type CoordinatorEffect,
-  type CoordinatorEvent,
-  GroupCoordinator,
-} from "./coordinator.ts";
+import { GroupCoordinator } from "./coordinator.ts";
+import type {
+  CoordinatorEffect,
+  CoordinatorEvent,
+} from "./coordinator_types.ts";
 import { createFirstMap, type GroupShape, MapPlanner } from "./map_planner.ts";
 
 const TICK_MS = 50;
--- /dev/null
+++ b/src/group/coordinator_types.ts
@@ -0,0 +1,110 @@
+/**
+ * The vocabulary of rank 0's decider: its events, effects and phases.
+ *
+ * @module
+ */
+import type {
+  CoordinatorMessage,
+  EngineState,
+  ExpertMap,
+  MemberMessage,
+} from "./types.ts";
+
+/** A message of a rank arrived. */
+export interface MemberSaid {
+  readonly kind: "member_said";
+  readonly now: number;
+  readonly rank: number;
+  readonly message: MemberMessage;
+}
+
+/** The connection to a rank was made anew; its process may be another. */
+export interface MemberConnected {
+  readonly kind: "member_connected";
+  readonly now: number;
+  readonly rank: number;
+}
+
+/** The planner proposes a map. */
+export interface MapProposed {
+  readonly kind: "map_proposed";
+  readonly now: number;
+  readonly map: ExpertMap;
+}
+
+/** Time passed. */
+export interface CoordinatorTick {
+  readonly kind: "tick";
+  readonly now: number;
+}
+
+/** Everything that can happen to a decider. */
+export type CoordinatorEvent =
+  | MemberSaid
+  | MemberConnected
+  | MapProposed
+  | CoordinatorTick;
+
+/** Say something to a rank. */
+export interface SayToMember {
+  readonly kind: "say";
+  readonly rank: number;
+  readonly message: CoordinatorMessage;
+}
+
+/** A switch was decided, one way or the other. */
+export interface SwitchDecided {
+  readonly kind: "switch_decided";
+  readonly version: number;
+  readonly isCommitted: boolean;
+}
+
+/** A proposal came while another was under way, and is not taken up. */
+export interface ProposalDropped {
+  readonly kind: "proposal_dropped";
+}
+
+/** Everything that a decider can ask for. */
+export type CoordinatorEffect = SayToMember | SwitchDecided | ProposalDropped;
+
+/** Every rank is asked what it has. @internal */
+export interface Binding {
+  readonly kind: "binding";
+  readonly engines: Map<number, EngineState>;
+}
+
+/** No switch is under way. @internal */
+export interface Idle {
+  readonly kind: "idle";
+}
+
+/** The ranks load a map. @internal */
+export interface Staging {
+  readonly kind: "staging";
+  readonly version: number;
+  readonly map: ExpertMap;
+  readonly assemble: number | undefined;
+  readonly startedAt: number;
+  readonly steps: Map<number, number>;
+}
+
+/** The ranks promise to hold. @internal */
+export interface Preparing {
+  readonly kind: "preparing";
+  readonly version: number;
+  readonly map: ExpertMap;
+  readonly assemble: number | undefined;
+  readonly startedAt: number;
+  readonly step: number;
+  readonly prepared: Set<number>;
+}
+
+/** Where a decider stands. @internal */
+export type Phase = Binding | Idle | Staging | Preparing;
+
+/** What was decided upon a version. @internal */
+export interface Decision {
+  readonly version: number;
+  /** Step of the switch; undefined when it was aborted. */
+  readonly step: number | undefined;
+}
--- a/src/process/address.ts
+++ b/src/process/address.ts
@@ -3,6 +3,7 @@
  *
  * @module
  */
+import type { Server } from "node:net";
 
 /** Host and port, apart. */
 export interface ListenAddress {
@@ -23,3 +24,19 @@
   const hostname = address.slice(0, colon).replace(/^\[|\]$/g, "");
   return { hostname, port: Number(address.slice(colon + 1)) };
 }
+
+/**
+ * Lets a server listen on `HOST:PORT`.
+ *
+ * @throws when the address cannot be had
+ */
+export async function listenOn(
+  server: Server,
+  address: string,
+): Promise<void> {
+  const { hostname, port } = parseAddress(address);
+  await new Promise<void>((resolve, reject) => {
+    server.once("error", reject);
+    server.listen(port, hostname, () => resolve());
+  });
+}
--- a/src/process/http_listener.ts
+++ b/src/process/http_listener.ts
@@ -6,7 +6,7 @@
 import { createServer, type Server } from "node:http";
 import { getRequestListener } from "@hono/node-server";
 import type { Hono } from "hono";
-import { parseAddress } from "./address.ts";
+import { listenOn } from "./address.ts";
 
 /** Largest headers of one request, in bytes. */
 const MAX_HEADER_BYTES = 16_384;
@@ -37,11 +37,7 @@
    * @throws when the address cannot be had
    */
   async listen(address: string): Promise<void> {
-    const { hostname, port } = parseAddress(address);
-    await new Promise<void>((resolve, reject) => {
-      this.#server.once("error", reject);
-      this.#server.listen(port, hostname, () => resolve());
-    });
+    await listenOn(this.#server, address);
   }
 
   /** Takes no new connections and closes the idle ones. */
--- a/src/target/key_ownership_test.ts
+++ b/src/target/key_ownership_test.ts
@@ -4,9 +4,9 @@
 import {
   GONE_GRACE_MS,
   RequestWorld,
-  type Submission,
   WORLD_EPOCH_MS,
 } from "../testing/request_world.ts";
+import type { Submission } from "../testing/submissions.ts";
 
 const OWNER = 0;
 const OTHER = 1;
--- a/src/target/request_schedules_test.ts
+++ b/src/target/request_schedules_test.ts
@@ -4,8 +4,8 @@
 import {
   RequestWorld,
   type RequestWorldOptions,
-  type Submission,
 } from "../testing/request_world.ts";
+import type { Submission } from "../testing/submissions.ts";
 
 const SEED = 20261202;
 const RUNS = 400;
--- a/src/testing/request_world.ts
+++ b/src/testing/request_world.ts
@@ -12,7 +12,6 @@
 import { EntryReducer } from "../entry/entry_reducer.ts";
 import type { EntryEffect, EntryEvent } from "../entry/types.ts";
 import type { LedgerSlotMessage, Message } from "../messages/types.ts";
-import type { ProblemDetails } from "../refusals/types.ts";
 import {
   createOwnerTable,
   ownedSlotsOf,
@@ -25,6 +24,12 @@
 import { TargetReducer } from "../target/target_reducer.ts";
 import type { TargetEffect, TargetEvent } from "../target/types.ts";
 import { createRoutes } from "./fixtures.ts";
+import {
+  answerTo,
+  type CallerOutcome,
+  checkSubmission,
+  type Submission,
+} from "./submissions.ts";
 
 /** Wall-clock milliseconds at which every world begins. */
 export const WORLD_EPOCH_MS = Date.UTC(2026, 11, 2);
@@ -38,29 +43,6 @@
 const ANSWER_PARTS = 3;
 const STEP_MS = 1000;
 
-/** What a caller was told in the end. */
-export interface CallerOutcome {
-  readonly status: number;
-  /** Body of an answer; undefined when it was refused or cut. */
-  readonly body?: string;
-  readonly problem?: ProblemDetails;
-  readonly isCut: boolean;
-}
-
-/** One submission of a caller. */
-export interface Submission {
-  readonly id: number;
-  readonly entry: number;
-  readonly method: string;
-  readonly key?: string;
-  readonly body: string;
-  outcome?: CallerOutcome;
-  streamed: string;
-  isStreamEnded: boolean;
-  /** Times that a back end ran it. */
-  runs: number;
-}
-
 interface Connection {
   readonly id: number;
   readonly entry: number;
@@ -822,27 +804,3 @@
 function nameOf(target: number): string {
   return `target-${target}`;
 }
-
-/** An answer that can be told from every other request's. */
-function answerTo(submission: Submission): string {
-  const what = submission.key ?? `submission ${submission.id}`;
-  return `[answer to ${what} with ${submission.body}]`;
-}
-
-function checkSubmission(submission: Submission): void {
-  const { outcome, key, method, runs } = submission;
-  if (key === undefined && method === "POST") {
-    assert.ok(runs <= 1, `Submission ${submission.id} ran ${runs} times`);
-  }
-  if (outcome === undefined) return;
-  if (outcome.body !== undefined) {
-    assert.equal(outcome.body, answerTo(submission), "Not its whole answer");
-  }
-  if (outcome.problem?.submission === "not-run") {
-    assert.equal(
-      runs,
-      0,
-      `Submission ${submission.id} is said not to have run`,
-    );
-  }
-}
--- a/standins/model_engine_stand_in.ts
+++ b/standins/model_engine_stand_in.ts
@@ -10,7 +10,7 @@
   type IncomingMessage,
   type ServerResponse,
 } from "node:http";
-import { parseAddress } from "../src/process/address.ts";
+import { listenOn } from "../src/process/address.ts";
 
 /** Options of a {@link ModelEngineStandIn}. */
 export interface ModelEngineOptions {
@@ -66,11 +66,7 @@
 
   /** Listens, and steps. */
   async listen(address: string): Promise<void> {
-    const { hostname, port } = parseAddress(address);
-    await new Promise<void>((resolve, reject) => {
-      this.#server.once("error", reject);
-      this.#server.listen(port, hostname, () => resolve());
-    });
+    await listenOn(this.#server, address);
     this.#timer = setInterval(() => this.#step(), this.#options.stepMs);
   }
 
--- a/standins/plain_service_stand_in.ts
+++ b/standins/plain_service_stand_in.ts
@@ -10,7 +10,7 @@
   type ServerResponse,
 } from "node:http";
 import { setTimeout as sleep } from "node:timers/promises";
-import { parseAddress } from "../src/process/address.ts";
+import { listenOn } from "../src/process/address.ts";
 
 /** What goes wrong. */
 export interface PlainServiceFaults {
@@ -62,11 +62,7 @@
 
   /** Listens. */
   async listen(address: string): Promise<void> {
-    const { hostname, port } = parseAddress(address);
-    await new Promise<void>((resolve, reject) => {
-      this.#server.once("error", reject);
-      this.#server.listen(port, hostname, () => resolve());
-    });
+    await listenOn(this.#server, address);
   }
 
   /** Closes. */
