Say unknown of a key whose submission was malformed

Found by reading: a keyed request with a bad deadline, body or priority was told outcome not-run, which speaks of the key, though another submission of it may have run. Only the submission is known not to have. The test of malformed requests now holds both words. Exported functions keep to two parameters and an object; fields stand at the head of their classes.

--- a/src/entry/caller_connection.ts
+++ b/src/entry/caller_connection.ts
@@ -47,6 +47,11 @@
     });
   }
 
+  /** Whether the request names an idempotency key, usable or not. */
+  get isKeyed(): boolean {
+    return this.#singleHeader("idempotency-key") !== undefined;
+  }
+
   /** Whether the caller has closed its connection. */
   get isGone(): boolean {
     return this.#outgoing.destroyed;
--- a/src/entry/entry_driver.ts
+++ b/src/entry/entry_driver.ts
@@ -286,7 +286,10 @@
     if (request.isErr()) {
       this.#metrics.countRefusal(request.error);
       connection.refuse(
-        createProblem(request.error, { outcome: "not-run" }),
+        createProblem(request.error, {
+          outcome: connection.isKeyed ? "unknown" : "not-run",
+          submission: "not-run",
+        }),
       );
       return;
     }
--- a/src/entry/target_dialler.ts
+++ b/src/entry/target_dialler.ts
@@ -35,6 +35,8 @@
 export class TargetDialler {
   readonly #options: TargetDiallerOptions;
   readonly #clients = new Map<string, LinkClient>();
+  /** Addresses whose connection works. */
+  readonly #connected = new Set<string>();
   readonly #links = new Map<string, Link>();
 
   /** Dials the fixed addresses at once. */
@@ -72,8 +74,6 @@
     this.#clients.clear();
   }
 
-  readonly #connected = new Set<string>();
-
   /** The list lags and may be wrong: a connection that works is kept. */
   #isConnected(address: string): boolean {
     return this.#connected.has(address);
--- a/src/links/link_server.ts
+++ b/src/links/link_server.ts
@@ -59,6 +59,8 @@
 export class LinkServer {
   readonly #server: WebSocketServer;
   readonly #options: LinkServerOptions;
+  /** Timers of connections that have not proved themselves. */
+  readonly #limits = new WeakMap<Link, NodeJS.Timeout>();
 
   /** Listens for upgrades on an HTTP server. */
   constructor(http: Server, options: LinkServerOptions) {
@@ -100,8 +102,6 @@
     this.#limits.set(link, limit);
   }
 
-  readonly #limits = new WeakMap<Link, NodeJS.Timeout>();
-
   #finishHandshake(link: Link, nonce: string, message: Message): void {
     const fault = this.#tryFault(nonce, message);
     if (fault !== undefined || message.kind !== "hello") {
--- a/src/process/process_test.ts
+++ b/src/process/process_test.ts
@@ -148,7 +148,12 @@
     for (const { code, ...options } of rows) {
       const answer = await call(entry, "/confirm", options);
       assert.ok(answer.status >= 400 && answer.status < 500);
-      assert.equal(JSON.parse(answer.text).code, code);
+      const problem = JSON.parse(answer.text);
+      assert.equal(problem.code, code);
+      assert.equal(problem.submission, "not-run");
+      // Another submission of the key may have run.
+      const isKeyed = options.headers?.["idempotency-key"] !== undefined;
+      assert.equal(problem.outcome, isKeyed ? "unknown" : "not-run");
     }
   });
 
--- a/src/target/claim_keeper.ts
+++ b/src/target/claim_keeper.ts
@@ -112,8 +112,8 @@
       const read = await this.#tryRead();
       if (read === undefined) return 0;
       const owned = ownedSlotsOf(read.table, this.#options).slots.length;
-      const { address } = this.#options;
-      const next = tryRelease(read.table, this.#context(), address);
+      const wallNow = Date.now();
+      const next = tryRelease(read.table, { ...this.#options, wallNow });
       if (next === undefined) return 0;
       const swap = await this.#options.service.compareAndSwap(this.#key, {
         value: JSON.stringify(next),
--- a/src/target/load_reporter.ts
+++ b/src/target/load_reporter.ts
@@ -34,8 +34,12 @@
   }
 
   /** An entry heard the load, by a report or with an answer. */
-  noteTold(linkId: number, load: TargetLoad, now: number): void {
-    this.#lastWords.set(linkId, { load: load.queued + load.running, at: now });
+  noteTold(
+    linkId: number,
+    word: { readonly load: TargetLoad; readonly now: number },
+  ): void {
+    const { queued, running } = word.load;
+    this.#lastWords.set(linkId, { load: queued + running, at: word.now });
   }
 
   /** The connection was lost. */
--- a/src/target/owner_table.ts
+++ b/src/target/owner_table.ts
@@ -77,6 +77,16 @@
   isGone(targetName: string): boolean;
 }
 
+/** Who releases, and where its keys can be asked for until it ends. */
+export interface ReleaseContext {
+  readonly targetName: string;
+  readonly incarnation: string;
+  /** Wall-clock milliseconds. */
+  readonly wallNow: number;
+  /** Host and port. */
+  readonly address: string;
+}
+
 /** Key of a pool's table in the key-value service. */
 export function ownerTableKey(pool: string): string {
   return `lagoonwharf/owners/${pool}`;
@@ -144,14 +154,10 @@
   return { format: 1, version: table.version + 1, slots };
 }
 
-/**
- * The table after this target has released what it owns. `address` is where its
- * keys can be asked for until it ends.
- */
+/** The table after this target has released what it owns. */
 export function tryRelease(
   table: OwnerTable,
-  context: ClaimContext,
-  address: string,
+  context: ReleaseContext,
 ): OwnerTable | undefined {
   if (ownedSlotsOf(table, context).slots.length === 0) return undefined;
   const slots = table.slots.map((state): SlotState => {
@@ -163,7 +169,7 @@
       kind: "free",
       since: context.wallNow,
       isNew: false,
-      releasedBy: address,
+      releasedBy: context.address,
     };
   });
   return { format: 1, version: table.version + 1, slots };
--- a/src/target/owner_table_test.ts
+++ b/src/target/owner_table_test.ts
@@ -88,11 +88,12 @@
 
   it("gives released slots to others, from the time of the release", () => {
     const table = claim(createOwnerTable(NOW), { liveTargets: 1 });
-    const released = tryRelease(
-      table,
-      createContext({ wallNow: NOW + 5 }),
-      "127.0.0.1:1",
-    );
+    const released = tryRelease(table, {
+      targetName: "one",
+      incarnation: "1",
+      wallNow: NOW + 5,
+      address: "127.0.0.1:1",
+    });
     assert.ok(released !== undefined);
     const moved = claim(released, {
       targetName: "two",
--- a/src/target/target_reducer.ts
+++ b/src/target/target_reducer.ts
@@ -168,7 +168,7 @@
 
   #linkOpened(linkId: number, now: number): void {
     this.#openLinks.add(linkId);
-    this.#reporter.noteTold(linkId, this.#load(), now);
+    this.#reporter.noteTold(linkId, { load: this.#load(), now });
     this.#reply(linkId, this.#claims());
     this.#reply(linkId, this.#reporter.createReport(this.#load()));
     if (this.isLeaving) this.#reply(linkId, { kind: "leaving" });
@@ -344,7 +344,10 @@
     this.#replyTo(run, run.tryRest(event.now));
     this.#replyTo(run, run.createEnd(this.#load()));
     if (this.#openLinks.has(run.owner.linkId)) {
-      this.#reporter.noteTold(run.owner.linkId, this.#load(), event.now);
+      this.#reporter.noteTold(run.owner.linkId, {
+        load: this.#load(),
+        now: event.now,
+      });
     }
     if (run.fingerprint === undefined) return;
     this.#gate.ledger.setAnswered(run.fingerprint, run.tryKeptAnswer());
@@ -389,7 +392,7 @@
     const load = this.#load();
     for (const linkId of this.#reporter.dueLinks(load, now)) {
       this.#reply(linkId, this.#reporter.createReport(load));
-      this.#reporter.noteTold(linkId, load, now);
+      this.#reporter.noteTold(linkId, { load, now });
     }
   }
 
--- a/src/testing/request_world.ts
+++ b/src/testing/request_world.ts
@@ -413,9 +413,8 @@
       targetName: nameOf(target),
       incarnation: String(process.incarnation),
       wallNow: WORLD_EPOCH_MS + this.#now,
-      liveTargets: this.#targets.length,
-      isGone: () => false,
-    }, nameOf(target));
+      address: nameOf(target),
+    });
     if (next !== undefined) this.#table = next;
   }
 
