Take a group's orders from its rank 0 only, and print the time to in force

Any process with the secret could bind a rank and give its engine orders. The process settings now name rank 0's target and others are closed with a number; a process that knows the secret and another name is shut out in the test.

--- a/src/entry/entry_reducer.ts
+++ b/src/entry/entry_reducer.ts
@@ -165,7 +165,7 @@
   }
 
   #submit(inFlight: InFlightRequest, now: number): void {
-    const { request, route } = inFlight;
+    const { request } = inFlight;
     const target = this.#tryTarget(inFlight, now);
     if (target === undefined) {
       const isKeyed = request.idempotencyKey !== undefined;
--- a/src/group/group_process_test.ts
+++ b/src/group/group_process_test.ts
@@ -1,11 +1,14 @@
 import assert from "node:assert/strict";
 import { after, before, describe, it } from "node:test";
+import { LinkClient } from "../links/link_client.ts";
+import type { LinkFault } from "../messages/codec.ts";
 import { RankGroupStandIn } from "../../standins/rank_group_stand_in.ts";
 import {
   exitOf,
   findFreeAddress,
   ProcessCluster,
   type RunningProcess,
+  TEST_SECRET,
   waitUntil,
 } from "../testing/process_cluster.ts";
 
@@ -29,6 +32,7 @@
         ownsKeys: false,
         group: {
           name: "planner",
+          coordinatorName: "rank-0",
           rank,
           engineAddress: engineAddresses[rank],
           memberAddresses: rank === 0 ? addresses : [],
@@ -103,6 +107,40 @@
     assert.deepEqual(group.faults, []);
   });
 
+  it("takes orders from rank 0's target only, secret or not", async () => {
+    const faults: (LinkFault | undefined)[] = [];
+    const stranger = new LinkClient({
+      address: addresses[1] as string,
+      role: "target",
+      identity: {
+        deployment: "test",
+        secret: TEST_SECRET,
+        name: "rank-2",
+        incarnation: "stranger",
+        failureDomain: "a",
+      },
+      listener: {
+        onConnected: (link) =>
+          link.send({
+            kind: "group_order",
+            order: {
+              kind: "bind",
+              epoch: Number.MAX_SAFE_INTEGER,
+              decider: "x",
+            },
+          }),
+        onMessage: (message) => assert.fail(`It answered ${message.kind}`),
+        onDisconnected: (fault) => faults.push(fault),
+        onDialFailed: () => undefined,
+      },
+    });
+    await waitUntil("the stranger is shut out", () => faults.length > 0);
+    stranger.stop();
+    await waitForSteps();
+    assert.match(targets[1]?.readLog() ?? "", /NOT_COORDINATOR/);
+    assert.deepEqual(group.faults, []);
+  });
+
   it("begins a new run when a rank's engine is replaced", async () => {
     const before = group.incarnationOf(0);
     group.replace(2);
--- a/src/messages/codec.ts
+++ b/src/messages/codec.ts
@@ -22,6 +22,7 @@
   UNEXPECTED_MESSAGE: 4106,
   HANDSHAKE_TIMEOUT: 4107,
   PEER_SILENT: 4108,
+  NOT_COORDINATOR: 4109,
 } as const;
 
 /** Name of a fault for which a connection is closed. */
--- a/src/process/platform_faults_test.ts
+++ b/src/process/platform_faults_test.ts
@@ -1,5 +1,6 @@
 import assert from "node:assert/strict";
 import { createHash } from "node:crypto";
+import { performance } from "node:perf_hooks";
 import { after, before, describe, it } from "node:test";
 import { request } from "undici";
 import { PlainServiceStandIn } from "../../standins/plain_service_stand_in.ts";
@@ -158,6 +159,23 @@
     );
   });
 
+  it("puts each accepted change in force everywhere", async (context) => {
+    const times: number[] = [];
+    for (let weight = 1; weight <= 5; weight++) {
+      const revision = await cluster.apply(
+        entry,
+        "/organisations/a",
+        `kind: organisation\nweight: ${weight}\n`,
+      );
+      const acceptedAt = performance.now();
+      await cluster.waitForRevision(entry, revision);
+      times.push(Math.round(performance.now() - acceptedAt));
+    }
+    context.diagnostic(
+      `ms to in force, entries and target: ${times.join(" ")}`,
+    );
+  });
+
   it("writes only with a token, and only below its path", async () => {
     const address = entry.administrationAddress;
     const rows = [
--- a/src/process/process_settings.ts
+++ b/src/process/process_settings.ts
@@ -61,6 +61,8 @@
   group: z.strictObject({
     name: NAME,
     rank: z.number().int().min(0).max(1023),
+    /** Name of rank 0's target; others may not give orders. */
+    coordinatorName: NAME,
     /** Host and port at which the engine takes orders. */
     engineAddress: ADDRESS,
     /** At rank 0: the targets before all ranks, in their order. */
--- a/src/target/target_driver.ts
+++ b/src/target/target_driver.ts
@@ -164,7 +164,7 @@
   }
 
   onPeer(link: Link, hello: HelloMessage) {
-    if (hello.role === "target") return this.#onGroupPeer(link);
+    if (hello.role === "target") return this.#onGroupPeer(link, hello.name);
     if (hello.role === "successor") return this.#onSuccessor(link);
     const linkId = this.#nextLinkId++;
     this.#links.set(linkId, link);
@@ -177,9 +177,13 @@
     };
   }
 
-  /** Rank 0 of this target's group, or a stranger that finds no group here. */
-  #onGroupPeer(link: Link) {
-    this.#group?.addLink(link);
+  /** Rank 0 of this target's group; nobody else may give its engine orders. */
+  #onGroupPeer(link: Link, name: string) {
+    if (name === this.#options.settings.group?.coordinatorName) {
+      this.#group?.addLink(link);
+    } else {
+      link.close("NOT_COORDINATOR");
+    }
     return {
       onMessage: (message: Message) => this.#group?.receive(link, message),
       onClose: (fault?: LinkFault) => this.#countFault(fault),
--- a/src/testing/process_cluster.ts
+++ b/src/testing/process_cluster.ts
@@ -21,7 +21,8 @@
 
 /** Token that may write every path. */
 export const TEST_TOKEN = "administrator-token-of-tests";
-const SECRET = "a-secret-of-tests-only";
+/** Secret of every deployment in tests. */
+export const TEST_SECRET = "a-secret-of-tests-only";
 const POLL_MS = 25;
 const PATIENCE_MS = 30_000;
 const HOST = "127.0.0.1";
@@ -253,7 +254,7 @@
       name,
       deployment: "test",
       failureDomain: "a",
-      secret: SECRET,
+      secret: TEST_SECRET,
       keyValueAddress: this.#keyValueAddress,
       machineListAddress: this.#machineListAddress,
     };
