--- a/bench/size_bench.ts
+++ b/bench/size_bench.ts
@@ -20,7 +20,8 @@
 import { tryLoadSnapshot } from "../src/settings/load_snapshot.ts";
 import { SettingsTree } from "../src/settings/settings_tree.ts";
 import { hashOf, RECENT_CHANGES } from "../src/settings/tree.ts";
-import type { SettingsHead, SettingsSnapshot } from "../src/settings/types.ts";
+import type { SettingsHead } from "../src/settings/types.ts";
+import type { SettingsSnapshot } from "../src/settings/snapshot.ts";
 import { KeyLedger } from "../src/target/key_ledger.ts";
 import { createSubmit } from "../src/testing/fixtures.ts";
 import {
--- a/src/diagnostics/catalogue.ts
+++ b/src/diagnostics/catalogue.ts
@@ -58,6 +58,11 @@
     category: "error",
     template: "The document has {0} bytes, more than the {1} allowed",
   },
+  MISSING_PROPERTY: {
+    code: 1012,
+    category: "error",
+    template: "The property '{0}' is missing",
+  },
 } as const satisfies Readonly<Record<string, DiagnosticMessage>>;
 
 /** Name of a finding. */
--- a/src/entry/entry_driver.ts
+++ b/src/entry/entry_driver.ts
@@ -29,7 +29,7 @@
 import type { EntryProcessSettings } from "../process/process_settings.ts";
 import type { Drainable } from "../process/shutdown.ts";
 import { createProblem } from "../refusals/problem.ts";
-import type { SettingsSnapshot } from "../settings/types.ts";
+import type { SettingsSnapshot } from "../settings/snapshot.ts";
 import { createAdministrationApplication } from "./administration.ts";
 import { CallerConnection } from "./caller_connection.ts";
 import { EntryReducer } from "./entry_reducer.ts";
--- a/src/entry/entry_settings.ts
+++ b/src/entry/entry_settings.ts
@@ -19,7 +19,8 @@
   SettingsWriter,
 } from "../settings/settings_writer.ts";
 import { tryParseRecord } from "../settings/tree.ts";
-import type { SettingsRecord, SettingsSnapshot } from "../settings/types.ts";
+import type { SettingsRecord } from "../settings/types.ts";
+import type { SettingsSnapshot } from "../settings/snapshot.ts";
 
 /** Options of {@link EntrySettings}. */
 export interface EntrySettingsOptions {
--- a/src/process/platform_faults_test.ts
+++ b/src/process/platform_faults_test.ts
@@ -73,7 +73,7 @@
     assert.match(result.errors, /bad.yaml:3:1 - error LW1002: pathPrefix/);
     assert.match(result.errors, /bad.yaml:4:1 - error LW1002: retryShare/);
     assert.match(result.errors, /bad.yaml:5:1 - error LW1003: .*'colour'/);
-    assert.match(result.errors, /LW1002: pool/);
+    assert.match(result.errors, /LW1012: The property 'pool' is missing/);
   });
 
   it("shows both sides of a conflict", async () => {
--- a/src/settings/check_document.ts
+++ b/src/settings/check_document.ts
@@ -136,6 +136,9 @@
       return;
     }
     const place = this.#placeOf(node, path);
+    if (issue.code === "invalid_type" && !isPresent(node, path)) {
+      return this.#add("MISSING_PROPERTY", place, path.join("."));
+    }
     this.#add(
       "WRONG_VALUE",
       place,
@@ -197,6 +200,11 @@
   readonly value: unknown;
 }
 
+/** Whether the text has something at a path of properties. */
+function isPresent(node: Node, path: readonly string[]): boolean {
+  return isMap(node) ? node.hasIn(path) : path.length === 0;
+}
+
 function rangeOf(node: Node): readonly [number, number] {
   const range = node.range;
   return range ? [range[0], range[1]] : [0, 1];
--- a/src/settings/load_snapshot.ts
+++ b/src/settings/load_snapshot.ts
@@ -18,8 +18,8 @@
   SettingsHead,
   SettingsPage,
   SettingsRecord,
-  SettingsSnapshot,
 } from "./types.ts";
+import type { SettingsSnapshot } from "./snapshot.ts";
 
 /** Bodies that are asked for one by one at the same time. */
 const PARALLEL_READS = 16;
--- a/src/settings/reachable.ts
+++ b/src/settings/reachable.ts
@@ -3,7 +3,7 @@
  *
  * @module
  */
-import type { SettingsSnapshot } from "./types.ts";
+import type { SettingsSnapshot } from "./snapshot.ts";
 
 /** Hashes of the root, the pages and the records of a snapshot. */
 export function reachableFrom(
--- a/src/settings/settings_keeper.ts
+++ b/src/settings/settings_keeper.ts
@@ -6,7 +6,7 @@
 import type { BodyCache } from "./body_source.ts";
 import { tryLoadSnapshot } from "./load_snapshot.ts";
 import { tryParseHead } from "./tree.ts";
-import type { SettingsSnapshot } from "./types.ts";
+import type { SettingsSnapshot } from "./snapshot.ts";
 
 /** Called when new settings are in force. */
 export interface SnapshotListener {
--- a/src/settings/settings_restorer.ts
+++ b/src/settings/settings_restorer.ts
@@ -13,7 +13,7 @@
   tryParseRecord,
 } from "./tree.ts";
 import { reachableFrom } from "./reachable.ts";
-import type { SettingsSnapshot } from "./types.ts";
+import type { SettingsSnapshot } from "./snapshot.ts";
 
 /** The service holds again what is in force here. */
 export interface RestoreDone {
--- a/src/settings/types.ts
+++ b/src/settings/types.ts
@@ -5,7 +5,6 @@
  * @module
  */
 import type { Priority } from "../messages/types.ts";
-import type { SettingsTree } from "./settings_tree.ts";
 
 /** An organisation's limits. Path: `/organisations/NAME`. */
 export interface OrganisationDocument {
@@ -120,21 +119,3 @@
   /** Hash of the record of this path before this one. */
   readonly previous: string | null;
 }
-
-/** All settings at one revision, read and checked. */
-export interface SettingsSnapshot {
-  readonly head: SettingsHead;
-  /** The head value as it was read. */
-  readonly headText: string;
-  /** Which record each path has. */
-  readonly tree: SettingsTree;
-  /**
-   * Documents by path; removed ones are not there. A snapshot that follows
-   * another takes over its map: only the newest snapshot's may be read.
-   */
-  readonly documents: ReadonlyMap<string, SettingsDocument>;
-  /** Paths that changed since the one before; undefined: any may have. */
-  readonly changed: readonly string[] | undefined;
-  /** Paths whose document this version cannot read; an older one is in force. */
-  readonly unreadable: readonly string[];
-}
