Give each test process ports of its own

Most likely cause, by reading and not by a log: a port that the system had called free was taken by an outgoing connection of another test file before the started process listened on it, so that it ended with START_FAILED. Each test process now holds a block of ports below the system's own range; the set-up's failure shows the processes' logs from now on, which would have told.

--- a/src/group/group_process_test.ts
+++ b/src/group/group_process_test.ts
@@ -5,12 +5,12 @@
 import { RankGroupStandIn } from "../../standins/rank_group_stand_in.ts";
 import {
   exitOf,
-  findFreeAddress,
   ProcessCluster,
   type RunningProcess,
   TEST_SECRET,
   waitUntil,
 } from "../testing/process_cluster.ts";
+import { findFreeAddress } from "../testing/free_address.ts";
 
 const RANKS = 3;
 const EVEN = [10, 10, 10, 10, 10, 10];
--- a/src/links/link_faults_test.ts
+++ b/src/links/link_faults_test.ts
@@ -8,7 +8,7 @@
 import { createProof } from "../messages/handshake.ts";
 import type { Message, WelcomeMessage } from "../messages/types.ts";
 import { HttpListener } from "../process/http_listener.ts";
-import { findFreeAddress } from "../testing/process_cluster.ts";
+import { findFreeAddress } from "../testing/free_address.ts";
 import type { Link } from "./link.ts";
 import { LinkClient } from "./link_client.ts";
 import { LINK_PATH, type LinkIdentity, LinkServer } from "./link_server.ts";
--- a/src/platform/contracts_test.ts
+++ b/src/platform/contracts_test.ts
@@ -7,7 +7,7 @@
 import { MachineListStandIn } from "../../standins/machine_list_stand_in.ts";
 import { PlainServiceStandIn } from "../../standins/plain_service_stand_in.ts";
 import { RankGroupStandIn } from "../../standins/rank_group_stand_in.ts";
-import { findFreeAddress } from "../testing/process_cluster.ts";
+import { findFreeAddress } from "../testing/free_address.ts";
 import type { BackEndFailure } from "./back_end.ts";
 import { HttpBackEnd } from "./http_back_end.ts";
 import { HttpKeyValueService } from "./http_key_value_service.ts";
--- a/src/process/cut_process_test.ts
+++ b/src/process/cut_process_test.ts
@@ -3,11 +3,11 @@
 import { request } from "undici";
 import { PlainServiceStandIn } from "../../standins/plain_service_stand_in.ts";
 import {
-  findFreeAddress,
   ProcessCluster,
   type RunningProcess,
   waitUntil,
 } from "../testing/process_cluster.ts";
+import { findFreeAddress } from "../testing/free_address.ts";
 import { TcpRelay } from "../testing/tcp_relay.ts";
 
 const KEYS = Array.from({ length: 16 }, (_, index) => `key-${index}`);
--- a/src/testing/process_cluster.ts
+++ b/src/testing/process_cluster.ts
@@ -8,7 +8,6 @@
 import { createHash } from "node:crypto";
 import { once } from "node:events";
 import { mkdtempSync, rmSync, writeFileSync } from "node:fs";
-import { createServer } from "node:net";
 import { tmpdir } from "node:os";
 import { join } from "node:path";
 import process from "node:process";
@@ -18,6 +17,7 @@
 import { KeyValueStandIn } from "../../standins/key_value_stand_in.ts";
 import { MachineListStandIn } from "../../standins/machine_list_stand_in.ts";
 import type { VirtualMachine } from "../platform/virtual_machine_list.ts";
+import { findFreeAddress } from "./free_address.ts";
 
 /** Token that may write every path. */
 export const TEST_TOKEN = "administrator-token-of-tests";
@@ -25,7 +25,6 @@
 export const TEST_SECRET = "a-secret-of-tests-only";
 const POLL_MS = 25;
 const PATIENCE_MS = 30_000;
-const HOST = "127.0.0.1";
 
 /** A running process of lagoonwharf. */
 export interface RunningProcess {
@@ -47,18 +46,6 @@
   readonly errors: string;
 }
 
-/** A free port on the loopback address. */
-export async function findFreeAddress(): Promise<string> {
-  const server = createServer();
-  server.listen(0, HOST);
-  await once(server, "listening");
-  const address = server.address();
-  server.close();
-  await once(server, "close");
-  if (address === null || typeof address === "string") throw new Error("Port");
-  return `${HOST}:${address.port}`;
-}
-
 /** Waits until `isTrue` says so; fails after a generous limit. */
 export async function waitUntil(
   what: string,
@@ -198,14 +185,19 @@
     entry: RunningProcess,
     names: readonly string[],
   ): Promise<void> {
-    await waitUntil(`${entry.name} sees ${names.join(" ")}`, async () => {
-      const status = await this.#tryStatus(entry);
-      return names.every((name) =>
-        status?.targets.some((target) =>
-          target.name === name && target.kind === "answered"
-        )
-      );
-    });
+    try {
+      await waitUntil(`${entry.name} sees ${names.join(" ")}`, async () => {
+        const status = await this.#tryStatus(entry);
+        return names.every((name) =>
+          status?.targets.some((target) =>
+            target.name === name && target.kind === "answered"
+          )
+        );
+      });
+    } catch (error) {
+      const logs = this.#processes.map((one) => one.readLog()).join("\n");
+      throw new Error(`${(error as Error).message}\n${logs}`);
+    }
   }
 
   /** Waits until every process has a revision in force. */
--- a/src/testing/tcp_relay.ts
+++ b/src/testing/tcp_relay.ts
@@ -6,7 +6,7 @@
 import { once } from "node:events";
 import { connect, createServer, type Socket } from "node:net";
 import { parseAddress } from "../process/address.ts";
-import { findFreeAddress } from "./process_cluster.ts";
+import { findFreeAddress } from "./free_address.ts";
 
 /** A relay between two processes. */
 export class TcpRelay {
