Let the test of leaving targets fail without the refusal at the target

Read once more with the mechanism taken out, the test passed: one request at a time, each entry used only the target of its own domain, so an entry that heard nothing had no work to send. It now sends eight at once, asserts that the leaving target served both entries before, and row 2 fails without the refusal (rows 4 and 6 without the entries' part).

--- a/src/entry/leaving_test.ts
+++ b/src/entry/leaving_test.ts
@@ -11,6 +11,8 @@
 }
 
 const LEAVING = 0;
+const ENTRIES = 2;
+const AT_ONCE = 8;
 const READ_INTERVAL_MS = 2000;
 const STEP_MS = 100;
 const WATCHED_MS = 10_000;
@@ -64,9 +66,12 @@
 describe("a target that is leaving", () => {
   for (const row of LEAVING_ROWS) {
     it(`gets no new work after a few seconds: ${row.name}`, (context) => {
-      const world = new RequestWorld({ entries: 2, targets: 2 });
+      const world = new RequestWorld({ entries: ENTRIES, targets: 2 });
       send(world, 1000);
-      assert.ok(world.runsAt(LEAVING) > 0, "It served before");
+      for (let entry = 0; entry < ENTRIES; entry++) {
+        const served = world.runsAt(LEAVING, entry);
+        assert.ok(served > 0, `It served entry ${entry} before`);
+      }
       const leftAt = world.now;
       row.leave(world);
       send(world, WATCHED_MS);
@@ -81,8 +86,10 @@
 function send(world: RequestWorld, milliseconds: number): void {
   const end = world.now + milliseconds;
   while (world.now < end) {
-    world.submit(0, { method: "GET" });
-    world.submit(1, { method: "GET" });
+    // Enough at once that each entry needs the target of the other domain.
+    for (let number = 0; number < AT_ONCE; number++) {
+      world.submit(number % ENTRIES, { method: "GET" });
+    }
     world.settle();
     world.tick(STEP_MS);
   }
--- a/src/testing/request_world.ts
+++ b/src/testing/request_world.ts
@@ -73,6 +73,13 @@
   taken: ReleasedSlot[];
 }
 
+/** When a target began a run, and for which entry. */
+interface RunTime {
+  readonly target: number;
+  readonly entry: number;
+  readonly at: number;
+}
+
 /** Options of a {@link RequestWorld}. */
 export interface RequestWorldOptions {
   readonly entries: number;
@@ -95,7 +102,7 @@
   #now = 1000;
   #table: OwnerTable = createOwnerTable(WORLD_EPOCH_MS);
   #nextConnection = 1;
-  readonly #runTimes: { readonly target: number; readonly at: number }[] = [];
+  readonly #runTimes: RunTime[] = [];
   #planned: { readonly time: number; readonly run: () => void }[] = [];
   readonly #entries: EntryReducer[] = [];
   readonly #targets: TargetProcess[] = [];
@@ -392,9 +399,11 @@
     this.#planned.push({ time, run });
   }
 
-  /** Runs that a target has begun. */
-  runsAt(target: number): number {
-    return this.#runTimes.filter((one) => one.target === target).length;
+  /** Runs that a target has begun for an entry. */
+  runsAt(target: number, entry: number): number {
+    return this.#runTimes.filter((one) =>
+      one.target === target && one.entry === entry
+    ).length;
   }
 
   /** When a target last began a run. */
@@ -739,7 +748,11 @@
           .find(([name]) => name === "x-submission");
         const submission = this.#submission(Number(header?.[1]));
         submission.runs++;
-        this.#runTimes.push({ target, at: this.#now });
+        this.#runTimes.push({
+          target,
+          entry: submission.entry,
+          at: this.#now,
+        });
         if (submission.key !== undefined) {
           const runs = this.runsByKey.get(submission.key) ?? 0;
           this.runsByKey.set(submission.key, runs + 1);
