--- a/src/commands/run_process.ts
+++ b/src/commands/run_process.ts
@@ -5,10 +5,10 @@
  */
 import process from "node:process";
 import type { EventLog } from "../events/event_log.ts";
-import { HttpKeyValueService } from "../platform/http_key_value_service.ts";
-import { HttpVirtualMachineList } from "../platform/http_virtual_machine_list.ts";
-import type { KeyValueService } from "../platform/key_value_service.ts";
-import type { VirtualMachineList } from "../platform/virtual_machine_list.ts";
+import { HttpKeyValueService } from "../external/http_key_value_service.ts";
+import { HttpVirtualMachineList } from "../external/http_virtual_machine_list.ts";
+import type { KeyValueService } from "../external/key_value_service.ts";
+import type { VirtualMachineList } from "../external/virtual_machine_list.ts";
 import { type Drainable, drainOnSignal } from "../process/shutdown.ts";
 import { EXIT_CODES, type ExitCode } from "./exit_codes.ts";
 
--- a/src/commands/target_command.ts
+++ b/src/commands/target_command.ts
@@ -5,8 +5,8 @@
  */
 import { randomUUID } from "node:crypto";
 import { EventLog } from "../events/event_log.ts";
-import { HttpBackEnd } from "../platform/http_back_end.ts";
-import { HttpRankEngine } from "../platform/http_rank_engine.ts";
+import { HttpBackEnd } from "../external/http_back_end.ts";
+import { HttpRankEngine } from "../external/http_rank_engine.ts";
 import {
   readProcessSettings,
   TARGET_PROCESS_SCHEMA,
--- a/src/entry/entry_driver.ts
+++ b/src/entry/entry_driver.ts
@@ -18,12 +18,12 @@
   type Message,
   type WelcomeMessage,
 } from "../messages/types.ts";
-import type { KeyValueService } from "../platform/key_value_service.ts";
-import { MachineListReader } from "../platform/machine_list_reader.ts";
+import type { KeyValueService } from "../external/key_value_service.ts";
+import { MachineListReader } from "../external/machine_list_reader.ts";
 import type {
   VirtualMachine,
   VirtualMachineList,
-} from "../platform/virtual_machine_list.ts";
+} from "../external/virtual_machine_list.ts";
 import { HttpListener } from "../process/http_listener.ts";
 import { Metrics } from "../process/metrics.ts";
 import type { EntryProcessSettings } from "../process/process_settings.ts";
--- a/src/entry/entry_settings.ts
+++ b/src/entry/entry_settings.ts
@@ -6,7 +6,7 @@
  */
 import type { EventLog } from "../events/event_log.ts";
 import type { PeerBodySource } from "../links/peer_body_source.ts";
-import type { KeyValueService } from "../platform/key_value_service.ts";
+import type { KeyValueService } from "../external/key_value_service.ts";
 import { BodyCache, KeyValueBodySource } from "../settings/body_source.ts";
 import { reachableFrom } from "../settings/reachable.ts";
 import { SettingsExchange } from "../settings/settings_exchange.ts";
--- a/src/entry/status_collector.ts
+++ b/src/entry/status_collector.ts
@@ -5,7 +5,7 @@
  */
 import type { Link } from "../links/link.ts";
 import type { StatusMessage } from "../messages/types.ts";
-import type { VirtualMachine } from "../platform/virtual_machine_list.ts";
+import type { VirtualMachine } from "../external/virtual_machine_list.ts";
 
 /** Milliseconds that targets are given to answer. */
 const ANSWER_LIMIT_MS = 1000;
--- a/src/entry/target_dialler.ts
+++ b/src/entry/target_dialler.ts
@@ -10,7 +10,7 @@
 import type { LinkIdentity } from "../links/link_server.ts";
 import type { LinkFault } from "../messages/codec.ts";
 import type { Message, WelcomeMessage } from "../messages/types.ts";
-import type { VirtualMachine } from "../platform/virtual_machine_list.ts";
+import type { VirtualMachine } from "../external/virtual_machine_list.ts";
 import { chooseSubset, type SubsetOptions } from "../policy/target_subset.ts";
 
 /** What the owner of a dialler wants to hear. */
--- a/src/entry/target_registry.ts
+++ b/src/entry/target_registry.ts
@@ -4,7 +4,7 @@
  * @module
  */
 import type { ClaimsMessage } from "../messages/types.ts";
-import type { VirtualMachine } from "../platform/virtual_machine_list.ts";
+import type { VirtualMachine } from "../external/virtual_machine_list.ts";
 import { TargetRecord } from "./target_record.ts";
 import type { TargetIdentity } from "./types.ts";
 
--- a/src/entry/types.ts
+++ b/src/entry/types.ts
@@ -10,7 +10,7 @@
   Priority,
   SubmitMessage,
 } from "../messages/types.ts";
-import type { VirtualMachine } from "../platform/virtual_machine_list.ts";
+import type { VirtualMachine } from "../external/virtual_machine_list.ts";
 import type { RefusalName } from "../refusals/catalogue.ts";
 import type { ProblemDetails } from "../refusals/types.ts";
 import type { RoutingTable } from "./routing_table.ts";
--- a/src/group/coordinator_driver.ts
+++ b/src/group/coordinator_driver.ts
@@ -11,7 +11,7 @@
 import { LinkClient } from "../links/link_client.ts";
 import type { LinkIdentity } from "../links/link_server.ts";
 import type { Message } from "../messages/types.ts";
-import type { RankLoad } from "../platform/rank_engine.ts";
+import type { RankLoad } from "../external/rank_engine.ts";
 import {
   REBALANCE_PRESETS,
   Rebalancer,
--- a/src/group/group_part.ts
+++ b/src/group/group_part.ts
@@ -7,7 +7,7 @@
 import type { Link } from "../links/link.ts";
 import type { LinkIdentity } from "../links/link_server.ts";
 import type { Message } from "../messages/types.ts";
-import type { RankEngine } from "../platform/rank_engine.ts";
+import type { RankEngine } from "../external/rank_engine.ts";
 import type { TargetProcessSettings } from "../process/process_settings.ts";
 import type { GroupDocument } from "../settings/types.ts";
 import { CoordinatorDriver } from "./coordinator_driver.ts";
--- a/src/group/member_driver.ts
+++ b/src/group/member_driver.ts
@@ -7,7 +7,7 @@
  */
 import { performance } from "node:perf_hooks";
 import { setTimeout as sleep } from "node:timers/promises";
-import type { RankEngine, RankLoad } from "../platform/rank_engine.ts";
+import type { RankEngine, RankLoad } from "../external/rank_engine.ts";
 import { GroupMember, type MemberEffect, type MemberEvent } from "./member.ts";
 import type {
   CoordinatorMessage,
--- a/src/messages/types.ts
+++ b/src/messages/types.ts
@@ -6,7 +6,7 @@
  * @module
  */
 import type { CoordinatorMessage, MemberMessage } from "../group/types.ts";
-import type { RankLoad } from "../platform/rank_engine.ts";
+import type { RankLoad } from "../external/rank_engine.ts";
 import type { RefusalName } from "../refusals/catalogue.ts";
 import type { Outcome } from "../refusals/types.ts";
 
--- a/src/policy/target_subset.ts
+++ b/src/policy/target_subset.ts
@@ -5,7 +5,7 @@
  * @module
  */
 import { createHash } from "node:crypto";
-import type { VirtualMachine } from "../platform/virtual_machine_list.ts";
+import type { VirtualMachine } from "../external/virtual_machine_list.ts";
 
 /** Who chooses, and how many at most. */
 export interface SubsetOptions {
--- a/src/policy/target_subset_test.ts
+++ b/src/policy/target_subset_test.ts
@@ -1,6 +1,6 @@
 import assert from "node:assert/strict";
 import { describe, it } from "node:test";
-import type { VirtualMachine } from "../platform/virtual_machine_list.ts";
+import type { VirtualMachine } from "../external/virtual_machine_list.ts";
 import { chooseSubset } from "./target_subset.ts";
 
 const DOMAINS = 4;
--- a/src/settings/body_source.ts
+++ b/src/settings/body_source.ts
@@ -4,7 +4,7 @@
  * @module
  */
 import { performance } from "node:perf_hooks";
-import type { KeyValueService } from "../platform/key_value_service.ts";
+import type { KeyValueService } from "../external/key_value_service.ts";
 import { BODY_KEY_PREFIX, hashOf } from "./tree.ts";
 
 /** Gives bodies by their hash. */
--- a/src/settings/settings_watcher.ts
+++ b/src/settings/settings_watcher.ts
@@ -4,7 +4,7 @@
  * @module
  */
 import { setTimeout as sleep } from "node:timers/promises";
-import type { KeyValueService } from "../platform/key_value_service.ts";
+import type { KeyValueService } from "../external/key_value_service.ts";
 import type { OfferOutcome, SettingsKeeper } from "./settings_keeper.ts";
 import { HEAD_KEY } from "./tree.ts";
 
--- a/src/settings/settings_writer.ts
+++ b/src/settings/settings_writer.ts
@@ -4,7 +4,7 @@
  *
  * @module
  */
-import type { KeyValueService } from "../platform/key_value_service.ts";
+import type { KeyValueService } from "../external/key_value_service.ts";
 import type { BodyCache } from "./body_source.ts";
 import {
   BODY_KEY_PREFIX,
--- a/src/target/claim_keeper.ts
+++ b/src/target/claim_keeper.ts
@@ -5,8 +5,8 @@
  * @module
  */
 import { setTimeout as sleep } from "node:timers/promises";
-import type { KeyValueService } from "../platform/key_value_service.ts";
-import type { VirtualMachine } from "../platform/virtual_machine_list.ts";
+import type { KeyValueService } from "../external/key_value_service.ts";
+import type { VirtualMachine } from "../external/virtual_machine_list.ts";
 import {
   type ClaimContext,
   createOwnerTable,
--- a/src/target/target_driver.ts
+++ b/src/target/target_driver.ts
@@ -18,14 +18,14 @@
   isSettingsMessage,
   type Message,
 } from "../messages/types.ts";
-import type { BackEnd, BackEndCall } from "../platform/back_end.ts";
-import type { KeyValueService } from "../platform/key_value_service.ts";
-import type { RankEngine } from "../platform/rank_engine.ts";
-import { MachineListReader } from "../platform/machine_list_reader.ts";
+import type { BackEnd, BackEndCall } from "../external/back_end.ts";
+import type { KeyValueService } from "../external/key_value_service.ts";
+import type { RankEngine } from "../external/rank_engine.ts";
+import { MachineListReader } from "../external/machine_list_reader.ts";
 import type {
   VirtualMachine,
   VirtualMachineList,
-} from "../platform/virtual_machine_list.ts";
+} from "../external/virtual_machine_list.ts";
 import { HttpListener } from "../process/http_listener.ts";
 import { Metrics } from "../process/metrics.ts";
 import type { TargetProcessSettings } from "../process/process_settings.ts";
--- a/src/target/target_reducer.ts
+++ b/src/target/target_reducer.ts
@@ -16,7 +16,7 @@
   SubmitMessage,
 } from "../messages/types.ts";
 import { FairQueue, latestStart } from "../policy/fair_queue.ts";
-import type { BackEndFailure } from "../platform/back_end.ts";
+import type { BackEndFailure } from "../external/back_end.ts";
 import type { RefusalName } from "../refusals/catalogue.ts";
 import type { Outcome } from "../refusals/types.ts";
 import { type KeptAnswer, type KeyLedger } from "./key_ledger.ts";
--- a/src/target/types.ts
+++ b/src/target/types.ts
@@ -12,7 +12,7 @@
   ServingMessage,
   SubmitMessage,
 } from "../messages/types.ts";
-import type { BackEndFailure } from "../platform/back_end.ts";
+import type { BackEndFailure } from "../external/back_end.ts";
 import type { RefusalName } from "../refusals/catalogue.ts";
 
 /** The key slots that a target owns. */
--- a/src/testing/fake_key_value_service.ts
+++ b/src/testing/fake_key_value_service.ts
@@ -9,7 +9,7 @@
   KeyValueUnavailableError,
   type SwapOptions,
   type SwapOutcome,
-} from "../platform/key_value_service.ts";
+} from "../external/key_value_service.ts";
 
 /** What becomes of one call. */
 export type CallFate = "answered" | "refused" | "reply_lost";
--- a/src/testing/process_cluster.ts
+++ b/src/testing/process_cluster.ts
@@ -16,7 +16,7 @@
 import { stringify } from "yaml";
 import { KeyValueStandIn } from "../../standins/key_value_stand_in.ts";
 import { MachineListStandIn } from "../../standins/machine_list_stand_in.ts";
-import type { VirtualMachine } from "../platform/virtual_machine_list.ts";
+import type { VirtualMachine } from "../external/virtual_machine_list.ts";
 import { findFreeAddress } from "./free_address.ts";
 
 /** Token that may write every path. */
--- a/standins/machine_list_stand_in.ts
+++ b/standins/machine_list_stand_in.ts
@@ -4,7 +4,7 @@
  * @module
  */
 import { Hono } from "hono";
-import type { VirtualMachine } from "../src/platform/virtual_machine_list.ts";
+import type { VirtualMachine } from "../src/external/virtual_machine_list.ts";
 import { HttpListener } from "../src/process/http_listener.ts";
 
 /** Stands in for the platform's list of machines. */
--- a/standins/rank_group_stand_in.ts
+++ b/standins/rank_group_stand_in.ts
@@ -7,7 +7,7 @@
  */
 import { Hono } from "hono";
 import type { EngineOrder } from "../src/group/types.ts";
-import type { RankLoad } from "../src/platform/rank_engine.ts";
+import type { RankLoad } from "../src/external/rank_engine.ts";
 import { HttpListener } from "../src/process/http_listener.ts";
 import { FakeEngine } from "../src/testing/fake_engine.ts";
 
