--- a/src/direct/direct_entry_driver.ts
+++ b/src/direct/direct_entry_driver.ts
@@ -120,6 +120,7 @@
         address: settings.peerAddress,
         failureDomain: settings.failureDomain,
       },
+      follows: true,
       onProcesses: (processes) => this.#onProcesses(processes),
     });
     this.#health = new HttpListener(this.#createHealthApplication());
--- a/src/direct/process_registry.ts
+++ b/src/direct/process_registry.ts
@@ -29,6 +29,8 @@
   role: z.enum(["entry", "rank"]),
   address: z.string(),
   failureDomain: z.string(),
+  /** The rank group of a rank's engine. */
+  group: z.string().optional(),
 });
 
 /** One of the system's own processes. */
@@ -39,6 +41,8 @@
   readonly store: WatchedStore;
   readonly log: EventLog;
   readonly self: ListedProcess;
+  /** Whether the other processes are followed from the start. */
+  readonly follows: boolean;
   /** Called with all processes whenever the list changed. */
   readonly onProcesses: (processes: readonly ListedProcess[]) => void;
 }
@@ -50,6 +54,7 @@
   readonly #processes = new Map<string, ListedProcess>();
   #lease: StoreLease | undefined;
   #revision = 0;
+  #isFollowing = false;
   readonly #end = new AbortController();
 
   /** Does nothing yet. */
@@ -63,9 +68,16 @@
     return [...this.#processes.values()];
   }
 
-  /** Lists this process and follows the others from now on. */
+  /** Lists this process from now on. */
   start(): void {
     void this.#keepListed();
+    if (this.#options.follows) this.follow();
+  }
+
+  /** Follows the other processes from now on. */
+  follow(): void {
+    if (this.#isFollowing) return;
+    this.#isFollowing = true;
     void this.#follow();
   }
 
--- /dev/null
+++ b/src/direct/rank_driver.ts
@@ -0,0 +1,199 @@
+/**
+ * The process beside the engine of a rank: gives the engine the orders of its
+ * group's decider, and beside rank 0 runs the decider.
+ *
+ * @module
+ */
+import { randomUUID } from "node:crypto";
+import { Hono } from "hono";
+import type { RandomSource } from "../core/random_source.ts";
+import type { EventLog } from "../events/event_log.ts";
+import type { FormedEngine } from "../external/formed_engine.ts";
+import type { StoreFormat } from "../external/operator_settings.ts";
+import type { WatchedStore } from "../external/watched_store.ts";
+import { DeciderDriver } from "../group/formed/decider_driver.ts";
+import { RankAgent } from "../group/formed/rank_agent.ts";
+import type { RankState } from "../group/formed/types.ts";
+import type { Link } from "../links/link.ts";
+import { type LinkIdentity, LinkServer } from "../links/link_server.ts";
+import type { Message } from "../messages/types.ts";
+import { HttpListener } from "../process/http_listener.ts";
+import type { RankProcessSettings } from "../process/process_settings.ts";
+import type { Drainable } from "../process/shutdown.ts";
+import { type ListedProcess, ProcessRegistry } from "./process_registry.ts";
+import { SettingsFollower } from "./settings_follower.ts";
+
+/** Milliseconds between two looks at the group that the engine belongs to. */
+const LOOK_MS = 500;
+
+/** What a {@link RankDriver} works with. */
+export interface RankDriverOptions {
+  readonly settings: RankProcessSettings;
+  readonly store: WatchedStore;
+  readonly format: StoreFormat;
+  readonly engine: FormedEngine;
+  readonly log: EventLog;
+  readonly random: RandomSource;
+}
+
+/** A running process beside the engine of a rank. */
+export class RankDriver implements Drainable {
+  readonly #options: RankDriverOptions;
+  readonly #identity: LinkIdentity;
+  readonly #agent: RankAgent;
+  readonly #listener = new HttpListener(new Hono());
+  readonly #settings: SettingsFollower;
+  #registry: ProcessRegistry | undefined;
+  #decider: DeciderDriver | undefined;
+  #state: RankState | undefined;
+  #timer: NodeJS.Timeout | undefined;
+
+  /** Does not listen yet. */
+  constructor(options: RankDriverOptions) {
+    this.#options = options;
+    const { settings, store, format, log } = options;
+    this.#identity = {
+      deployment: settings.deployment,
+      secret: settings.secret,
+      name: settings.name,
+      incarnation: randomUUID(),
+      failureDomain: settings.failureDomain,
+    };
+    this.#agent = new RankAgent(options.engine);
+    this.#settings = new SettingsFollower({
+      store,
+      format,
+      log,
+      // They are read when a map is planned.
+      onSettings: () => undefined,
+    });
+  }
+
+  /** Requests never pass through this process. */
+  get inFlight(): number {
+    return 0;
+  }
+
+  /**
+   * Listens for the decider, and looks which group the engine belongs to.
+   *
+   * @throws when the address cannot be had
+   */
+  async start(): Promise<void> {
+    const { settings, log } = this.#options;
+    new LinkServer(this.#listener.server, {
+      identity: this.#identity,
+      welcome: { pool: settings.pool, concurrency: 1 },
+      listener: {
+        onPeer: (link) => ({
+          onMessage: (message) => this.#onMessage(link, message),
+          // The decider dials again.
+          onClose: () => undefined,
+        }),
+        onRejected: (fault) => {
+          if (fault !== undefined) log.write("LINK_FAULT", { fault });
+        },
+      },
+    });
+    await this.#listener.listen(settings.peerAddress);
+    this.#timer = setInterval(() => void this.#look(), LOOK_MS);
+    log.write("STARTED", {
+      engine: settings.engineAddress,
+      store: settings.storeAddress,
+    });
+    await this.#look();
+  }
+
+  drain(onDrained: () => void): void {
+    onDrained();
+  }
+
+  async close(): Promise<void> {
+    clearInterval(this.#timer);
+    this.#decider?.stop();
+    this.#settings.stop();
+    this.#listener.close();
+    await this.#registry?.stop();
+  }
+
+  async #look(): Promise<void> {
+    const state = await this.#tryReadState();
+    if (state === undefined) return;
+    const before = this.#state;
+    this.#state = state;
+    if (before?.group !== state.group) this.#register(state.group);
+    if (state.rank === 0) return this.#startDecider(state);
+    this.#stopDecider();
+  }
+
+  async #tryReadState(): Promise<RankState | undefined> {
+    try {
+      return await this.#options.engine.tryReadState();
+    } catch {
+      // An engine that starts or stops does not answer; the next look tells.
+      return undefined;
+    }
+  }
+
+  #register(group: string): void {
+    const { store, log, settings } = this.#options;
+    void this.#registry?.stop();
+    this.#registry = new ProcessRegistry({
+      store,
+      log,
+      self: {
+        name: settings.name,
+        role: "rank",
+        address: settings.peerAddress,
+        failureDomain: settings.failureDomain,
+        group,
+      },
+      follows: this.#state?.rank === 0,
+      onProcesses: (processes) => this.#onProcesses(processes),
+    });
+    this.#registry.start();
+  }
+
+  #startDecider(state: RankState): void {
+    if (this.#decider !== undefined) return;
+    const { log, random, settings } = this.#options;
+    this.#settings.start();
+    this.#decider = new DeciderDriver({
+      identity: this.#identity,
+      state,
+      random,
+      log,
+      trySettings: () =>
+        this.#settings.inUse?.settings.groups.get(settings.pool),
+    });
+    this.#registry?.follow();
+    this.#onProcesses(this.#registry?.processes ?? []);
+  }
+
+  #stopDecider(): void {
+    this.#decider?.stop();
+    this.#decider = undefined;
+  }
+
+  #onProcesses(processes: readonly ListedProcess[]): void {
+    const group = this.#state?.group;
+    const members = processes.filter((one) =>
+      one.role === "rank" && one.group === group
+    );
+    this.#decider?.setAddresses(members.map(({ address }) => address));
+  }
+
+  #onMessage(link: Link, message: Message): void {
+    const send = (report: Message) => link.send(report);
+    if (message.kind === "rank_query") {
+      this.#agent.answer(message, send).catch((error) => this.#fault(error));
+    }
+    if (message.kind === "rank_order") {
+      this.#agent.carryOut(message, send).catch((error) => this.#fault(error));
+    }
+  }
+
+  #fault(error: unknown): void {
+    this.#options.log.write("ENGINE_UNREACHABLE", { cause: String(error) });
+  }
+}
--- a/src/direct/settings_follower.ts
+++ b/src/direct/settings_follower.ts
@@ -43,6 +43,7 @@
   #inUse: SettingsInUse | undefined;
   #revision = 0;
   #round = new AbortController();
+  #isStarted = false;
   #isStopped = false;
 
   /** Follows nothing yet. */
@@ -58,6 +59,8 @@
 
   /** Follows from now on. */
   start(): void {
+    if (this.#isStarted) return;
+    this.#isStarted = true;
     void this.#follow();
   }
 
--- a/src/events/catalogue.ts
+++ b/src/events/catalogue.ts
@@ -156,6 +156,19 @@
     action:
       "If `isCommitted` is often false, see which rank's engine loads slowly.",
   },
+  MAP_PHASE: {
+    code: 2603,
+    level: "info",
+    text: "The decider of a group goes from one phase of a switch to the next",
+    action:
+      "A phase other than `settled` that stays for seconds names the rank that does not answer in the lines around it.",
+  },
+  ENGINE_UNREACHABLE: {
+    code: 2604,
+    level: "warn",
+    text: "The engine on this machine did not answer",
+    action: "See whether the engine runs.",
+  },
   PAUSED: {
     code: 2501,
     level: "warn",
--- /dev/null
+++ b/src/external/formed_engine.ts
@@ -0,0 +1,44 @@
+/**
+ * The engine of one rank of a group that the platform forms.
+ *
+ * @module
+ */
+import type {
+  ExpertCounts,
+  OrderOutcome,
+  RankExperts,
+  RankOrder,
+  RankState,
+} from "../group/formed/types.ts";
+
+/** Thrown when an engine does not answer. */
+export class FormedEngineUnavailableError extends Error {
+  override readonly name = "FormedEngineUnavailableError";
+}
+
+/** The engine of one rank of a group that the platform forms. */
+export abstract class FormedEngine {
+  /**
+   * How the engine stands now; undefined when it belongs to no group.
+   *
+   * @throws {FormedEngineUnavailableError} when it does not answer
+   */
+  abstract tryReadState(): Promise<RankState | undefined>;
+
+  /**
+   * How often each expert was chosen since the engine started.
+   *
+   * @throws {FormedEngineUnavailableError} when it does not answer
+   */
+  abstract readCounts(): Promise<ExpertCounts>;
+
+  /**
+   * The experts of the active map that this rank holds.
+   *
+   * @throws {FormedEngineUnavailableError} when it does not answer
+   */
+  abstract readExperts(): Promise<RankExperts>;
+
+  /** Gives an order. Never throws; an unanswered order may still take effect. */
+  abstract give(order: RankOrder): Promise<OrderOutcome>;
+}
--- /dev/null
+++ b/src/group/formed/assemble_map.ts
@@ -0,0 +1,28 @@
+/**
+ * Puts a map together from what each rank says that it holds.
+ *
+ * @module
+ */
+import type { ExpertMap } from "../types.ts";
+import type { RankExperts } from "./types.ts";
+
+/**
+ * The map of a group, from the experts of all its ranks.
+ *
+ * @example
+ * ```ts
+ * const map = assembleMap(new Map([[0, [[0, 1]]], [1, [[2, 3]]]]));
+ * map.layers[0]?.experts; // [[0, 1], [2, 3]]
+ * ```
+ */
+export function assembleMap(
+  expertsByRank: ReadonlyMap<number, RankExperts>,
+): ExpertMap {
+  const ranks = [...expertsByRank.keys()].sort((left, right) => left - right);
+  const layers = expertsByRank.get(0)?.length ?? 0;
+  return {
+    layers: Array.from({ length: layers }, (_, layer) => ({
+      experts: ranks.map((rank) => expertsByRank.get(rank)?.[layer] ?? []),
+    })),
+  };
+}
--- /dev/null
+++ b/src/group/formed/decider_driver.ts
@@ -0,0 +1,212 @@
+/**
+ * Runs the decider of a formed group: speaks with the processes of all ranks,
+ * and proposes maps from what their engines count.
+ *
+ * @module
+ */
+import { performance } from "node:perf_hooks";
+import { match } from "ts-pattern";
+import type { RandomSource } from "../../core/random_source.ts";
+import type { EventLog } from "../../events/event_log.ts";
+import type { GroupSettings } from "../../external/operator_settings.ts";
+import type { Link } from "../../links/link.ts";
+import { LinkClient } from "../../links/link_client.ts";
+import type { LinkIdentity } from "../../links/link_server.ts";
+import type { Message } from "../../messages/types.ts";
+import { tryPlanIncrement } from "../../policy/placement/incremental_planner.ts";
+import { FormedGroupDecider } from "./decider.ts";
+import type { DeciderEffect, DeciderEvent } from "./decider_types.ts";
+import { Popularity } from "./popularity.ts";
+import type { RankReportMessage, RankState } from "./types.ts";
+
+const TICK_MS = 20;
+/**
+ * Milliseconds between two questions for counts. A plan is made when all ranks
+ * have answered one that was asked after the last map came into force.
+ */
+const COUNT_INTERVAL_MS = 120;
+/**
+ * Experts that a rank loads for one map. Copies go one after the other and
+ * popularity changes within seconds, so one each that is soon in force beats
+ * several that come too late.
+ */
+const NEW_EXPERTS_PER_RANK = 1;
+
+/** Options of a {@link DeciderDriver}. */
+export interface DeciderDriverOptions {
+  readonly identity: LinkIdentity;
+  /** State of rank 0 as the decider starts. */
+  readonly state: RankState;
+  readonly trySettings: () => GroupSettings | undefined;
+  readonly random: RandomSource;
+  readonly log: EventLog;
+}
+
+interface Member {
+  readonly client: LinkClient;
+  link: Link | undefined;
+  rank: number | undefined;
+}
+
+/** Runs the decider of a formed group. */
+export class DeciderDriver {
+  readonly #options: DeciderDriverOptions;
+  readonly #decider: FormedGroupDecider;
+  readonly #popularity = new Popularity();
+  readonly #members = new Map<string, Member>();
+  /** Ranks that answered the last question for counts. */
+  readonly #answered = new Set<number>();
+  readonly #timer: NodeJS.Timeout;
+  #countsAskedAt = 0;
+  #epoch: number;
+
+  /** Begins at once; members are told by {@link setAddresses}. */
+  constructor(options: DeciderDriverOptions) {
+    this.#options = options;
+    this.#epoch = options.state.epoch;
+    this.#decider = new FormedGroupDecider({
+      state: options.state,
+      random: options.random,
+      now: performance.now(),
+    });
+    this.#timer = setInterval(() => this.#tick(), TICK_MS);
+  }
+
+  /** Decides no more. */
+  stop(): void {
+    clearInterval(this.#timer);
+    for (const { client } of this.#members.values()) client.stop();
+  }
+
+  /** The processes of the group's ranks, this one included. */
+  setAddresses(addresses: readonly string[]): void {
+    for (const address of addresses) {
+      if (!this.#members.has(address)) this.#dial(address);
+    }
+    for (const [address, { client }] of this.#members) {
+      if (addresses.includes(address)) continue;
+      client.stop();
+      this.#members.delete(address);
+    }
+  }
+
+  #dial(address: string): void {
+    const member: Member = {
+      link: undefined,
+      rank: undefined,
+      client: new LinkClient({
+        address,
+        role: "decider",
+        identity: this.#options.identity,
+        listener: {
+          onConnected: (link) => {
+            member.link = link;
+            link.send({ kind: "rank_query", withExperts: true });
+          },
+          onMessage: (message) => this.#onMessage(member, message),
+          onDisconnected: () => member.link = undefined,
+          onDialFailed: (fault) => {
+            this.#options.log.write("LINK_FAULT", { address, fault });
+          },
+        },
+      }),
+    };
+    this.#members.set(address, member);
+  }
+
+  #onMessage(member: Member, message: Message): void {
+    if (message.kind !== "rank_report") return;
+    if (message.state.group !== this.#options.state.group) return;
+    member.rank = message.state.rank;
+    this.#takeCounts(message);
+    this.#dispatch({
+      kind: "rank_reported",
+      now: performance.now(),
+      rank: message.state.rank,
+      report: message,
+    });
+    this.#planIfCounted();
+  }
+
+  #takeCounts(report: RankReportMessage): void {
+    const { state, counts } = report;
+    if (state.epoch > this.#epoch) {
+      this.#epoch = state.epoch;
+      this.#popularity.clear();
+    }
+    if (counts === undefined) return;
+    this.#popularity.observe(state.rank, counts, performance.now());
+    this.#answered.add(state.rank);
+  }
+
+  #tick(): void {
+    const now = performance.now();
+    this.#dispatch({ kind: "tick", now });
+    if (now - this.#countsAskedAt < COUNT_INTERVAL_MS) return;
+    this.#askForCounts(now);
+  }
+
+  #askForCounts(now: number): void {
+    this.#countsAskedAt = now;
+    this.#answered.clear();
+    for (const { link } of this.#members.values()) {
+      link?.send({ kind: "rank_query", withExperts: false });
+    }
+  }
+
+  #planIfCounted(): void {
+    const map = this.#decider.settledMap;
+    const settings = this.#options.trySettings();
+    const isCounted = this.#answered.size === this.#options.state.ranks;
+    if (map === undefined || settings === undefined || !isCounted) return;
+    if (!this.#popularity.isKnown) return;
+    this.#answered.clear();
+    const startedAt = performance.now();
+    const plan = tryPlanIncrement(map, this.#popularity.tokens, {
+      slotsPerRank: settings.slotsPerRank,
+      mostNewPerRank: NEW_EXPERTS_PER_RANK,
+      mostNewPerLayer: settings.mostNewExperts,
+    });
+    if (plan === undefined) return;
+    this.#options.log.write("MAP_PROPOSED", {
+      moves: plan.copies,
+      skewBefore: Number((plan.costBefore / settings.layers).toFixed(3)),
+      skewAfter: Number((plan.costAfter / settings.layers).toFixed(3)),
+      planningMs: Math.round(performance.now() - startedAt),
+    });
+    const now = performance.now();
+    this.#dispatch({ kind: "map_proposed", now, map: plan.map });
+  }
+
+  #dispatch(event: DeciderEvent): void {
+    for (const effect of this.#decider.reduce(event)) this.#perform(effect);
+  }
+
+  #perform(effect: DeciderEffect): void {
+    match(effect)
+      .with({ kind: "send_order" }, ({ rank, orderId, order }) => {
+        this.#linkOf(rank)?.send({ kind: "rank_order", orderId, order });
+      })
+      .with({ kind: "send_query" }, ({ rank, withExperts }) => {
+        this.#linkOf(rank)?.send({ kind: "rank_query", withExperts });
+      })
+      .with({ kind: "phase_entered" }, ({ kind: _, ...details }) => {
+        this.#options.log.write("MAP_PHASE", {
+          ...details,
+          tookMs: Math.round(details.tookMs),
+        });
+      })
+      .with({ kind: "map_in_force" }, ({ version }) => {
+        this.#options.log.write("MAP_DECIDED", { version, isCommitted: true });
+        this.#askForCounts(performance.now());
+      })
+      .exhaustive();
+  }
+
+  #linkOf(rank: number): Link | undefined {
+    for (const member of this.#members.values()) {
+      if (member.rank === rank && member.link !== undefined) return member.link;
+    }
+    return undefined;
+  }
+}
--- /dev/null
+++ b/src/group/formed/decider_types.ts
@@ -0,0 +1,135 @@
+/**
+ * The vocabulary of the decider of a formed group: events, effects and phases.
+ *
+ * @module
+ */
+import type { ExpertMap } from "../types.ts";
+import type {
+  RankExperts,
+  RankOrder,
+  RankReportMessage,
+  RankState,
+} from "./types.ts";
+
+/** A rank's process said how its engine stands. */
+export interface RankReported {
+  readonly kind: "rank_reported";
+  readonly now: number;
+  readonly rank: number;
+  readonly report: RankReportMessage;
+}
+
+/** The planner proposes a map. */
+export interface MapProposed {
+  readonly kind: "map_proposed";
+  readonly now: number;
+  readonly map: ExpertMap;
+}
+
+/** Time passed. */
+export interface DeciderTick {
+  readonly kind: "tick";
+  readonly now: number;
+}
+
+/** Everything that can happen to a decider. */
+export type DeciderEvent = RankReported | MapProposed | DeciderTick;
+
+/** Let a rank's process give an order. */
+export interface SendOrder {
+  readonly kind: "send_order";
+  readonly rank: number;
+  readonly orderId: number;
+  readonly order: RankOrder;
+}
+
+/** Ask a rank's process how its engine stands. */
+export interface SendQuery {
+  readonly kind: "send_query";
+  readonly rank: number;
+  readonly withExperts: boolean;
+}
+
+/** The decider goes from one phase to the next. */
+export interface PhaseEntered {
+  readonly kind: "phase_entered";
+  readonly phase: DeciderPhase["kind"];
+  readonly epoch: number;
+  readonly version: number | undefined;
+  readonly pass: number | undefined;
+  /** Milliseconds that the phase before took. */
+  readonly tookMs: number;
+}
+
+/** A map came into force. */
+export interface MapInForce {
+  readonly kind: "map_in_force";
+  readonly version: number;
+}
+
+/** Everything that a decider can ask for. */
+export type DeciderEffect = SendOrder | SendQuery | PhaseEntered | MapInForce;
+
+/** What every rank holds is not known yet. */
+export interface Gathering {
+  readonly kind: "gathering";
+  readonly states: Map<number, RankState>;
+  readonly experts: Map<number, RankExperts>;
+}
+
+/** No switch is under way. */
+export interface Settled {
+  readonly kind: "settled";
+  readonly map: ExpertMap;
+}
+
+/** The ranks load a map. */
+export interface Preparing {
+  readonly kind: "preparing";
+  readonly version: number;
+  readonly map: ExpertMap;
+  /** The map in force meanwhile, and if this one is given up. */
+  readonly before: ExpertMap;
+}
+
+/** Rank 0 is to hold the pass of the switch. */
+export interface Holding {
+  readonly kind: "holding";
+  readonly version: number;
+  readonly pass: number;
+  /** Undefined when an earlier decider planned it. */
+  readonly map: ExpertMap | undefined;
+}
+
+/** The pass is held; the ranks are told of the switch. */
+export interface Arming {
+  readonly kind: "arming";
+  readonly version: number;
+  readonly pass: number;
+  readonly map: ExpertMap | undefined;
+}
+
+/** Every rank will switch; the pass may begin. */
+export interface Releasing {
+  readonly kind: "releasing";
+  readonly version: number | undefined;
+  readonly pass: number;
+  readonly map: ExpertMap | undefined;
+}
+
+/** The pass of the switch has not begun yet. */
+export interface Switching {
+  readonly kind: "switching";
+  readonly version: number;
+  readonly map: ExpertMap | undefined;
+}
+
+/** Where a decider stands. */
+export type DeciderPhase =
+  | Gathering
+  | Settled
+  | Preparing
+  | Holding
+  | Arming
+  | Releasing
+  | Switching;
--- /dev/null
+++ b/src/group/formed/rank_agent.ts
@@ -0,0 +1,134 @@
+/**
+ * Gives a decider's orders to the engine on the same machine, and tells how the
+ * engine stands. Keeps nothing that must outlive the process.
+ *
+ * @module
+ */
+import { setTimeout as sleep } from "node:timers/promises";
+import type { FormedEngine } from "../../external/formed_engine.ts";
+import {
+  isCarriedOut,
+  type OrderOutcome,
+  type RankOrder,
+  type RankOrderMessage,
+  type RankQueryMessage,
+  type RankReportMessage,
+  type RankState,
+} from "./types.ts";
+
+/** Milliseconds between two looks at an engine that loads a map. */
+const LOADING_LOOK_MS = 20;
+/** Milliseconds between two looks at an order that should have taken effect. */
+const EFFECT_LOOK_MS = 5;
+/** Milliseconds for which an engine may load one map. */
+const LOADING_LIMIT_MS = 10_000;
+/**
+ * Milliseconds for which an order that was answered late, or not at all, is
+ * watched before it is given again.
+ */
+const EFFECT_LIMIT_MS = 60;
+
+/** Sends a report to the decider. */
+export type ReportSender = (report: RankReportMessage) => void;
+
+/** Gives a decider's orders to the engine on the same machine. */
+export class RankAgent {
+  readonly #engine: FormedEngine;
+  /** The order under way; a repeated one is not given twice at once. */
+  #current: RankOrderMessage | undefined;
+
+  /** Takes the engine on the same machine. */
+  constructor(engine: FormedEngine) {
+    this.#engine = engine;
+  }
+
+  /**
+   * How the engine stands, with its counts.
+   *
+   * @throws when the engine does not answer
+   */
+  async answer(
+    query: RankQueryMessage,
+    send: ReportSender,
+  ): Promise<void> {
+    const state = await this.#engine.tryReadState();
+    if (state === undefined) return;
+    const counts = await this.#engine.readCounts();
+    const experts = query.withExperts
+      ? await this.#engine.readExperts()
+      : undefined;
+    send({ kind: "rank_report", state, counts, experts });
+  }
+
+  /**
+   * Gives an order until the engine's state shows what became of it.
+   *
+   * @throws when the engine does not answer
+   */
+  async carryOut(
+    message: RankOrderMessage,
+    send: ReportSender,
+  ): Promise<void> {
+    const isRepeated = this.#current?.orderId === message.orderId;
+    if (isRepeated) return;
+    this.#current = message;
+    try {
+      await this.#giveUntilSettled(message, send);
+    } finally {
+      if (this.#current === message) this.#current = undefined;
+    }
+  }
+
+  async #giveUntilSettled(
+    message: RankOrderMessage,
+    send: ReportSender,
+  ): Promise<void> {
+    const { order, orderId } = message;
+    let wasUnanswered = false;
+    while (this.#current === message) {
+      const outcome = await this.#engine.give(order);
+      wasUnanswered ||= outcome === "unanswered";
+      const limitMs = watchLimitOf(order, outcome, wasUnanswered);
+      const state = await this.#watchEffect(order, limitMs);
+      if (state === undefined) return;
+      const isDone = isCarriedOut(order, state);
+      const isSettled = isDone || outcome !== "unanswered" ||
+        state.epoch !== order.epoch;
+      if (!isSettled) continue;
+      send({ kind: "rank_report", state, orderId, isDone });
+      return;
+    }
+  }
+
+  /** Looks until the order shows, or for so long. */
+  async #watchEffect(
+    order: RankOrder,
+    limitMs: number,
+  ): Promise<RankState | undefined> {
+    const lookMs = order.kind === "prepare" ? LOADING_LOOK_MS : EFFECT_LOOK_MS;
+    let waitedMs = 0;
+    while (true) {
+      const state = await this.#engine.tryReadState();
+      const isOver = state === undefined || state.epoch !== order.epoch ||
+        isCarriedOut(order, state) || waitedMs >= limitMs;
+      if (isOver) return state;
+      await sleep(lookMs, undefined, { ref: false });
+      waitedMs += lookMs;
+    }
+  }
+}
+
+/**
+ * How long an order may take to show. One that was refused shows at once if an
+ * earlier giving of it was carried out without an answer.
+ */
+function watchLimitOf(
+  order: RankOrder,
+  outcome: OrderOutcome,
+  wasUnanswered: boolean,
+): number {
+  const isLoading = order.kind === "prepare" &&
+    (outcome === "accepted" || (outcome === "rejected" && wasUnanswered));
+  if (isLoading) return LOADING_LIMIT_MS;
+  return outcome === "rejected" ? 0 : EFFECT_LIMIT_MS;
+}
--- /dev/null
+++ b/src/group/formed/schema.ts
@@ -0,0 +1,55 @@
+/**
+ * Shapes of the messages of a formed group, checked on arrival.
+ *
+ * @module
+ */
+import { z } from "zod";
+import { MAP_SCHEMA } from "../schema.ts";
+
+const COUNT = z.number().int().nonnegative();
+/** Experts or counts by layer. */
+const NUMBERS_BY_LAYER = z.array(z.array(COUNT));
+const PASS = { epoch: COUNT, pass: COUNT };
+
+const STATE_SCHEMA = z.object({
+  group: z.string(),
+  epoch: COUNT,
+  rank: COUNT,
+  ranks: COUNT,
+  isOpen: z.boolean(),
+  pass: COUNT,
+  activeVersion: COUNT,
+  preparedVersion: COUNT.optional(),
+  armed: z.object({ version: COUNT, pass: COUNT }).optional(),
+  heldPass: COUNT.optional(),
+});
+
+const ORDER_SCHEMA = z.discriminatedUnion("kind", [
+  z.object({
+    kind: z.literal("prepare"),
+    epoch: COUNT,
+    version: COUNT,
+    map: MAP_SCHEMA,
+  }),
+  z.object({ kind: z.literal("hold"), ...PASS }),
+  z.object({ kind: z.literal("arm"), ...PASS, version: COUNT }),
+  z.object({ kind: z.literal("go"), ...PASS }),
+]);
+
+/** Shapes of all messages of a formed group. */
+export const FORMED_GROUP_SCHEMAS = [
+  z.object({
+    kind: z.literal("rank_order"),
+    orderId: COUNT,
+    order: ORDER_SCHEMA,
+  }),
+  z.object({ kind: z.literal("rank_query"), withExperts: z.boolean() }),
+  z.object({
+    kind: z.literal("rank_report"),
+    state: STATE_SCHEMA,
+    orderId: COUNT.optional(),
+    isDone: z.boolean().optional(),
+    counts: NUMBERS_BY_LAYER.optional(),
+    experts: NUMBERS_BY_LAYER.optional(),
+  }),
+] as const;
--- /dev/null
+++ b/src/group/formed/types.ts
@@ -0,0 +1,132 @@
+/**
+ * The vocabulary of a rank group that the engines' platform forms by itself: it
+ * starts anew, in a new epoch and with the first map, whenever a rank is lost.
+ *
+ * Its engines may carry out an order seconds after they should have answered
+ * it. So nothing is ever taken back: a switch that was begun is driven forward.
+ *
+ * @module
+ */
+import type { ExpertMap } from "../types.ts";
+
+/** The engine switches to a prepared map as a pass begins. */
+export interface ArmedSwitch {
+  readonly version: number;
+  readonly pass: number;
+}
+
+/** What an engine says of itself and its group. */
+export interface RankState {
+  readonly group: string;
+  /** Number of this formation of the group. */
+  readonly epoch: number;
+  readonly rank: number;
+  readonly ranks: number;
+  /** Whether the group runs passes. */
+  readonly isOpen: boolean;
+  /** The last pass that was begun. */
+  readonly pass: number;
+  readonly activeVersion: number;
+  /** The map that is loaded beside the active one, once it is whole. */
+  readonly preparedVersion?: number;
+  readonly armed?: ArmedSwitch;
+  /** Pass that the group does not begin until this rank is told to. */
+  readonly heldPass?: number;
+}
+
+/** Load a map beside the active one. */
+export interface PrepareOrder {
+  readonly kind: "prepare";
+  readonly epoch: number;
+  readonly version: number;
+  readonly map: ExpertMap;
+}
+
+/** The group does not begin a pass until this rank is told to go on. */
+export interface HoldPassOrder {
+  readonly kind: "hold";
+  readonly epoch: number;
+  readonly pass: number;
+}
+
+/** Switch to the prepared map as a pass begins. */
+export interface ArmOrder {
+  readonly kind: "arm";
+  readonly epoch: number;
+  readonly version: number;
+  readonly pass: number;
+}
+
+/** The group may begin a pass that this rank holds. */
+export interface GoOrder {
+  readonly kind: "go";
+  readonly epoch: number;
+  readonly pass: number;
+}
+
+/** What an engine can be ordered to do. */
+export type RankOrder = PrepareOrder | HoldPassOrder | ArmOrder | GoOrder;
+
+/** What became of an order. */
+export type OrderOutcome = "accepted" | "rejected" | "unanswered";
+
+/** Experts of one rank, by layer. */
+export type RankExperts = readonly (readonly number[])[];
+
+/** How often the requests of one rank chose each expert, by layer. */
+export type ExpertCounts = readonly (readonly number[])[];
+
+/** The decider tells a rank's process to give an order to its engine. */
+export interface RankOrderMessage {
+  readonly kind: "rank_order";
+  readonly orderId: number;
+  readonly order: RankOrder;
+}
+
+/** The decider asks a rank's process for state and counts of its engine. */
+export interface RankQueryMessage {
+  readonly kind: "rank_query";
+  /** Whether the experts of the rank are wanted, too. */
+  readonly withExperts: boolean;
+}
+
+/** How a rank's engine stands. */
+export interface RankReportMessage {
+  readonly kind: "rank_report";
+  readonly state: RankState;
+  /** The order that this answers; undefined for an answer to a query. */
+  readonly orderId?: number;
+  /** Whether the state shows that the order was carried out. */
+  readonly isDone?: boolean;
+  /** Counts since the engine started. */
+  readonly counts?: ExpertCounts;
+  readonly experts?: RankExperts;
+}
+
+/** Messages between the processes of a formed group. */
+export type FormedGroupMessage =
+  | RankOrderMessage
+  | RankQueryMessage
+  | RankReportMessage;
+
+/** Whether a state shows that an order has been carried out. */
+export function isCarriedOut(order: RankOrder, state: RankState): boolean {
+  if (state.epoch !== order.epoch) return false;
+  switch (order.kind) {
+    case "prepare":
+      return state.preparedVersion === order.version;
+    case "hold":
+      return state.heldPass === order.pass;
+    case "arm":
+      return state.activeVersion === order.version ||
+        isArmedFor(state, order);
+    case "go":
+      return state.heldPass !== order.pass;
+  }
+}
+
+/** Whether a rank will switch to a version as a pass begins. */
+export function isArmedFor(state: RankState, wanted: ArmedSwitch): boolean {
+  return state.armed?.version === wanted.version &&
+    state.armed.pass === wanted.pass;
+}
--- a/src/group/schema.ts
+++ b/src/group/schema.ts
@@ -13,7 +13,8 @@
 
 const COUNT = z.number().int().nonnegative();
 const OPTIONAL_COUNT = COUNT.optional();
-const MAP_SCHEMA: z.ZodType<ExpertMap> = z.object({
+/** Shape of an expert map. */
+export const MAP_SCHEMA: z.ZodType<ExpertMap> = z.object({
   layers: z.array(z.object({ experts: z.array(z.array(COUNT)) })),
 });
 
--- a/src/messages/schema.ts
+++ b/src/messages/schema.ts
@@ -4,6 +4,7 @@
  * @module
  */
 import { z } from "zod";
+import { FORMED_GROUP_SCHEMAS } from "../group/formed/schema.ts";
 import {
   COORDINATOR_MESSAGE_SCHEMA,
   MEMBER_MESSAGE_SCHEMA,
@@ -28,7 +29,7 @@
     kind: z.literal("hello"),
     protocol: COUNT,
     deployment: NAME,
-    role: z.enum(["entry", "target", "successor"]),
+    role: z.enum(["entry", "target", "successor", "decider"]),
     name: NAME,
     incarnation: NAME,
     failureDomain: NAME,
@@ -132,6 +133,7 @@
     })),
   }),
   z.object({ kind: z.literal("rank_load_request") }),
+  ...FORMED_GROUP_SCHEMAS,
   z.object({
     kind: z.literal("rank_load"),
     load: z.object({
--- a/src/messages/types.ts
+++ b/src/messages/types.ts
@@ -5,6 +5,7 @@
  *
  * @module
  */
+import type { FormedGroupMessage } from "../group/formed/types.ts";
 import type { CoordinatorMessage, MemberMessage } from "../group/types.ts";
 import type { RankLoad } from "../external/rank_engine.ts";
 import type { RefusalName } from "../refusals/catalogue.ts";
@@ -20,10 +21,11 @@
 export type Header = readonly [name: string, value: string];
 
 /**
- * Why a process dials a target: as an entry, as rank 0 of its group, or as the
- * new owner of key slots that it released.
+ * Why a process dials another: as an entry, as rank 0 of its group, as the new
+ * owner of key slots that the other released, or as the decider of a formed
+ * group.
  */
-export type LinkRole = "entry" | "target" | "successor";
+export type LinkRole = "entry" | "target" | "successor" | "decider";
 
 /** First word of the side that was dialled. */
 export interface ChallengeMessage {
@@ -280,6 +282,7 @@
   | GroupReportMessage
   | RankLoadRequestMessage
   | RankLoadMessage
+  | FormedGroupMessage
   | LedgerRequestMessage
   | LedgerSlotMessage;
 
--- /dev/null
+++ b/src/policy/placement/incremental_planner.ts
@@ -0,0 +1,210 @@
+/**
+ * Plans the next map of a group whose popularity changes about as fast as
+ * experts can be copied: a few copies at a time of what is asked for most.
+ *
+ * @module
+ */
+import type { ExpertMap, LayerPlacement } from "../../group/types.ts";
+import { PlacementDraft, type ReplicaChange } from "./placement_draft.ts";
+
+/** Bounds of one plan. */
+export interface PlanLimits {
+  /** Experts that a rank can hold of one layer. */
+  readonly slotsPerRank: number;
+  /** Experts that a rank may load for one map, over all layers. */
+  readonly mostNewPerRank: number;
+  /** Experts of one layer that a rank may load for one map. */
+  readonly mostNewPerLayer: number;
+}
+
+/** A planned map. */
+export interface IncrementalPlan {
+  readonly map: ExpertMap;
+  /** Experts that ranks must load. */
+  readonly copies: number;
+  /** Sum over the layers of the most loaded rank's part; 1 a layer is even. */
+  readonly costBefore: number;
+  readonly costAfter: number;
+}
+
+/**
+ * Part of the whole cost that one copy must save. A copy slows all passes by 15
+ * in 100 for as long as it takes, and pays while popularity stays.
+ */
+const SMALLEST_GAIN = 0.002;
+/** Part of a layer's cost that dropping a replica must save: no copy is needed. */
+const SMALLEST_DROP_GAIN = 0.001;
+/** Most loaded ranks of a layer whose experts are given more replicas. */
+const RANKS_CONSIDERED = 2;
+/** Replicas at a full rank that are considered for being dropped. */
+const DROPS_CONSIDERED = 2;
+
+interface ScoredChange {
+  readonly layer: number;
+  readonly change: ReplicaChange;
+  readonly gain: number;
+}
+
+/**
+ * Plans the next map; undefined when no copy is worth its while.
+ *
+ * @param tokens tokens by layer and expert, in any unit
+ *
+ * @example
+ * ```ts
+ * const plan = tryPlanIncrement(current, tokens, limits);
+ * ```
+ */
+export function tryPlanIncrement(
+  current: ExpertMap,
+  tokens: readonly (readonly number[])[],
+  limits: PlanLimits,
+): IncrementalPlan | undefined {
+  return new IncrementSearch(current, tokens, limits).tryPlan();
+}
+
+class IncrementSearch {
+  readonly #limits: PlanLimits;
+  readonly #current: ExpertMap;
+  readonly #drafts: readonly PlacementDraft[];
+  /** Copies by rank, and by rank within each layer. */
+  readonly #copies: number[];
+  readonly #copiesByLayer: readonly number[][];
+
+  constructor(
+    current: ExpertMap,
+    tokens: readonly (readonly number[])[],
+    limits: PlanLimits,
+  ) {
+    this.#limits = limits;
+    this.#current = current;
+    this.#drafts = current.layers.map((layer, index) =>
+      new PlacementDraft(
+        layer,
+        normalized(tokens[index] as readonly number[]),
+        limits.slotsPerRank,
+      )
+    );
+    const ranks = current.layers[0]?.experts.length ?? 0;
+    this.#copies = new Array<number>(ranks).fill(0);
+    this.#copiesByLayer = current.layers.map(() =>
+      new Array<number>(ranks).fill(0)
+    );
+  }
+
+  tryPlan(): IncrementalPlan | undefined {
+    const costBefore = this.#cost();
+    const dropped = this.#dropReplicas();
+    const made = this.#addReplicas();
+    if (dropped + made === 0) return undefined;
+    const layers = this.#drafts.map((draft): LayerPlacement =>
+      draft.toPlacement()
+    );
+    return {
+      map: { layers },
+      copies: made,
+      costBefore,
+      costAfter: this.#cost(),
+    };
+  }
+
+  #addReplicas(): number {
+    let made = 0;
+    for (let best = this.#tryBest(); best; best = this.#tryBest()) {
+      const { layer, change } = best;
+      this.#drafts[layer]?.make(change);
+      const counts = this.#copiesByLayer[layer] as number[];
+      counts[change.rank] = (counts[change.rank] as number) + 1;
+      this.#copies[change.rank] = (this.#copies[change.rank] as number) + 1;
+      made++;
+    }
+    return made;
+  }
+
+  /** Dropping a replica where its rank is loaded most needs no copy. */
+  #dropReplicas(): number {
+    let dropped = 0;
+    for (const draft of this.#drafts) {
+      while (this.#tryDrop(draft)) dropped++;
+    }
+    return dropped;
+  }
+
+  #tryDrop(draft: PlacementDraft): boolean {
+    const rank = draft.ranksByLoad()[0] as number;
+    const limit = draft.cost * (1 - SMALLEST_DROP_GAIN);
+    const expert = draft.droppableAt(rank)
+      .find((one) => draft.costWithout(rank, one) < limit);
+    if (expert === undefined) return false;
+    draft.drop(rank, expert);
+    return true;
+  }
+
+  #tryBest(): ScoredChange | undefined {
+    let best: ScoredChange | undefined;
+    const smallest = SMALLEST_GAIN * this.#cost();
+    for (const layer of this.#drafts.keys()) {
+      const candidate = this.#tryBestOf(layer);
+      const least = best?.gain ?? smallest;
+      if (candidate !== undefined && candidate.gain > least) best = candidate;
+    }
+    return best;
+  }
+
+  #tryBestOf(layer: number): ScoredChange | undefined {
+    const draft = this.#drafts[layer] as PlacementDraft;
+    const cost = draft.cost;
+    let best: ScoredChange | undefined;
+    for (const change of this.#changesOf(layer)) {
+      const gain = cost - draft.costAfter(change);
+      if (gain > (best?.gain ?? 0)) best = { layer, change, gain };
+    }
+    return best;
+  }
+
+  *#changesOf(layer: number): Iterable<ReplicaChange> {
+    const draft = this.#drafts[layer] as PlacementDraft;
+    const ranks = draft.ranksByLoad();
+    const hot = ranks.slice(0, RANKS_CONSIDERED)
+      .flatMap((rank) => draft.expertsOf(rank));
+    const room = ranks.filter((rank) => this.#mayLoad(layer, rank));
+    for (const expert of new Set(hot)) {
+      for (const rank of room) {
+        if (!draft.holds(rank, expert)) {
+          yield* changesAt(draft, expert, rank);
+        }
+      }
+    }
+  }
+
+  #mayLoad(layer: number, rank: number): boolean {
+    const { mostNewPerRank, mostNewPerLayer } = this.#limits;
+    const ofLayer = this.#copiesByLayer[layer] as number[];
+    return (this.#copies[rank] as number) < mostNewPerRank &&
+      (ofLayer[rank] as number) < mostNewPerLayer;
+  }
+
+  #cost(): number {
+    return this.#drafts.reduce(
+      (sum, draft) => sum + draft.highestLoad * draft.ranks,
+      0,
+    );
+  }
+}
+
+function changesAt(
+  draft: PlacementDraft,
+  expert: number,
+  rank: number,
+): readonly ReplicaChange[] {
+  if (draft.hasRoom(rank)) return [{ expert, rank, dropped: undefined }];
+  return draft.droppableAt(rank).slice(0, DROPS_CONSIDERED)
+    .map((dropped) => ({ expert, rank, dropped }));
+}
+
+/** Parts of the whole; even when nothing was counted. */
+function normalized(tokens: readonly number[]): readonly number[] {
+  const total = tokens.reduce((sum, count) => sum + count, 0);
+  if (total === 0) return tokens.map(() => 1 / tokens.length);
+  return tokens.map((count) => count / total);
+}
--- /dev/null
+++ b/src/policy/placement/placement_draft.ts
@@ -0,0 +1,215 @@
+/**
+ * A placement of one layer that is changed replica by replica. What a change
+ * would do to the load of the ranks is told without making it.
+ *
+ * @module
+ * @internal
+ */
+import type { LayerPlacement } from "../../group/types.ts";
+
+/**
+ * Exponent of the norm that stands for the most loaded rank. Unlike the maximum
+ * it also falls when one of several most loaded ranks gets less.
+ */
+const NORM_EXPONENT = 12;
+
+/** One change of a replica. */
+export interface ReplicaChange {
+  readonly expert: number;
+  readonly rank: number;
+  /** Expert whose replica at the rank is dropped for it, if any. */
+  readonly dropped: number | undefined;
+}
+
+/** A placement of one layer that is changed replica by replica. */
+export class PlacementDraft {
+  readonly #tokens: readonly number[];
+  readonly #slotsPerRank: number;
+  /** Ranks that hold each expert. */
+  readonly #holders: number[][];
+  /** Experts that each rank holds. */
+  readonly #experts: number[][];
+  readonly #loads: Float64Array;
+  readonly #added: Float64Array;
+  #powers = 0;
+
+  /** Begins with a copy of a placement; `tokens` by expert sum to one. */
+  constructor(
+    placement: LayerPlacement,
+    tokens: readonly number[],
+    slotsPerRank: number,
+  ) {
+    this.#tokens = tokens;
+    this.#slotsPerRank = slotsPerRank;
+    this.#experts = placement.experts.map((experts) => [...experts]);
+    this.#holders = tokens.map(() => []);
+    for (const [rank, experts] of this.#experts.entries()) {
+      for (const expert of experts) this.#holders[expert]?.push(rank);
+    }
+    this.#loads = new Float64Array(this.#experts.length);
+    this.#added = new Float64Array(this.#experts.length);
+    this.#recount();
+  }
+
+  /** Ranks of the group. */
+  get ranks(): number {
+    return this.#experts.length;
+  }
+
+  /** Load of the most loaded rank, in parts of all tokens. */
+  get highestLoad(): number {
+    return Math.max(...this.#loads);
+  }
+
+  /** Close to {@link highestLoad}; falls with every rank near the top. */
+  get cost(): number {
+    return this.#powers ** (1 / NORM_EXPONENT);
+  }
+
+  /** Ranks, most loaded first. */
+  ranksByLoad(): readonly number[] {
+    return Array.from(this.#loads.keys())
+      .sort((left, right) => this.#loadOf(right) - this.#loadOf(left));
+  }
+
+  /** Experts that a rank holds. */
+  expertsOf(rank: number): readonly number[] {
+    return this.#experts[rank] as readonly number[];
+  }
+
+  /** How many ranks hold an expert. */
+  replicasOf(expert: number): number {
+    return this.#holdersOf(expert).length;
+  }
+
+  /** Tokens of each replica of an expert, in parts of all tokens. */
+  shareOf(expert: number): number {
+    return (this.#tokens[expert] as number) / this.replicasOf(expert);
+  }
+
+  /** Whether a rank holds an expert. */
+  holds(rank: number, expert: number): boolean {
+    return this.#holdersOf(expert).includes(rank);
+  }
+
+  /** Whether a rank has room for one more expert. */
+  hasRoom(rank: number): boolean {
+    return this.expertsOf(rank).length < this.#slotsPerRank;
+  }
+
+  /**
+   * Experts of a rank that other ranks hold too, those first whose tokens are
+   * least missed.
+   */
+  droppableAt(rank: number): readonly number[] {
+    return this.expertsOf(rank)
+      .filter((expert) => this.replicasOf(expert) > 1)
+      .sort((left, right) => this.#burdenOf(left) - this.#burdenOf(right));
+  }
+
+  /** {@link cost} after a change that is not made. */
+  costAfter(change: ReplicaChange): number {
+    this.#consider(change, 1);
+    let powers = this.#powers;
+    for (let rank = 0; rank < this.ranks; rank++) {
+      const added = this.#added[rank] as number;
+      if (added === 0) continue;
+      const load = this.#loadOf(rank);
+      powers += power(load + added) - power(load);
+      this.#added[rank] = 0;
+    }
+    return Math.max(0, powers) ** (1 / NORM_EXPONENT);
+  }
+
+  /** {@link cost} if a rank held an expert no more. */
+  costWithout(rank: number, expert: number): number {
+    const before = this.shareOf(expert);
+    const after = before * this.replicasOf(expert) /
+      (this.replicasOf(expert) - 1);
+    let powers = this.#powers;
+    for (const holder of this.#holdersOf(expert)) {
+      const load = this.#loadOf(holder);
+      const added = holder === rank ? -before : after - before;
+      powers += power(load + added) - power(load);
+    }
+    return Math.max(0, powers) ** (1 / NORM_EXPONENT);
+  }
+
+  /** Makes a change. */
+  make(change: ReplicaChange): void {
+    const { expert, rank, dropped } = change;
+    if (dropped !== undefined) this.#remove(rank, dropped);
+    this.#holdersOf(expert).push(rank);
+    (this.#experts[rank] as number[]).push(expert);
+    this.#recount();
+  }
+
+  /** Drops a replica of an expert that other ranks hold too. */
+  drop(rank: number, expert: number): void {
+    this.#remove(rank, expert);
+    this.#recount();
+  }
+
+  /** The placement as it is now. */
+  toPlacement(): LayerPlacement {
+    return { experts: this.#experts.map((experts) => [...experts]) };
+  }
+
+  /** Notes what a change adds to the load of each rank. */
+  #consider(change: ReplicaChange, sign: number): void {
+    const { expert, rank, dropped } = change;
+    const replicas = this.replicasOf(expert);
+    const before = this.shareOf(expert);
+    const after = before * replicas / (replicas + 1);
+    for (const holder of this.#holdersOf(expert)) {
+      this.#add(holder, sign * (after - before));
+    }
+    this.#add(rank, sign * after);
+    if (dropped === undefined) return;
+    const share = this.shareOf(dropped);
+    const burden = this.#burdenOf(dropped);
+    for (const holder of this.#holdersOf(dropped)) {
+      this.#add(holder, sign * (holder === rank ? -share : burden));
+    }
+  }
+
+  /** What each other holder gets more when one replica is dropped. */
+  #burdenOf(expert: number): number {
+    const replicas = this.replicasOf(expert);
+    return this.shareOf(expert) / (replicas - 1);
+  }
+
+  #add(rank: number, load: number): void {
+    this.#added[rank] = (this.#added[rank] as number) + load;
+  }
+
+  #remove(rank: number, expert: number): void {
+    const holders = this.#holdersOf(expert);
+    holders.splice(holders.indexOf(rank), 1);
+    const experts = this.#experts[rank] as number[];
+    experts.splice(experts.indexOf(expert), 1);
+  }
+
+  #recount(): void {
+    this.#loads.fill(0);
+    for (const [expert, holders] of this.#holders.entries()) {
+      const share = (this.#tokens[expert] as number) / holders.length;
+      for (const rank of holders) {
+        this.#loads[rank] = this.#loadOf(rank) + share;
+      }
+    }
+    this.#powers = this.#loads.reduce((sum, load) => sum + power(load), 0);
+  }
+
+  #loadOf(rank: number): number {
+    return this.#loads[rank] as number;
+  }
+
+  #holdersOf(expert: number): number[] {
+    return this.#holders[expert] as number[];
+  }
+}
+
+function power(load: number): number {
+  return Math.max(0, load) ** NORM_EXPONENT;
+}
--- a/src/process/process_settings.ts
+++ b/src/process/process_settings.ts
@@ -83,6 +83,9 @@
 /** What the processes that follow a platform's store have in common. */
 const STORE_FOLLOWING = {
   name: NAME,
+  deployment: NAME,
+  /** Shared by all processes of the deployment. */
+  secret: z.string().min(16).max(1024),
   failureDomain: NAME,
   storeAddress: ADDRESS,
   /** Host and port for the other processes of the system. */
@@ -112,6 +115,8 @@
   ...STORE_FOLLOWING,
   /** Host and port of the engine on the same machine. */
   engineAddress: ADDRESS,
+  /** Pool that the engine serves. */
+  pool: NAME,
 });
 
 /** Process settings of an entry that calls back ends itself. */
