--- a/bench/choice_bench.ts
+++ b/bench/choice_bench.ts
@@ -21,7 +21,7 @@
   type TargetChoice,
   TwoRandomChoice,
 } from "../src/policy/target_choice.ts";
-import { EventQueue } from "./event_queue.ts";
+import { EventQueue } from "../src/testing/event_queue.ts";
 import {
   SERVER_CONCURRENCY,
   type ServerFault,
--- a/bench/limits_bench.ts
+++ b/bench/limits_bench.ts
@@ -16,7 +16,7 @@
   type QueuedItem,
 } from "../src/policy/fair_queue.ts";
 import { RetryBudget } from "../src/policy/retry_budget.ts";
-import { EventQueue } from "./event_queue.ts";
+import { EventQueue } from "../src/testing/event_queue.ts";
 
 /** What a way of queueing did at one load. */
 export interface LimitsResult {
--- a/bench/server_model.ts
+++ b/bench/server_model.ts
@@ -8,7 +8,7 @@
  *
  * @module
  */
-import type { EventQueue } from "./event_queue.ts";
+import type { EventQueue } from "../src/testing/event_queue.ts";
 
 /** A request as a server sees it. */
 export interface ServedRequest {
--- /dev/null
+++ b/src/testing/fake_formed_engine.ts
@@ -0,0 +1,130 @@
+/**
+ * A fake of the engine of one rank of a group that the platform forms.
+ *
+ * @module
+ */
+import type {
+  ArmedSwitch,
+  RankOrder,
+  RankState,
+} from "../group/formed/types.ts";
+import type { ExpertMap } from "../group/types.ts";
+
+interface LoadedMap {
+  readonly version: number;
+  /** Undefined: the first map of an epoch. */
+  readonly map: ExpertMap | undefined;
+}
+
+const FIRST_MAP: LoadedMap = { version: 0, map: undefined };
+
+/** A fake engine; the group's passes are driven from outside. */
+export class FakeFormedEngine {
+  readonly #rank: number;
+  readonly #ranks: number;
+  #epoch = 1;
+  #pass = 0;
+  #highestVersion = 0;
+  #active = FIRST_MAP;
+  #prepared: LoadedMap | undefined;
+  #isLoaded = false;
+  #armed: ArmedSwitch | undefined;
+  #heldPass: number | undefined;
+
+  /** A rank of a group in its first epoch. */
+  constructor(rank: number, ranks: number) {
+    this.#rank = rank;
+    this.#ranks = ranks;
+  }
+
+  /** What the engine says of itself. */
+  get state(): RankState {
+    return {
+      group: "group",
+      epoch: this.#epoch,
+      rank: this.#rank,
+      ranks: this.#ranks,
+      isOpen: true,
+      pass: this.#pass,
+      activeVersion: this.#active.version,
+      preparedVersion: this.#isLoaded ? this.#prepared?.version : undefined,
+      armed: this.#armed,
+      heldPass: this.#heldPass,
+    };
+  }
+
+  /** The map that is used. */
+  get active(): LoadedMap {
+    return this.#active;
+  }
+
+  /** Whether the group may begin a pass. */
+  mayBegin(pass: number): boolean {
+    return this.#heldPass !== pass;
+  }
+
+  /** Begins a pass. */
+  begin(pass: number): void {
+    this.#pass = pass;
+    if (this.#armed?.pass !== pass) return;
+    this.#active = this.#prepared as LoadedMap;
+    this.#prepared = undefined;
+    this.#isLoaded = false;
+    this.#armed = undefined;
+  }
+
+  /** The copy of a map is whole. */
+  finishLoading(version: number): void {
+    if (this.#prepared?.version === version) this.#isLoaded = true;
+  }
+
+  /** The group is formed anew. */
+  reform(): void {
+    this.#epoch++;
+    this.#pass = 0;
+    this.#active = FIRST_MAP;
+    this.#prepared = undefined;
+    this.#isLoaded = false;
+    this.#armed = undefined;
+    this.#heldPass = undefined;
+  }
+
+  /** Carries out an order; false when it does not fit the state. */
+  carryOut(order: RankOrder): boolean {
+    if (order.epoch !== this.#epoch) return false;
+    switch (order.kind) {
+      case "prepare":
+        return this.#prepare(order.version, order.map);
+      case "hold":
+        return this.#hold(order.pass);
+      case "arm":
+        return this.#arm(order);
+      case "go":
+        if (this.#heldPass === order.pass) this.#heldPass = undefined;
+        return true;
+    }
+  }
+
+  #prepare(version: number, map: ExpertMap): boolean {
+    if (version <= this.#highestVersion) return false;
+    if (this.#armed !== undefined) return false;
+    this.#highestVersion = version;
+    this.#prepared = { version, map };
+    this.#isLoaded = false;
+    return true;
+  }
+
+  #hold(pass: number): boolean {
+    if (pass <= this.#pass || this.#heldPass !== undefined) return false;
+    this.#heldPass = pass;
+    return true;
+  }
+
+  #arm(wanted: ArmedSwitch): boolean {
+    const isPrepared = this.#isLoaded &&
+      this.#prepared?.version === wanted.version;
+    if (!isPrepared || wanted.pass <= this.#pass) return false;
+    this.#armed = { version: wanted.version, pass: wanted.pass };
+    return true;
+  }
+}
