--- a/scripts/bundle.ts
+++ b/scripts/bundle.ts
@@ -51,5 +51,8 @@
     define: { "import.meta": "__importMeta" },
     banner: { js: BANNER },
     legalComments: "none",
+    // A third of the text is left to parse; names stay for stack traces.
+    minifyWhitespace: true,
+    minifySyntax: true,
   });
 }
--- a/src/direct/direct_entry_driver.ts
+++ b/src/direct/direct_entry_driver.ts
@@ -150,6 +150,14 @@
     });
   }
 
+  /** Puts in force what may change while the process runs. */
+  reload(settings: DirectEntryProcessSettings): void {
+    this.#server.dispatch({
+      kind: "pool_retries_limited",
+      limits: settings.poolRetries,
+    });
+  }
+
   drain(onDrained: () => void): void {
     this.#isDraining = true;
     this.#server.startClosing();
--- a/src/entry/entry_reducer.ts
+++ b/src/entry/entry_reducer.ts
@@ -159,6 +159,8 @@
         return this.#registry.setInstances(event.instances, event.now);
       case "entries_counted":
         return this.#poolBudgets.setProcesses(event.entries);
+      case "pool_retries_limited":
+        return this.#poolBudgets.setLimits(event.limits);
       case "tick":
         return this.#tick(event.now);
       case "drain_requested":
--- a/src/entry/types.ts
+++ b/src/entry/types.ts
@@ -11,6 +11,7 @@
   SubmitMessage,
 } from "../messages/types.ts";
 import type { VirtualMachine } from "../external/virtual_machine_list.ts";
+import type { PoolRetryLimits } from "../policy/pool_retry_budgets.ts";
 import type { RefusalName } from "../refusals/catalogue.ts";
 import type { ProblemDetails } from "../refusals/types.ts";
 import type { BackEndInstance } from "../external/back_end_directory.ts";
@@ -130,6 +131,12 @@
   readonly entries: number;
 }
 
+/** The limits on the retries of all entries together have changed. */
+export interface PoolRetriesLimited {
+  readonly kind: "pool_retries_limited";
+  readonly limits: PoolRetryLimits;
+}
+
 /** Time passed. */
 export interface EntryTick {
   readonly kind: "tick";
@@ -155,6 +162,7 @@
   | ScriptsFinished
   | InstancesListed
   | EntriesCounted
+  | PoolRetriesLimited
   | EntryTick
   | EntryDrainRequested;
 
--- a/src/events/catalogue.ts
+++ b/src/events/catalogue.ts
@@ -48,6 +48,18 @@
     action:
       "Read the cause: a port in use, or an address that is not this machine's.",
   },
+  RELOADED: {
+    code: 2006,
+    level: "info",
+    text: "Read the process settings anew",
+    action: NOTHING,
+  },
+  RELOAD_REFUSED: {
+    code: 2007,
+    level: "error",
+    text: "The changed process settings have findings and stay out of force",
+    action: "Mend what `findings` names and send SIGHUP again.",
+  },
   SETTINGS_IN_FORCE: {
     code: 2101,
     level: "info",
--- a/src/policy/pool_retry_budgets.ts
+++ b/src/policy/pool_retry_budgets.ts
@@ -36,7 +36,7 @@
 
 /** This entry's part of the retries of each pool. */
 export class PoolRetryBudgets {
-  readonly #limits: PoolRetryLimits | undefined;
+  #limits: PoolRetryLimits | undefined;
   readonly #counts = new Map<string, PoolCounts>();
   #processes = ASSUMED_PROCESSES;
 
@@ -45,6 +45,11 @@
     this.#limits = limits;
   }
 
+  /** Changes the limits. */
+  setLimits(limits: PoolRetryLimits): void {
+    this.#limits = limits;
+  }
+
   /** How many entries share the slack. */
   setProcesses(processes: number): void {
     this.#processes = Math.max(1, processes);
