--- /dev/null
+++ b/src/entry/event_stream_cursor_test.ts
@@ -0,0 +1,73 @@
+import assert from "node:assert/strict";
+import { Buffer } from "node:buffer";
+import { describe, it } from "node:test";
+import fc from "fast-check";
+import { EventStreamCursor } from "./event_stream_cursor.ts";
+
+const SEED = 20261202;
+
+function createEvent(id: number, data = "token"): string {
+  return `id: ${id}\ndata: ${data}\n\n`;
+}
+
+function push(cursor: EventStreamCursor, text: string): string {
+  return Buffer.from(cursor.push(Buffer.from(text)).events).toString();
+}
+
+describe("event stream cursor", () => {
+  it("gives whole events and keeps the rest", () => {
+    const cursor = new EventStreamCursor();
+    assert.equal(push(cursor, createEvent(1) + "id: 2\nda"), createEvent(1));
+    assert.equal(cursor.lastEventId, "1");
+    assert.equal(push(cursor, "ta: token\n\n"), createEvent(2));
+    assert.equal(cursor.lastEventId, "2");
+  });
+
+  it("loses no byte of a stream, however it is cut", () => {
+    const text = Array.from(
+      { length: 12 },
+      (_, index) => createEvent(index + 1, "é".repeat(index)),
+    ).join("");
+    const bytes = Buffer.from(text);
+    fc.assert(
+      fc.property(
+        fc.array(fc.integer({ min: 1, max: bytes.length }), { maxLength: 9 }),
+        (cuts) => {
+          const cursor = new EventStreamCursor();
+          const ends = [...cuts.sort((left, right) => left - right)];
+          const pieces: Uint8Array[] = [];
+          let start = 0;
+          for (const end of [...ends, bytes.length]) {
+            pieces.push(cursor.push(bytes.subarray(start, end)).events);
+            start = end;
+          }
+          assert.equal(Buffer.concat(pieces).toString(), text);
+        },
+      ),
+      { seed: SEED, numRuns: 200 },
+    );
+  });
+
+  it("takes lines that end in carriage return and line feed", () => {
+    const cursor = new EventStreamCursor();
+    const event = "id: 1\r\ndata: a\r\n\r\n";
+    assert.equal(push(cursor, event), event);
+    assert.equal(cursor.lastEventId, "1");
+  });
+
+  it("goes on in another run after the last whole event", () => {
+    const cursor = new EventStreamCursor();
+    push(cursor, createEvent(1) + "id: 2\n");
+    cursor.startRun();
+    assert.equal(push(cursor, createEvent(2)), createEvent(2));
+  });
+
+  for (const id of [1, 4]) {
+    it(`sees a gap when event ${id} follows event 2`, () => {
+      const cursor = new EventStreamCursor("2");
+      const progress = cursor.push(Buffer.from(createEvent(id)));
+      assert.equal(progress.hasGap, true);
+      assert.equal(progress.events.length, 0);
+    });
+  }
+});
--- a/src/entry/request_server.ts
+++ b/src/entry/request_server.ts
@@ -21,7 +21,12 @@
 import type { TargetLinks } from "./target_links.ts";
 import type { EntryEffect, EntryEvent, ForwardToScripts } from "./types.ts";
 
-const TICK_MS = 20;
+/**
+ * Milliseconds between two ticks with requests in flight, and without. Deadlines
+ * are kept to the first; each tick costs a wake-up of the process.
+ */
+const BUSY_TICK_MS = 40;
+const IDLE_TICK_MS = 250;
 /** Longest gap between two ticks that is not taken for a pause. */
 const PAUSE_MS = 3000;
 
@@ -83,7 +88,7 @@
    */
   async listen(address: string): Promise<void> {
     await this.#listener.listen(address);
-    this.#tick = setInterval(() => this.#onTick(), TICK_MS);
+    this.#planTick();
   }
 
   /** Asks callers to leave with their next answer; all are still served. */
@@ -101,7 +106,7 @@
 
   /** Closes whatever is still open. */
   close(): void {
-    clearInterval(this.#tick);
+    clearTimeout(this.#tick);
     this.#listener.close();
   }
 
@@ -112,6 +117,14 @@
     }
   }
 
+  #planTick(): void {
+    const isBusy = this.#options.reducer.inFlight > 0;
+    this.#tick = setTimeout(() => {
+      this.#onTick();
+      this.#planTick();
+    }, isBusy ? BUSY_TICK_MS : IDLE_TICK_MS);
+  }
+
   #onTick(): void {
     const now = performance.now();
     const gap = now - this.#tickedAt;
--- a/src/events/log_stream.ts
+++ b/src/events/log_stream.ts
@@ -9,6 +9,9 @@
 /** Bytes that may wait for the reader; more are dropped. */
 const MAX_WAITING_BYTES = 262_144;
 
+/** Milliseconds for which lines are gathered into one write. */
+const GATHER_MS = 100;
+
 /** Writes log lines without waiting for their reader. */
 export class LogStream {
   readonly #descriptor: number;
@@ -39,8 +42,7 @@
     this.#waitingBytes += line.length;
     if (this.#isWriting) return;
     this.#isWriting = true;
-    // Lines of one turn of the event loop go out together.
-    setImmediate(() => this.#writeWaiting());
+    setTimeout(() => this.#writeWaiting(), GATHER_MS).unref();
   }
 
   /** Writes what waits at once; for the end of the process only. */
--- a/src/group/formed/decider_driver.ts
+++ b/src/group/formed/decider_driver.ts
@@ -19,12 +19,12 @@
 import { Popularity } from "./popularity.ts";
 import type { RankReportMessage, RankState } from "./types.ts";
 
-const TICK_MS = 20;
+const TICK_MS = 25;
 /**
  * Milliseconds between two questions for counts. A plan is made when all ranks
  * have answered one that was asked after the last map came into force.
  */
-const COUNT_INTERVAL_MS = 120;
+const COUNT_INTERVAL_MS = 200;
 /**
  * Experts that a rank loads for one map. Copies go one after the other and
  * popularity changes within seconds, so one each that is soon in force beats
--- a/src/group/formed/rank_agent.ts
+++ b/src/group/formed/rank_agent.ts
@@ -4,6 +4,7 @@
  *
  * @module
  */
+import { performance } from "node:perf_hooks";
 import { setTimeout as sleep } from "node:timers/promises";
 import type { FormedEngine } from "../../external/formed_engine.ts";
 import {
@@ -17,7 +18,9 @@
 } from "./types.ts";
 
 /** Milliseconds between two looks at an engine that loads a map. */
-const LOADING_LOOK_MS = 20;
+const LOADING_LOOK_MS = 12;
+/** Part of the shortest load in which no look is worth its cost. */
+const UNWATCHED_PART_OF_LOAD = 0.92;
 /** Milliseconds between two looks at an order that should have taken effect. */
 const EFFECT_LOOK_MS = 5;
 /** Milliseconds for which an engine may load one map. */
@@ -36,6 +39,8 @@
   readonly #engine: FormedEngine;
   /** The order under way; a repeated one is not given twice at once. */
   #current: RankOrderMessage | undefined;
+  /** Shortest time that a map took to load, in milliseconds. */
+  #shortestLoadMs = Number.POSITIVE_INFINITY;
 
   /** Takes the engine on the same machine. */
   constructor(engine: FormedEngine) {
@@ -105,17 +110,35 @@
     order: RankOrder,
     limitMs: number,
   ): Promise<RankState | undefined> {
-    const lookMs = order.kind === "prepare" ? LOADING_LOOK_MS : EFFECT_LOOK_MS;
-    let waitedMs = 0;
-    while (true) {
+    const startedAt = performance.now();
+    for (let look = 0;; look++) {
       const state = await this.#engine.tryReadState();
+      const waitedMs = performance.now() - startedAt;
+      const isDone = state !== undefined && isCarriedOut(order, state);
       const isOver = state === undefined || state.epoch !== order.epoch ||
-        isCarriedOut(order, state) || waitedMs >= limitMs;
-      if (isOver) return state;
-      await sleep(lookMs, undefined, { ref: false });
-      waitedMs += lookMs;
+        isDone || waitedMs >= limitMs;
+      if (isOver) {
+        if (isDone && look > 0) this.#noteLoad(order, waitedMs);
+        return state;
+      }
+      await sleep(this.#lookMs(order, look), undefined, { ref: false });
     }
   }
+
+  /** One copy takes as long as the next: most of it need not be looked at. */
+  #lookMs(order: RankOrder, look: number): number {
+    if (order.kind !== "prepare") return EFFECT_LOOK_MS;
+    const isKnown = Number.isFinite(this.#shortestLoadMs);
+    const isFirst = look === 0 && isKnown;
+    return isFirst
+      ? this.#shortestLoadMs * UNWATCHED_PART_OF_LOAD
+      : LOADING_LOOK_MS;
+  }
+
+  #noteLoad(order: RankOrder, tookMs: number): void {
+    if (order.kind !== "prepare") return;
+    this.#shortestLoadMs = Math.min(this.#shortestLoadMs, tookMs);
+  }
 }
 
 /**
--- /dev/null
+++ b/src/policy/pool_retry_budgets_test.ts
@@ -0,0 +1,41 @@
+import assert from "node:assert/strict";
+import { describe, it } from "node:test";
+import { RandomSource } from "../core/random_source.ts";
+import { PoolRetryBudgets } from "./pool_retry_budgets.ts";
+
+const LIMITS = { windowMs: 10_000, share: 0.2, slack: 94 };
+const ENTRIES = 9;
+
+describe("retries of all entries together", () => {
+  it("stay within the limit in every window, also when entries restart", () => {
+    const random = new RandomSource(7);
+    const create = () => {
+      const budgets = new PoolRetryBudgets(LIMITS);
+      budgets.setProcesses(ENTRIES);
+      return budgets;
+    };
+    const entries = Array.from({ length: ENTRIES }, create);
+    const requests: number[] = [];
+    const retries: number[] = [];
+    for (let now = 0; now < 60_000; now += 20) {
+      // Half of the entries end once, and forget what they have spent.
+      if (now === 30_000) {
+        entries.splice(0, 4, ...Array.from({ length: 4 }, create));
+      }
+      const entry = entries[random.nextBelow(ENTRIES)] as PoolRetryBudgets;
+      entry.countRequest("pool", now);
+      requests.push(now);
+      if (entry.tryTake("pool", now)) retries.push(now);
+      const inWindow = (times: readonly number[]) =>
+        times.filter((time) => time > now - LIMITS.windowMs).length;
+      const allowed = LIMITS.share * inWindow(requests) + LIMITS.slack;
+      assert.ok(inWindow(retries) <= allowed, `At ${now}`);
+    }
+    assert.ok(retries.length > 300, "The limit must not be far from used");
+  });
+
+  it("are unlimited without limits", () => {
+    const budgets = new PoolRetryBudgets();
+    assert.ok(budgets.tryTake("pool", 0));
+  });
+});
