--- a/src/entry/entry_reducer.ts
+++ b/src/entry/entry_reducer.ts
@@ -36,6 +36,7 @@
   overAllAttempts,
   SERVER_ERROR,
   SERVER_ERROR_STATUS,
+  TARGET_SLOW,
 } from "./failures.ts";
 import { InFlightRequest } from "./in_flight_request.ts";
 import { createSubmit } from "./submit_message.ts";
@@ -147,6 +148,7 @@
         return this.#retries.setEntries(event.entries);
       case "group_load_told":
         this.registry.setGroupLoad(event.load, event.now);
+        this.#leaveStragglers(event.now);
         return this.#submitWaiting(event.now);
       case "pool_retries_limited":
         return this.#retries.setLimits(event.limits);
@@ -380,11 +382,27 @@
       this.#retries.tryTake(inFlight, failure, now);
     if (!mayTryAgain) return false;
     this.#leaveTarget(inFlight);
+    inFlight.endAttempt(failure.submission);
     this.#effects.push({ kind: "count_retry", reason: failure.reason });
     this.#submitOrWait(inFlight, now);
     return true;
   }
 
+  /**
+   * A rank's own requests hold back every pass of its group by its pace. Those
+   * that may go on elsewhere do, as long as another target is free.
+   */
+  #leaveStragglers(now: number): void {
+    for (const inFlight of [...this.#inFlight.values()]) {
+      const target = this.registry.tryGet(inFlight.targetName ?? "");
+      if (target?.holdsBackGroup !== true) continue;
+      if (this.#selection.select(inFlight, now).isErr()) continue;
+      const { attempt } = inFlight;
+      if (!this.#tryAgain(inFlight, TARGET_SLOW, now)) continue;
+      this.#cancelAttempt(inFlight, target.name, attempt);
+    }
+  }
+
   #callerGone(requestId: number): void {
     const inFlight = this.#inFlight.get(requestId);
     if (inFlight === undefined) return;
@@ -455,14 +473,19 @@
 
   #cancel(inFlight: InFlightRequest): void {
     if (inFlight.targetName === undefined) return;
+    this.#cancelAttempt(inFlight, inFlight.targetName, inFlight.attempt);
+  }
+
+  #cancelAttempt(
+    inFlight: InFlightRequest,
+    targetName: string,
+    attempt: number,
+  ): void {
+    const requestId = inFlight.request.id;
     this.#effects.push({
       kind: "send",
-      targetName: inFlight.targetName,
-      message: {
-        kind: "cancel",
-        requestId: inFlight.request.id,
-        attempt: inFlight.attempt,
-      },
+      targetName,
+      message: { kind: "cancel", requestId, attempt },
     });
   }
 
--- a/src/entry/failures.ts
+++ b/src/entry/failures.ts
@@ -21,6 +21,9 @@
 /** The back end answered with an error, so it may have run the request. */
 export const SERVER_ERROR = createUnknown("BACK_END_ERROR");
 
+/** The target holds back its group, and may run the request meanwhile. */
+export const TARGET_SLOW = createUnknown("TARGET_SLOW");
+
 const TARGETS_FAULTS: ReadonlySet<RefusalName> = new Set([
   "BACK_END_FAILED",
   "BACK_END_UNREACHABLE",
--- a/src/entry/retry_rules.ts
+++ b/src/entry/retry_rules.ts
@@ -18,6 +18,7 @@
   "WRONG_INSTANCE",
   "BACK_END_FULL",
   "BACK_END_ERROR",
+  "TARGET_SLOW",
 ]);
 
 /** How the attempt before ended. */
--- a/src/entry/target_record.ts
+++ b/src/entry/target_record.ts
@@ -13,6 +13,13 @@
 /** Weight of the newest answer in the mean time to first byte. */
 const LATENCY_SMOOTHING = 0.1;
 
+/** Pace from which a rank is sent no work while others are free. */
+const STRAGGLER_PACE = 1.5;
+/**
+ * Pace from which requests are taken away from a rank. Reading a prompt again
+ * takes some 10 ms, and one pass is held back by more.
+ */
+const HOLDS_BACK_PACE = 3;
 /** Milliseconds for which a decider's word on its group is believed. */
 const GROUP_WORD_LIMIT_MS = 1500;
 
@@ -33,6 +40,7 @@
   #answeredAt = 0;
   #now = 0;
   #isGroupOpen = true;
+  #pace = 1;
   #groupToldAt = Number.NEGATIVE_INFINITY;
   /** Requests of ours at the target, with the time they were sent. */
   readonly #inFlight = new Map<number, number>();
@@ -148,6 +156,21 @@
     return !this.#isGroupOpen && age < GROUP_WORD_LIMIT_MS;
   }
 
+  /** Time of its work over that of a rank of usual speed, as it told. */
+  setPace(pace: number): void {
+    this.#pace = pace;
+  }
+
+  /** Whether its own work holds back the whole group. */
+  get isStraggler(): boolean {
+    return this.#pace >= STRAGGLER_PACE;
+  }
+
+  /** Whether even the requests that it has should go on elsewhere. */
+  get holdsBackGroup(): boolean {
+    return this.#pace >= HOLDS_BACK_PACE;
+  }
+
   /** Whether it belongs to a rank group whose decider was heard. */
   get hasGroup(): boolean {
     return this.#groupToldAt > Number.NEGATIVE_INFINITY;
--- a/src/entry/target_registry.ts
+++ b/src/entry/target_registry.ts
@@ -106,12 +106,13 @@
 
   /** A group's decider told how its ranks stand. */
   setGroupLoad(load: GroupLoadMessage, now: number): void {
-    for (const { engineAddress, running, queued } of load.loads) {
+    for (const { engineAddress, running, queued, pace } of load.loads) {
       const id = this.#idByAddress.get(engineAddress);
       const record = id && this.#byName.get(id);
       if (!record) continue;
       record.setReportedLoad(running + queued, now);
       record.setGroupOpen(load.isOpen, now);
+      record.setPace(pace);
     }
   }
 
--- a/src/entry/target_selection.ts
+++ b/src/entry/target_selection.ts
@@ -68,7 +68,9 @@
     if (open.length === 0) return Err("GROUP_CLOSED");
     const free = open.filter((target) => !isFull(target, now));
     if (free.length === 0) return Err("POOL_FULL");
-    const target = this.#choose(free, inFlight, now);
+    const brisk = free.filter((target) => !target.isStraggler);
+    const candidates = brisk.length > 0 ? brisk : free;
+    const target = this.#choose(candidates, inFlight, now);
     return target === undefined ? Err("NO_TARGET") : Ok(target);
   }
 
--- a/src/group/formed/decider_driver.ts
+++ b/src/group/formed/decider_driver.ts
@@ -16,6 +16,7 @@
 import { tryPlanIncrement } from "../../policy/placement/incremental_planner.ts";
 import { FormedGroupDecider } from "./decider.ts";
 import type { DeciderEffect, DeciderEvent } from "./decider_types.ts";
+import { PassTimes } from "./pass_times.ts";
 import { Popularity } from "./popularity.ts";
 import type {
   GroupLoadMessage,
@@ -35,6 +36,15 @@
  * several that come too late.
  */
 const NEW_EXPERTS_PER_RANK = 1;
+/** Experts that a rank loads for one map when passes take long, at most. */
+const MOST_NEW_EXPERTS_PER_RANK = 6;
+/**
+ * Passes that a switch takes beside the loading. While one rank slows them all to
+ * a second each, several copies fit into that time.
+ */
+const PASSES_PER_SWITCH = 2;
+/** Passes whose mean time counts. */
+const PASS_SMOOTHING = 0.4;
 
 /** Options of a {@link DeciderDriver}. */
 export interface DeciderDriverOptions {
@@ -68,6 +78,7 @@
   readonly #options: DeciderDriverOptions;
   readonly #decider: FormedGroupDecider;
   readonly #popularity = new Popularity();
+  readonly #passTimes = new PassTimes(PASS_SMOOTHING);
   readonly #members = new Map<string, Member>();
   /** Ranks that answered the last question for counts. */
   readonly #answered = new Set<number>();
@@ -137,6 +148,9 @@
     if (message.state.group !== this.#options.state.group) return;
     member.rank = message.state.rank;
     member.state = message.state;
+    if (message.state.rank === 0) {
+      this.#passTimes.observe(message.state, performance.now());
+    }
     this.#takeCounts(message);
     this.#dispatch({
       kind: "rank_reported",
@@ -180,6 +194,7 @@
           engineAddress: member.engineAddress,
           running: member.state.running,
           queued: member.state.queued,
+          pace: member.state.pace,
         }]
       ),
     });
@@ -202,9 +217,13 @@
     if (!this.#popularity.isKnown) return;
     this.#answered.clear();
     const startedAt = performance.now();
-    const plan = tryPlanIncrement(map, this.#popularity.tokens, {
+    const plan = tryPlanIncrement({
+      current: map,
+      tokens: this.#popularity.tokens,
+      paces: this.#paces(),
+    }, {
       slotsPerRank: settings.slotsPerRank,
-      mostNewPerRank: NEW_EXPERTS_PER_RANK,
+      mostNewPerRank: this.#newExpertsPerRank(settings),
       mostNewPerLayer: settings.mostNewExperts,
     });
     if (plan === undefined) return;
@@ -218,6 +237,24 @@
     this.#dispatch({ kind: "map_proposed", now, map: plan.map });
   }
 
+  /** Pace of each rank by its last report. */
+  #paces(): readonly number[] {
+    const paces = new Array<number>(this.#options.state.ranks).fill(1);
+    for (const { rank, state } of this.#members.values()) {
+      if (rank !== undefined && state !== undefined) paces[rank] = state.pace;
+    }
+    return paces;
+  }
+
+  #newExpertsPerRank(settings: GroupSettings): number {
+    const overheadMs = PASSES_PER_SWITCH * (this.#passTimes.meanMs ?? 0);
+    const fitting = Math.floor(overheadMs / settings.loadMs);
+    return Math.min(
+      MOST_NEW_EXPERTS_PER_RANK,
+      Math.max(NEW_EXPERTS_PER_RANK, fitting),
+    );
+  }
+
   #dispatch(event: DeciderEvent): void {
     for (const effect of this.#decider.reduce(event)) this.#perform(effect);
   }
--- a/src/group/formed/schema.ts
+++ b/src/group/formed/schema.ts
@@ -24,6 +24,7 @@
   heldPass: COUNT.optional(),
   running: COUNT,
   queued: COUNT,
+  pace: z.number().positive(),
 });
 
 const ORDER_SCHEMA = z.discriminatedUnion("kind", [
@@ -54,6 +55,7 @@
       engineAddress: z.string(),
       running: COUNT,
       queued: COUNT,
+      pace: z.number().positive(),
     })),
   }),
   z.object({ kind: z.literal("rank_query"), withExperts: z.boolean() }),
--- a/src/group/formed/types.ts
+++ b/src/group/formed/types.ts
@@ -35,6 +35,8 @@
   /** Requests that run at this rank, and that wait there. */
   readonly running: number;
   readonly queued: number;
+  /** Time of this rank's work over that of a rank of usual speed. */
+  readonly pace: number;
 }
 
 /** Load a map beside the active one. */
@@ -112,6 +114,8 @@
   readonly engineAddress: string;
   readonly running: number;
   readonly queued: number;
+  /** Time of its work over that of a rank of usual speed. */
+  readonly pace: number;
 }
 
 /** The decider tells entries how its group stands. */
--- a/src/policy/placement/incremental_planner.ts
+++ b/src/policy/placement/incremental_planner.ts
@@ -7,6 +7,15 @@
 import type { ExpertMap, LayerPlacement } from "../../group/types.ts";
 import { PlacementDraft, type ReplicaChange } from "./placement_draft.ts";
 
+/** What a plan is made from. */
+export interface PlanInput {
+  readonly current: ExpertMap;
+  /** Tokens by layer and expert, in any unit. */
+  readonly tokens: readonly (readonly number[])[];
+  /** Time of each rank over that of a rank of usual speed. */
+  readonly paces: readonly number[];
+}
+
 /** Bounds of one plan. */
 export interface PlanLimits {
   /** Experts that a rank can hold of one layer. */
@@ -48,42 +57,36 @@
 /**
  * Plans the next map; undefined when no copy is worth its while.
  *
- * @param tokens tokens by layer and expert, in any unit
- *
  * @example
  * ```ts
- * const plan = tryPlanIncrement(current, tokens, limits);
+ * const plan = tryPlanIncrement({ current, tokens, paces }, limits);
  * ```
  */
 export function tryPlanIncrement(
-  current: ExpertMap,
-  tokens: readonly (readonly number[])[],
+  input: PlanInput,
   limits: PlanLimits,
 ): IncrementalPlan | undefined {
-  return new IncrementSearch(current, tokens, limits).tryPlan();
+  return new IncrementSearch(input, limits).tryPlan();
 }
 
 class IncrementSearch {
   readonly #limits: PlanLimits;
-  readonly #current: ExpertMap;
   readonly #drafts: readonly PlacementDraft[];
   /** Copies by rank, and by rank within each layer. */
   readonly #copies: number[];
   readonly #copiesByLayer: readonly number[][];
 
-  constructor(
-    current: ExpertMap,
-    tokens: readonly (readonly number[])[],
-    limits: PlanLimits,
-  ) {
+  constructor(input: PlanInput, limits: PlanLimits) {
+    const { current, tokens, paces } = input;
+    const { slotsPerRank } = limits;
     this.#limits = limits;
-    this.#current = current;
-    this.#drafts = current.layers.map((layer, index) =>
-      new PlacementDraft(
-        layer,
-        normalized(tokens[index] as readonly number[]),
-        limits.slotsPerRank,
-      )
+    this.#drafts = current.layers.map((placement, layer) =>
+      new PlacementDraft({
+        placement,
+        tokens: normalized(tokens[layer] as readonly number[]),
+        paces,
+        slotsPerRank,
+      })
     );
     const ranks = current.layers[0]?.experts.length ?? 0;
     this.#copies = new Array<number>(ranks).fill(0);
@@ -94,8 +97,9 @@
 
   tryPlan(): IncrementalPlan | undefined {
     const costBefore = this.#cost();
-    const dropped = this.#dropReplicas();
+    const droppedBefore = this.#dropReplicas();
     const made = this.#addReplicas();
+    const dropped = droppedBefore + this.#dropReplicas();
     if (dropped + made === 0) return undefined;
     const layers = this.#drafts.map((draft): LayerPlacement =>
       draft.toPlacement()
@@ -165,13 +169,12 @@
   *#changesOf(layer: number): Iterable<ReplicaChange> {
     const draft = this.#drafts[layer] as PlacementDraft;
     const ranks = draft.ranksByLoad();
-    const hot = ranks.slice(0, RANKS_CONSIDERED)
-      .flatMap((rank) => draft.expertsOf(rank));
     const room = ranks.filter((rank) => this.#mayLoad(layer, rank));
-    for (const expert of new Set(hot)) {
-      for (const rank of room) {
-        if (!draft.holds(rank, expert)) {
-          yield* changesAt(draft, expert, rank);
+    for (const hot of ranks.slice(0, RANKS_CONSIDERED)) {
+      for (const expert of draft.expertsOf(hot)) {
+        for (const rank of room) {
+          if (draft.holds(rank, expert)) continue;
+          yield* changesAt(draft, { expert, rank, movedFrom: hot });
         }
       }
     }
@@ -192,14 +195,15 @@
   }
 }
 
+/** The ways to bring an expert to a rank: as one more replica, or moved. */
 function changesAt(
   draft: PlacementDraft,
-  expert: number,
-  rank: number,
+  move: Required<Pick<ReplicaChange, "expert" | "rank" | "movedFrom">>,
 ): readonly ReplicaChange[] {
-  if (draft.hasRoom(rank)) return [{ expert, rank, dropped: undefined }];
+  const { expert, rank } = move;
+  if (draft.hasRoom(rank)) return [{ expert, rank }, move];
   return draft.droppableAt(rank).slice(0, DROPS_CONSIDERED)
-    .map((dropped) => ({ expert, rank, dropped }));
+    .flatMap((dropped) => [{ expert, rank, dropped }, { ...move, dropped }]);
 }
 
 /** Parts of the whole; even when nothing was counted. */
--- a/src/policy/placement/placement_draft.ts
+++ b/src/policy/placement/placement_draft.ts
@@ -13,17 +13,30 @@
  */
 const NORM_EXPONENT = 12;
 
-/** One change of a replica. */
+/** A rank loads an expert. */
 export interface ReplicaChange {
   readonly expert: number;
   readonly rank: number;
   /** Expert whose replica at the rank is dropped for it, if any. */
-  readonly dropped: number | undefined;
+  readonly dropped?: number;
+  /** Rank that holds the expert no more; undefined: a replica is added. */
+  readonly movedFrom?: number;
+}
+
+/** What a draft begins with. */
+export interface PlacementDraftOptions {
+  readonly placement: LayerPlacement;
+  /** Part of all tokens that choose each expert. */
+  readonly tokens: readonly number[];
+  /** Time of each rank over that of a rank of usual speed. */
+  readonly paces: readonly number[];
+  readonly slotsPerRank: number;
 }
 
 /** A placement of one layer that is changed replica by replica. */
 export class PlacementDraft {
   readonly #tokens: readonly number[];
+  readonly #paces: readonly number[];
   readonly #slotsPerRank: number;
   /** Ranks that hold each expert. */
   readonly #holders: number[][];
@@ -33,13 +46,11 @@
   readonly #added: Float64Array;
   #powers = 0;
 
-  /** Begins with a copy of a placement; `tokens` by expert sum to one. */
-  constructor(
-    placement: LayerPlacement,
-    tokens: readonly number[],
-    slotsPerRank: number,
-  ) {
+  /** Begins with a copy of a placement. */
+  constructor(options: PlacementDraftOptions) {
+    const { placement, tokens, paces, slotsPerRank } = options;
     this.#tokens = tokens;
+    this.#paces = paces;
     this.#slotsPerRank = slotsPerRank;
     this.#experts = placement.experts.map((experts) => [...experts]);
     this.#holders = tokens.map(() => []);
@@ -56,7 +67,7 @@
     return this.#experts.length;
   }
 
-  /** Load of the most loaded rank, in parts of all tokens. */
+  /** Load of the most loaded rank: its part of all tokens, times its pace. */
   get highestLoad(): number {
     return Math.max(...this.#loads);
   }
@@ -109,7 +120,7 @@
 
   /** {@link cost} after a change that is not made. */
   costAfter(change: ReplicaChange): number {
-    this.#consider(change, 1);
+    this.#consider(change);
     let powers = this.#powers;
     for (let rank = 0; rank < this.ranks; rank++) {
       const added = this.#added[rank] as number;
@@ -129,7 +140,8 @@
     let powers = this.#powers;
     for (const holder of this.#holdersOf(expert)) {
       const load = this.#loadOf(holder);
-      const added = holder === rank ? -before : after - before;
+      const tokens = holder === rank ? -before : after - before;
+      const added = tokens * this.#paceOf(holder);
       powers += power(load + added) - power(load);
     }
     return Math.max(0, powers) ** (1 / NORM_EXPONENT);
@@ -137,8 +149,9 @@
 
   /** Makes a change. */
   make(change: ReplicaChange): void {
-    const { expert, rank, dropped } = change;
+    const { expert, rank, dropped, movedFrom } = change;
     if (dropped !== undefined) this.#remove(rank, dropped);
+    if (movedFrom !== undefined) this.#remove(movedFrom, expert);
     this.#holdersOf(expert).push(rank);
     (this.#experts[rank] as number[]).push(expert);
     this.#recount();
@@ -156,20 +169,25 @@
   }
 
   /** Notes what a change adds to the load of each rank. */
-  #consider(change: ReplicaChange, sign: number): void {
-    const { expert, rank, dropped } = change;
-    const replicas = this.replicasOf(expert);
+  #consider(change: ReplicaChange): void {
+    const { expert, rank, dropped, movedFrom } = change;
     const before = this.shareOf(expert);
-    const after = before * replicas / (replicas + 1);
-    for (const holder of this.#holdersOf(expert)) {
-      this.#add(holder, sign * (after - before));
+    if (movedFrom === undefined) {
+      const replicas = this.replicasOf(expert);
+      const after = before * replicas / (replicas + 1);
+      for (const holder of this.#holdersOf(expert)) {
+        this.#add(holder, after - before);
+      }
+      this.#add(rank, after);
+    } else {
+      this.#add(movedFrom, -before);
+      this.#add(rank, before);
     }
-    this.#add(rank, sign * after);
     if (dropped === undefined) return;
     const share = this.shareOf(dropped);
     const burden = this.#burdenOf(dropped);
     for (const holder of this.#holdersOf(dropped)) {
-      this.#add(holder, sign * (holder === rank ? -share : burden));
+      this.#add(holder, holder === rank ? -share : burden);
     }
   }
 
@@ -179,7 +197,8 @@
     return this.shareOf(expert) / (replicas - 1);
   }
 
-  #add(rank: number, load: number): void {
+  #add(rank: number, tokens: number): void {
+    const load = tokens * this.#paceOf(rank);
     this.#added[rank] = (this.#added[rank] as number) + load;
   }
 
@@ -195,12 +214,16 @@
     for (const [expert, holders] of this.#holders.entries()) {
       const share = (this.#tokens[expert] as number) / holders.length;
       for (const rank of holders) {
-        this.#loads[rank] = this.#loadOf(rank) + share;
+        this.#loads[rank] = this.#loadOf(rank) + share * this.#paceOf(rank);
       }
     }
     this.#powers = this.#loads.reduce((sum, load) => sum + power(load), 0);
   }
 
+  #paceOf(rank: number): number {
+    return this.#paces[rank] as number;
+  }
+
   #loadOf(rank: number): number {
     return this.#loads[rank] as number;
   }
--- a/src/refusals/catalogue.ts
+++ b/src/refusals/catalogue.ts
@@ -207,11 +207,16 @@
     title: "Every target of the pool has as much work as it can finish in time",
     retryAfterSeconds: 1,
   },
+  TARGET_SLOW: {
+    code: 5031,
+    status: 502,
+    title: "The target holds back its whole rank group",
+  },
   GROUP_CLOSED: {
     code: 5030,
     status: 503,
     title: "The rank group that serves this request has lost a rank",
-    retryAfterSeconds: 2.5,
+    retryAfterSeconds: 2,
   },
 } as const satisfies Readonly<Record<string, RefusalReason>>;
 
--- a/src/testing/fake_formed_engine.ts
+++ b/src/testing/fake_formed_engine.ts
@@ -52,6 +52,7 @@
       heldPass: this.#heldPass,
       running: 1,
       queued: 0,
+      pace: 1,
     };
   }
 
