--- a/src/events/catalogue.ts
+++ b/src/events/catalogue.ts
@@ -273,18 +273,6 @@
     text: "Settings that were written cannot be read and stay out of force",
     action: "See `findings`, and write settings that this version reads.",
   },
-  PEER_ASKED: {
-    code: 2804,
-    level: "info",
-    text: "The store is out of reach and another process is asked instead",
-    action: "See why this machine does not reach the store.",
-  },
-  PROCESS_FAULT: {
-    code: 2902,
-    level: "error",
-    text: "An error that nothing expected was caught; the process goes on",
-    action: "Report it with the logged stack.",
-  },
   INTERNAL_FAULT: {
     code: 2901,
     level: "error",
--- a/src/external/http_back_end.ts
+++ b/src/external/http_back_end.ts
@@ -3,7 +3,7 @@
  *
  * @module
  */
-import { type Dispatcher, Pool } from "undici";
+import { buildConnector, type Dispatcher, Pool } from "undici";
 import {
   BackEnd,
   type BackEndCall,
@@ -36,6 +36,7 @@
 /** A back end that is called by HTTP. */
 export class HttpBackEnd extends BackEnd {
   readonly #pool: Pool;
+  readonly #resets = new ResetDetector();
 
   /** Connects on the first call. */
   constructor(options: HttpBackEndOptions) {
@@ -43,7 +44,9 @@
     this.#pool = new Pool(`http://${options.address}`, {
       connections: options.connections,
       pipelining: 1,
-      connectTimeout: options.connectLimitMs ?? CONNECT_LIMIT_MS,
+      connect: this.#resets.createConnector(
+        options.connectLimitMs ?? CONNECT_LIMIT_MS,
+      ),
       // Deadlines are ours, not the client's.
       headersTimeout: 0,
       bodyTimeout: 0,
@@ -54,7 +57,10 @@
     request: BackEndRequest,
     listener: BackEndListener,
   ): BackEndCall {
-    const call = new HttpBackEndCall(listener, request.limitMs);
+    const call = new HttpBackEndCall(listener, {
+      limitMs: request.limitMs,
+      resets: this.#resets,
+    });
     this.#pool.dispatch({
       method: request.method as Dispatcher.HttpMethod,
       path: request.path,
@@ -69,17 +75,54 @@
   }
 }
 
+/**
+ * Tells when a connection is being reset. The client library takes an answer
+ * without a length for whole when its connection is reset, and says so while it
+ * hears of the reset; only an orderly end makes such an answer whole.
+ */
+class ResetDetector {
+  #isResetting = false;
+
+  /** Whether this turn of the event loop handles a reset connection. */
+  get isResetting(): boolean {
+    return this.#isResetting;
+  }
+
+  /** Makes connections whose errors are seen here before the library. */
+  createConnector(limitMs: number): buildConnector.connector {
+    const connect = buildConnector({ timeout: limitMs });
+    return (options, callback) =>
+      connect(options, (...result) => {
+        const [, socket] = result;
+        socket?.on("error", () => this.#noteError());
+        callback(...result);
+      });
+  }
+
+  #noteError(): void {
+    this.#isResetting = true;
+    queueMicrotask(() => this.#isResetting = false);
+  }
+}
+
+interface HttpBackEndCallOptions {
+  readonly limitMs: number;
+  readonly resets: ResetDetector;
+}
+
 class HttpBackEndCall implements Dispatcher.DispatchHandler, BackEndCall {
   readonly #listener: BackEndListener;
   readonly #limit: NodeJS.Timeout;
+  readonly #resets: ResetDetector;
   #controller: Dispatcher.DispatchController | undefined;
   #isCancelled = false;
   #isLate = false;
   #isOver = false;
 
-  constructor(listener: BackEndListener, limitMs: number) {
+  constructor(listener: BackEndListener, options: HttpBackEndCallOptions) {
     this.#listener = listener;
-    this.#limit = setTimeout(() => this.#endLate(), limitMs);
+    this.#resets = options.resets;
+    this.#limit = setTimeout(() => this.#endLate(), options.limitMs);
   }
 
   cancel(): void {
@@ -110,7 +153,9 @@
   }
 
   onResponseEnd(): void {
-    if (this.#finish()) this.#listener.onEnd();
+    if (!this.#finish()) return;
+    if (this.#resets.isResetting) this.#listener.onFailed("broken");
+    else this.#listener.onEnd();
   }
 
   onResponseError(
--- /dev/null
+++ b/src/external/http_back_end_test.ts
@@ -0,0 +1,83 @@
+import assert from "node:assert/strict";
+import { once } from "node:events";
+import { type AddressInfo, createServer, type Socket } from "node:net";
+import { describe, it } from "node:test";
+import { HttpBackEnd } from "./http_back_end.ts";
+
+const LIMIT_MS = 5000;
+
+type Answer = (socket: Socket) => void;
+
+interface CallResult {
+  readonly outcome: string;
+  readonly body: string;
+}
+
+/** Calls a server that answers on a raw socket. */
+async function callServer(answer: Answer): Promise<CallResult> {
+  const server = createServer((socket) => {
+    socket.on("error", () => {/* Resets are what these tests are about. */});
+    socket.once("data", () => answer(socket));
+  });
+  server.listen(0, "127.0.0.1");
+  await once(server, "listening");
+  const { port } = server.address() as AddressInfo;
+  const backEnd = new HttpBackEnd({
+    address: `127.0.0.1:${port}`,
+    connections: 1,
+  });
+  let body = "";
+  const outcome = await new Promise<string>((resolve) => {
+    backEnd.start({
+      method: "GET",
+      path: "/",
+      headers: [],
+      body: new Uint8Array(),
+      limitMs: LIMIT_MS,
+    }, {
+      onHead: () => undefined,
+      onData: (bytes) => body += new TextDecoder().decode(bytes),
+      onEnd: () => resolve("whole"),
+      onFailed: resolve,
+    });
+  });
+  await backEnd.close();
+  server.close();
+  return { outcome, body };
+}
+
+const UNFRAMED = "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n";
+
+describe("answers of a back end", () => {
+  it("without a length are whole when the connection ends", async () => {
+    const result = await callServer((socket) => socket.end(`${UNFRAMED}whole`));
+    assert.deepEqual(result, { outcome: "whole", body: "whole" });
+  });
+
+  it("without a length are broken when the connection is reset", async () => {
+    const result = await callServer((socket) => {
+      socket.write(`${UNFRAMED}par`);
+      setTimeout(() => socket.resetAndDestroy(), 50);
+    });
+    assert.equal(result.outcome, "broken");
+  });
+
+  const length = "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\n";
+  it("shorter than their length are broken", async () => {
+    const result = await callServer((socket) => socket.end(`${length}short`));
+    assert.equal(result.outcome, "broken");
+  });
+
+  const chunked = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+  it("in chunks without the last one are broken", async () => {
+    const result = await callServer((socket) =>
+      socket.end(`${chunked}3\r\nabc\r\n`)
+    );
+    assert.equal(result.outcome, "broken");
+  });
+
+  it("that are no HTTP are broken", async () => {
+    const result = await callServer((socket) => socket.end("nonsense\r\n\r\n"));
+    assert.equal(result.outcome, "broken");
+  });
+});
