--- /dev/null
+++ b/standins/metadata_store_stand_in.ts
@@ -0,0 +1,195 @@
+/**
+ * Stands in for the platform's metadata store, in memory: prefixes, leases,
+ * conditions and watches over one revision counter, with switches for what can
+ * go wrong.
+ *
+ * @module
+ */
+import { Buffer } from "node:buffer";
+import { setTimeout as sleep } from "node:timers/promises";
+import { type Context, Hono } from "hono";
+import { HttpListener } from "../src/process/http_listener.ts";
+
+interface StoredItem {
+  readonly key: string;
+  /** Base64. */
+  readonly value: string;
+  readonly rev: number;
+  readonly created: number;
+  readonly lease: number;
+}
+
+interface Removal {
+  readonly key: string;
+  readonly rev: number;
+  readonly tombstone: true;
+}
+
+interface TransactionBody {
+  readonly expected: readonly { readonly key: string; readonly rev: number }[];
+  readonly puts: readonly {
+    readonly key: string;
+    readonly value: string;
+    readonly lease?: number;
+  }[];
+  readonly delete: readonly string[];
+}
+
+/** What goes wrong. */
+export interface MetadataStoreFaults {
+  /** Answers nothing but this status. */
+  refuseWith: number | undefined;
+  /** Calls never get an answer. */
+  isSilent: boolean;
+  /** Writes that take effect but whose answer never comes. */
+  lostAnswers: number;
+}
+
+const PAGE_ITEMS = 3;
+const LOOK_MS = 5;
+
+/** Stands in for the platform's metadata store. */
+export class MetadataStoreStandIn {
+  readonly faults: MetadataStoreFaults = {
+    refuseWith: undefined,
+    isSilent: false,
+    lostAnswers: 0,
+  };
+  readonly #items = new Map<string, StoredItem>();
+  #history: (StoredItem | Removal)[] = [];
+  #forgottenUntil = 0;
+  #revision = 0;
+  #nextLease = 1;
+  readonly #leases = new Set<number>();
+  readonly #listener = new HttpListener(this.#createApplication());
+
+  /** Listens. */
+  async listen(address: string): Promise<void> {
+    await this.#listener.listen(address);
+  }
+
+  /** Closes. */
+  close(): void {
+    this.#listener.close();
+  }
+
+  /** Writes a value as the operator or a server would. */
+  write(key: string, value: string): void {
+    this.#put(key, Buffer.from(value).toString("base64"), 0);
+  }
+
+  /** Removes a key as a server that leaves would. */
+  remove(key: string): void {
+    if (!this.#items.delete(key)) return;
+    this.#history.push({ key, rev: ++this.#revision, tombstone: true });
+  }
+
+  /** Forgets all changes so far, but not what they led to. */
+  forgetHistory(): void {
+    this.#history = [];
+    this.#forgottenUntil = this.#revision;
+  }
+
+  /** Ends all leases, as an outage may. */
+  lapseLeases(): void {
+    for (const lease of this.#leases) this.#endLease(lease);
+  }
+
+  #createApplication(): Hono {
+    const app = new Hono();
+    app.use("*", async (context, next) => {
+      if (this.faults.isSilent) await sleep(60_000, undefined, { ref: false });
+      const status = this.faults.refuseWith;
+      if (status !== undefined) return context.body(null, status as 503);
+      await next();
+      const isWrite = context.req.method !== "GET";
+      if (isWrite && this.faults.lostAnswers > 0) {
+        this.faults.lostAnswers--;
+        await sleep(60_000, undefined, { ref: false });
+      }
+      return undefined;
+    });
+    app.get("/kv-range", (context) => this.#range(context));
+    app.get("/kv-watch", (context) => this.#watch(context));
+    app.post("/kv-txn", (context) => this.#transact(context));
+    app.post("/kv-lease", async (context) => {
+      const { ttl_ms } = await context.req.json<{ readonly ttl_ms: number }>();
+      const lease = this.#nextLease++;
+      this.#leases.add(lease);
+      return context.json({ lease, ttl_ms });
+    });
+    app.post("/kv-keep/:lease", (context) => {
+      const isKept = this.#leases.has(Number(context.req.param("lease")));
+      return isKept ? context.json({ ttl_ms: 1000 }) : context.body(null, 404);
+    });
+    app.delete("/kv-lease-end/:lease", (context) => {
+      this.#endLease(Number(context.req.param("lease")));
+      return context.json({});
+    });
+    return app;
+  }
+
+  #range(context: Context): Response {
+    const prefix = context.req.query("prefix") ?? "";
+    const after = context.req.query("after") ?? "";
+    const matching = [...this.#items.values()]
+      .filter(({ key }) => key.startsWith(prefix) && key > after)
+      .sort((left, right) => left.key < right.key ? -1 : 1);
+    return context.json({
+      items: matching.slice(0, PAGE_ITEMS),
+      has_more: matching.length > PAGE_ITEMS,
+      current_rev: this.#revision,
+    });
+  }
+
+  async #watch(context: Context): Promise<Response> {
+    const prefix = context.req.query("prefix") ?? "";
+    const after = Number(context.req.query("after"));
+    const end = Date.now() + Number(context.req.query("wait_ms"));
+    while (true) {
+      if (after < this.#forgottenUntil) return context.body(null, 410);
+      const events = this.#history.filter(({ key, rev }) =>
+        rev > after && key.startsWith(prefix)
+      );
+      if (events.length > 0 || Date.now() >= end) {
+        return context.json({ events, current_rev: this.#revision });
+      }
+      await sleep(LOOK_MS);
+    }
+  }
+
+  async #transact(context: Context): Promise<Response> {
+    const body = await context.req.json<TransactionBody>();
+    const isKnown = body.puts.every(({ lease }) =>
+      lease === undefined || lease === 0 || this.#leases.has(lease)
+    );
+    if (!isKnown) return context.body(null, 404);
+    const differing = body.expected.filter(({ key, rev }) =>
+      (this.#items.get(key)?.rev ?? 0) !== rev
+    );
+    if (differing.length > 0) {
+      const items = differing.flatMap(({ key }) => this.#items.get(key) ?? []);
+      return context.json({ items }, 412);
+    }
+    for (const { key, value, lease } of body.puts) {
+      this.#put(key, value, lease ?? 0);
+    }
+    for (const key of body.delete) this.remove(key);
+    return context.json({ rev: this.#revision });
+  }
+
+  #put(key: string, value: string, lease: number): void {
+    const rev = ++this.#revision;
+    const created = this.#items.get(key)?.created ?? rev;
+    const item = { key, value, rev, created, lease };
+    this.#items.set(key, item);
+    this.#history.push(item);
+  }
+
+  #endLease(lease: number): void {
+    this.#leases.delete(lease);
+    for (const item of [...this.#items.values()]) {
+      if (item.lease === lease) this.remove(item.key);
+    }
+  }
+}
