--- a/src/direct/rank_driver.ts
+++ b/src/direct/rank_driver.ts
@@ -15,7 +15,7 @@
 import { DeciderDriver } from "../group/formed/decider_driver.ts";
 import { RankAgent } from "../group/formed/rank_agent.ts";
 import { SwitchRescuer } from "../group/formed/switch_rescuer.ts";
-import type { RankState } from "../group/formed/types.ts";
+import { HOLDER_RANK, type RankState } from "../group/formed/types.ts";
 import type { Link } from "../links/link.ts";
 import { type LinkIdentity, LinkServer } from "../links/link_server.ts";
 import type { Message } from "../messages/types.ts";
@@ -27,9 +27,8 @@
 
 /** Milliseconds between two looks at the group that the engine belongs to. */
 const LOOK_MS = 500;
-/** The same beside rank 1, which looks whether the group waits for a decider. */
+/** The same beside the holder, which looks whether its hold is left behind. */
 const RESCUER_LOOK_MS = 100;
-const RESCUER_RANK = 1;
 
 /** What a {@link RankDriver} works with. */
 export interface RankDriverOptions {
@@ -70,7 +69,7 @@
       failureDomain: settings.failureDomain,
     };
     this.#agent = new RankAgent(options.engine);
-    this.#rescuer = new SwitchRescuer(options);
+    this.#rescuer = new SwitchRescuer({ identity: this.#identity, log });
     this.#settings = new SettingsFollower({
       store,
       format,
@@ -124,6 +123,7 @@
   async close(): Promise<void> {
     clearTimeout(this.#timer);
     this.#decider?.stop();
+    this.#rescuer.stop();
     this.#settings.stop();
     this.#listener.close();
     await this.#registry?.stop();
@@ -131,7 +131,7 @@
 
   async #lookAndWait(): Promise<void> {
     await this.#look();
-    const isRescuer = this.#state?.rank === RESCUER_RANK;
+    const isRescuer = this.#state?.rank === HOLDER_RANK;
     this.#timer = setTimeout(
       () => void this.#lookAndWait(),
       isRescuer ? RESCUER_LOOK_MS : LOOK_MS,
@@ -146,7 +146,7 @@
     const isElsewhere = before?.group !== state.group ||
       before.rank !== state.rank;
     if (isElsewhere) this.#register(state);
-    if (state.rank === RESCUER_RANK) {
+    if (state.rank === HOLDER_RANK) {
       this.#rescuer.observe(state, performance.now());
     }
     if (state.rank === 0) return this.#startDecider(state);
@@ -177,7 +177,7 @@
         rank,
         engineAddress: settings.engineAddress,
       },
-      follows: rank <= RESCUER_RANK,
+      follows: rank <= HOLDER_RANK,
       onProcesses: (processes) => this.#onProcesses(processes),
     });
     this.#registry.start();
@@ -192,6 +192,7 @@
       state,
       random,
       log,
+      createEngine: this.#options.createEngine,
       pool: settings.pool,
       onLoad: (load) => {
         for (const link of this.#entryLinks) link.send(load);
@@ -217,9 +218,7 @@
       engineAddress === undefined ? [] : [{ address, engineAddress }]
     );
     this.#decider?.setMembers(addresses);
-    this.#rescuer.setAddresses(
-      addresses.map(({ engineAddress }) => engineAddress),
-    );
+    this.#rescuer.setAddresses(addresses.map(({ address }) => address));
   }
 
   #onMessage(link: Link, message: Message): void {
--- a/src/group/formed/decider.ts
+++ b/src/group/formed/decider.ts
@@ -1,10 +1,11 @@
 /**
  * Decides the expert map of a formed group, in the process beside rank 0.
  *
- * A switch goes forward only: the ranks prepare a map; rank 0 holds the pass of
- * the switch, so that the group cannot begin it; the ranks are armed; when every
- * rank is seen to be armed, rank 0 lets the pass begin. No version is armed for
- * two passes, so an order that an engine carries out late finds its pass begun.
+ * A switch goes forward only: the ranks prepare a map; one of them holds the pass
+ * of the switch, so that the group cannot begin it; the others are armed, and the
+ * decider's own rank last; when every rank is seen to be armed, the pass may
+ * begin. No version is armed for two passes, so an order that an engine carries
+ * out late finds its pass begun.
  * A decider that starts without memory reads from the ranks' states how far the
  * one before it came, and goes on from there.
  *
@@ -14,15 +15,22 @@
 import type { RandomSource } from "../../core/random_source.ts";
 import type { ExpertMap } from "../types.ts";
 import type {
+  Arming,
   DeciderEffect,
   DeciderEvent,
   DeciderPhase,
   Gathering,
   RankReported,
+  Releasing,
 } from "./decider_types.ts";
 import { tryFindUnfinished } from "./unfinished_switch.ts";
 import { assembleMap } from "./assemble_map.ts";
-import { isCarriedOut, type RankOrder, type RankState } from "./types.ts";
+import {
+  HOLDER_RANK,
+  isCarriedOut,
+  type RankOrder,
+  type RankState,
+} from "./types.ts";
 
 /** Milliseconds after which an order or a question is sent again. */
 export const RESEND_MS = 250;
@@ -157,9 +165,11 @@
         if (this.#open.size === 0) this.#arm(phase, now);
         return;
       case "arming":
+        if (this.#open.size === 0) this.#armOwn(phase, now);
+        return;
+      case "arming_own":
         if (this.#open.size > 0) return;
-        this.#enter({ ...phase, kind: "releasing" }, now);
-        return this.#order(0, { kind: "go", ...this.#at(phase.pass) }, now);
+        return this.#release(phase, now);
       case "releasing":
         if (this.#open.size === 0) this.#released(phase, now);
         return;
@@ -188,18 +198,10 @@
         phase.experts.clear();
         return;
       case "held":
-        this.#enter({ ...unfinished, kind: "arming", map: undefined }, now);
-        return this.#armAll(unfinished.version, unfinished.pass, now);
+        return this.#arm({ ...unfinished, map: undefined }, now);
       case "held_in_vain":
-        this.#enter({
-          kind: "releasing",
-          version: undefined,
-          pass: unfinished.pass,
-          map: undefined,
-        }, now);
-        return this.#order(
-          0,
-          { kind: "go", ...this.#at(unfinished.pass) },
+        return this.#release(
+          { ...unfinished, version: undefined, map: undefined },
           now,
         );
       default:
@@ -228,22 +230,34 @@
   ): void {
     const pass = newest.pass + this.#marginPasses;
     const { version, map } = phase;
-    this.#enter({ kind: "holding", version, pass, map }, now);
-    this.#order(0, { kind: "hold", ...this.#at(pass) }, now);
+    const holder = Math.min(HOLDER_RANK, this.#ranks - 1);
+    this.#enter({ kind: "holding", holder, version, pass, map }, now);
+    this.#order(holder, { kind: "hold", ...this.#at(pass) }, now);
   }
 
-  #arm(
-    phase: Extract<DeciderPhase, { kind: "holding" }>,
-    now: number,
-  ): void {
-    this.#enter({ ...phase, kind: "arming" }, now);
-    this.#armAll(phase.version, phase.pass, now);
+  #arm(phase: Omit<Arming, "kind">, now: number): void {
+    const { holder, version, pass, map } = phase;
+    this.#enter({ kind: "arming", holder, version, pass, map }, now);
+    for (let rank = 1; rank < this.#ranks; rank++) {
+      this.#order(rank, { kind: "arm", ...this.#at(pass), version }, now);
+    }
+    if (this.#ranks === 1) this.#armOwn(phase, now);
   }
 
-  #armAll(version: number, pass: number, now: number): void {
-    this.#forEachRank((rank) =>
-      this.#order(rank, { kind: "arm", ...this.#at(pass), version }, now)
-    );
+  /**
+   * While some other rank is not armed, this one is not either. So if this
+   * machine stands still, the others can tell whether the switch can be left out.
+   */
+  #armOwn(phase: Omit<Arming, "kind">, now: number): void {
+    const { holder, version, pass, map } = phase;
+    this.#enter({ kind: "arming_own", holder, version, pass, map }, now);
+    this.#order(0, { kind: "arm", ...this.#at(pass), version }, now);
+  }
+
+  #release(phase: Omit<Releasing, "kind">, now: number): void {
+    const { holder, version, pass, map } = phase;
+    this.#enter({ kind: "releasing", holder, version, pass, map }, now);
+    this.#order(holder, { kind: "go", ...this.#at(pass) }, now);
   }
 
   #released(
@@ -264,7 +278,7 @@
 
   /** A hold that took effect after it was given up stops the group for nothing. */
   #hasStrayHold(state: RankState): boolean {
-    if (state.rank !== 0 || state.heldPass === undefined) return false;
+    if (state.heldPass === undefined) return false;
     const phase = this.#phase;
     switch (phase.kind) {
       case "settled":
@@ -275,6 +289,7 @@
         return state.heldPass !== phase.pass;
       case "gathering":
       case "arming":
+      case "arming_own":
       case "releasing":
         return false;
       default:
@@ -298,6 +313,7 @@
         );
         return this.#hold(phase, state, now);
       case "arming":
+      case "arming_own":
       case "releasing": {
         // A pass begins when all ranks are armed for it or none is, so one that
         // began without this rank was let go by another process.
--- a/src/group/formed/decider_driver.ts
+++ b/src/group/formed/decider_driver.ts
@@ -8,6 +8,7 @@
 import { match } from "ts-pattern";
 import type { RandomSource } from "../../core/random_source.ts";
 import type { EventLog } from "../../events/event_log.ts";
+import type { FormedEngine } from "../../external/formed_engine.ts";
 import type { GroupSettings } from "../../external/operator_settings.ts";
 import type { Link } from "../../links/link.ts";
 import { LinkClient } from "../../links/link_client.ts";
@@ -18,8 +19,10 @@
 import type { DeciderEffect, DeciderEvent } from "./decider_types.ts";
 import { PassTimes } from "./pass_times.ts";
 import { Popularity } from "./popularity.ts";
+import { RankAgent } from "./rank_agent.ts";
 import type {
   GroupLoadMessage,
+  RankOrderMessage,
   RankReportMessage,
   RankState,
 } from "./types.ts";
@@ -57,6 +60,8 @@
   /** Called after each round of questions with what the ranks answered. */
   readonly onLoad: (load: GroupLoadMessage) => void;
   readonly pool: string;
+  /** Makes the way to the engine of another machine. */
+  readonly createEngine: (address: string) => FormedEngine;
 }
 
 /** The process of one rank. */
@@ -80,6 +85,8 @@
   readonly #popularity = new Popularity();
   readonly #passTimes = new PassTimes(PASS_SMOOTHING);
   readonly #members = new Map<string, Member>();
+  /** Agents for engines that are given orders from this machine. */
+  readonly #remoteAgents = new Map<string, RankAgent>();
   /** Ranks that answered the last question for counts. */
   readonly #answered = new Set<number>();
   readonly #timer: NodeJS.Timeout;
@@ -262,7 +269,7 @@
   #perform(effect: DeciderEffect): void {
     match(effect)
       .with({ kind: "send_order" }, ({ rank, orderId, order }) => {
-        this.#linkOf(rank)?.send({ kind: "rank_order", orderId, order });
+        this.#sendOrder(rank, { kind: "rank_order", orderId, order });
       })
       .with({ kind: "send_query" }, ({ rank, withExperts }) => {
         this.#linkOf(rank)?.send({ kind: "rank_query", withExperts });
@@ -280,6 +287,32 @@
       .exhaustive();
   }
 
+  /**
+   * Holds are given and ended from this machine, see {@link HOLDER_RANK}; all
+   * other orders by the process beside the engine, which costs nothing.
+   */
+  #sendOrder(rank: number, message: RankOrderMessage): void {
+    const { kind } = message.order;
+    const isFromHere = rank !== 0 && (kind === "hold" || kind === "go");
+    if (!isFromHere) return void this.#linkOf(rank)?.send(message);
+    const member = [...this.#members.values()].find((one) => one.rank === rank);
+    if (member === undefined) return;
+    this.#agentAt(member.engineAddress)
+      .carryOut(message, (report) => this.#onMessage(member, report))
+      .catch((error) =>
+        this.#options.log.write("ENGINE_UNREACHABLE", { cause: String(error) })
+      );
+  }
+
+  #agentAt(engineAddress: string): RankAgent {
+    let agent = this.#remoteAgents.get(engineAddress);
+    if (agent === undefined) {
+      agent = new RankAgent(this.#options.createEngine(engineAddress));
+      this.#remoteAgents.set(engineAddress, agent);
+    }
+    return agent;
+  }
+
   #linkOf(rank: number): Link | undefined {
     for (const member of this.#members.values()) {
       if (member.rank === rank && member.link !== undefined) return member.link;
--- a/src/group/formed/decider_types.ts
+++ b/src/group/formed/decider_types.ts
@@ -92,18 +92,29 @@
   readonly before: ExpertMap;
 }
 
-/** Rank 0 is to hold the pass of the switch. */
+/** The pass of the switch is to be held. */
 export interface Holding {
   readonly kind: "holding";
+  readonly holder: number;
   readonly version: number;
   readonly pass: number;
   /** Undefined when an earlier decider planned it. */
   readonly map: ExpertMap | undefined;
 }
 
-/** The pass is held; the ranks are told of the switch. */
+/** The pass is held; the other ranks are told of the switch. */
 export interface Arming {
   readonly kind: "arming";
+  readonly holder: number;
+  readonly version: number;
+  readonly pass: number;
+  readonly map: ExpertMap | undefined;
+}
+
+/** All other ranks will switch; the decider's own is told last. */
+export interface ArmingOwn {
+  readonly kind: "arming_own";
+  readonly holder: number;
   readonly version: number;
   readonly pass: number;
   readonly map: ExpertMap | undefined;
@@ -112,6 +123,7 @@
 /** Every rank will switch; the pass may begin. */
 export interface Releasing {
   readonly kind: "releasing";
+  readonly holder: number;
   readonly version: number | undefined;
   readonly pass: number;
   readonly map: ExpertMap | undefined;
@@ -131,5 +143,6 @@
   | Preparing
   | Holding
   | Arming
+  | ArmingOwn
   | Releasing
   | Switching;
--- a/src/group/formed/rank_agent.ts
+++ b/src/group/formed/rank_agent.ts
@@ -7,6 +7,7 @@
 import { performance } from "node:perf_hooks";
 import { setTimeout as sleep } from "node:timers/promises";
 import type { FormedEngine } from "../../external/formed_engine.ts";
+import { SwitchPromises } from "./switch_promises.ts";
 import {
   isCarriedOut,
   type OrderOutcome,
@@ -39,6 +40,7 @@
   readonly #engine: FormedEngine;
   /** The order under way; a repeated one is not given twice at once. */
   #current: RankOrderMessage | undefined;
+  readonly #promises = new SwitchPromises();
   /** Shortest time that a map took to load, in milliseconds. */
   #shortestLoadMs = Number.POSITIVE_INFINITY;
 
@@ -56,13 +58,20 @@
     query: RankQueryMessage,
     send: ReportSender,
   ): Promise<void> {
+    if (query.refuse !== undefined) this.#promises.refuse(query.refuse);
     const state = await this.#engine.tryReadState();
     if (state === undefined) return;
     const counts = await this.#engine.readCounts();
     const experts = query.withExperts
       ? await this.#engine.readExperts()
       : undefined;
-    send({ kind: "rank_report", state, counts, experts });
+    send({
+      kind: "rank_report",
+      state,
+      ...this.#promises.of(state.epoch),
+      counts,
+      experts,
+    });
   }
 
   /**
@@ -76,6 +85,10 @@
   ): Promise<void> {
     const isRepeated = this.#current?.orderId === message.orderId;
     if (isRepeated) return;
+    const { order } = message;
+    if (order.kind === "arm" && !this.#promises.tryOrder(order)) {
+      return await this.#answerRefused(message, send);
+    }
     this.#current = message;
     try {
       await this.#giveUntilSettled(message, send);
@@ -84,6 +97,15 @@
     }
   }
 
+  async #answerRefused(
+    { orderId }: RankOrderMessage,
+    send: ReportSender,
+  ): Promise<void> {
+    const state = await this.#engine.tryReadState();
+    if (state === undefined) return;
+    send({ kind: "rank_report", state, orderId, isDone: false });
+  }
+
   async #giveUntilSettled(
     message: RankOrderMessage,
     send: ReportSender,
--- a/src/group/formed/rescue.ts
+++ b/src/group/formed/rescue.ts
@@ -1,72 +1,119 @@
 /**
- * Finishes a switch whose decider stands still while it holds a pass, from the
- * states of all engines alone. Several may do so at once, and the decider may go
- * on at any moment: each order is one that it would give itself.
+ * Ends a hold whose decider stands still, from what the other ranks say. Several
+ * may do so at once, and the decider may go on at any moment.
  *
  * @module
  */
-import { isArmedFor, type RankOrder, type RankState } from "./types.ts";
+import type { PromisedPasses } from "./switch_promises.ts";
+import {
+  isArmedFor,
+  type PassOfEpoch,
+  type RankOrder,
+  type RankState,
+} from "./types.ts";
 import { tryFindUnfinished } from "./unfinished_switch.ts";
 
+/** What a rank's process said of its engine and of itself. */
+export interface RankWord extends PromisedPasses {
+  readonly state: RankState;
+}
+
 /** An order for the engine of one rank. */
 export interface RescueOrder {
   readonly rank: number;
   readonly order: RankOrder;
 }
 
+/** Give these orders, then ask again. */
+export interface GiveOrders {
+  readonly kind: "orders";
+  readonly orders: readonly RescueOrder[];
+}
+
+/** Ask all ranks to order no switch at a pass, then decide. */
+export interface AskToRefuse {
+  readonly kind: "ask_to_refuse";
+  readonly refuse: PassOfEpoch;
+}
+
+/** Nothing can be done now. */
+export interface Wait {
+  readonly kind: "wait";
+}
+
+/** What is to be done about a held pass. */
+export type RescuePlan = GiveOrders | AskToRefuse | Wait;
+
+const WAIT: Wait = { kind: "wait" };
+
 /**
- * What is to be ordered next; nothing when no pass is held. The states are read
- * anew before the next orders are planned.
+ * What is to be done about a held pass.
+ *
+ * With a word of every rank the switch is driven forward. With one of all but
+ * rank 0 it can be left out: the decider arms its own rank only when all others
+ * are armed, so while none of them is and all refuse to be, rank 0 is not either.
  *
  * @example
  * ```ts
- * for (const { rank, order } of planRescue(states)) engines[rank].give(order);
+ * const plan = planRescue(words, 12);
  * ```
  */
 export function planRescue(
-  states: readonly RankState[],
-): readonly RescueOrder[] {
+  words: readonly RankWord[],
+  ranks: number,
+): RescuePlan {
+  const states = words.map(({ state }) => state);
   const epochs = new Set(states.map((state) => state.epoch));
-  const [epoch] = epochs;
-  if (epoch === undefined || epochs.size > 1) return [];
+  if (epochs.size !== 1) return WAIT;
+  const isWhole = states.length === ranks;
+  if (isWhole) return planForward(states);
+  const isOnlyDeciderMissing = states.length === ranks - 1 &&
+    states.every((state) => state.rank !== 0);
+  return isOnlyDeciderMissing ? planWithoutDecider(words) : WAIT;
+}
+
+function planForward(states: readonly RankState[]): RescuePlan {
   const unfinished = tryFindUnfinished(states);
+  const epoch = states[0]?.epoch ?? 0;
   switch (unfinished.kind) {
     case "none":
     case "changing":
-      return [];
+      return WAIT;
     case "held_in_vain":
-      return [{ rank: 0, order: { kind: "go", epoch, pass: unfinished.pass } }];
+      return orderGo(unfinished.holder, epoch, unfinished.pass);
     case "held": {
-      const { version, pass } = unfinished;
-      const unarmed = states.filter((state) => !isArmedFor(state, unfinished));
-      if (unarmed.length === 0) {
-        return [{ rank: 0, order: { kind: "go", epoch, pass } }];
-      }
-      return unarmed.map(({ rank }) => ({
-        rank,
-        order: { kind: "arm", epoch, version, pass },
-      }));
+      const { holder, version, pass } = unfinished;
+      const orders = states
+        .filter((state) => !isArmedFor(state, unfinished))
+        .map(({ rank }): RescueOrder => ({
+          rank,
+          order: { kind: "arm", epoch, version, pass },
+        }));
+      if (orders.length === 0) return orderGo(holder, epoch, pass);
+      return { kind: "orders", orders };
     }
   }
 }
 
-/** Tells from a rank's own states that its group seems to be held. */
-export class HoldSuspicion {
-  #pass = -1;
-  #since = 0;
+function planWithoutDecider(words: readonly RankWord[]): RescuePlan {
+  const holding = words.find(({ state }) => state.heldPass !== undefined);
+  const pass = holding?.state.heldPass;
+  if (holding === undefined || pass === undefined) return WAIT;
+  const isOrdered = words.some(({ state, orderedPass }) =>
+    state.armed !== undefined || (orderedPass ?? -1) >= pass
+  );
+  if (isOrdered) return WAIT;
+  const isRefused = words.every(({ refusedPass }) =>
+    (refusedPass ?? -1) >= pass
+  );
+  const { rank, epoch } = holding.state;
+  if (!isRefused) return { kind: "ask_to_refuse", refuse: { epoch, pass } };
+  return orderGo(rank, epoch, pass);
+}
 
-  /**
-   * Milliseconds for which a rank with work and a map to switch to has seen no
-   * pass begin.
-   */
-  observe(state: RankState, now: number): number {
-    const hasWork = state.running + state.queued > 0;
-    const isSwitching = state.preparedVersion !== undefined ||
-      state.armed !== undefined;
-    const isSuspicious = state.isOpen && hasWork && isSwitching &&
-      state.pass === this.#pass;
-    if (!isSuspicious) this.#since = now;
-    this.#pass = state.pass;
-    return now - this.#since;
-  }
+function orderGo(rank: number, epoch: number, pass: number): GiveOrders {
+  return {
+    kind: "orders",
+    orders: [{ rank, order: { kind: "go", epoch, pass } }],
+  };
 }
--- a/src/group/formed/types.ts
+++ b/src/group/formed/types.ts
@@ -9,6 +9,19 @@
  */
 import type { ExpertMap } from "../types.ts";
 
+/**
+ * The rank that holds the pass of a switch. The decider, beside rank 0, gives the
+ * hold from its own machine: if that machine stands still, the one beside the
+ * holder can still let the pass begin.
+ */
+export const HOLDER_RANK = 1;
+
+/** A pass; numbers of passes begin anew in each epoch. */
+export interface PassOfEpoch {
+  readonly epoch: number;
+  readonly pass: number;
+}
+
 /** The engine switches to a prepared map as a pass begins. */
 export interface ArmedSwitch {
   readonly version: number;
@@ -93,6 +106,8 @@
   readonly kind: "rank_query";
   /** Whether the experts of the rank are wanted, too. */
   readonly withExperts: boolean;
+  /** From now on no switch at this pass or an earlier one is to be ordered. */
+  readonly refuse?: PassOfEpoch;
 }
 
 /** How a rank's engine stands. */
@@ -103,6 +118,10 @@
   readonly orderId?: number;
   /** Whether the state shows that the order was carried out. */
   readonly isDone?: boolean;
+  /** The latest pass for which this process ordered a switch. */
+  readonly orderedPass?: number;
+  /** No switch at this pass or an earlier one will be ordered here. */
+  readonly refusedPass?: number;
   /** Counts since the engine started. */
   readonly counts?: ExpertCounts;
   readonly experts?: RankExperts;
--- a/src/group/formed/unfinished_switch.ts
+++ b/src/group/formed/unfinished_switch.ts
@@ -16,16 +16,18 @@
   readonly kind: "changing";
 }
 
-/** Rank 0 holds a pass for a switch that every rank is prepared for. */
+/** A rank holds a pass for a switch that every rank is prepared for. */
 export interface HeldForSwitch {
   readonly kind: "held";
+  readonly holder: number;
   readonly version: number;
   readonly pass: number;
 }
 
-/** Rank 0 holds a pass, and no rank can be armed for it. */
+/** A rank holds a pass, and no rank can be armed for it. */
 export interface HeldInVain {
   readonly kind: "held_in_vain";
+  readonly holder: number;
   readonly pass: number;
 }
 
@@ -39,7 +41,7 @@
 /**
  * Reads the states of all ranks of one epoch.
  *
- * A rank is armed only after every rank was prepared and rank 0 held the pass.
+ * A rank is armed only after every rank was prepared and the pass was held.
  * So a held pass without a version that all ranks have belongs to a late hold.
  *
  * @example
@@ -50,23 +52,23 @@
 export function tryFindUnfinished(
   states: readonly RankState[],
 ): UnfinishedSwitch {
-  const first = states.find((state) => state.rank === 0);
-  const pass = first?.heldPass;
+  const holding = states.find((state) => state.heldPass !== undefined);
   const armed = states.flatMap((state) => state.armed ?? []);
-  if (pass === undefined) {
+  if (holding?.heldPass === undefined) {
     const versions = new Set(states.map((state) => state.activeVersion));
     const isSettled = armed.length === 0 && versions.size === 1;
     return { kind: isSettled ? "none" : "changing" };
   }
+  const { heldPass: pass, rank: holder } = holding;
   const version = armed.find((one) => one.pass === pass)?.version ??
-    first?.preparedVersion;
+    holding.preparedVersion;
   const isReady = version !== undefined &&
     states.every((state) =>
       state.preparedVersion === version ||
       isArmedFor(state, { version, pass })
     );
-  if (isReady) return { kind: "held", version, pass };
+  if (isReady) return { kind: "held", holder, version, pass };
   return armed.length > 0
     ? { kind: "changing" }
-    : { kind: "held_in_vain", pass };
+    : { kind: "held_in_vain", holder, pass };
 }
