--- a/src/direct/rank_driver.ts
+++ b/src/direct/rank_driver.ts
@@ -226,6 +226,9 @@
     if (message.kind === "rank_query") {
       this.#agent.answer(message, send).catch((error) => this.#fault(error));
     }
+    if (message.kind === "rank_check") {
+      this.#agent.check(message, send).catch((error) => this.#fault(error));
+    }
     if (message.kind === "rank_order") {
       this.#agent.carryOut(message, send).catch((error) => this.#fault(error));
     }
--- a/src/group/formed/decider.ts
+++ b/src/group/formed/decider.ts
@@ -212,6 +212,7 @@
   #proposed(map: ExpertMap, now: number): void {
     if (this.#phase.kind !== "settled") return;
     const version = this.#nextVersion();
+    this.#marginPasses = FIRST_MARGIN_PASSES;
     const before = this.#phase.map;
     this.#enter({ kind: "preparing", version, map, before }, now);
     this.#forEachRank((rank) =>
@@ -305,6 +306,8 @@
         this.#open.clear();
         return this.#enter({ kind: "settled", map: phase.before }, now);
       case "holding":
+        // The order was lost, and is given again by the next tick.
+        if (state.pass < phase.pass) return;
         // The pass had begun: the switch moves further ahead.
         this.#open.clear();
         this.#marginPasses = Math.min(
--- a/src/group/formed/decider_driver.ts
+++ b/src/group/formed/decider_driver.ts
@@ -19,7 +19,6 @@
 import type { DeciderEffect, DeciderEvent } from "./decider_types.ts";
 import { PassTimes } from "./pass_times.ts";
 import { Popularity } from "./popularity.ts";
-import { RankAgent } from "./rank_agent.ts";
 import type {
   GroupLoadMessage,
   RankOrderMessage,
@@ -85,8 +84,8 @@
   readonly #popularity = new Popularity();
   readonly #passTimes = new PassTimes(PASS_SMOOTHING);
   readonly #members = new Map<string, Member>();
-  /** Agents for engines that are given orders from this machine. */
-  readonly #remoteAgents = new Map<string, RankAgent>();
+  /** Engines that are given orders from this machine, by address. */
+  readonly #remoteEngines = new Map<string, FormedEngine>();
   /** Ranks that answered the last question for counts. */
   readonly #answered = new Set<number>();
   readonly #timer: NodeJS.Timeout;
@@ -294,23 +293,26 @@
   #sendOrder(rank: number, message: RankOrderMessage): void {
     const { kind } = message.order;
     const isFromHere = rank !== 0 && (kind === "hold" || kind === "go");
-    if (!isFromHere) return void this.#linkOf(rank)?.send(message);
+    if (isFromHere) return void this.#giveFromHere(rank, message);
+    this.#linkOf(rank)?.send(message);
+  }
+
+  async #giveFromHere(rank: number, message: RankOrderMessage): Promise<void> {
     const member = [...this.#members.values()].find((one) => one.rank === rank);
     if (member === undefined) return;
-    this.#agentAt(member.engineAddress)
-      .carryOut(message, (report) => this.#onMessage(member, report))
-      .catch((error) =>
-        this.#options.log.write("ENGINE_UNREACHABLE", { cause: String(error) })
-      );
+    const { order, orderId } = message;
+    await this.#engineAt(member.engineAddress).give(order);
+    // Whatever the answer, the engine's own machine knows what became of it.
+    member.link?.send({ kind: "rank_check", orderId, order });
   }
 
-  #agentAt(engineAddress: string): RankAgent {
-    let agent = this.#remoteAgents.get(engineAddress);
-    if (agent === undefined) {
-      agent = new RankAgent(this.#options.createEngine(engineAddress));
-      this.#remoteAgents.set(engineAddress, agent);
+  #engineAt(address: string): FormedEngine {
+    let engine = this.#remoteEngines.get(address);
+    if (engine === undefined) {
+      engine = this.#options.createEngine(address);
+      this.#remoteEngines.set(address, engine);
     }
-    return agent;
+    return engine;
   }
 
   #linkOf(rank: number): Link | undefined {
--- a/src/group/formed/rank_agent.ts
+++ b/src/group/formed/rank_agent.ts
@@ -11,6 +11,7 @@
 import {
   isCarriedOut,
   type OrderOutcome,
+  type RankCheckMessage,
   type RankOrder,
   type RankOrderMessage,
   type RankQueryMessage,
@@ -74,6 +75,21 @@
     });
   }
 
+  /**
+   * Whether an order that another machine gave was carried out.
+   *
+   * @throws when the engine does not answer
+   */
+  async check(
+    { order, orderId }: RankCheckMessage,
+    send: ReportSender,
+  ): Promise<void> {
+    const state = await this.#engine.tryReadState();
+    if (state === undefined) return;
+    const isDone = isCarriedOut(order, state);
+    send({ kind: "rank_report", state, orderId, isDone });
+  }
+
   /**
    * Gives an order until the engine's state shows what became of it.
    *
--- a/src/group/formed/schema.ts
+++ b/src/group/formed/schema.ts
@@ -46,6 +46,11 @@
     orderId: COUNT,
     order: ORDER_SCHEMA,
   }),
+  z.object({
+    kind: z.literal("rank_check"),
+    orderId: COUNT,
+    order: ORDER_SCHEMA,
+  }),
   z.object({
     kind: z.literal("group_load"),
     pool: z.string(),
--- a/src/group/formed/types.ts
+++ b/src/group/formed/types.ts
@@ -101,6 +101,16 @@
   readonly order: RankOrder;
 }
 
+/**
+ * The decider asks a rank's process whether an order was carried out that it gave
+ * itself: what an engine tells other machines is some hundred milliseconds old.
+ */
+export interface RankCheckMessage {
+  readonly kind: "rank_check";
+  readonly orderId: number;
+  readonly order: RankOrder;
+}
+
 /** The decider asks a rank's process for state and counts of its engine. */
 export interface RankQueryMessage {
   readonly kind: "rank_query";
@@ -151,6 +161,7 @@
 export type FormedGroupMessage =
   | GroupLoadMessage
   | RankOrderMessage
+  | RankCheckMessage
   | RankQueryMessage
   | RankReportMessage;
 
