--- a/src/direct/group_load_follower.ts
+++ b/src/direct/group_load_follower.ts
@@ -20,6 +20,8 @@
 export class GroupLoadFollower {
   readonly #options: GroupLoadFollowerOptions;
   readonly #clients = new Map<string, LinkClient>();
+  /** Addresses whose connection works. */
+  readonly #connected = new Set<string>();
 
   /** Dials nobody yet. */
   constructor(options: GroupLoadFollowerOptions) {
@@ -34,7 +36,8 @@
       if (!this.#clients.has(address)) this.#dial(address);
     }
     for (const [address, client] of this.#clients) {
-      if (addresses.has(address)) continue;
+      // An entry may lapse while the store is away and its process lives on.
+      if (addresses.has(address) || this.#connected.has(address)) continue;
       client.stop();
       this.#clients.delete(address);
     }
@@ -52,12 +55,17 @@
       role: "entry",
       identity,
       listener: {
-        onConnected: () => log.write("DECIDER_CONNECTED", { address }),
+        onConnected: () => {
+          this.#connected.add(address);
+          log.write("DECIDER_CONNECTED", { address });
+        },
         onMessage: (message) => {
           if (message.kind === "group_load") onLoad(message);
         },
-        onDisconnected: (fault) =>
-          log.write("DECIDER_LOST", { address, fault }),
+        onDisconnected: (fault) => {
+          this.#connected.delete(address);
+          log.write("DECIDER_LOST", { address, fault });
+        },
         onDialFailed: () => undefined,
       },
     });
--- a/src/entry/waiting_requests.ts
+++ b/src/entry/waiting_requests.ts
@@ -16,11 +16,6 @@
  * third time, and callers leave after two seconds without a sign.
  */
 const REPEATED_WAIT_MS = 1700;
-/**
- * Milliseconds for which a request waits for a lost rank group. It is served late
- * if the group is formed anew meanwhile; otherwise its caller comes back once.
- */
-const CLOSED_WAIT_MS = 1700;
 /** Objective of services that name none, in milliseconds. */
 const USUAL_OBJECTIVE_MS = 1000;
 /** Requests that wait at one entry, at most. */
@@ -102,7 +97,8 @@
   const isRepeated = (request.deadlineMs ?? longestDeadlineMs) <
     FRESH_PART * longestDeadlineMs;
   if (isRepeated) return REPEATED_WAIT_MS;
-  // A lost group is not back so soon that its callers could be served in time.
-  if (reason === "GROUP_CLOSED") return CLOSED_WAIT_MS;
+  // A lost group is not back in time for an answer that is worth its full value,
+  // and what waits for it takes the places of requests that come after.
+  if (reason === "GROUP_CLOSED") return 0;
   return FIRST_WAIT_PART * (objectiveMs ?? USUAL_OBJECTIVE_MS);
 }
--- a/src/group/formed/decider_driver.ts
+++ b/src/group/formed/decider_driver.ts
@@ -116,8 +116,9 @@
     for (const member of members) {
       if (!this.#members.has(member.address)) this.#dial(member);
     }
-    for (const [address, { client }] of this.#members) {
-      if (addresses.includes(address)) continue;
+    for (const [address, { client, link }] of this.#members) {
+      // An entry may lapse while the store is away and its process lives on.
+      if (addresses.includes(address) || link !== undefined) continue;
       client.stop();
       this.#members.delete(address);
     }
