--- /dev/null
+++ b/scripts/check_names.ts
@@ -0,0 +1,47 @@
+/**
+ * Checks that only `platform/` knows the names of the users' platform.
+ *
+ * @module
+ */
+import { readdirSync, readFileSync } from "node:fs";
+import { join } from "node:path";
+import process from "node:process";
+
+const FOLDERS = ["src", "bench", "standins", "scripts"] as const;
+/** This file holds the names, and may. */
+const SELF = "scripts/check_names.ts";
+
+/** Headers and calls, in any case. */
+const WIRE_NAMES = new RegExp(
+  [
+    "kv-(key|range|watch|txn|lease|keep)",
+    "x-(expect-instance|response-stamp|not-executed|deadline-ms|tenant)",
+    "x-(server-load|request-priority|weights-versions|prompt-prefix)",
+  ].join("|"),
+  "i",
+);
+/** Keys, fields and variables, as they are written. */
+const FIELD_NAMES =
+  /op\/config|current_rev|gap_aim_ms|slo_ms|max_attempts|api_keys|LAGOONWHARF_SETTINGS/;
+
+function findingsIn(file: string): readonly string[] {
+  return readFileSync(file, "utf8").split("\n").flatMap((line, index) =>
+    WIRE_NAMES.test(line) || FIELD_NAMES.test(line)
+      ? [`${file}:${index + 1}: ${line.trim()}`]
+      : []
+  );
+}
+
+const findings = FOLDERS.flatMap((folder) =>
+  readdirSync(folder, { recursive: true, encoding: "utf8" })
+    .filter((file) => file.endsWith(".ts"))
+    .map((file) => join(folder, file))
+    .filter((file) => file !== SELF)
+    .flatMap(findingsIn)
+);
+for (const finding of findings) {
+  process.stderr.write(
+    `A name of the platform outside platform/: ${finding}\n`,
+  );
+}
+process.exit(findings.length === 0 ? 0 : 1);
--- a/src/entry/entry_reducer.ts
+++ b/src/entry/entry_reducer.ts
@@ -4,7 +4,7 @@
  *
  * @module
  */
-import { assertNever, Debug } from "../core/debug.ts";
+import { assertNever } from "../core/debug.ts";
 import type { RandomSource } from "../core/random_source.ts";
 import {
   type AnswerEndMessage,
@@ -16,12 +16,9 @@
 import type { PoolRetryLimits } from "../policy/pool_retry_budgets.ts";
 import type { TargetChoice } from "../policy/target_choice.ts";
 import type { RefusalName } from "../refusals/catalogue.ts";
-import { createProblem } from "../refusals/problem.ts";
 import {
   createAnsweredNote,
   createAttemptFailedNote,
-  createDoorNote,
-  createFailedNote,
   createLeftNote,
   createSentNote,
   createWaitsNote,
@@ -33,11 +30,16 @@
   createUnsent,
   type Failure,
   isTargetsFault,
-  overAllAttempts,
   SERVER_ERROR,
   SERVER_ERROR_STATUS,
   TARGET_SLOW,
 } from "./failures.ts";
+import {
+  createCancel,
+  createDoorRefusal,
+  createFailureEffects,
+  createForward,
+} from "./request_effects.ts";
 import { InFlightRequest } from "./in_flight_request.ts";
 import { createSubmit } from "./submit_message.ts";
 import type { Route } from "./routing_table.ts";
@@ -172,7 +174,9 @@
       route.service.longestDeadlineMs,
     );
     if (route.service.handover === "scripts") {
-      return this.#forward(request, route, deadlineMs);
+      this.#withScripts.set(request.id, route);
+      this.#effects.push(createForward(request, route, deadlineMs));
+      return;
     }
     const pool = this.#pools.choose(route.service);
     const inFlight = new InFlightRequest(request, route, {
@@ -185,19 +189,6 @@
     this.#submitOrWait(inFlight, now);
   }
 
-  #forward(request: CallerRequest, route: Route, deadlineMs: number): void {
-    this.#withScripts.set(request.id, route);
-    this.#effects.push({
-      kind: "forward_to_scripts",
-      address: Debug.getDefined(
-        route.service.scriptsAddress,
-        "A service on the scripts has their address",
-      ),
-      deadlineMs,
-      request,
-    });
-  }
-
   #submitOrWait(inFlight: InFlightRequest, now: number): void {
     const selected = this.#selection.select(inFlight, now);
     if (selected.isOk()) return this.#submit(inFlight, selected.value, now);
@@ -399,7 +390,7 @@
       if (this.#selection.select(inFlight, now).isErr()) continue;
       const { attempt } = inFlight;
       if (!this.#tryAgain(inFlight, TARGET_SLOW, now)) continue;
-      this.#cancelAttempt(inFlight, target.name, attempt);
+      this.#effects.push(createCancel(inFlight, target.name, attempt));
     }
   }
 
@@ -472,50 +463,18 @@
   }
 
   #cancel(inFlight: InFlightRequest): void {
-    if (inFlight.targetName === undefined) return;
-    this.#cancelAttempt(inFlight, inFlight.targetName, inFlight.attempt);
-  }
-
-  #cancelAttempt(
-    inFlight: InFlightRequest,
-    targetName: string,
-    attempt: number,
-  ): void {
-    const requestId = inFlight.request.id;
-    this.#effects.push({
-      kind: "send",
-      targetName,
-      message: { kind: "cancel", requestId, attempt },
-    });
+    const { targetName, attempt } = inFlight;
+    if (targetName === undefined) return;
+    this.#effects.push(createCancel(inFlight, targetName, attempt));
   }
 
   #refuseAtDoor(request: CallerRequest, reason: RefusalName): void {
-    const isKeyed = request.idempotencyKey !== undefined;
-    this.#effects.push(createDoorNote(request, reason));
-    this.#refuse(request.id, createUnsent(reason, isKeyed));
+    this.#effects.push(...createDoorRefusal(request, reason));
   }
 
   #fail(inFlight: InFlightRequest, failure: Failure, now: number): void {
     this.#end(inFlight);
-    this.#effects.push(createFailedNote(inFlight, { ...failure, now }));
-    if (inFlight.isStreaming) {
-      this.#effects.push({ kind: "count_refusal", reason: failure.reason });
-      this.#effects.push({
-        kind: "cut_answer",
-        requestId: inFlight.request.id,
-      });
-      return;
-    }
-    this.#refuse(inFlight.request.id, overAllAttempts(inFlight, failure));
-  }
-
-  #refuse(requestId: number, failure: Failure): void {
-    this.#effects.push({ kind: "count_refusal", reason: failure.reason });
-    this.#effects.push({
-      kind: "refuse_request",
-      requestId,
-      problem: createProblem(failure.reason, failure),
-    });
+    this.#effects.push(...createFailureEffects(inFlight, failure, now));
   }
 
   #end(inFlight: InFlightRequest): void {
--- a/src/policy/target_choice.ts
+++ b/src/policy/target_choice.ts
@@ -82,7 +82,7 @@
   readonly stuckAfterMs: number;
 }
 
-/** Values that the bench chose; docs/DESIGN.md shows the sweeps. */
+/** Chosen by sweeps over a model of the pool; docs/DESIGN.md shows them. */
 export const SCORED_CHOICE_DEFAULTS: ScoredChoiceOptions = {
   drawn: 2,
   domainPenalty: 0.25,
