--- a/src/events/events_page.ts
+++ b/src/events/events_page.ts
@@ -14,7 +14,7 @@
 
 ## Logged events
 
-Each is one JSON object a line on standard error, with its number in \`event\`.
+Each is one JSON object a line on standard output, with its number in \`event\`.
 
 | Number | Name | Level | Text | What to do |
 | --- | --- | --- | --- | --- |
