--- a/src/testing/process_cluster.ts
+++ b/src/testing/process_cluster.ts
@@ -313,7 +313,8 @@
 }
 
 /** The program from its sources, or the built binary where one is named. */
-function spawnProgram(words: readonly string[]): ChildProcess {
+/** Starts the program: the sources, or the binary that a variable names. */
+export function spawnProgram(words: readonly string[]): ChildProcess {
   const binary = process.env["LAGOONWHARF_BINARY"];
   const [command, first] = binary === undefined
     ? [process.execPath, ["--import", "tsx", "src/main.ts"]]
