--- a/src/direct/direct_target.ts
+++ b/src/direct/direct_target.ts
@@ -6,6 +6,7 @@
  * @module
  */
 import {
+  type AnswerFraming,
   BackEnd,
   type BackEndCall,
   type BackEndFailure,
@@ -102,7 +103,8 @@
     };
     this.#call = backEnd.start(request, {
       onLoad: (load) => this.#load = load,
-      onHead: (status, answerHeaders) => this.#onHead(status, answerHeaders),
+      onHead: (status, answerHeaders, framing) =>
+        this.#onHead(status, answerHeaders, framing),
       onData: (bytes) => this.#onData(bytes),
       onEnd: () => this.#onEnd(),
       onFailed: (failure) => this.#onFailed(failure),
@@ -114,13 +116,18 @@
     this.#call?.cancel();
   }
 
-  #onHead(status: number, headers: readonly Header[]): void {
+  #onHead(
+    status: number,
+    headers: readonly Header[],
+    framing: AnswerFraming | undefined,
+  ): void {
     this.#say({
       kind: "answer_head",
       ...this.#place(),
       sequence: this.#sequence++,
       status,
       headers,
+      endsWithConnection: framing?.endsWithConnection,
     });
   }
 
--- a/src/entry/answer_relay.ts
+++ b/src/entry/answer_relay.ts
@@ -54,8 +54,11 @@
   const { head, isStreaming, request } = inFlight;
   if (isStreaming || head === undefined) return [];
   inFlight.startStreaming();
-  const { status, headers } = head;
-  return [{ kind: "start_answer", requestId: request.id, status, headers }];
+  const { status, headers, endsWithConnection } = head;
+  const requestId = request.id;
+  return [
+    { kind: "start_answer", requestId, status, headers, endsWithConnection },
+  ];
 }
 
 function sendBytes(
--- a/src/entry/caller_connection.ts
+++ b/src/entry/caller_connection.ts
@@ -81,6 +81,15 @@
     });
   }
 
+  /**
+   * The answer ends with this connection, as it did at the back end: an end of
+   * our own making would tell the caller that it is whole.
+   */
+  endWithConnection(): void {
+    this.#outgoing.useChunkedEncodingByDefault = false;
+    this.#outgoing.shouldKeepAlive = false;
+  }
+
   /** Starts a streamed answer. */
   start(status: number, headers: readonly Header[]): void {
     this.#outgoing.writeHead(status, rawHeaders(headers));
--- a/src/entry/request_server.ts
+++ b/src/entry/request_server.ts
@@ -19,7 +19,12 @@
 import type { EntryReducer } from "./entry_reducer.ts";
 import { forwardToScripts } from "./scripts_forwarder.ts";
 import type { TargetLinks } from "./target_links.ts";
-import type { EntryEffect, EntryEvent, ForwardToScripts } from "./types.ts";
+import type {
+  EntryEffect,
+  EntryEvent,
+  ForwardToScripts,
+  StartAnswer,
+} from "./types.ts";
 
 /**
  * Milliseconds between two ticks with requests in flight, and without. Deadlines
@@ -202,7 +207,7 @@
       case "forward_to_scripts":
         return void this.#forward(effect);
       case "start_answer":
-        return this.#startAnswer(effect.requestId, effect);
+        return this.#startAnswer(effect);
       case "continue_answer":
         return this.#continueAnswer(effect.requestId, effect.bytes);
       case "finish_answer":
@@ -233,15 +238,14 @@
     }
   }
 
-  #startAnswer(
-    requestId: number,
-    head: Pick<EntryEffect & { kind: "start_answer" }, "status" | "headers">,
-  ): void {
-    const exchange = this.#exchanges.get(requestId);
+  #startAnswer(effect: StartAnswer): void {
+    const exchange = this.#exchanges.get(effect.requestId);
     if (exchange === undefined) return;
     const waited = performance.now() - exchange.startedAt;
     this.#options.metrics.countFirstByte(waited);
-    exchange.connection.start(head.status, head.headers);
+    const { connection } = exchange;
+    if (effect.endsWithConnection) connection.endWithConnection();
+    connection.start(effect.status, effect.headers);
   }
 
   async #forward(effect: ForwardToScripts): Promise<void> {
--- a/src/entry/types.ts
+++ b/src/entry/types.ts
@@ -196,6 +196,8 @@
   readonly requestId: number;
   readonly status: number;
   readonly headers: readonly Header[];
+  /** The caller is to see the end of the connection as the end of the answer. */
+  readonly endsWithConnection?: boolean;
 }
 
 /** Send a piece of a streamed answer. */
--- a/src/external/back_end.ts
+++ b/src/external/back_end.ts
@@ -44,9 +44,22 @@
   readonly queued: number;
 }
 
+/** How the end of an answer is known. */
+export interface AnswerFraming {
+  /**
+   * The answer says neither length nor chunks: it ends with its connection, and
+   * nobody can tell a whole one from one whose sender has crashed.
+   */
+  readonly endsWithConnection: boolean;
+}
+
 /** Hears of one call, in order; the last is `onEnd` or `onFailed`. */
 export interface BackEndListener {
-  onHead(status: number, headers: readonly Header[]): void;
+  onHead(
+    status: number,
+    headers: readonly Header[],
+    framing?: AnswerFraming,
+  ): void;
   onData(bytes: Uint8Array): void;
   onEnd(): void;
   onFailed(failure: BackEndFailure): void;
--- a/src/external/http_back_end.ts
+++ b/src/external/http_back_end.ts
@@ -142,7 +142,11 @@
   ): void {
     // Informational answers come before the real one.
     if (status < 200 || this.#isOver) return;
-    this.#listener.onHead(status, endToEndHeadersOf(headers));
+    const endsWithConnection = headers["content-length"] === undefined &&
+      headers["transfer-encoding"] === undefined;
+    this.#listener.onHead(status, endToEndHeadersOf(headers), {
+      endsWithConnection,
+    });
   }
 
   onResponseData(
--- a/src/external/http_back_end_test.ts
+++ b/src/external/http_back_end_test.ts
@@ -76,6 +76,22 @@
     assert.equal(result.outcome, "broken");
   });
 
+  const closing = "HTTP/1.1 200 OK\r\nConnection: close\r\n";
+  it("shorter than their length are broken on a closing connection", async () => {
+    const head = `${closing}Content-Length: 9\r\n\r\n`;
+    const result = await callServer((socket) => socket.end(`${head}short`));
+    assert.equal(result.outcome, "broken");
+  });
+
+  for (const piece of ["3\r\nabc\r\n", "3\r\nab", ""]) {
+    const name = JSON.stringify(piece);
+    it(`in chunks that end after ${name} are broken on a closing connection`, async () => {
+      const head = `${closing}Transfer-Encoding: chunked\r\n\r\n`;
+      const result = await callServer((socket) => socket.end(head + piece));
+      assert.equal(result.outcome, "broken");
+    });
+  }
+
   it("that are no HTTP are broken", async () => {
     const result = await callServer((socket) => socket.end("nonsense\r\n\r\n"));
     assert.equal(result.outcome, "broken");
--- a/src/messages/schema.ts
+++ b/src/messages/schema.ts
@@ -66,6 +66,7 @@
     ...SEQUENCED,
     status: COUNT,
     headers: HEADERS,
+    endsWithConnection: z.boolean().optional(),
   }),
   z.object({ kind: z.literal("answer_data"), ...SEQUENCED, bytes: BYTES }),
   z.object({
--- a/src/messages/types.ts
+++ b/src/messages/types.ts
@@ -96,6 +96,8 @@
   readonly sequence: number;
   readonly status: number;
   readonly headers: readonly Header[];
+  /** Its end cannot be told from its sender's crash; see `AnswerFraming`. */
+  readonly endsWithConnection?: boolean;
 }
 
 /** A piece of an answer's body. */
