--- a/src/group/formed/decider_driver.ts
+++ b/src/group/formed/decider_driver.ts
@@ -45,7 +45,7 @@
  * a second each, several copies fit into that time.
  */
 const PASSES_PER_SWITCH = 2;
-/** Weight of the newest look in the mean time of a pass. */
+/** Passes whose mean time counts. */
 const PASS_SMOOTHING = 0.4;
 
 /** Options of a {@link DeciderDriver}. */
