Ask other entries for settings and back ends while the store turns one away

Cause: the store may turn single machines away for seconds and serve the others. An entry knew only its own last answer then: keys that were taken away stayed good, servers that had left stayed in its list, and one that started meanwhile had nothing and stayed unready although its neighbours knew everything. The seed addresses were read and not used.

Ruled out: a longer memory in the entry (it would be older, not newer); a reader for each failure domain (one more thing to lose when that reader is turned away); asking all entries at once (39 of them on the larger fleets; four drawn anew each 3 s are all turned away once in a hundred rounds when a third of them is).

Change: an entry listens for others at its peer address and answers what the asker has not; while the store does not answer, an entry asks four others each half second, and after a pause waits for one of them before it decides. A list of back ends that is older than the one in use is dropped, whoever it comes from.

--- a/src/direct/direct_entry_driver.ts
+++ b/src/direct/direct_entry_driver.ts
@@ -27,6 +27,9 @@
 import { type Directory, DirectoryFollower } from "./directory_follower.ts";
 import { DirectTargetPool } from "./direct_target_pool.ts";
 import { GroupLoadFollower } from "./group_load_follower.ts";
+import { PeerFollower } from "./peers/peer_follower.ts";
+import { PeerServer } from "./peers/peer_server.ts";
+import type { StoreNewsMessage } from "./peers/types.ts";
 import { type ListedProcess, ProcessRegistry } from "./process_registry.ts";
 import { SettingsFollower } from "./settings_follower.ts";
 
@@ -65,6 +68,8 @@
   readonly #directory: DirectoryFollower;
   readonly #registry: ProcessRegistry;
   readonly #groupLoads: GroupLoadFollower;
+  readonly #peerServer: PeerServer;
+  readonly #peers: PeerFollower;
   readonly #metrics: Metrics;
   readonly #health: HttpListener;
   #isDraining = false;
@@ -112,7 +117,11 @@
       format,
       log,
       onDirectory: (directory) => this.#onDirectory(directory),
-      onUnanswered: () => this.#settings.restart(),
+      onAnswered: () => this.#peers.stop(),
+      onUnanswered: () => {
+        this.#settings.restart();
+        this.#peers.start();
+      },
     });
     this.#registry = new ProcessRegistry({
       store,
@@ -126,14 +135,35 @@
       follows: true,
       onProcesses: (processes) => this.#onProcesses(processes),
     });
+    const identity = {
+      deployment: settings.deployment,
+      secret: settings.secret,
+      name: settings.name,
+      incarnation: randomUUID(),
+      failureDomain: settings.failureDomain,
+    };
+    this.#peerServer = new PeerServer({
+      identity,
+      log,
+      getKnowledge: () => ({
+        settings: this.#settings.inUse,
+        directory: this.#directory.directory,
+      }),
+    });
+    this.#peers = new PeerFollower({
+      identity,
+      ownAddress: settings.peerAddress,
+      seedAddresses: settings.seedAddresses,
+      random: new RandomSource(options.seed),
+      getQuery: () => ({
+        kind: "store_news_query",
+        settingsVersion: this.#settings.inUse?.settings.version,
+        directoryRevision: this.#directory.directory?.revision,
+      }),
+      onNews: (news, receivedAt) => this.#onNews(news, receivedAt),
+    });
     this.#groupLoads = new GroupLoadFollower({
-      identity: {
-        deployment: settings.deployment,
-        secret: settings.secret,
-        name: settings.name,
-        incarnation: randomUUID(),
-        failureDomain: settings.failureDomain,
-      },
+      identity,
       log,
       onLoad: (load) =>
         this.#server.dispatch({
@@ -159,6 +189,7 @@
     const { settings, log } = this.#options;
     this.#server.setLinks(this.#targets);
     await this.#health.listen(settings.readyAddress);
+    await this.#peerServer.listen(settings.peerAddress);
     await this.#server.listen(settings.callerAddress);
     this.#settings.start();
     this.#directory.start();
@@ -190,6 +221,8 @@
     this.#settings.stop();
     this.#directory.stop();
     this.#groupLoads.stop();
+    this.#peers.stop();
+    this.#peerServer.close();
     this.#server.close();
     this.#targets.close();
     this.#health.close();
@@ -217,18 +250,40 @@
   }
 
   #onProcesses(processes: readonly ListedProcess[]): void {
-    const entries = processes.filter(({ role }) => role === "entry").length;
-    this.#server.dispatch({ kind: "entries_counted", entries });
+    const entries = processes.filter(({ role }) => role === "entry");
+    this.#peers.setListed(entries.map(({ address }) => address));
+    this.#server.dispatch({
+      kind: "entries_counted",
+      entries: entries.length,
+    });
     this.#groupLoads.setProcesses(processes);
   }
 
+  /** Another entry told what it heard from the store. */
+  #onNews(news: StoreNewsMessage, receivedAt: number): void {
+    const { settingsText, directory } = news;
+    if (settingsText !== undefined) this.#settings.offer(settingsText, "entry");
+    if (directory === undefined) return;
+    const { instances, revision, ageMs } = directory;
+    this.#directory.offer({
+      instances,
+      revision,
+      askedAt: receivedAt - ageMs,
+    });
+  }
+
   /** Back ends may have left while we stood still. */
   async #catchUp(): Promise<void> {
     this.#settings.restart();
     const limit = new Promise<void>((resolve) => {
       setTimeout(resolve, CATCH_UP_LIMIT_MS);
     });
-    await Promise.race([this.#directory.refresh(), limit]);
+    await Promise.race([this.#askStoreOrPeers(), limit]);
+  }
+
+  async #askStoreOrPeers(): Promise<void> {
+    await this.#directory.refresh();
+    if (!this.#directory.isReached) await this.#peers.nextAnswer();
   }
 
   #isReady(): boolean {
--- a/src/direct/directory_follower.ts
+++ b/src/direct/directory_follower.ts
@@ -38,6 +38,8 @@
   readonly format: StoreFormat;
   readonly log: EventLog;
   readonly onDirectory: (directory: Directory) => void;
+  /** Called after each listing that was answered. */
+  readonly onAnswered: () => void;
   /** Called after each listing that was not answered. */
   readonly onUnanswered: () => void;
 }
@@ -105,6 +107,7 @@
     try {
       const listing = await store.list(format.backEndPrefix);
       this.#noteAnswer(performance.now());
+      this.#options.onAnswered();
       const instances = listing.items.flatMap((item) =>
         format.tryReadBackEnd(item.key, item.value) ?? []
       );
@@ -125,6 +128,8 @@
 
   #take(directory: Directory, source: string): void {
     const before = this.#directory;
+    // Another entry's list may have been newer than an answer that took long.
+    if (directory.revision < (before?.revision ?? 0)) return;
     const isSettling = performance.now() - this.#regainedAt < SETTLE_MS;
     const instances = isSettling
       ? withMissing(directory.instances, before?.instances ?? [])
--- a/src/messages/schema.ts
+++ b/src/messages/schema.ts
@@ -4,6 +4,7 @@
  * @module
  */
 import { z } from "zod";
+import { PEER_SCHEMAS } from "../direct/peers/schema.ts";
 import { FORMED_GROUP_SCHEMAS } from "../group/formed/schema.ts";
 import {
   COORDINATOR_MESSAGE_SCHEMA,
@@ -135,6 +136,7 @@
   }),
   z.object({ kind: z.literal("rank_load_request") }),
   ...FORMED_GROUP_SCHEMAS,
+  ...PEER_SCHEMAS,
   z.object({
     kind: z.literal("rank_load"),
     load: z.object({
--- a/src/messages/types.ts
+++ b/src/messages/types.ts
@@ -5,6 +5,7 @@
  *
  * @module
  */
+import type { PeerMessage } from "../direct/peers/types.ts";
 import type { FormedGroupMessage } from "../group/formed/types.ts";
 import type { CoordinatorMessage, MemberMessage } from "../group/types.ts";
 import type { RankLoad } from "../external/rank_engine.ts";
@@ -286,7 +287,8 @@
   | RankLoadMessage
   | FormedGroupMessage
   | LedgerRequestMessage
-  | LedgerSlotMessage;
+  | LedgerSlotMessage
+  | PeerMessage;
 
 /** Messages that belong to one attempt of one request. */
 export type AttemptMessage =
