Compare what a copy saves with what a pass takes, not with that times the ranks

The smallest gain was a part of the load summed over layers AND multiplied by the ranks, while a copy's gain is in plain load: a copy had to save 77 in 100 of a layer there, and 7 in 100 with 12 ranks and 3 sets.

Ruled out: counts that do not arrive (decided on by the planner alone: it returns no plan for a skew of 4.85 in the new test).

Change: a copy must save the part of a pass that it costs by slowing the passes, 15 in 100 for as long as it takes, over the 2.5 s for which it is of use. A rank loads for 0.4 s a map: one copy there, five of 76 ms here.

Before: both new tests fail. After: they pass; skew 4.85 to 1.84 in one plan of a model with 24 ranks.

--- a/src/group/formed/decider_driver.ts
+++ b/src/group/formed/decider_driver.ts
@@ -33,11 +33,11 @@
  */
 const COUNT_INTERVAL_MS = 200;
 /**
- * Experts that a rank loads for one map. Copies go one after the other and
- * popularity changes within seconds, so one each that is soon in force beats
- * several that come too late.
+ * Milliseconds for which a rank loads experts for one map, at least one. Copies go
+ * one after the other and popularity changes within seconds, so a few that are
+ * soon in force beat many that come too late.
  */
-const NEW_EXPERTS_PER_RANK = 1;
+const LOADING_MS_PER_MAP = 400;
 /** Experts that a rank loads for one map when passes take long, at most. */
 const MOST_NEW_EXPERTS_PER_RANK = 6;
 /**
@@ -232,6 +232,7 @@
       slotsPerRank: settings.slotsPerRank,
       mostNewPerRank: this.#newExpertsPerRank(settings),
       mostNewPerLayer: settings.mostNewExperts,
+      loadMs: settings.loadMs,
     });
     if (plan === undefined) return;
     this.#options.log.write("MAP_PROPOSED", {
@@ -255,11 +256,9 @@
 
   #newExpertsPerRank(settings: GroupSettings): number {
     const overheadMs = PASSES_PER_SWITCH * (this.#passTimes.meanMs ?? 0);
-    const fitting = Math.floor(overheadMs / settings.loadMs);
-    return Math.min(
-      MOST_NEW_EXPERTS_PER_RANK,
-      Math.max(NEW_EXPERTS_PER_RANK, fitting),
-    );
+    const loadingMs = Math.max(LOADING_MS_PER_MAP, overheadMs);
+    const fitting = Math.floor(loadingMs / settings.loadMs);
+    return Math.min(MOST_NEW_EXPERTS_PER_RANK, Math.max(1, fitting));
   }
 
   #dispatch(event: DeciderEvent): void {
--- a/src/policy/placement/incremental_planner.ts
+++ b/src/policy/placement/incremental_planner.ts
@@ -24,6 +24,8 @@
   readonly mostNewPerRank: number;
   /** Experts of one layer that a rank may load for one map. */
   readonly mostNewPerLayer: number;
+  /** Milliseconds to load one expert. */
+  readonly loadMs: number;
 }
 
 /** A planned map. */
@@ -36,11 +38,13 @@
   readonly costAfter: number;
 }
 
+/** Part by which all passes are slower while a rank copies an expert. */
+const COPY_SLOWDOWN = 0.15;
 /**
- * Part of the whole cost that one copy must save. A copy slows all passes by 15
- * in 100 for as long as it takes, and pays while popularity stays.
+ * Milliseconds for which a copy is of use: popularity was measured to change every
+ * 2 to 4 s, and a copy is in force after a part of that.
  */
-const SMALLEST_GAIN = 0.002;
+const USEFUL_MS = 2500;
 /** Part of a layer's cost that dropping a replica must save: no copy is needed. */
 const SMALLEST_DROP_GAIN = 0.001;
 /** Most loaded ranks of a layer whose experts are given more replicas. */
@@ -146,7 +150,7 @@
 
   #tryBest(): ScoredChange | undefined {
     let best: ScoredChange | undefined;
-    const smallest = SMALLEST_GAIN * this.#cost();
+    const smallest = smallestGainOf(this.#limits.loadMs) * this.#highestLoads();
     for (const layer of this.#drafts.keys()) {
       const candidate = this.#tryBestOf(layer);
       const least = best?.gain ?? smallest;
@@ -187,14 +191,24 @@
       (ofLayer[rank] as number) < mostNewPerLayer;
   }
 
+  /** The most loaded ranks' parts, one a layer: what a pass takes. */
+  #highestLoads(): number {
+    return this.#drafts.reduce((sum, draft) => sum + draft.highestLoad, 0);
+  }
+
   #cost(): number {
-    return this.#drafts.reduce(
-      (sum, draft) => sum + draft.highestLoad * draft.ranks,
-      0,
-    );
+    return this.#highestLoads() * (this.#drafts[0]?.ranks ?? 0);
   }
 }
 
+/**
+ * Part of a pass that one copy must save, to make up for the passes that it slows
+ * down: 0.024 for one that takes 400 ms.
+ */
+function smallestGainOf(loadMs: number): number {
+  return COPY_SLOWDOWN * loadMs / USEFUL_MS;
+}
+
 /** The ways to bring an expert to a rank: as one more replica, or moved. */
 function changesAt(
   draft: PlacementDraft,
--- a/src/policy/placement/incremental_planner_test.ts
+++ b/src/policy/placement/incremental_planner_test.ts
@@ -7,7 +7,12 @@
 const SEED = 20261202;
 const RANKS = 4;
 const EXPERTS = 12;
-const LIMITS = { slotsPerRank: 5, mostNewPerRank: 1, mostNewPerLayer: 4 };
+const LIMITS = {
+  slotsPerRank: 5,
+  mostNewPerRank: 1,
+  mostNewPerLayer: 4,
+  loadMs: 400,
+};
 
 /** Experts in turn: rank 0 holds 0, 4 and 8. */
 function createMap(layers: number): ExpertMap {
@@ -31,6 +36,39 @@
   });
 }
 
+/** A group of any shape, whose experts are held in turn. */
+function createShape(ranks: number, layers: number, experts: number) {
+  const held = Array.from(
+    { length: ranks },
+    (_, rank) =>
+      Array.from(
+        { length: Math.ceil((experts - rank) / ranks) },
+        (_, index) => rank + index * ranks,
+      ),
+  );
+  const current: ExpertMap = {
+    layers: Array.from({ length: layers }, () => ({ experts: held })),
+  };
+  return { current, paces: new Array<number>(ranks).fill(1) };
+}
+
+/** Popularity that falls with an expert's place in a shuffled order. */
+function createSkewedTokens(layers: number, experts: number) {
+  return Array.from({ length: layers }, (_, layer) => {
+    const order = fc.sample(
+      fc.shuffledSubarray([...new Array(experts).keys()], {
+        minLength: experts,
+      }),
+      { seed: SEED + layer, numRuns: 1 },
+    )[0] as readonly number[];
+    const tokens = new Array<number>(experts).fill(0);
+    for (const [place, expert] of order.entries()) {
+      tokens[expert] = 1000 / (place + 1);
+    }
+    return tokens;
+  });
+}
+
 describe("plan of a few copies", () => {
   it("leaves an even load alone", () => {
     const plan = tryPlanIncrement({
@@ -68,6 +106,33 @@
     assert.deepEqual(current.layers[0]?.experts[0], []);
   });
 
+  it("helps a group of many ranks and layers, too", () => {
+    const { current, paces } = createShape(24, 16, 96);
+    const tokens = createSkewedTokens(16, 96);
+    const plan = tryPlanIncrement({ current, tokens, paces }, {
+      slotsPerRank: 5,
+      mostNewPerRank: 5,
+      mostNewPerLayer: 2,
+      loadMs: 76,
+    });
+    assert.ok(plan !== undefined);
+    assert.ok(plan.costAfter < 0.7 * plan.costBefore);
+  });
+
+  it("asks more of a copy that takes longer", () => {
+    const tokens = createSkewedTokens(3, 96);
+    const { current, paces } = createShape(12, 3, 96);
+    const copiesAt = (loadMs: number) =>
+      tryPlanIncrement({ current, tokens, paces }, {
+        slotsPerRank: 11,
+        mostNewPerRank: 4,
+        mostNewPerLayer: 4,
+        loadMs,
+      })?.copies ?? 0;
+    assert.ok(copiesAt(50) > copiesAt(400));
+    assert.equal(copiesAt(10_000), 0);
+  });
+
   it("keeps every expert somewhere and within the limits", () => {
     fc.assert(
       fc.property(
