Ask each rank anew when it has answered; gather changes of the process list

Cause: (1) counts of all ranks had to come within one interval of 200 ms or none of them counted; 24 ranks of 16 layers answer with 4.8 KB each, 0.29 ms to check each, over a link of 8 Mbit/s (measured: encoded size and time of a report).

Change: a rank is asked again 200 ms after its last question if it has answered, or after 1 s; a plan waits for all ranks since the last one. Changes of the process list are gathered for 0.5 s. The listing interval follows from how long a leaving back end may be sent work (setting leavingLimitMs, from the platform's bounds): 0.7 s at 2 s as before, 1.05 s at 3 s.

--- a/src/direct/direct_entry_driver.ts
+++ b/src/direct/direct_entry_driver.ts
@@ -116,6 +116,7 @@
       store,
       format,
       log,
+      leavingLimitMs: settings.leavingLimitMs,
       onDirectory: (directory) => this.#onDirectory(directory),
       onAnswered: () => this.#peers.stop(),
       onUnanswered: () => {
--- a/src/direct/directory_follower.ts
+++ b/src/direct/directory_follower.ts
@@ -11,11 +11,11 @@
 import { Reachability } from "./reachability.ts";
 
 /**
- * Milliseconds between two listings. A back end that leaves may be sent work for
- * two seconds; two listings fit into that, so that one may be lost. A watch
- * would be woken by each heartbeat, ten times as often.
+ * Listings that fit into the time in which a back end that leaves may be sent work:
+ * two, so that one may be lost, and some time for the answers. A watch would be
+ * woken by each heartbeat, ten times as often.
  */
-const LIST_INTERVAL_MS = 700;
+const LISTINGS_IN_LEAVING_TIME = 2.85;
 /**
  * Milliseconds after an outage of the store for which a missing back end still
  * counts as there: entries that lapsed meanwhile are written anew within two
@@ -37,6 +37,8 @@
   readonly store: WatchedStore;
   readonly format: StoreFormat;
   readonly log: EventLog;
+  /** Milliseconds for which a back end that leaves may be sent work. */
+  readonly leavingLimitMs: number;
   readonly onDirectory: (directory: Directory) => void;
   /** Called after each listing that was answered. */
   readonly onAnswered: () => void;
@@ -97,7 +99,8 @@
     await this.#listOnce();
     if (this.#isStopped) return;
     const spent = performance.now() - startedAt;
-    const pause = Math.max(0, LIST_INTERVAL_MS - spent);
+    const intervalMs = this.#options.leavingLimitMs / LISTINGS_IN_LEAVING_TIME;
+    const pause = Math.max(0, intervalMs - spent);
     this.#timer = setTimeout(() => void this.#listAndWait(), pause);
   }
 
--- a/src/direct/process_registry.ts
+++ b/src/direct/process_registry.ts
@@ -23,6 +23,12 @@
 const WATCH_WAIT_MS = 15_000;
 /** Pause after a call that failed, in milliseconds. */
 const RETRY_PAUSE_MS = 700;
+/**
+ * Milliseconds in which changes are gathered before the next call. When all
+ * processes start, each would wake all others: 111 of them made some 2,000 calls
+ * within two seconds.
+ */
+const GATHER_MS = 500;
 
 const PROCESS_SCHEMA = z.object({
   name: z.string(),
@@ -151,7 +157,10 @@
     this.#revision = outcome.revision;
     for (const key of outcome.removed) this.#processes.delete(key);
     for (const item of outcome.written) this.#add(item);
-    if (outcome.removed.length + outcome.written.length > 0) this.#tell();
+    if (outcome.removed.length + outcome.written.length > 0) {
+      this.#tell();
+      await this.#pause(GATHER_MS);
+    }
     return true;
   }
 
--- a/src/group/formed/decider_driver.ts
+++ b/src/group/formed/decider_driver.ts
@@ -28,10 +28,18 @@
 
 const TICK_MS = 25;
 /**
- * Milliseconds between two questions for counts. A plan is made when all ranks
- * have answered one that was asked after the last map came into force.
+ * Milliseconds between two questions for counts to a rank. A plan is made when all
+ * ranks have been counted since the last one, or since a map came into force.
  */
 const COUNT_INTERVAL_MS = 200;
+/** Milliseconds between two words to entries on how the ranks stand. */
+const LOAD_INTERVAL_MS = 200;
+/**
+ * Milliseconds after which a rank that has not answered is asked again. The answers
+ * of 24 ranks may take longer than the interval on a small link, and asking for
+ * more would only add to them.
+ */
+const COUNT_LIMIT_MS = 1000;
 /**
  * Milliseconds for which a rank loads experts for one map, at least one. Copies go
  * one after the other and popularity changes within seconds, so a few that are
@@ -75,6 +83,10 @@
   state: RankState | undefined;
   link: Link | undefined;
   rank: number | undefined;
+  /** When it was last asked for counts, in milliseconds. */
+  askedAt: number;
+  /** Whether that question has no answer yet. */
+  isAsked: boolean;
 }
 
 /** Runs the decider of a formed group. */
@@ -86,10 +98,10 @@
   readonly #members = new Map<string, Member>();
   /** Engines that are given orders from this machine, by address. */
   readonly #remoteEngines = new Map<string, FormedEngine>();
-  /** Ranks that answered the last question for counts. */
+  /** Ranks that were counted since the last plan, or since a map is in force. */
   readonly #answered = new Set<number>();
   readonly #timer: NodeJS.Timeout;
-  #countsAskedAt = 0;
+  #loadToldAt = 0;
   #epoch: number;
 
   /** Begins at once; members are told by {@link setMembers}. */
@@ -130,6 +142,8 @@
       state: undefined,
       link: undefined,
       rank: undefined,
+      askedAt: Number.NEGATIVE_INFINITY,
+      isAsked: false,
       client: new LinkClient({
         address,
         role: "decider",
@@ -140,7 +154,10 @@
             link.send({ kind: "rank_query", withExperts: true });
           },
           onMessage: (message) => this.#onMessage(member, message),
-          onDisconnected: () => member.link = undefined,
+          onDisconnected: () => {
+            member.link = undefined;
+            member.isAsked = false;
+          },
           onDialFailed: (fault) => {
             this.#options.log.write("LINK_FAULT", { address, fault });
           },
@@ -155,6 +172,7 @@
     if (message.state.group !== this.#options.state.group) return;
     member.rank = message.state.rank;
     member.state = message.state;
+    if (message.counts !== undefined) member.isAsked = false;
     if (message.state.rank === 0) {
       this.#passTimes.observe(message.state, performance.now());
     }
@@ -182,11 +200,17 @@
   #tick(): void {
     const now = performance.now();
     this.#dispatch({ kind: "tick", now });
-    if (now - this.#countsAskedAt < COUNT_INTERVAL_MS) return;
-    this.#askForCounts(now);
+    this.#tellLoad(now);
+    for (const member of this.#members.values()) {
+      const waitedMs = now - member.askedAt;
+      const limitMs = member.isAsked ? COUNT_LIMIT_MS : COUNT_INTERVAL_MS;
+      if (waitedMs >= limitMs) askForCounts(member, now);
+    }
   }
 
-  #tellLoad(): void {
+  #tellLoad(now: number): void {
+    if (now - this.#loadToldAt < LOAD_INTERVAL_MS) return;
+    this.#loadToldAt = now;
     const { onLoad, pool, state } = this.#options;
     const members = [...this.#members.values()];
     const own = members.find(({ rank }) => rank === 0)?.state;
@@ -207,13 +231,10 @@
     });
   }
 
-  #askForCounts(now: number): void {
-    this.#tellLoad();
-    this.#countsAskedAt = now;
+  /** What was counted before now does not count for the next plan. */
+  #countAnew(now: number): void {
     this.#answered.clear();
-    for (const { link } of this.#members.values()) {
-      link?.send({ kind: "rank_query", withExperts: false });
-    }
+    for (const member of this.#members.values()) askForCounts(member, now);
   }
 
   #planIfCounted(): void {
@@ -281,7 +302,7 @@
       })
       .with({ kind: "map_in_force" }, ({ version }) => {
         this.#options.log.write("MAP_DECIDED", { version, isCommitted: true });
-        this.#askForCounts(performance.now());
+        this.#countAnew(performance.now());
       })
       .exhaustive();
   }
@@ -322,3 +343,10 @@
     return undefined;
   }
 }
+
+function askForCounts(member: Member, now: number): void {
+  if (member.link === undefined) return;
+  member.askedAt = now;
+  member.isAsked = true;
+  member.link.send({ kind: "rank_query", withExperts: false });
+}
