Read the list of back ends once a failure domain, and tell the others

Ruled out: followers that never list (a dead connection to the store would go unnoticed until the watch of the settings ends, 15 s); a watch (woken by each heartbeat); reads that may be old (the time of leaving is 2 s).

Change: the first entry of a failure domain by name tells its list to the others as it comes; they leave two turns in a row to it, and list themselves as soon as it is 150 ms late. A list counts only if its revision is newer, so what waited while a process stood still is no news.

--- a/src/direct/direct_entry_driver.ts
+++ b/src/direct/direct_entry_driver.ts
@@ -29,7 +29,8 @@
 import { GroupLoadFollower } from "./group_load_follower.ts";
 import { PeerFollower } from "./peers/peer_follower.ts";
 import { PeerServer } from "./peers/peer_server.ts";
-import type { StoreNewsMessage } from "./peers/types.ts";
+import { ReaderFollower } from "./peers/reader_follower.ts";
+import type { DirectoryNews, StoreNewsMessage } from "./peers/types.ts";
 import { type ListedProcess, ProcessRegistry } from "./process_registry.ts";
 import { SettingsFollower } from "./settings_follower.ts";
 
@@ -70,6 +71,7 @@
   readonly #groupLoads: GroupLoadFollower;
   readonly #peerServer: PeerServer;
   readonly #peers: PeerFollower;
+  readonly #reader: ReaderFollower;
   readonly #metrics: Metrics;
   readonly #health: HttpListener;
   #isDraining = false;
@@ -118,7 +120,10 @@
       log,
       leavingLimitMs: settings.leavingLimitMs,
       onDirectory: (directory) => this.#onDirectory(directory),
-      onAnswered: () => this.#peers.stop(),
+      onListed: () => {
+        this.#peers.stop();
+        this.#tellFollowers();
+      },
       onUnanswered: () => {
         this.#settings.restart();
         this.#peers.start();
@@ -163,6 +168,18 @@
       }),
       onNews: (news, receivedAt) => this.#onNews(news, receivedAt),
     });
+    this.#reader = new ReaderFollower({
+      identity,
+      self: {
+        name: settings.name,
+        address: settings.peerAddress,
+        failureDomain: settings.failureDomain,
+      },
+      onNews: ({ directory }, receivedAt) => {
+        if (directory === undefined) return;
+        this.#directory.offerByReader(directoryOf(directory, receivedAt));
+      },
+    });
     this.#groupLoads = new GroupLoadFollower({
       identity,
       log,
@@ -223,6 +240,7 @@
     this.#directory.stop();
     this.#groupLoads.stop();
     this.#peers.stop();
+    this.#reader.stop();
     this.#peerServer.close();
     this.#server.close();
     this.#targets.close();
@@ -253,6 +271,7 @@
   #onProcesses(processes: readonly ListedProcess[]): void {
     const entries = processes.filter(({ role }) => role === "entry");
     this.#peers.setListed(entries.map(({ address }) => address));
+    this.#reader.setListed(entries);
     this.#server.dispatch({
       kind: "entries_counted",
       entries: entries.length,
@@ -265,12 +284,13 @@
     const { settingsText, directory } = news;
     if (settingsText !== undefined) this.#settings.offer(settingsText, "entry");
     if (directory === undefined) return;
-    const { instances, revision, ageMs } = directory;
-    this.#directory.offer({
-      instances,
-      revision,
-      askedAt: receivedAt - ageMs,
-    });
+    this.#directory.offer(directoryOf(directory, receivedAt));
+  }
+
+  /** What was kept after an outage is told, too. */
+  #tellFollowers(): void {
+    const { directory } = this.#directory;
+    if (directory !== undefined) this.#peerServer.tellFollowers(directory);
   }
 
   /** Back ends may have left while we stood still. */
@@ -308,3 +328,9 @@
     return app;
   }
 }
+
+/** What another entry told, on this process's clock. */
+function directoryOf(news: DirectoryNews, receivedAt: number): Directory {
+  const { instances, revision, ageMs } = news;
+  return { instances, revision, askedAt: receivedAt - ageMs };
+}
--- a/src/direct/directory_follower.ts
+++ b/src/direct/directory_follower.ts
@@ -8,14 +8,9 @@
 import type { BackEndInstance } from "../external/back_end_directory.ts";
 import type { StoreFormat } from "../external/operator_settings.ts";
 import type { WatchedStore } from "../external/watched_store.ts";
+import { ListingTurns } from "./listing_turns.ts";
 import { Reachability } from "./reachability.ts";
 
-/**
- * Listings that fit into the time in which a back end that leaves may be sent work:
- * two, so that one may be lost, and some time for the answers. A watch would be
- * woken by each heartbeat, ten times as often.
- */
-const LISTINGS_IN_LEAVING_TIME = 2.85;
 /**
  * Milliseconds after an outage of the store for which a missing back end still
  * counts as there: entries that lapsed meanwhile are written anew within two
@@ -41,7 +36,7 @@
   readonly leavingLimitMs: number;
   readonly onDirectory: (directory: Directory) => void;
   /** Called after each listing that was answered. */
-  readonly onAnswered: () => void;
+  readonly onListed: () => void;
   /** Called after each listing that was not answered. */
   readonly onUnanswered: () => void;
 }
@@ -50,6 +45,7 @@
 export class DirectoryFollower {
   readonly #options: DirectoryFollowerOptions;
   readonly #reachability: Reachability;
+  readonly #turns: ListingTurns;
   #directory: Directory | undefined;
   #lostAt: number | undefined;
   #regainedAt = Number.NEGATIVE_INFINITY;
@@ -60,6 +56,7 @@
   constructor(options: DirectoryFollowerOptions) {
     this.#options = options;
     this.#reachability = new Reachability("back ends", options.log);
+    this.#turns = new ListingTurns(options.leavingLimitMs);
   }
 
   /** The back ends, as last heard. */
@@ -88,20 +85,37 @@
     await this.#listOnce();
   }
 
-  /** Takes in what another process heard, if it is newer. */
+  /** Takes in what another entry heard, if it is newer. */
   offer(directory: Directory): void {
     const known = this.#directory?.revision ?? -1;
-    if (directory.revision > known) this.#take(directory, "process");
+    if (directory.revision > known) this.#take(directory, "entry");
+  }
+
+  /** Takes in what the reader of the failure domain heard just now. */
+  offerByReader(directory: Directory): void {
+    const known = this.#directory?.revision ?? -1;
+    // One that was on its way while this process stood still is not news.
+    if (directory.revision <= known) return;
+    this.#turns.heard(directory.askedAt);
+    this.offer(directory);
   }
 
   async #listAndWait(): Promise<void> {
     const startedAt = performance.now();
     await this.#listOnce();
-    if (this.#isStopped) return;
     const spent = performance.now() - startedAt;
-    const intervalMs = this.#options.leavingLimitMs / LISTINGS_IN_LEAVING_TIME;
-    const pause = Math.max(0, intervalMs - spent);
-    this.#timer = setTimeout(() => void this.#listAndWait(), pause);
+    this.#waitFor(Math.max(0, this.#turns.intervalMs - spent));
+  }
+
+  #waitFor(pauseMs: number): void {
+    if (this.#isStopped) return;
+    this.#timer = setTimeout(() => this.#takeTurn(), pauseMs);
+  }
+
+  #takeTurn(): void {
+    const turn = this.#turns.next(performance.now());
+    if (turn.kind === "list") return void this.#listAndWait();
+    this.#waitFor(turn.forMs);
   }
 
   async #listOnce(): Promise<void> {
@@ -110,12 +124,12 @@
     try {
       const listing = await store.list(format.backEndPrefix);
       this.#noteAnswer(performance.now());
-      this.#options.onAnswered();
       const instances = listing.items.flatMap((item) =>
         format.tryReadBackEnd(item.key, item.value) ?? []
       );
       const { revision } = listing;
       this.#take({ instances, revision, askedAt }, "store");
+      this.#options.onListed();
     } catch (error) {
       this.#lostAt ??= performance.now();
       this.#reachability.noteFailure(performance.now(), error);
--- a/src/direct/peers/peer_choice.ts
+++ b/src/direct/peers/peer_choice.ts
@@ -50,3 +50,34 @@
   }
   return drawn;
 }
+
+/** An entry as it lists itself in the store. */
+export interface ListedEntry {
+  readonly name: string;
+  readonly address: string;
+  readonly failureDomain: string;
+}
+
+/**
+ * The entry that reads the list of back ends for its failure domain: all choose
+ * the same one while they know of the same entries. Undefined for that entry
+ * itself and where it is not listed.
+ *
+ * @example
+ * ```ts
+ * const reader = tryChooseReader(entries, self);
+ * ```
+ */
+export function tryChooseReader(
+  entries: readonly ListedEntry[],
+  self: ListedEntry,
+): ListedEntry | undefined {
+  const near = entries.filter((one) =>
+    one.failureDomain === self.failureDomain
+  );
+  const first = near.reduce<ListedEntry | undefined>(
+    (best, one) => best === undefined || one.name < best.name ? one : best,
+    undefined,
+  );
+  return first?.name === self.name ? undefined : first;
+}
--- a/src/direct/peers/peer_choice_test.ts
+++ b/src/direct/peers/peer_choice_test.ts
@@ -1,7 +1,7 @@
 import assert from "node:assert/strict";
 import { describe, it } from "node:test";
 import { RandomSource } from "../../core/random_source.ts";
-import { choosePeers, PEERS_IN_ROUND } from "./peer_choice.ts";
+import { choosePeers, PEERS_IN_ROUND, tryChooseReader } from "./peer_choice.ts";
 
 const OWN = "10.0.0.1:1";
 
@@ -44,3 +44,24 @@
     );
   });
 });
+
+describe("tryChooseReader", () => {
+  const entries = ["b", "a", "c"].map((name) => ({
+    name,
+    address: `${name}:1`,
+    failureDomain: name === "a" ? "far" : "near",
+  }));
+  const [first, , last] = entries;
+
+  it("is the same one for all entries of a failure domain", () => {
+    assert.ok(first !== undefined && last !== undefined);
+    assert.equal(tryChooseReader(entries, last)?.name, "b");
+    assert.equal(tryChooseReader([...entries].reverse(), last)?.name, "b");
+  });
+
+  it("is nobody else for the reader, and nobody while none is listed", () => {
+    assert.ok(first !== undefined);
+    assert.equal(tryChooseReader(entries, first), undefined);
+    assert.equal(tryChooseReader([], first), undefined);
+  });
+});
--- a/src/direct/peers/peer_server.ts
+++ b/src/direct/peers/peer_server.ts
@@ -13,6 +13,9 @@
 import type { SettingsInUse } from "../settings_follower.ts";
 import type { StoreNewsMessage, StoreNewsQueryMessage } from "./types.ts";
 
+/** Bytes on their way to a follower beyond which it is told nothing more. */
+const MOST_UNSENT_BYTES = 65_536;
+
 /** What an entry knows from the store. */
 export interface StoreKnowledge {
   readonly settings: SettingsInUse | undefined;
@@ -30,6 +33,8 @@
 export class PeerServer {
   readonly #options: PeerServerOptions;
   readonly #listener = new HttpListener(new Hono());
+  /** Connections of those who follow. */
+  readonly #followers = new Set<Link>();
 
   /** Does not listen yet. */
   constructor(options: PeerServerOptions) {
@@ -45,7 +50,7 @@
             }
           },
           // Whoever asks dials again.
-          onClose: () => undefined,
+          onClose: () => this.#followers.delete(link),
         }),
         onRejected: (fault) => {
           if (fault !== undefined) {
@@ -70,7 +75,22 @@
     this.#listener.close();
   }
 
+  /** Tells those who follow which back ends the store listed just now. */
+  tellFollowers(directory: Directory): void {
+    const ageMs = Math.max(0, performance.now() - directory.askedAt);
+    const { instances, revision } = directory;
+    for (const link of this.#followers.keys()) {
+      // One that does not read is better off with a list of its own.
+      if (link.bufferedBytes > MOST_UNSENT_BYTES) continue;
+      link.send({
+        kind: "store_news",
+        directory: { instances, revision, ageMs },
+      });
+    }
+  }
+
   #answer(link: Link, query: StoreNewsQueryMessage): void {
+    if (query.isFollowing === true) this.#followers.add(link);
     const knowledge = this.#options.getKnowledge();
     link.send(createNews(knowledge, query, performance.now()));
   }
--- a/src/direct/peers/schema.ts
+++ b/src/direct/peers/schema.ts
@@ -22,6 +22,7 @@
     kind: z.literal("store_news_query"),
     settingsVersion: COUNT.optional(),
     directoryRevision: COUNT.optional(),
+    isFollowing: z.boolean().optional(),
   }),
   z.object({
     kind: z.literal("store_news"),
--- a/src/direct/peers/types.ts
+++ b/src/direct/peers/types.ts
@@ -12,6 +12,8 @@
   readonly settingsVersion?: number;
   /** Revision of the asker's list of back ends; undefined when it has none. */
   readonly directoryRevision?: number;
+  /** Whether lists of back ends are to follow as they are heard. */
+  readonly isFollowing?: boolean;
 }
 
 /** A list of back ends as another entry heard it. */
