Hold a pass further ahead when the group had to wait for its switch

Change: the margin grows by a pass when the group already stood before the held pass as the others were armed, and shrinks when two passes were to spare. Before: the new test holds pass 12 again. After: 13, and back to 12 when there is time.

--- a/src/group/formed/decider.ts
+++ b/src/group/formed/decider.ts
@@ -37,9 +37,10 @@
 /** Milliseconds between two looks at a group that has yet to begin a pass. */
 const SWITCHING_LOOK_MS = 40;
 /**
- * Passes between the last one that was begun and the one of the switch. Orders
- * take 20 ms to reach all ranks and a pass 40 or more, so with two the pass is
- * rarely held in fact.
+ * Passes between the last one that was begun and the one of the switch, at least.
+ * Orders take 20 ms to reach all of 12 ranks and a pass 40 or more, so with two the
+ * pass is rarely held in fact. More ranks take longer: the margin follows from
+ * whether the group had to wait.
  */
 const FIRST_MARGIN_PASSES = 2;
 const LARGEST_MARGIN_PASSES = 64;
@@ -74,6 +75,8 @@
   #highestVersion = 0;
   #ownVersion: number | undefined;
   #marginPasses = FIRST_MARGIN_PASSES;
+  /** Margin with which a switch begins. */
+  #usualMarginPasses = FIRST_MARGIN_PASSES;
   readonly #open = new Map<number, OpenOrder>();
   #nextOrderId = 1;
   #askedAt = Number.NEGATIVE_INFINITY;
@@ -165,10 +168,12 @@
         if (this.#open.size === 0) this.#arm(phase, now);
         return;
       case "arming":
-        if (this.#open.size === 0) this.#armOwn(phase, now);
-        return;
+        if (this.#open.size > 0) return;
+        this.#noteWait(phase.pass, report.state);
+        return this.#armOwn(phase, now);
       case "arming_own":
         if (this.#open.size > 0) return;
+        this.#noteSlack(phase.pass, report.state);
         return this.#release(phase, now);
       case "releasing":
         if (this.#open.size === 0) this.#released(phase, now);
@@ -212,7 +217,7 @@
   #proposed(map: ExpertMap, now: number): void {
     if (this.#phase.kind !== "settled") return;
     const version = this.#nextVersion();
-    this.#marginPasses = FIRST_MARGIN_PASSES;
+    this.#marginPasses = this.#usualMarginPasses;
     const before = this.#phase.map;
     this.#enter({ kind: "preparing", version, map, before }, now);
     this.#forEachRank((rank) =>
@@ -255,6 +260,24 @@
     this.#order(0, { kind: "arm", ...this.#at(pass), version }, now);
   }
 
+  /** While orders were still to be given, the group stood before the pass. */
+  #noteWait(pass: number, { pass: begun }: RankState): void {
+    if (begun < pass - 1) return;
+    this.#usualMarginPasses = Math.min(
+      LARGEST_MARGIN_PASSES,
+      this.#usualMarginPasses + 1,
+    );
+  }
+
+  /** All orders were given with two whole passes to spare. */
+  #noteSlack(pass: number, { pass: begun }: RankState): void {
+    if (begun >= pass - 2) return;
+    this.#usualMarginPasses = Math.max(
+      FIRST_MARGIN_PASSES,
+      this.#usualMarginPasses - 1,
+    );
+  }
+
   #release(phase: Omit<Releasing, "kind">, now: number): void {
     const { holder, version, pass, map } = phase;
     this.#enter({ kind: "releasing", holder, version, pass, map }, now);
--- a/src/group/formed/decider_test.ts
+++ b/src/group/formed/decider_test.ts
@@ -71,12 +71,32 @@
   /** Settles the group and proposes a map; returns the orders to prepare it. */
   propose(): readonly SendOrder[] {
     for (let rank = 0; rank < RANKS; rank++) this.report(createState(rank));
+    return this.proposeAgain();
+  }
+
+  /** Proposes a map to a settled group. */
+  proposeAgain(): readonly SendOrder[] {
     const map = { layers: [{ experts: [[1], [2], [0]] }] };
     return ordersOf(
       this.decider.reduce({ kind: "map_proposed", now: 0, map }),
     );
   }
 
+  /** Switches whole; `armedAt` is the last pass that began before all armed. */
+  switchAt(orders: readonly SendOrder[], armedAt: number): number {
+    const version = versionOf(orders);
+    const prepared = { preparedVersion: version };
+    const holds = this.carryOut(orders, prepared);
+    const pass = passOf(holds);
+    const others = this.carryOut(holds, { ...prepared, heldPass: pass });
+    const armed = { armed: { version, pass }, pass: armedAt };
+    const own = this.carryOut(others, armed);
+    const goes = this.carryOut(own, armed);
+    this.carryOut(goes, { activeVersion: version, pass });
+    this.report(createState(0, { activeVersion: version, pass }));
+    return pass;
+  }
+
   /** Goes on until the other ranks are to be armed. */
   arm(): readonly SendOrder[] {
     const prepares = this.propose();
@@ -95,6 +115,12 @@
   return first.order.version;
 }
 
+function passOf(orders: readonly SendOrder[]): number {
+  const [first] = orders;
+  assert.ok(first?.order.kind === "hold");
+  return first.order.pass;
+}
+
 function namesOf(orders: readonly SendOrder[]): readonly string[] {
   return orders.map(({ rank, order }) => `${rank} ${order.kind}`);
 }
@@ -131,6 +157,18 @@
     assert.ok(next?.order.kind === "hold" && next.order.pass > 12);
   });
 
+  it("holds a pass further ahead after one that the group waited for", () => {
+    const fixture = new DeciderFixture();
+    const first = fixture.switchAt(fixture.propose(), 11);
+    assert.equal(first, 12);
+    // The group stood before pass 12 while its ranks were armed.
+    const second = fixture.switchAt(fixture.proposeAgain(), 11);
+    assert.equal(second, 13);
+    // It had one pass to go this time, which is kept, and then two.
+    assert.equal(fixture.switchAt(fixture.proposeAgain(), 10), 13);
+    assert.equal(fixture.switchAt(fixture.proposeAgain(), 10), 12);
+  });
+
   it("gives up a map that a rank refuses to prepare, and keeps the old", () => {
     const fixture = new DeciderFixture();
     const [first] = fixture.propose();
