Tell a decider only what its ranks counted since their last word

Change: counts carry a number; a rank tells what was added to the counts that the decider has, and all of them where it has others or the engine started anew.

--- a/src/group/formed/decider_driver.ts
+++ b/src/group/formed/decider_driver.ts
@@ -87,6 +87,8 @@
   askedAt: number;
   /** Whether that question has no answer yet. */
   isAsked: boolean;
+  /** Number of the last counts that it told. */
+  knownCounts: number | undefined;
 }
 
 /** Runs the decider of a formed group. */
@@ -144,6 +146,7 @@
       rank: undefined,
       askedAt: Number.NEGATIVE_INFINITY,
       isAsked: false,
+      knownCounts: undefined,
       client: new LinkClient({
         address,
         role: "decider",
@@ -157,6 +160,7 @@
           onDisconnected: () => {
             member.link = undefined;
             member.isAsked = false;
+            member.knownCounts = undefined;
           },
           onDialFailed: (fault) => {
             this.#options.log.write("LINK_FAULT", { address, fault });
@@ -176,7 +180,7 @@
     if (message.state.rank === 0) {
       this.#passTimes.observe(message.state, performance.now());
     }
-    this.#takeCounts(message);
+    this.#takeCounts(member, message);
     this.#dispatch({
       kind: "rank_reported",
       now: performance.now(),
@@ -186,14 +190,25 @@
     this.#planIfCounted();
   }
 
-  #takeCounts(report: RankReportMessage): void {
+  #takeCounts(member: Member, report: RankReportMessage): void {
     const { state, counts } = report;
     if (state.epoch > this.#epoch) {
       this.#epoch = state.epoch;
       this.#popularity.clear();
     }
     if (counts === undefined) return;
-    this.#popularity.observe(state.rank, counts, performance.now());
+    const { knownCounts } = member;
+    member.knownCounts = counts.serial;
+    const now = performance.now();
+    if (counts.since === undefined) {
+      this.#popularity.observe(state.rank, counts.counts, now);
+    } else if (counts.since === knownCounts) {
+      this.#popularity.observeAdded(state.rank, counts.counts, now);
+    } else {
+      // Added to counts that never came: the next ones are wanted in full.
+      member.knownCounts = undefined;
+      return;
+    }
     this.#answered.add(state.rank);
   }
 
@@ -348,5 +363,6 @@
   if (member.link === undefined) return;
   member.askedAt = now;
   member.isAsked = true;
-  member.link.send({ kind: "rank_query", withExperts: false });
+  const { knownCounts } = member;
+  member.link.send({ kind: "rank_query", withExperts: false, knownCounts });
 }
--- a/src/group/formed/popularity.ts
+++ b/src/group/formed/popularity.ts
@@ -50,12 +50,33 @@
     this.#counts.set(rank, counts);
     // The first counts of a rank may be of any age.
     if (before === undefined) return;
-    for (const [layer, row] of counts.entries()) {
+    // An engine that started anew counts from zero.
+    this.#add(
+      counts.map((row, layer) =>
+        row.map((count, expert) =>
+          Math.max(0, count - (before[layer]?.[expert] ?? 0))
+        )
+      ),
+    );
+  }
+
+  /** Takes in what a rank counted since it was observed last. */
+  observeAdded(rank: number, added: ExpertCounts, now: number): void {
+    this.#fade(now);
+    this.#add(added);
+    const before = this.#counts.get(rank);
+    if (before === undefined) return;
+    const counts = before.map((row, layer) =>
+      row.map((count, expert) => count + (added[layer]?.[expert] ?? 0))
+    );
+    this.#counts.set(rank, counts);
+  }
+
+  #add(added: ExpertCounts): void {
+    for (const [layer, row] of added.entries()) {
       const tokens = this.#tokens[layer] ??= new Array(row.length).fill(0);
       for (const [expert, count] of row.entries()) {
-        const added = count - (before[layer]?.[expert] ?? 0);
-        // An engine that started anew counts from zero.
-        tokens[expert] = (tokens[expert] as number) + Math.max(0, added);
+        tokens[expert] = (tokens[expert] as number) + count;
       }
     }
   }
--- a/src/group/formed/rank_agent.ts
+++ b/src/group/formed/rank_agent.ts
@@ -7,6 +7,7 @@
 import { performance } from "node:perf_hooks";
 import { setTimeout as sleep } from "node:timers/promises";
 import type { FormedEngine } from "../../external/formed_engine.ts";
+import { CountsMemory } from "./counts_memory.ts";
 import { SwitchPromises } from "./switch_promises.ts";
 import {
   isCarriedOut,
@@ -42,6 +43,7 @@
   /** The order under way; a repeated one is not given twice at once. */
   #current: RankOrderMessage | undefined;
   readonly #promises = new SwitchPromises();
+  readonly #counts = new CountsMemory();
   /** Shortest time that a map took to load, in milliseconds. */
   #shortestLoadMs = Number.POSITIVE_INFINITY;
 
@@ -62,7 +64,10 @@
     if (query.refuse !== undefined) this.#promises.refuse(query.refuse);
     const state = await this.#engine.tryReadState();
     if (state === undefined) return;
-    const counts = await this.#engine.readCounts();
+    const counts = this.#counts.tell(
+      await this.#engine.readCounts(),
+      query.knownCounts,
+    );
     const experts = query.withExperts
       ? await this.#engine.readExperts()
       : undefined;
--- a/src/group/formed/schema.ts
+++ b/src/group/formed/schema.ts
@@ -66,6 +66,7 @@
   z.object({
     kind: z.literal("rank_query"),
     withExperts: z.boolean(),
+    knownCounts: COUNT.optional(),
     refuse: z.object(PASS).optional(),
   }),
   z.object({
@@ -75,7 +76,11 @@
     isDone: z.boolean().optional(),
     orderedPass: COUNT.optional(),
     refusedPass: COUNT.optional(),
-    counts: NUMBERS_BY_LAYER.optional(),
+    counts: z.object({
+      serial: COUNT,
+      since: COUNT.optional(),
+      counts: NUMBERS_BY_LAYER,
+    }).optional(),
     experts: NUMBERS_BY_LAYER.optional(),
   }),
 ] as const;
--- a/src/group/formed/types.ts
+++ b/src/group/formed/types.ts
@@ -116,10 +116,24 @@
   readonly kind: "rank_query";
   /** Whether the experts of the rank are wanted, too. */
   readonly withExperts: boolean;
+  /** Number of the counts that the asker has of this rank. */
+  readonly knownCounts?: number;
   /** From now on no switch at this pass or an earlier one is to be ordered. */
   readonly refuse?: PassOfEpoch;
 }
 
+/** Counts of a rank, as they are told. */
+export interface CountsReport {
+  /** Number of these counts; each telling has the next one. */
+  readonly serial: number;
+  /**
+   * Number of the counts to which these were added; undefined: they count from the
+   * start of the engine.
+   */
+  readonly since?: number;
+  readonly counts: ExpertCounts;
+}
+
 /** How a rank's engine stands. */
 export interface RankReportMessage {
   readonly kind: "rank_report";
@@ -132,8 +146,7 @@
   readonly orderedPass?: number;
   /** No switch at this pass or an earlier one will be ordered here. */
   readonly refusedPass?: number;
-  /** Counts since the engine started. */
-  readonly counts?: ExpertCounts;
+  readonly counts?: CountsReport;
   readonly experts?: RankExperts;
 }
 
