Keep what an entry has to do with other entries in one place

Read as a newcomer: the driver of the entry built three parts for it and joined them by hand, and a follower of the reader was sent all settings once for nothing. One class answers, asks and follows now; a follower says what it has, and takes settings too. An error in what follows a listing no longer counts as a store that does not answer.

--- a/src/direct/direct_entry_driver.ts
+++ b/src/direct/direct_entry_driver.ts
@@ -27,10 +27,7 @@
 import { type Directory, DirectoryFollower } from "./directory_follower.ts";
 import { DirectTargetPool } from "./direct_target_pool.ts";
 import { GroupLoadFollower } from "./group_load_follower.ts";
-import { PeerFollower } from "./peers/peer_follower.ts";
-import { PeerServer } from "./peers/peer_server.ts";
-import { ReaderFollower } from "./peers/reader_follower.ts";
-import type { DirectoryNews, StoreNewsMessage } from "./peers/types.ts";
+import { EntryPeers } from "./peers/entry_peers.ts";
 import { type ListedProcess, ProcessRegistry } from "./process_registry.ts";
 import { SettingsFollower } from "./settings_follower.ts";
 
@@ -69,9 +66,7 @@
   readonly #directory: DirectoryFollower;
   readonly #registry: ProcessRegistry;
   readonly #groupLoads: GroupLoadFollower;
-  readonly #peerServer: PeerServer;
-  readonly #peers: PeerFollower;
-  readonly #reader: ReaderFollower;
+  readonly #peers: EntryPeers;
   readonly #metrics: Metrics;
   readonly #health: HttpListener;
   #isDraining = false;
@@ -121,24 +116,21 @@
       log,
       leavingLimitMs: settings.leavingLimitMs,
       onDirectory: (directory) => this.#onDirectory(directory),
-      onListed: () => {
-        this.#peers.stop();
-        this.#tellFollowers();
-      },
+      onListed: (directory) => this.#peers.storeAnswered(directory),
       onUnanswered: () => {
         this.#settings.restart();
-        this.#peers.start();
+        this.#peers.storeSilent();
       },
     });
+    const self = {
+      name: settings.name,
+      address: settings.peerAddress,
+      failureDomain: settings.failureDomain,
+    };
     this.#registry = new ProcessRegistry({
       store,
       log,
-      self: {
-        name: settings.name,
-        role: "entry",
-        address: settings.peerAddress,
-        failureDomain: settings.failureDomain,
-      },
+      self: { role: "entry", ...self },
       follows: true,
       onProcesses: (processes) => this.#onProcesses(processes),
     });
@@ -149,37 +141,21 @@
       incarnation: randomUUID(),
       failureDomain: settings.failureDomain,
     };
-    this.#peerServer = new PeerServer({
+    this.#peers = new EntryPeers({
       identity,
+      self,
+      seedAddresses: settings.seedAddresses,
+      random: new RandomSource(options.seed),
       log,
       getKnowledge: () => ({
         settings: this.#settings.inUse,
         directory: this.#directory.directory,
       }),
-    });
-    this.#peers = new PeerFollower({
-      identity,
-      ownAddress: settings.peerAddress,
-      seedAddresses: settings.seedAddresses,
-      random: new RandomSource(options.seed),
-      getQuery: () => ({
-        kind: "store_news_query",
-        settingsVersion: this.#settings.inUse?.settings.version,
-        directoryRevision: this.#directory.directory?.revision,
-      }),
-      onNews: (news, receivedAt) => this.#onNews(news, receivedAt),
-    });
-    this.#reader = new ReaderFollower({
-      identity,
-      self: {
-        name: settings.name,
-        address: settings.peerAddress,
-        failureDomain: settings.failureDomain,
-      },
-      onNews: ({ directory }, receivedAt) => {
-        if (directory === undefined) return;
-        this.#directory.offerByReader(directoryOf(directory, receivedAt));
-      },
+      onSettings: (text) => this.#settings.offer(text, "entry"),
+      onDirectory: (directory, source) =>
+        source === "reader"
+          ? this.#directory.offerByReader(directory)
+          : this.#directory.offer(directory),
     });
     this.#groupLoads = new GroupLoadFollower({
       identity,
@@ -208,7 +184,7 @@
     const { settings, log } = this.#options;
     this.#server.setLinks(this.#targets);
     await this.#health.listen(settings.readyAddress);
-    await this.#peerServer.listen(settings.peerAddress);
+    await this.#peers.listen();
     await this.#server.listen(settings.callerAddress);
     this.#settings.start();
     this.#directory.start();
@@ -240,9 +216,7 @@
     this.#settings.stop();
     this.#directory.stop();
     this.#groupLoads.stop();
-    this.#peers.stop();
-    this.#reader.stop();
-    this.#peerServer.close();
+    this.#peers.close();
     this.#server.close();
     this.#targets.close();
     this.#health.close();
@@ -271,8 +245,7 @@
 
   #onProcesses(processes: readonly ListedProcess[]): void {
     const entries = processes.filter(({ role }) => role === "entry");
-    this.#peers.setListed(entries.map(({ address }) => address));
-    this.#reader.setListed(entries);
+    this.#peers.setListed(entries);
     this.#server.dispatch({
       kind: "entries_counted",
       entries: entries.length,
@@ -280,20 +253,6 @@
     this.#groupLoads.setProcesses(processes);
   }
 
-  /** Another entry told what it heard from the store. */
-  #onNews(news: StoreNewsMessage, receivedAt: number): void {
-    const { settingsText, directory } = news;
-    if (settingsText !== undefined) this.#settings.offer(settingsText, "entry");
-    if (directory === undefined) return;
-    this.#directory.offer(directoryOf(directory, receivedAt));
-  }
-
-  /** What was kept after an outage is told, too. */
-  #tellFollowers(): void {
-    const { directory } = this.#directory;
-    if (directory !== undefined) this.#peerServer.tellFollowers(directory);
-  }
-
   /** Back ends may have left while we stood still. */
   async #catchUp(): Promise<void> {
     this.#settings.restart();
@@ -329,9 +288,3 @@
     return app;
   }
 }
-
-/** What another entry told, on this process's clock. */
-function directoryOf(news: DirectoryNews, receivedAt: number): Directory {
-  const { instances, revision, ageMs } = news;
-  return { instances, revision, askedAt: receivedAt - ageMs };
-}
--- a/src/direct/directory_follower.ts
+++ b/src/direct/directory_follower.ts
@@ -7,7 +7,7 @@
 import type { EventLog } from "../events/event_log.ts";
 import type { BackEndInstance } from "../external/back_end_directory.ts";
 import type { StoreFormat } from "../external/operator_settings.ts";
-import type { WatchedStore } from "../external/watched_store.ts";
+import type { StoreListing, WatchedStore } from "../external/watched_store.ts";
 import { ListingTurns } from "./listing_turns.ts";
 import { Reachability } from "./reachability.ts";
 
@@ -35,8 +35,8 @@
   /** Milliseconds for which a back end that leaves may be sent work. */
   readonly leavingLimitMs: number;
   readonly onDirectory: (directory: Directory) => void;
-  /** Called after each listing that was answered. */
-  readonly onListed: () => void;
+  /** Called after each listing that was answered, with the list as it is kept. */
+  readonly onListed: (directory: Directory) => void;
   /** Called after each listing that was not answered. */
   readonly onUnanswered: () => void;
 }
@@ -119,21 +119,28 @@
   }
 
   async #listOnce(): Promise<void> {
-    const { store, format, onUnanswered } = this.#options;
+    const { format, onListed, onUnanswered } = this.#options;
     const askedAt = performance.now();
+    const listing = await this.#tryList();
+    if (listing === undefined) return onUnanswered();
+    const instances = listing.items.flatMap((item) =>
+      format.tryReadBackEnd(item.key, item.value) ?? []
+    );
+    const listed = { instances, revision: listing.revision, askedAt };
+    this.#take(listed, "store");
+    onListed(this.#directory ?? listed);
+  }
+
+  async #tryList(): Promise<StoreListing | undefined> {
+    const { store, format } = this.#options;
     try {
       const listing = await store.list(format.backEndPrefix);
       this.#noteAnswer(performance.now());
-      const instances = listing.items.flatMap((item) =>
-        format.tryReadBackEnd(item.key, item.value) ?? []
-      );
-      const { revision } = listing;
-      this.#take({ instances, revision, askedAt }, "store");
-      this.#options.onListed();
+      return listing;
     } catch (error) {
       this.#lostAt ??= performance.now();
       this.#reachability.noteFailure(performance.now(), error);
-      onUnanswered();
+      return undefined;
     }
   }
 
--- a/src/direct/peers/peer_server.ts
+++ b/src/direct/peers/peer_server.ts
@@ -79,7 +79,7 @@
   tellFollowers(directory: Directory): void {
     const ageMs = Math.max(0, performance.now() - directory.askedAt);
     const { instances, revision } = directory;
-    for (const link of this.#followers.keys()) {
+    for (const link of this.#followers) {
       // One that does not read is better off with a list of its own.
       if (link.bufferedBytes > MOST_UNSENT_BYTES) continue;
       link.send({
--- a/src/direct/peers/reader_follower.ts
+++ b/src/direct/peers/reader_follower.ts
@@ -8,12 +8,14 @@
 import { LinkClient } from "../../links/link_client.ts";
 import type { LinkIdentity } from "../../links/link_server.ts";
 import { type ListedEntry, tryChooseReader } from "./peer_choice.ts";
-import type { StoreNewsMessage } from "./types.ts";
+import type { StoreNewsMessage, StoreNewsQueryMessage } from "./types.ts";
 
 /** Options of a {@link ReaderFollower}. */
 export interface ReaderFollowerOptions {
   readonly identity: LinkIdentity;
   readonly self: ListedEntry;
+  /** What this entry has already. */
+  readonly getQuery: () => StoreNewsQueryMessage;
   readonly onNews: (news: StoreNewsMessage, receivedAt: number) => void;
 }
 
@@ -44,15 +46,14 @@
   }
 
   #dial(address: string): void {
-    const { identity, onNews } = this.#options;
+    const { identity, getQuery, onNews } = this.#options;
     this.#address = address;
     this.#client = new LinkClient({
       address,
       role: "entry",
       identity,
       listener: {
-        onConnected: (link) =>
-          link.send({ kind: "store_news_query", isFollowing: true }),
+        onConnected: (link) => link.send({ ...getQuery(), isFollowing: true }),
         onMessage: (message) => {
           if (message.kind === "store_news") {
             onNews(message, performance.now());
