--- a/src/testing/process_cluster.ts
+++ b/src/testing/process_cluster.ts
@@ -312,7 +312,6 @@
   return child.exitCode;
 }
 
-/** The program from its sources, or the built binary where one is named. */
 /** Starts the program: the sources, or the binary that a variable names. */
 export function spawnProgram(words: readonly string[]): ChildProcess {
   const binary = process.env["LAGOONWHARF_BINARY"];
