--- a/scripts/build_binary.ts
+++ b/scripts/build_binary.ts
@@ -42,6 +42,6 @@
 }
 
 mkdirSync(FOLDER, { recursive: true });
-await bundle(BUNDLE);
+await bundle({ from: "src/main.ts", to: BUNDLE });
 putIntoBinary();
 process.stdout.write(`Made ${BINARY}\n`);
--- a/scripts/build_bundle.ts
+++ b/scripts/build_bundle.ts
@@ -1,9 +1,24 @@
 /**
- * Bundles the program for machines that have Node.js: makes
- * target/lagoonwharf.cjs.
+ * Bundles the programs of machines that have Node.js, one file for each role:
+ * target/entry.cjs and target/rank.cjs.
  *
  * @module
  */
 import { bundle } from "./bundle.ts";
 
-await bundle("target/lagoonwharf.cjs");
+/**
+ * The programs call others through pools of connections only; the rest of the
+ * library would be loaded for nothing.
+ */
+const REPLACING = { undici: "./scripts/connection_pools.cjs" };
+
+await bundle({
+  from: "platform/entry_main.ts",
+  to: "target/entry.cjs",
+  replacing: REPLACING,
+});
+await bundle({
+  from: "platform/rank_main.ts",
+  to: "target/rank.cjs",
+  replacing: REPLACING,
+});
--- a/scripts/bundle.ts
+++ b/scripts/bundle.ts
@@ -31,22 +31,33 @@
 };
 `;
 
+/** What is bundled, and into which file. */
+export interface BundleOptions {
+  /** Module that the program begins with. */
+  readonly from: string;
+  readonly to: string;
+  /** Modules that take the place of others, by the name of those. */
+  readonly replacing?: Readonly<Record<string, string>>;
+}
+
 /**
- * Bundles the program into one CommonJS file.
+ * Bundles a program into one CommonJS file.
  *
  * @example
  * ```ts
- * await bundle("dist/lagoonwharf.cjs");
+ * await bundle({ from: "src/main.ts", to: "dist/lagoonwharf.cjs" });
  * ```
  */
-export async function bundle(file: string): Promise<void> {
+export async function bundle(options: BundleOptions): Promise<void> {
+  const { from, to, replacing } = options;
   await build({
-    entryPoints: ["src/main.ts"],
+    entryPoints: [from],
     bundle: true,
     platform: "node",
     target: "node20",
     format: "cjs",
-    outfile: file,
+    outfile: to,
+    alias: replacing,
     external: LEFT_OUT,
     define: { "import.meta": "__importMeta" },
     banner: { js: BANNER },
--- a/src/commands/entry_command.ts
+++ b/src/commands/entry_command.ts
@@ -12,7 +12,8 @@
 } from "../process/process_settings.ts";
 import type { ExitCode } from "./exit_codes.ts";
 import { printFindings } from "./print_findings.ts";
-import { createPlatform, runProcess } from "./run_process.ts";
+import { createPlatform } from "./platform_services.ts";
+import { runProcess } from "./run_process.ts";
 
 const SEED_LIMIT = 2 ** 31;
 
--- a/src/commands/target_command.ts
+++ b/src/commands/target_command.ts
@@ -14,7 +14,8 @@
 import { TargetDriver } from "../target/target_driver.ts";
 import type { ExitCode } from "./exit_codes.ts";
 import { printFindings } from "./print_findings.ts";
-import { createPlatform, runProcess } from "./run_process.ts";
+import { createPlatform } from "./platform_services.ts";
+import { runProcess } from "./run_process.ts";
 
 /**
  * Starts a target; returns an exit code only if it could not start.
--- a/src/direct/peers/schema.ts
+++ b/src/direct/peers/schema.ts
@@ -3,7 +3,7 @@
  *
  * @module
  */
-import { z } from "zod";
+import * as z from "zod";
 
 const COUNT = z.number().int().nonnegative();
 
--- a/src/direct/process_registry.ts
+++ b/src/direct/process_registry.ts
@@ -5,7 +5,7 @@
  */
 import { performance } from "node:perf_hooks";
 import { setTimeout as sleep } from "node:timers/promises";
-import { z } from "zod";
+import * as z from "zod";
 import type { EventLog } from "../events/event_log.ts";
 import type {
   StoreItem,
--- a/src/entry/administration.ts
+++ b/src/entry/administration.ts
@@ -8,7 +8,7 @@
 import { Buffer } from "node:buffer";
 import { type Context, Hono } from "hono";
 import { match, P } from "ts-pattern";
-import { z } from "zod";
+import * as z from "zod";
 import {
   formatDiagnostics,
   formatDiagnosticText,
--- a/src/external/http_key_value_service.ts
+++ b/src/external/http_key_value_service.ts
@@ -4,7 +4,7 @@
  * @module
  */
 import { type Dispatcher, request } from "undici";
-import { z } from "zod";
+import * as z from "zod";
 import {
   type KeyValueEntry,
   KeyValueService,
--- a/src/external/http_rank_engine.ts
+++ b/src/external/http_rank_engine.ts
@@ -4,7 +4,7 @@
  * @module
  */
 import { request } from "undici";
-import { z } from "zod";
+import * as z from "zod";
 import { ENGINE_STATE_SCHEMA } from "../group/schema.ts";
 import type { EngineOrder, EngineState } from "../group/types.ts";
 import {
--- a/src/external/http_virtual_machine_list.ts
+++ b/src/external/http_virtual_machine_list.ts
@@ -4,7 +4,7 @@
  * @module
  */
 import { request } from "undici";
-import { z } from "zod";
+import * as z from "zod";
 import {
   MachineListUnavailableError,
   type VirtualMachine,
--- a/src/group/formed/schema.ts
+++ b/src/group/formed/schema.ts
@@ -3,7 +3,7 @@
  *
  * @module
  */
-import { z } from "zod";
+import * as z from "zod";
 import { MAP_SCHEMA } from "../schema.ts";
 
 const COUNT = z.number().int().nonnegative();
--- a/src/group/schema.ts
+++ b/src/group/schema.ts
@@ -3,7 +3,7 @@
  *
  * @module
  */
-import { z } from "zod";
+import * as z from "zod";
 import type {
   CoordinatorMessage,
   EngineState,
--- a/src/messages/schema.ts
+++ b/src/messages/schema.ts
@@ -3,7 +3,7 @@
  *
  * @module
  */
-import { z } from "zod";
+import * as z from "zod";
 import { PEER_SCHEMAS } from "../direct/peers/schema.ts";
 import { FORMED_GROUP_SCHEMAS } from "../group/formed/schema.ts";
 import {
--- a/src/process/process_settings.ts
+++ b/src/process/process_settings.ts
@@ -7,7 +7,7 @@
 import process from "node:process";
 import { Err, Ok, type Result } from "ts-results-es";
 import { parseDocument } from "yaml";
-import { z } from "zod";
+import * as z from "zod";
 
 const ADDRESS = z.string().regex(
   /^[0-9a-fA-F.:[\]]+:\d{1,5}$/,
--- a/src/settings/check_document.ts
+++ b/src/settings/check_document.ts
@@ -6,7 +6,7 @@
  */
 import { isMap, isPair, type Node, parseDocument } from "yaml";
 import { Err, Ok, type Result } from "ts-results-es";
-import type { z } from "zod";
+import type * as z from "zod";
 import type { DiagnosticName } from "../diagnostics/catalogue.ts";
 import type { Diagnostic } from "../diagnostics/types.ts";
 import { DOCUMENT_SCHEMA } from "./schema.ts";
--- a/src/settings/schema.ts
+++ b/src/settings/schema.ts
@@ -3,7 +3,7 @@
  *
  * @module
  */
-import { z } from "zod";
+import * as z from "zod";
 
 const NAME = z.string().regex(
   /^[a-z0-9][a-z0-9_-]{0,62}$/,
--- a/src/settings/tree.ts
+++ b/src/settings/tree.ts
@@ -5,7 +5,7 @@
  * @module
  */
 import { createHash } from "node:crypto";
-import { z } from "zod";
+import * as z from "zod";
 import type {
   SettingsHead,
   SettingsPage,
--- a/src/target/owner_table.ts
+++ b/src/target/owner_table.ts
@@ -8,7 +8,7 @@
  *
  * @module
  */
-import { z } from "zod";
+import * as z from "zod";
 import { SLOT_COUNT } from "../core/idempotency_key.ts";
 import type { OwnedSlots } from "./types.ts";
 
--- a/src/testing/process_cluster.ts
+++ b/src/testing/process_cluster.ts
@@ -312,14 +312,25 @@
   return child.exitCode;
 }
 
-/** Starts the program: the sources, or the binary that a variable names. */
+/**
+ * Starts the program: the sources, or what a variable names in their place, either
+ * the binary or the folder of the programs that each hold one role.
+ */
 export function spawnProgram(words: readonly string[]): ChildProcess {
-  const binary = process.env["LAGOONWHARF_BINARY"];
-  const [command, first] = binary === undefined
-    ? [process.execPath, ["--import", "tsx", "src/main.ts"]]
-    : [binary, []];
-  return spawn(command, [...first, ...words], {
+  const [command, ...commandWords] = commandOf(words);
+  return spawn(command, commandWords, {
     stdio: ["ignore", "pipe", "pipe"],
     env: { ...process.env, LAGOONWHARF_TOKEN: TEST_TOKEN },
   });
 }
+
+function commandOf(words: readonly string[]): readonly [string, ...string[]] {
+  const folder = process.env["LAGOONWHARF_PROGRAMS"];
+  const [command, role, ...others] = words;
+  if (folder !== undefined && command === "platform") {
+    return [process.execPath, `${folder}/${role}.cjs`, ...others];
+  }
+  const binary = process.env["LAGOONWHARF_BINARY"];
+  if (binary !== undefined) return [binary, ...words];
+  return [process.execPath, "--import", "tsx", "src/main.ts", ...words];
+}
