Let late requests into a group by the time of its passes

Cause: all who waited for a lost group were sent at once when it opened; passes took 140 to 150 ms, and answers of new requests were late for two seconds.

--- a/src/direct/direct_target.ts
+++ b/src/direct/direct_target.ts
@@ -90,7 +90,7 @@
   }
 
   start(backEnd: BackEnd, instance: string): void {
-    const { method, path, headers, body, remainingMs, organisation } =
+    const { method, path, headers, body, remainingMs, organisation, priority } =
       this.#submit;
     const request = {
       method,
@@ -99,6 +99,7 @@
       body,
       limitMs: remainingMs,
       organisation,
+      priority,
       instance,
     };
     this.#call = backEnd.start(request, {
--- a/src/entry/group_belief.ts
+++ b/src/entry/group_belief.ts
@@ -5,6 +5,7 @@
  *
  * @module
  */
+import { LateAdmission } from "../policy/late_admission.ts";
 
 /** Whether a group was seen to run, and when. */
 export interface GroupSight {
@@ -23,6 +24,8 @@
 /** What an entry believes of one rank group. */
 export class GroupBelief {
   readonly name: string;
+  /** Lets in requests that are late already. */
+  readonly lateAdmission = new LateAdmission();
   #isOpen = true;
   #seenAt = Number.NEGATIVE_INFINITY;
 
--- a/src/entry/target_registry.ts
+++ b/src/entry/target_registry.ts
@@ -133,6 +133,8 @@
       record.setPace(pace);
     }
     this.#joinGroups();
+    this.#groupOf(load.group).lateAdmission
+      .note({ passMs: load.passMs, at: now });
     return this.seeGroup(load.group, {
       isOpen: load.isOpen,
       seenAt: now - load.ageMs,
--- a/src/entry/target_selection.ts
+++ b/src/entry/target_selection.ts
@@ -82,7 +82,9 @@
     if (serving.length === 0) return Err("NO_TARGET");
     const open = serving.filter((target) => !target.isGroupClosed(now));
     if (open.length === 0) return Err("GROUP_CLOSED");
-    const free = open.filter((target) => !isFull(target, now));
+    const free = open.filter((target) =>
+      !isFull(target, now) && mayBeSent(inFlight, target, now)
+    );
     if (free.length === 0) return Err("POOL_FULL");
     const brisk = free.filter((target) => !target.isStraggler);
     const candidates = brisk.length > 0 ? brisk : free;
@@ -127,6 +129,7 @@
   noteSent(inFlight: InFlightRequest, target: TargetRecord): void {
     const blocks = inFlight.request.prefixBlocks ?? [];
     this.#prefixes.remember(blocks, target.name);
+    if (inFlight.isRepeated) target.group?.lateAdmission.count();
   }
 
   /** A target was lost, and with it the prompts that it had. */
@@ -164,6 +167,17 @@
   }
 }
 
+/** Requests that are late already leave room for those that are not. */
+function mayBeSent(
+  inFlight: InFlightRequest,
+  { group }: TargetRecord,
+  now: number,
+): boolean {
+  if (!inFlight.isRepeated || group === undefined) return true;
+  const { pauseObjectiveMs } = inFlight.route.service;
+  return group.lateAdmission.isOpen(pauseObjectiveMs, now);
+}
+
 /** Only a load that was told lately can refuse a request. */
 function isFull(target: TargetRecord, now: number): boolean {
   if (!target.hasDecider) return false;
--- a/src/external/back_end.ts
+++ b/src/external/back_end.ts
@@ -3,7 +3,7 @@
  *
  * @module
  */
-import type { Header } from "../messages/types.ts";
+import type { Header, Priority } from "../messages/types.ts";
 
 /** A request to a back end. */
 export interface BackEndRequest {
@@ -15,6 +15,8 @@
   readonly limitMs: number;
   /** Organisation whose request it is; undefined: the back end is not told. */
   readonly organisation?: string;
+  /** How urgent it is among others that wait there; undefined: as usual. */
+  readonly priority?: Priority;
   /** Incarnation that alone may run it; undefined: whichever answers. */
   readonly instance?: string;
 }
--- a/src/group/formed/decider_driver.ts
+++ b/src/group/formed/decider_driver.ts
@@ -199,6 +199,7 @@
     if (state.epoch > this.#epoch) {
       this.#epoch = state.epoch;
       this.#popularity.clear();
+      this.#passTimes.clear();
     }
     if (counts === undefined) return;
     const { knownCounts } = member;
@@ -240,6 +241,7 @@
       group: state.group,
       isOpen: own.state.isOpen,
       ageMs: now - own.stateAt,
+      passMs: this.#passTimes.meanMs,
       loads: members.flatMap((member) =>
         member.state === undefined ? [] : [{
           engineAddress: member.engineAddress,
--- a/src/group/formed/pass_times.ts
+++ b/src/group/formed/pass_times.ts
@@ -25,6 +25,12 @@
     return this.#meanMs;
   }
 
+  /** Forgets all: the group starts anew, with another map. */
+  clear(): void {
+    this.#pass = -1;
+    this.#meanMs = undefined;
+  }
+
   /** Takes in a state of rank 0. A group without work tells nothing. */
   observe(state: RankState, now: number): void {
     const passes = state.pass - this.#pass;
--- a/src/group/formed/schema.ts
+++ b/src/group/formed/schema.ts
@@ -58,6 +58,7 @@
     group: z.string(),
     isOpen: z.boolean(),
     ageMs: AGE_MS,
+    passMs: z.number().positive().optional(),
     loads: z.array(z.object({
       engineAddress: z.string(),
       running: COUNT,
--- a/src/group/formed/types.ts
+++ b/src/group/formed/types.ts
@@ -169,6 +169,8 @@
   readonly isOpen: boolean;
   /** Milliseconds since the decider heard so from rank 0. */
   readonly ageMs: number;
+  /** Mean time of the last passes in milliseconds; undefined: there were none. */
+  readonly passMs?: number;
   readonly loads: readonly RankLoadRow[];
 }
 
--- /dev/null
+++ b/src/policy/late_admission_test.ts
@@ -0,0 +1,76 @@
+import assert from "node:assert/strict";
+import { describe, it } from "node:test";
+import { LateAdmission } from "./late_admission.ts";
+
+const PAUSE_OBJECTIVE_MS = 120;
+const ENTRIES = 9;
+/** Milliseconds between two words of the decider. */
+const WORD_MS = 200;
+/** Late requests that wait at the opening, over all entries. */
+const WAITING = 100;
+/** New requests a second, over all entries. */
+const NEW_PER_SECOND = 50;
+/** Pieces of one answer, one a pass. */
+const PIECES = 28;
+/** Milliseconds of a pass without requests, and for each one that runs. */
+const EMPTY_PASS_MS = 30;
+const PASS_MS_PER_REQUEST = 0.7;
+
+/** Longest pass within three seconds from the opening of a lost group. */
+function playOpening(isLimited: boolean): number {
+  const admissions = Array.from({ length: ENTRIES }, () => new LateAdmission());
+  let waiting = WAITING;
+  let longestPassMs = 0;
+  let nextWordAt = 0;
+  let passMs: number | undefined;
+  let running: number[] = [];
+  let fresh = 0;
+  for (let now = 0; now < 3000;) {
+    if (now >= nextWordAt) {
+      for (const admission of admissions) admission.note({ passMs, at: now });
+      nextWordAt += WORD_MS;
+    }
+    for (const admission of admissions) {
+      while (waiting > 0) {
+        if (isLimited && !admission.isOpen(PAUSE_OBJECTIVE_MS, now)) break;
+        admission.count();
+        waiting--;
+        running.push(PIECES);
+      }
+    }
+    const tookMs = EMPTY_PASS_MS + PASS_MS_PER_REQUEST * running.length;
+    passMs = tookMs;
+    longestPassMs = Math.max(longestPassMs, tookMs);
+    now += tookMs;
+    fresh += tookMs * NEW_PER_SECOND / 1000;
+    running = running.map((left) => left - 1).filter((left) => left > 0);
+    for (; fresh >= 1; fresh--) running.push(PIECES);
+  }
+  return longestPassMs;
+}
+
+describe("late requests at a group that opens", () => {
+  it("make its passes too long when all are sent at once", () => {
+    assert.ok(playOpening(false) > PAUSE_OBJECTIVE_MS);
+  });
+
+  it("leave passes short when they follow the word on passes", () => {
+    assert.ok(playOpening(true) <= PAUSE_OBJECTIVE_MS);
+  });
+
+  it("are sent one by one while nothing is known of passes", () => {
+    const admission = new LateAdmission();
+    admission.note({ passMs: undefined, at: 0 });
+    assert.equal(admission.isOpen(PAUSE_OBJECTIVE_MS, 0), true);
+    admission.count();
+    assert.equal(admission.isOpen(PAUSE_OBJECTIVE_MS, 0), false);
+  });
+
+  it("are held back by nothing when the decider is not heard", () => {
+    const admission = new LateAdmission();
+    assert.equal(admission.isOpen(PAUSE_OBJECTIVE_MS, 0), true);
+    admission.note({ passMs: 200, at: 0 });
+    assert.equal(admission.isOpen(PAUSE_OBJECTIVE_MS, 100), false);
+    assert.equal(admission.isOpen(PAUSE_OBJECTIVE_MS, 2000), true);
+  });
+});
--- a/src/settings/schema.ts
+++ b/src/settings/schema.ts
@@ -48,6 +48,7 @@
     .default(MOST_ATTEMPTS),
   resumable: z.boolean().default(false),
   objectiveMs: z.number().int().min(1).max(3_600_000).optional(),
+  pauseObjectiveMs: z.number().int().min(1).max(3_600_000).optional(),
   handover: z.enum(["lagoonwharf", "scripts"]).default("lagoonwharf"),
   scriptsAddress: ADDRESS.optional(),
   priority: z.enum(["quick", "normal", "background"]).default("normal"),
--- a/src/settings/types.ts
+++ b/src/settings/types.ts
@@ -53,6 +53,11 @@
   readonly resumable: boolean;
   /** Milliseconds in which callers hope for a first byte; undefined: unsaid. */
   readonly objectiveMs?: number;
+  /**
+   * Milliseconds between two pieces of a streamed answer that callers bear; undefined:
+   * unsaid.
+   */
+  readonly pauseObjectiveMs?: number;
   /** Who serves it now. */
   readonly handover: "lagoonwharf" | "scripts";
   /** Host and port of the old scripts. */
