--- a/src/direct/directory_follower.ts
+++ b/src/direct/directory_follower.ts
@@ -94,10 +94,7 @@
 
   /** Takes in what the reader of the failure domain heard just now. */
   offerByReader(directory: Directory): void {
-    const known = this.#directory?.revision ?? -1;
-    // One that was on its way while this process stood still is not news.
-    if (directory.revision <= known) return;
-    this.#turns.heard(directory.askedAt);
+    this.#turns.heard(directory, this.#directory?.revision);
     this.offer(directory);
   }
 
--- a/src/direct/listing_turns.ts
+++ b/src/direct/listing_turns.ts
@@ -24,6 +24,14 @@
   | { readonly kind: "list" }
   | { readonly kind: "wait"; readonly forMs: number };
 
+/** A list of back ends, as the reader told it. */
+export interface HeardList {
+  /** Revision of the store that it is at least as new as. */
+  readonly revision: number;
+  /** When the reader asked for it, in milliseconds. */
+  readonly askedAt: number;
+}
+
 /** Decides turn by turn. */
 export class ListingTurns {
   /** Milliseconds between two lists. */
@@ -36,9 +44,14 @@
     this.intervalMs = leavingLimitMs / LISTINGS_IN_LEAVING_TIME;
   }
 
-  /** The reader told a newer list, which it asked for at that time. */
-  heard(askedAt: number): void {
-    this.#heardAskedAt = Math.max(this.#heardAskedAt, askedAt);
+  /**
+   * The reader told a list. One that says the same as the known one is as good as a
+   * newer one: lists change only with the back ends, not with their heartbeats. An older
+   * one was on its way while this process asked for itself.
+   */
+  heard(list: HeardList, knownRevision = Number.NEGATIVE_INFINITY): void {
+    if (list.revision < knownRevision) return;
+    this.#heardAskedAt = Math.max(this.#heardAskedAt, list.askedAt);
   }
 
   /**
--- a/src/direct/listing_turns_test.ts
+++ b/src/direct/listing_turns_test.ts
@@ -11,7 +11,7 @@
   let toldAt = 0;
   for (let now = 0; now < forMs;) {
     while (toldAt <= now && toldAt < readerUntil) {
-      turns.heard(toldAt);
+      turns.heard({ revision: toldAt, askedAt: toldAt });
       toldAt += turns.intervalMs;
     }
     const turn = turns.next(now);
@@ -37,6 +37,15 @@
     assert.ok(read >= 0.25 * alone, `${read} of ${alone}`);
   });
 
+  it("are left to a reader that tells no change, but not to an older list", () => {
+    const turns = new ListingTurns(LEAVING_MS);
+    const known = 7;
+    turns.heard({ revision: 6, askedAt: 0 }, known);
+    assert.equal(turns.next(100).kind, "list");
+    turns.heard({ revision: 7, askedAt: 0 }, known);
+    assert.equal(turns.next(100).kind, "wait");
+  });
+
   it("are taken again as soon as the reader is silent", () => {
     const readerUntil = 9000;
     const next = countListings(20_000, readerUntil)
