Count returning callers and pauses; serve metrics at a port of their own

What an operator could not see: whether callers that were told when to return were served, and how long answers paused.

--- a/src/direct/direct_entry_driver.ts
+++ b/src/direct/direct_entry_driver.ts
@@ -70,6 +70,7 @@
   readonly #peers: EntryPeers;
   readonly #metrics: Metrics;
   readonly #health: HttpListener;
+  readonly #metricsPage: HttpListener;
   #isDraining = false;
 
   /** Does not listen yet. */
@@ -175,6 +176,7 @@
         }),
     });
     this.#health = new HttpListener(this.#createHealthApplication());
+    this.#metricsPage = new HttpListener(this.#createMetricsApplication());
   }
 
   /** Requests on their way. */
@@ -191,6 +193,9 @@
     const { settings, log } = this.#options;
     this.#server.setLinks(this.#targets);
     await this.#health.listen(settings.readyAddress);
+    if (settings.metricsAddress !== undefined) {
+      await this.#metricsPage.listen(settings.metricsAddress);
+    }
     await this.#peers.listen();
     await this.#server.listen(settings.callerAddress);
     this.#settings.start();
@@ -227,6 +232,7 @@
     this.#server.close();
     this.#targets.close();
     this.#health.close();
+    this.#metricsPage.close();
     await this.#registry.stop();
   }
 
@@ -280,8 +286,17 @@
       this.#directory.directory !== undefined;
   }
 
-  #createHealthApplication(): Hono {
+  #createMetricsApplication(): Hono {
     const app = new Hono();
+    app.get(
+      "/metrics",
+      async (context) => context.text(await this.#metrics.page()),
+    );
+    return app;
+  }
+
+  #createHealthApplication(): Hono {
+    const app = this.#createMetricsApplication();
     app.get(
       "/ready",
       (context) =>
@@ -289,10 +304,6 @@
           ? context.text("ready\n")
           : context.text("not ready\n", 503),
     );
-    app.get(
-      "/metrics",
-      async (context) => context.text(await this.#metrics.page()),
-    );
     return app;
   }
 }
--- a/src/entry/entry_reducer.ts
+++ b/src/entry/entry_reducer.ts
@@ -37,6 +37,7 @@
   TARGET_SLOW,
 } from "./failures.ts";
 import {
+  createAnswerCounts,
   createCancel,
   createDoorRefusal,
   createFailureEffects,
@@ -361,6 +362,7 @@
     if (isServerError && this.#tryAgain(inFlight, SERVER_ERROR, at.now)) return;
     this.#end(inFlight);
     this.#effects.push(createAnsweredNote(inFlight, at.now));
+    this.#effects.push(...createAnswerCounts(inFlight));
     this.#effects.push(...relayEnd(inFlight));
   }
 
--- a/src/entry/request_effects.ts
+++ b/src/entry/request_effects.ts
@@ -37,7 +37,8 @@
     const known = overAllAttempts(inFlight, failure);
     const returnMs = tryReturnMs(inFlight, known.reason, now);
     const note = createFailedNote(inFlight, { ...failure, now, returnMs });
-    return [note, ...createRefusal(requestId, known, returnMs)];
+    const counts = createRefusalCounts(inFlight, returnMs);
+    return [note, ...counts, ...createRefusal(requestId, known, returnMs)];
   }
   return [
     createFailedNote(inFlight, { ...failure, now }),
@@ -46,6 +47,19 @@
   ];
 }
 
+/** Counts what an answer that is whole tells of pauses and of returning callers. */
+export function createAnswerCounts(
+  { isRepeated, longestPause }: InFlightRequest,
+): readonly EntryEffect[] {
+  const counts: EntryEffect[] = [];
+  if (isRepeated) counts.push({ kind: "count_return", outcome: "served" });
+  if (longestPause !== undefined) {
+    const { milliseconds } = longestPause;
+    counts.push({ kind: "count_pause", milliseconds });
+  }
+  return counts;
+}
+
 /** Cancels an attempt at a target. */
 export function createCancel(
   inFlight: InFlightRequest,
@@ -70,6 +84,15 @@
   return { kind: "forward_to_scripts", address, deadlineMs, request };
 }
 
+function createRefusalCounts(
+  { isRepeated }: InFlightRequest,
+  returnMs: number | undefined,
+): readonly EntryEffect[] {
+  if (isRepeated) return [{ kind: "count_return", outcome: "refused" }];
+  if (returnMs === undefined) return [];
+  return [{ kind: "count_return", outcome: "told" }];
+}
+
 /** When the caller should come back; undefined: the catalogue says. */
 function tryReturnMs(
   inFlight: InFlightRequest,
--- a/src/entry/request_server.ts
+++ b/src/entry/request_server.ts
@@ -229,6 +229,10 @@
         return this.#options.metrics.countRetry(effect.reason);
       case "count_stale_message":
         return this.#options.metrics.countStale();
+      case "count_return":
+        return this.#options.metrics.countReturn(effect.outcome);
+      case "count_pause":
+        return this.#options.metrics.countPause(effect.milliseconds);
       case "log_decision":
         return this.#options.log.write(effect.name, effect.details);
       case "drained":
--- a/src/entry/types.ts
+++ b/src/entry/types.ts
@@ -277,6 +277,21 @@
   readonly kind: "count_stale_message";
 }
 
+/** What became of a caller that was told when to return. */
+export type ReturnOutcome = "told" | "served" | "refused";
+
+/** Count a caller that is told when to return, or one that returned. */
+export interface CountReturn {
+  readonly kind: "count_return";
+  readonly outcome: ReturnOutcome;
+}
+
+/** Count the longest pause of an answer. */
+export interface CountPause {
+  readonly kind: "count_pause";
+  readonly milliseconds: number;
+}
+
 /** A decision that touches a request, for the log. */
 export interface LogDecision {
   readonly kind: "log_decision";
@@ -302,5 +317,7 @@
   | CountRefusal
   | CountRetry
   | CountStale
+  | CountReturn
+  | CountPause
   | LogDecision
   | EntryDrained;
--- a/src/process/metrics.ts
+++ b/src/process/metrics.ts
@@ -6,6 +6,7 @@
  */
 import { build, type Histogram } from "hdr-histogram-js";
 import { Counter, Gauge, Registry } from "prom-client";
+import type { ReturnOutcome } from "../entry/types.ts";
 import type { LinkFault } from "../messages/codec.ts";
 import type { RefusalName } from "../refusals/catalogue.ts";
 
@@ -32,7 +33,14 @@
   readonly #refusals = this.#labelled("refusals_total", "Refusals by reason");
   readonly #retries = this.#labelled("retries_total", "Retries by reason");
   readonly #faults = this.#labelled("link_faults_total", "Links closed");
+  readonly #returns = new Counter({
+    name: "lagoonwharf_returns_total",
+    help: "Callers told when to return, and what became of those who did",
+    labelNames: ["outcome"],
+    registers: [this.#registry],
+  });
   readonly #milliseconds = createHistogram();
+  readonly #pauses = createHistogram();
   readonly #firstByte = createHistogram();
   readonly #source: () => MetricsSource;
 
@@ -56,6 +64,11 @@
       "Time to the whole answer, since the process started",
       this.#milliseconds,
     );
+    this.#latencyGauge(
+      "longest_pause_milliseconds",
+      "Longest pause between two pieces of each answer, since the process started",
+      this.#pauses,
+    );
     this.#latencyGauge(
       "first_byte_milliseconds",
       "Time to the first byte of streamed answers, since the process started",
@@ -79,6 +92,16 @@
     this.#firstByte.recordValue(Math.min(LONGEST_MS, milliseconds));
   }
 
+  /** A caller was told when to return, or one that returned was served or refused. */
+  countReturn(outcome: ReturnOutcome): void {
+    this.#returns.inc({ outcome });
+  }
+
+  /** The longest pause between two pieces of an answer took so long. */
+  countPause(milliseconds: number): void {
+    this.#pauses.recordValue(Math.min(LONGEST_MS, milliseconds));
+  }
+
   /** A message belonged to no attempt under way. */
   countStale(): void {
     this.#stale.inc();
--- a/src/process/process_settings.ts
+++ b/src/process/process_settings.ts
@@ -102,6 +102,8 @@
   callerAddress: ADDRESS,
   /** Host and port for health checks and metrics. */
   readyAddress: ADDRESS,
+  /** Host and port for metrics alone, where they are wanted at a port that is known. */
+  metricsAddress: ADDRESS.optional(),
   /** Milliseconds for which a back end that leaves may be sent work. */
   leavingLimitMs: z.number().int().min(100).max(600_000).default(2000),
   /** Limits on the retries of all entries together. */
