Let followers of a reader notice that their own settings are old

Cause: since followers leave listings to the reader, a watch of settings whose connection died without a sign was noticed up to 3.9 s later, by their own next listing. The reader's news now says which version it has; a follower that is behind reads anew.

--- a/src/direct/direct_entry_driver.ts
+++ b/src/direct/direct_entry_driver.ts
@@ -154,6 +154,7 @@
         directory: this.#directory.directory,
       }),
       onSettings: (text) => this.#settings.offer(text, "entry"),
+      onBehind: () => this.#settings.restart(),
       onDirectory: (directory, source) =>
         source === "reader"
           ? this.#directory.offerByReader(directory)
--- a/src/direct/peers/entry_peers.ts
+++ b/src/direct/peers/entry_peers.ts
@@ -31,6 +31,8 @@
   /** What this entry heard from the store. */
   readonly getKnowledge: () => StoreKnowledge;
   readonly onSettings: (text: string) => void;
+  /** Another entry has newer settings than this one heard of. */
+  readonly onBehind: () => void;
   readonly onDirectory: (directory: Directory, source: NewsSource) => void;
 }
 
@@ -115,12 +117,14 @@
   }
 
   #onNews(
-    { settingsText, directory }: StoreNewsMessage,
+    { settingsText, settingsVersion, directory }: StoreNewsMessage,
     source: NewsSource,
     receivedAt: number,
   ): void {
-    const { onSettings, onDirectory } = this.#options;
+    const { onSettings, onBehind, onDirectory, getKnowledge } = this.#options;
     if (settingsText !== undefined) onSettings(settingsText);
+    const known = getKnowledge().settings?.settings.version ?? -1;
+    if ((settingsVersion ?? -1) > known) onBehind();
     if (directory === undefined) return;
     onDirectory(directoryOf(directory, receivedAt), source);
   }
--- a/src/direct/peers/peer_server.ts
+++ b/src/direct/peers/peer_server.ts
@@ -77,15 +77,12 @@
 
   /** Tells those who follow which back ends the store listed just now. */
   tellFollowers(directory: Directory): void {
-    const ageMs = Math.max(0, performance.now() - directory.askedAt);
-    const { instances, revision } = directory;
+    const { settings } = this.#options.getKnowledge();
+    const news = createReaderNews({ settings, directory }, performance.now());
     for (const link of this.#followers) {
       // One that does not read is better off with a list of its own.
       if (link.bufferedBytes > MOST_UNSENT_BYTES) continue;
-      link.send({
-        kind: "store_news",
-        directory: { instances, revision, ageMs },
-      });
+      link.send(news);
     }
   }
 
@@ -125,3 +122,20 @@
       : undefined,
   };
 }
+
+/**
+ * What the reader of a failure domain tells those who follow it. They hear settings from
+ * the store themselves; the version shows them that they should have, where a connection
+ * is dead without a sign.
+ */
+export function createReaderNews(
+  { settings, directory }: StoreKnowledge & { readonly directory: Directory },
+  now: number,
+): StoreNewsMessage {
+  const { instances, revision, askedAt } = directory;
+  return {
+    kind: "store_news",
+    settingsVersion: settings?.settings.version,
+    directory: { instances, revision, ageMs: Math.max(0, now - askedAt) },
+  };
+}
--- a/src/direct/peers/peer_server_test.ts
+++ b/src/direct/peers/peer_server_test.ts
@@ -2,7 +2,7 @@
 import { describe, it } from "node:test";
 import type { Directory } from "../directory_follower.ts";
 import type { SettingsInUse } from "../settings_follower.ts";
-import { createNews } from "./peer_server.ts";
+import { createNews, createReaderNews } from "./peer_server.ts";
 
 function createSettings(version: number): SettingsInUse {
   return {
@@ -54,3 +54,16 @@
     assert.equal(news.directory, undefined);
   });
 });
+
+describe("createReaderNews", () => {
+  it("tells the list with its age, and which settings there are", () => {
+    const directory = createDirectory(9);
+    const news = createReaderNews(
+      { settings: createSettings(4), directory },
+      350,
+    );
+    assert.equal(news.settingsVersion, 4);
+    assert.equal(news.settingsText, undefined);
+    assert.equal(news.directory?.ageMs, 250);
+  });
+});
--- a/src/direct/peers/schema.ts
+++ b/src/direct/peers/schema.ts
@@ -27,6 +27,7 @@
   z.object({
     kind: z.literal("store_news"),
     settingsText: z.string().optional(),
+    settingsVersion: COUNT.optional(),
     directory: z.object({
       instances: z.array(INSTANCE_SCHEMA),
       revision: COUNT,
--- a/src/direct/peers/types.ts
+++ b/src/direct/peers/types.ts
@@ -30,6 +30,8 @@
   readonly kind: "store_news";
   /** Settings as the operator wrote them. */
   readonly settingsText?: string;
+  /** Version of the sender's settings, for those who follow it. */
+  readonly settingsVersion?: number;
   readonly directory?: DirectoryNews;
 }
 
