--- a/src/entry/target_registry.ts
+++ b/src/entry/target_registry.ts
@@ -133,8 +133,12 @@
       record.setPace(pace);
     }
     this.#joinGroups();
-    this.#groupOf(load.group).lateAdmission
-      .note({ passMs: load.passMs, at: now });
+    const { lateAdmission, loadLimit } = this.#groupOf(load.group);
+    const { passMs, pauseObjectiveMs } = load;
+    lateAdmission.note({ passMs, at: now });
+    if (pauseObjectiveMs !== undefined) {
+      loadLimit.note(passMs, pauseObjectiveMs);
+    }
     return this.seeGroup(load.group, {
       isOpen: load.isOpen,
       seenAt: now - load.ageMs,
