--- a/src/entry/group_belief.ts
+++ b/src/entry/group_belief.ts
@@ -6,7 +6,6 @@
  * @module
  */
 import { LateAdmission } from "../policy/late_admission.ts";
-import { LoadLimit } from "../policy/load_limit.ts";
 
 /** Whether a group was seen to run, and when. */
 export interface GroupSight {
@@ -27,8 +26,6 @@
   readonly name: string;
   /** Lets in requests that are late already. */
   readonly lateAdmission = new LateAdmission();
-  /** Requests that it may be sent, for each of its places. */
-  readonly loadLimit = new LoadLimit();
   #isOpen = true;
   #seenAt = Number.NEGATIVE_INFINITY;
 
--- a/src/entry/target_registry.ts
+++ b/src/entry/target_registry.ts
@@ -133,12 +133,8 @@
       record.setPace(pace);
     }
     this.#joinGroups();
-    const { lateAdmission, loadLimit } = this.#groupOf(load.group);
-    const { passMs, pauseObjectiveMs } = load;
-    lateAdmission.note({ passMs, at: now });
-    if (pauseObjectiveMs !== undefined) {
-      loadLimit.note(passMs, pauseObjectiveMs);
-    }
+    this.#groupOf(load.group).lateAdmission
+      .note({ passMs: load.passMs, at: now });
     return this.seeGroup(load.group, {
       isOpen: load.isOpen,
       seenAt: now - load.ageMs,
--- a/src/entry/target_selection.ts
+++ b/src/entry/target_selection.ts
@@ -182,6 +182,5 @@
 function isFull(target: TargetRecord, now: number): boolean {
   if (!target.hasDecider) return false;
   const isFresh = now - target.reportedAt < REPORT_LIMIT_MS;
-  const perPlace = target.group?.loadLimit.perPlace ?? FULL_LOAD;
-  return isFresh && estimateLoad(target) >= perPlace;
+  return isFresh && estimateLoad(target) >= FULL_LOAD;
 }
--- a/src/group/formed/decider_driver.ts
+++ b/src/group/formed/decider_driver.ts
@@ -242,7 +242,6 @@
       isOpen: own.state.isOpen,
       ageMs: now - own.stateAt,
       passMs: this.#passTimes.meanMs,
-      pauseObjectiveMs: this.#options.trySettings()?.pauseObjectiveMs,
       loads: members.flatMap((member) =>
         member.state === undefined ? [] : [{
           engineAddress: member.engineAddress,
--- a/src/group/formed/schema.ts
+++ b/src/group/formed/schema.ts
@@ -59,7 +59,6 @@
     isOpen: z.boolean(),
     ageMs: AGE_MS,
     passMs: z.number().positive().optional(),
-    pauseObjectiveMs: z.number().positive().optional(),
     loads: z.array(z.object({
       engineAddress: z.string(),
       running: COUNT,
--- a/src/group/formed/types.ts
+++ b/src/group/formed/types.ts
@@ -171,8 +171,6 @@
   readonly ageMs: number;
   /** Mean time of the last passes in milliseconds; undefined: there were none. */
   readonly passMs?: number;
-  /** Pause between two pieces of an answer that callers bear, if settings say. */
-  readonly pauseObjectiveMs?: number;
   readonly loads: readonly RankLoadRow[];
 }
 
