--- a/src/entry/entry_reducer.ts
+++ b/src/entry/entry_reducer.ts
@@ -12,7 +12,6 @@
   isAttemptMessage,
   type RefusedMessage,
 } from "../messages/types.ts";
-import { DeadlineMemory } from "../policy/deadline_memory.ts";
 import { PoolChoice } from "../policy/pool_choice.ts";
 import type { PoolRetryLimits } from "../policy/pool_retry_budgets.ts";
 import type { TargetChoice } from "../policy/target_choice.ts";
@@ -45,6 +44,7 @@
 } from "./request_effects.ts";
 import { InFlightRequest } from "./in_flight_request.ts";
 import { createSubmit } from "./submit_message.ts";
+import { ReturningCallers } from "./returning_callers.ts";
 import type { Route } from "./routing_table.ts";
 import type { TargetRecord } from "./target_record.ts";
 import type { TargetRegistry } from "./target_registry.ts";
@@ -82,13 +82,6 @@
 /** Milliseconds between two comparisons of the targets of a pool. */
 const COMPARE_INTERVAL_MS = 500;
 
-/**
- * Milliseconds for which what a process saw of a group goes before what a server says
- * of it: it may have stood still for a second before it said so. Processes tell each
- * half second.
- */
-const NEWER_SIGHT_MS = 700;
-
 /** The entry role as one reducer over all its events. */
 export class EntryReducer {
   readonly #admission = new Admission();
@@ -99,8 +92,7 @@
   readonly #inFlight = new Map<number, InFlightRequest>();
   /** Requests that the old scripts have. */
   readonly #withScripts = new Map<number, Route>();
-  /** Deadlines that callers gave, by service. */
-  readonly #deadlines = new Map<string, DeadlineMemory>();
+  readonly #returning = new ReturningCallers();
   #isDraining = false;
   #saidDrained = false;
   #comparedAt = 0;
@@ -192,7 +184,7 @@
   #groupSeen({ sight, now }: GroupSeen): void {
     const { group, isOpen, ageMs } = sight;
     const seenAt = now - ageMs;
-    if (!this.registry.seeGroup(group, { isOpen, seenAt })) return;
+    if (!this.registry.groups.see(group, { isOpen, seenAt })) return;
     this.#effects.push(createGroupNote(sight, "rank"));
     if (isOpen) this.#submitWaiting(now);
   }
@@ -216,25 +208,13 @@
       arrivedAt: now,
       deadlineAt: now + deadlineMs,
       pool,
-      isRepeated: this.#hasSpentTime(request, route, now),
+      isRepeated: this.#returning.observe(request, route, now),
     });
     this.#inFlight.set(request.id, inFlight);
     this.#retries.countRequest(inFlight, now);
     this.#submitOrWait(inFlight, now);
   }
 
-  /** By the time that its caller has left; one that names none is taken for new. */
-  #hasSpentTime(request: CallerRequest, route: Route, now: number): boolean {
-    const { servicePath, service } = route;
-    let deadlines = this.#deadlines.get(servicePath);
-    if (deadlines === undefined) {
-      deadlines = new DeadlineMemory(service.longestDeadlineMs, now);
-      this.#deadlines.set(servicePath, deadlines);
-    }
-    if (request.deadlineMs === undefined) return false;
-    return deadlines.observe(request.deadlineMs, now);
-  }
-
   #submitOrWait(inFlight: InFlightRequest, now: number): void {
     const selected = this.#selection.select(inFlight, now);
     if (selected.isOk()) return this.#submit(inFlight, selected.value, now);
@@ -382,8 +362,7 @@
   /** A server said that another rank of its group is gone. */
   #groupFoundClosed({ target, now }: AttemptPlace): void {
     const { group } = target;
-    if (group === undefined || group.ageAt(now) < NEWER_SIGHT_MS) return;
-    if (!group.see({ isOpen: false, seenAt: now })) return;
+    if (!group?.seeLostByServer(now)) return;
     const sight = { group: group.name, isOpen: false, ageMs: 0 };
     this.#effects.push(createGroupNote(sight, "attempt"));
   }
--- a/src/entry/group_belief.ts
+++ b/src/entry/group_belief.ts
@@ -21,6 +21,9 @@
  */
 const SIGHT_LIMIT_MS = 1500;
 
+/** Milliseconds for which a sight goes before a server's word: processes tell each 500. */
+const NEWER_SIGHT_MS = 700;
+
 /** What an entry believes of one rank group. */
 export class GroupBelief {
   readonly name: string;
@@ -44,6 +47,16 @@
     return !this.#isOpen && this.ageAt(now) < SIGHT_LIMIT_MS;
   }
 
+  /**
+   * A server said that another rank keeps it from its work. It may have stood still for a
+   * second before it said so, so a newer sight of a process goes first. Returns whether
+   * that changed what is believed.
+   */
+  seeLostByServer(now: number): boolean {
+    if (this.ageAt(now) < NEWER_SIGHT_MS) return false;
+    return this.see({ isOpen: false, seenAt: now });
+  }
+
   /** Takes in a sight; returns whether it changed what is believed. */
   see(sight: GroupSight): boolean {
     if (sight.seenAt < this.#seenAt) return false;
--- a/src/entry/target_registry.ts
+++ b/src/entry/target_registry.ts
@@ -7,7 +7,7 @@
 import type { VirtualMachine } from "../external/virtual_machine_list.ts";
 import type { BackEndInstance } from "../external/back_end_directory.ts";
 import type { GroupLoadMessage } from "../group/formed/types.ts";
-import { GroupBelief, type GroupSight } from "./group_belief.ts";
+import { RankGroups } from "./rank_groups.ts";
 import { TargetRecord } from "./target_record.ts";
 import type { ListedRank, TargetIdentity } from "./types.ts";
 
@@ -25,15 +25,14 @@
 
 /** The targets that this entry knows. */
 export class TargetRegistry {
+  /** The rank groups that targets belong to. */
+  readonly groups = new RankGroups();
   readonly #byName = new Map<string, TargetRecord>();
   readonly #byPool = new Map<string, TargetRecord[]>();
   /** Newest claim of each slot, by pool; kept when the claimant is lost. */
   readonly #claims = new Map<string, Map<number, SlotClaim>>();
   /** Back ends that are called directly, by host and port. */
   readonly #idByAddress = new Map<string, string>();
-  /** Names of groups by the host and port of their ranks' engines. */
-  readonly #groupByAddress = new Map<string, string>();
-  readonly #groups = new Map<string, GroupBelief>();
   #leavingNames: ReadonlySet<string> = new Set();
   #setLeavingNames: ReadonlySet<string> = new Set();
 
@@ -115,51 +114,28 @@
 
   /** The ranks of groups were listed. */
   setRanks(ranks: readonly ListedRank[]): void {
-    // An entry of the list may lapse while its store is away and the rank lives on.
-    for (const { engineAddress, group } of ranks) {
-      this.#groupByAddress.set(engineAddress, group);
-    }
+    this.groups.setRanks(ranks);
     this.#joinGroups();
   }
 
   /** A group's decider told how its ranks stand; whether that changed a belief. */
-  setGroupLoad(load: GroupLoadMessage, now: number): boolean {
-    for (const { engineAddress, running, queued, pace } of load.loads) {
-      this.#groupByAddress.set(engineAddress, load.group);
+  setGroupLoad(message: GroupLoadMessage, now: number): boolean {
+    for (const { engineAddress, running, queued, pace } of message.loads) {
       const id = this.#idByAddress.get(engineAddress);
       const record = id && this.#byName.get(id);
       if (!record) continue;
       record.setReportedLoad(running + queued, now);
       record.setPace(pace);
     }
+    const hasChanged = this.groups.noteLoad(message, now);
     this.#joinGroups();
-    this.#groupOf(load.group).lateAdmission
-      .note({ passMs: load.passMs, at: now });
-    return this.seeGroup(load.group, {
-      isOpen: load.isOpen,
-      seenAt: now - load.ageMs,
-    });
-  }
-
-  /** A group was seen to run or not; whether that changed what is believed. */
-  seeGroup(name: string, sight: GroupSight): boolean {
-    return this.#groupOf(name).see(sight);
-  }
-
-  #groupOf(name: string): GroupBelief {
-    let group = this.#groups.get(name);
-    if (group === undefined) {
-      group = new GroupBelief(name);
-      this.#groups.set(name, group);
-    }
-    return group;
+    return hasChanged;
   }
 
   #joinGroups(): void {
     for (const [address, id] of this.#idByAddress) {
-      const group = this.#groupByAddress.get(address);
-      if (group === undefined) continue;
-      this.#byName.get(id)?.setGroup(this.#groupOf(group));
+      const group = this.groups.tryGroupAt(address);
+      if (group !== undefined) this.#byName.get(id)?.setGroup(group);
     }
   }
 
