--- /dev/null
+++ b/src/testing/back_end_runs.ts
@@ -0,0 +1,96 @@
+/**
+ * The runs of a back end in a world of tests: each answers with a head, some parts and
+ * an end, one at a time as a test wants it.
+ *
+ * @module
+ */
+import { Buffer } from "node:buffer";
+import type { TargetEvent } from "../target/types.ts";
+import { answerTo, type Submission } from "./submissions.ts";
+
+const ANSWER_PARTS = 3;
+
+interface BackEndRun {
+  readonly runId: number;
+  readonly submission: Submission;
+  part: number;
+}
+
+/** The runs of one back end. */
+export class BackEndRuns {
+  readonly #isStreamed: boolean;
+  #runs: BackEndRun[] = [];
+
+  /** Begins without runs; `isStreamed`: answers are event streams. */
+  constructor(isStreamed: boolean) {
+    this.#isStreamed = isStreamed;
+  }
+
+  /** Runs that have not ended. */
+  get size(): number {
+    return this.#runs.length;
+  }
+
+  /** A run begins. */
+  start(runId: number, submission: Submission): void {
+    this.#runs.push({ runId, submission, part: 0 });
+  }
+
+  /** All runs are lost with their target. */
+  clear(): void {
+    this.#runs = [];
+  }
+
+  /** One of the runs gets on; what its target hears of it. */
+  tryProgress(choice: number, now: number): TargetEvent | undefined {
+    const run = this.#choose(choice);
+    return run && this.#progress(run, now);
+  }
+
+  /** One of the runs breaks off; what its target hears of it. */
+  tryFail(choice: number, now: number): TargetEvent | undefined {
+    const run = this.#choose(choice);
+    return run && this.end(run.runId, now);
+  }
+
+  /** A run ends without a whole answer; what its target hears of it. */
+  end(runId: number, now: number): TargetEvent {
+    this.#forget(runId);
+    return { kind: "back_end_failed", now, runId, failure: "broken" };
+  }
+
+  #choose(choice: number): BackEndRun | undefined {
+    return this.#runs[choice % Math.max(1, this.#runs.length)];
+  }
+
+  #progress(run: BackEndRun, now: number): TargetEvent {
+    const { runId } = run;
+    const body = answerTo(run.submission);
+    const part = run.part++;
+    if (part === 0) return this.#createHead(runId, body.length, now);
+    if (part > ANSWER_PARTS) {
+      this.#forget(runId);
+      return { kind: "back_end_end", now, runId };
+    }
+    const size = Math.ceil(body.length / ANSWER_PARTS);
+    const start = (part - 1) * size;
+    const bytes = Buffer.from(body.slice(start, start + size));
+    return { kind: "back_end_data", now, runId, bytes };
+  }
+
+  #createHead(runId: number, length: number, now: number): TargetEvent {
+    return {
+      kind: "back_end_head",
+      now,
+      runId,
+      status: 200,
+      headers: this.#isStreamed
+        ? [["content-type", "text/event-stream"]]
+        : [["content-length", String(length)]],
+    };
+  }
+
+  #forget(runId: number): void {
+    this.#runs = this.#runs.filter((one) => one.runId !== runId);
+  }
+}
--- a/src/testing/request_world.ts
+++ b/src/testing/request_world.ts
@@ -6,7 +6,6 @@
  * @module
  */
 import assert from "node:assert/strict";
-import { Buffer } from "node:buffer";
 import { fingerprintOf, slotOf } from "../core/idempotency_key.ts";
 import { RandomSource } from "../core/random_source.ts";
 import { EntryReducer } from "../entry/entry_reducer.ts";
@@ -23,9 +22,10 @@
 } from "../target/owner_table.ts";
 import { TargetReducer } from "../target/target_reducer.ts";
 import type { TargetEffect, TargetEvent } from "../target/types.ts";
+import { BackEndRuns } from "./back_end_runs.ts";
 import { createRoutes } from "./fixtures.ts";
+import { RunLog } from "./run_log.ts";
 import {
-  answerTo,
   type CallerOutcome,
   checkSubmission,
   type Submission,
@@ -40,7 +40,6 @@
 /** Number of no entry's connection. */
 const SUCCESSOR_LINK = -1;
 const SERVICE = "/organisations/andamaq/services/confirm";
-const ANSWER_PARTS = 3;
 const STEP_MS = 1000;
 
 interface Connection {
@@ -53,12 +52,6 @@
   isStalled: boolean;
 }
 
-interface BackEndRun {
-  readonly runId: number;
-  readonly submission: Submission | undefined;
-  part: number;
-}
-
 interface TargetProcess {
   reducer: TargetReducer;
   incarnation: number;
@@ -67,19 +60,12 @@
   goneAt: number | undefined;
   /** A read of the owner table that is under way. */
   read: { readonly table: OwnerTable; readonly askedAt: number } | undefined;
-  runs: BackEndRun[];
+  readonly runs: BackEndRuns;
   isDrained: boolean;
   /** Slots taken from one who released them, whose keys were not asked for. */
   taken: ReleasedSlot[];
 }
 
-/** When a target began a run, and for which entry. */
-interface RunTime {
-  readonly target: number;
-  readonly entry: number;
-  readonly at: number;
-}
-
 /** Options of a {@link RequestWorld}. */
 export interface RequestWorldOptions {
   readonly entries: number;
@@ -102,7 +88,7 @@
   #now = 1000;
   #table: OwnerTable = createOwnerTable(WORLD_EPOCH_MS);
   #nextConnection = 1;
-  readonly #runTimes: RunTime[] = [];
+  readonly #runLog = new RunLog();
   #planned: { readonly time: number; readonly run: () => void }[] = [];
   readonly #entries: EntryReducer[] = [];
   readonly #targets: TargetProcess[] = [];
@@ -242,23 +228,16 @@
   progressRun(target: number, choice: number): void {
     const process = this.#target(target);
     if (process.isPaused) return;
-    const run = process.runs[choice % Math.max(1, process.runs.length)];
-    if (run !== undefined) this.#progress(target, run);
+    const event = process.runs.tryProgress(choice, this.#now);
+    if (event !== undefined) this.#toTarget(target, event);
   }
 
   /** A back end breaks off one of its answers. */
   failRun(target: number, choice: number): void {
     const process = this.#target(target);
     if (process.isPaused) return;
-    const run = process.runs[choice % Math.max(1, process.runs.length)];
-    if (run === undefined) return;
-    this.#endRun(process, run);
-    this.#toTarget(target, {
-      kind: "back_end_failed",
-      now: this.#now,
-      runId: run.runId,
-      failure: "broken",
-    });
+    const event = process.runs.tryFail(choice, this.#now);
+    if (event !== undefined) this.#toTarget(target, event);
   }
 
   /** Time passes, in small steps, for all that are not paused. */
@@ -315,7 +294,7 @@
     if (!process.isUp) return;
     process.isUp = false;
     process.isPaused = false;
-    process.runs = [];
+    process.runs.clear();
     for (const connection of [...this.#connections]) {
       if (connection.target === target) this.#disconnect(connection);
     }
@@ -401,16 +380,12 @@
 
   /** Runs that a target has begun for an entry. */
   runsAt(target: number, entry: number): number {
-    return this.#runTimes.filter((one) =>
-      one.target === target && one.entry === entry
-    ).length;
+    return this.#runLog.countAt(target, entry);
   }
 
   /** When a target last began a run. */
   lastRunAt(target: number): number {
-    const times = this.#runTimes.filter((one) => one.target === target)
-      .map((one) => one.at);
-    return Math.max(Number.NEGATIVE_INFINITY, ...times);
+    return this.#runLog.lastAt(target);
   }
 
   /** A drained target gives back its slots, and waits for their new owners. */
@@ -521,7 +496,7 @@
         (one.toTarget.length === 0 && one.toEntry.length === 0)
       );
       const isIdle = this.#targets.every((one) =>
-        one.isPaused || one.runs.length === 0
+        one.isPaused || one.runs.size === 0
       );
       if (isQuiet && isIdle) return;
       for (const connection of [...this.#connections]) {
@@ -563,7 +538,7 @@
       isPaused: false,
       goneAt: undefined,
       read: undefined,
-      runs: [],
+      runs: new BackEndRuns(this.#options.isStreamed === true),
       isDrained: false,
       taken: [],
     };
@@ -748,7 +723,7 @@
           .find(([name]) => name === "x-submission");
         const submission = this.#submission(Number(header?.[1]));
         submission.runs++;
-        this.#runTimes.push({
+        this.#runLog.note({
           target,
           entry: submission.entry,
           at: this.#now,
@@ -757,19 +732,14 @@
           const runs = this.runsByKey.get(submission.key) ?? 0;
           this.runsByKey.set(submission.key, runs + 1);
         }
-        process.runs.push({ runId: effect.runId, submission, part: 0 });
+        process.runs.start(effect.runId, submission);
         return;
       }
-      case "cancel_back_end": {
-        const run = process.runs.find((one) => one.runId === effect.runId);
-        if (run !== undefined) this.#endRun(process, run);
-        return this.#toTarget(target, {
-          kind: "back_end_failed",
-          now: this.#now,
-          runId: effect.runId,
-          failure: "broken",
-        });
-      }
+      case "cancel_back_end":
+        return this.#toTarget(
+          target,
+          process.runs.end(effect.runId, this.#now),
+        );
       case "drained":
         process.isDrained = true;
         return;
@@ -777,40 +747,6 @@
         return;
     }
   }
-
-  #progress(target: number, run: BackEndRun): void {
-    const process = this.#target(target);
-    const { runId, submission } = run;
-    const body = answerTo(submission as Submission);
-    const place = { now: this.#now, runId };
-    if (run.part === 0) {
-      run.part++;
-      return this.#toTarget(target, {
-        kind: "back_end_head",
-        ...place,
-        status: 200,
-        headers: this.#options.isStreamed
-          ? [["content-type", "text/event-stream"]]
-          : [["content-length", String(body.length)]],
-      });
-    }
-    if (run.part <= ANSWER_PARTS) {
-      const size = Math.ceil(body.length / ANSWER_PARTS);
-      const start = (run.part - 1) * size;
-      run.part++;
-      return this.#toTarget(target, {
-        kind: "back_end_data",
-        ...place,
-        bytes: Buffer.from(body.slice(start, start + size)),
-      });
-    }
-    this.#endRun(process, run);
-    this.#toTarget(target, { kind: "back_end_end", ...place });
-  }
-
-  #endRun(process: TargetProcess, run: BackEndRun): void {
-    process.runs = process.runs.filter((one) => one !== run);
-  }
 }
 
 function nameOf(target: number): string {
