Reset connections of calls that are broken off; count only newer lists of a reader

Its machine had stood still, and an orderly close left the requests in its buffers. A reset takes them back. Supposed: a list of the known revision that the reader told was taken for fresh, with the age that it had at the reader.

--- a/src/direct/listing_turns.ts
+++ b/src/direct/listing_turns.ts
@@ -45,12 +45,12 @@
   }
 
   /**
-   * The reader told a list. One that says the same as the known one is as good as a
-   * newer one: lists change only with the back ends, not with their heartbeats. An older
-   * one was on its way while this process asked for itself.
+   * The reader told a list. Only a newer one counts: its age is that at the reader, and one
+   * that says the same as the known list may have been on its way for longer than a back
+   * end that leaves may be sent work.
    */
   heard(list: HeardList, knownRevision = Number.NEGATIVE_INFINITY): void {
-    if (list.revision < knownRevision) return;
+    if (list.revision <= knownRevision) return;
     this.#heardAskedAt = Math.max(this.#heardAskedAt, list.askedAt);
   }
 
--- a/src/direct/listing_turns_test.ts
+++ b/src/direct/listing_turns_test.ts
@@ -37,12 +37,14 @@
     assert.ok(read >= 0.25 * alone, `${read} of ${alone}`);
   });
 
-  it("are left to a reader that tells no change, but not to an older list", () => {
+  it("are not left to a reader whose list may be old", () => {
     const turns = new ListingTurns(LEAVING_MS);
     const known = 7;
-    turns.heard({ revision: 6, askedAt: 0 }, known);
-    assert.equal(turns.next(100).kind, "list");
-    turns.heard({ revision: 7, askedAt: 0 }, known);
+    for (const revision of [6, 7]) {
+      turns.heard({ revision, askedAt: 0 }, known);
+      assert.equal(turns.next(100).kind, "list");
+    }
+    turns.heard({ revision: 8, askedAt: 0 }, known);
     assert.equal(turns.next(100).kind, "wait");
   });
 
--- a/src/external/http_back_end_test.ts
+++ b/src/external/http_back_end_test.ts
@@ -97,3 +97,48 @@
     assert.equal(result.outcome, "broken");
   });
 });
+
+/** How a server sees its connection end when the call is broken off. */
+async function breakOff(): Promise<string> {
+  const server = createServer();
+  server.listen(0, "127.0.0.1");
+  await once(server, "listening");
+  const { port } = server.address() as AddressInfo;
+  const backEnd = new HttpBackEnd({
+    address: `127.0.0.1:${port}`,
+    connections: 1,
+  });
+  const call = backEnd.start({
+    method: "GET",
+    path: "/",
+    headers: [],
+    body: new Uint8Array(),
+    limitMs: LIMIT_MS,
+  }, {
+    onHead: () => undefined,
+    onData: () => undefined,
+    onEnd: () => undefined,
+    onFailed: () => undefined,
+  });
+  const [socket] = await once(server, "connection") as [Socket];
+  await once(socket, "data");
+  const ended = new Promise<string>((resolve) => {
+    socket.once("end", () => resolve("closed"));
+    socket.once(
+      "error",
+      (error: Error & { readonly code?: string }) => resolve(error.code ?? ""),
+    );
+  });
+  call.cancel();
+  const seen = await ended;
+  socket.destroy();
+  await backEnd.close();
+  server.close();
+  return seen;
+}
+
+describe("a call that is broken off", () => {
+  it("resets its connection, so that what is on its way is taken back", async () => {
+    assert.equal(await breakOff(), "ECONNRESET");
+  });
+});
