--- a/src/external/http_back_end_test.ts
+++ b/src/external/http_back_end_test.ts
@@ -4,7 +4,13 @@
 import { describe, it } from "node:test";
 import { HttpBackEnd } from "./http_back_end.ts";
 
-const LIMIT_MS = 5000;
+const REQUEST = {
+  method: "GET",
+  path: "/",
+  headers: [],
+  body: new Uint8Array(),
+  limitMs: 5000,
+} as const;
 
 type Answer = (socket: Socket) => void;
 
@@ -13,12 +19,9 @@
   readonly body: string;
 }
 
-/** Calls a server that answers on a raw socket. */
-async function callServer(answer: Answer): Promise<CallResult> {
-  const server = createServer((socket) => {
-    socket.on("error", () => {/* Resets are what these tests are about. */});
-    socket.once("data", () => answer(socket));
-  });
+/** A server on raw sockets, and the way to it. */
+async function startServer(onConnection: (socket: Socket) => void) {
+  const server = createServer(onConnection);
   server.listen(0, "127.0.0.1");
   await once(server, "listening");
   const { port } = server.address() as AddressInfo;
@@ -26,15 +29,18 @@
     address: `127.0.0.1:${port}`,
     connections: 1,
   });
+  return { server, backEnd };
+}
+
+/** Calls a server that answers on a raw socket. */
+async function callServer(answer: Answer): Promise<CallResult> {
+  const { server, backEnd } = await startServer((socket) => {
+    socket.on("error", () => {/* Resets are what these tests are about. */});
+    socket.once("data", () => answer(socket));
+  });
   let body = "";
   const outcome = await new Promise<string>((resolve) => {
-    backEnd.start({
-      method: "GET",
-      path: "/",
-      headers: [],
-      body: new Uint8Array(),
-      limitMs: LIMIT_MS,
-    }, {
+    backEnd.start(REQUEST, {
       onHead: () => undefined,
       onData: (bytes) => body += new TextDecoder().decode(bytes),
       onEnd: () => resolve("whole"),
@@ -100,21 +106,8 @@
 
 /** How a server sees its connection end when the call is broken off. */
 async function breakOff(): Promise<string> {
-  const server = createServer();
-  server.listen(0, "127.0.0.1");
-  await once(server, "listening");
-  const { port } = server.address() as AddressInfo;
-  const backEnd = new HttpBackEnd({
-    address: `127.0.0.1:${port}`,
-    connections: 1,
-  });
-  const call = backEnd.start({
-    method: "GET",
-    path: "/",
-    headers: [],
-    body: new Uint8Array(),
-    limitMs: LIMIT_MS,
-  }, {
+  const { server, backEnd } = await startServer(() => undefined);
+  const call = backEnd.start(REQUEST, {
     onHead: () => undefined,
     onData: () => undefined,
     onEnd: () => undefined,
