Reproduce the held group and the mixed pass; model what rescuers say and hear

The model of a formed group gave a rescuer's orders straight to the engine, past the promises that a rank's process keeps, and let it hear all words at one instant. Real words take milliseconds and are lost.

No change of logic.

--- a/src/testing/formed_group_world.ts
+++ b/src/testing/formed_group_world.ts
@@ -14,11 +14,16 @@
 import {
   HOLDER_RANK,
   isCarriedOut,
+  type PassOfEpoch,
   type RankOrderMessage,
   type RankReportMessage,
 } from "../group/formed/types.ts";
 import type { ExpertMap } from "../group/types.ts";
-import { planRescue, type RankWord } from "../group/formed/rescue.ts";
+import {
+  planRescue,
+  type RankWord,
+  type RescuePlan,
+} from "../group/formed/rescue.ts";
 import { SwitchPromises } from "../group/formed/switch_promises.ts";
 import { EventQueue } from "./event_queue.ts";
 import { FakeFormedEngine } from "./fake_formed_engine.ts";
@@ -70,6 +75,10 @@
 const FREEZE_MS = 4000;
 const LOOK_MS = 100;
 const SUSPICIOUS_MS = 300;
+/** Milliseconds in which the ranks must answer the one that asks about a hold. */
+const ANSWER_MS = 120;
+/** Orders about a hold that was left behind are numbered from here. */
+const FIRST_RESCUE_ORDER = 2 ** 40;
 
 /** A formed group in virtual time. */
 export class FormedGroupWorld {
@@ -98,6 +107,9 @@
   );
   #holdKey: string | undefined;
   #holdSince = 0;
+  #isRescuing = false;
+  #words = new Map<number, RankWord>();
+  #nextRescueOrder = FIRST_RESCUE_ORDER;
 
   /** The same seed gives the same run. */
   constructor(seed: number, faults: FormedGroupFaults) {
@@ -203,28 +215,57 @@
     this.#holdKey = key;
     if (key === undefined) return;
     if (this.#now - this.#holdSince < SUSPICIOUS_MS) return;
-    const plan = planRescue(this.#words(), RANKS);
-    if (plan.kind === "orders") {
-      for (const { rank, order } of plan.orders) {
-        this.#give(rank, { kind: "rank_order", orderId: 0, order });
-      }
+    if (this.#isRescuing) return;
+    this.#isRescuing = true;
+    this.#rescue();
+  }
+
+  /** As the process beside the holder does: ask, perhaps ask again, then order. */
+  #rescue(): void {
+    this.#askForWords(undefined, () => {
+      const plan = planRescue([...this.#words.values()], RANKS);
+      if (plan.kind !== "ask_to_refuse") return this.#endRescue(plan);
+      this.#askForWords(plan.refuse, () => {
+        this.#endRescue(planRescue([...this.#words.values()], RANKS));
+      });
+    });
+  }
+
+  #endRescue(plan: RescuePlan): void {
+    this.#isRescuing = false;
+    if (plan.kind !== "orders") return;
+    for (const { rank, order } of plan.orders) {
+      const orderId = this.#nextRescueOrder++;
+      this.#deliverWord(
+        rank,
+        () => this.#carryOut(rank, { kind: "rank_order", orderId, order }),
+      );
     }
-    if (plan.kind === "ask_to_refuse") {
-      for (const promises of this.#promises.slice(1)) {
-        promises.refuse(plan.refuse);
-      }
+  }
+
+  /** Each rank is asked, and answers, when its message arrives. */
+  #askForWords(refuse: PassOfEpoch | undefined, then: () => void): void {
+    this.#words = new Map();
+    const words = this.#words;
+    for (let rank = 0; rank < RANKS; rank++) {
+      this.#deliverWord(rank, () => {
+        const promises = this.#promisesOf(rank);
+        if (refuse !== undefined) promises.refuse(refuse);
+        const { state } = this.#engine(rank);
+        const word = { state, ...promises.of(state.epoch) };
+        this.#deliverWord(HOLDER_RANK, () => words.set(rank, word));
+      });
     }
+    this.#queue.after(ANSWER_MS, then);
   }
 
-  /** What the ranks say; the decider's machine says nothing while it stands. */
-  #words(): readonly RankWord[] {
-    const isFrozen = this.#now < this.#frozenUntil;
-    return this.#engines.flatMap((engine, rank) =>
-      isFrozen && rank === 0 ? [] : [{
-        state: engine.state,
-        ...this.#promisesOf(rank).of(engine.state.epoch),
-      }]
-    );
+  /** Lost with its connection, or because the machine of rank 0 stands still. */
+  #deliverWord(rank: number, run: () => void): void {
+    const { lostMessages } = this.#faults;
+    if (this.#random.nextFraction() < lostMessages) return;
+    this.#queue.after(1 + this.#random.nextBelow(12), () => {
+      if (rank !== 0 || this.#now >= this.#frozenUntil) run();
+    });
   }
 
   #promisesOf(rank: number): SwitchPromises {
@@ -299,8 +340,7 @@
   }
 
   #give(rank: number, message: RankOrderMessage): void {
-    const isRescue = message.orderId === 0;
-    if (!isRescue && this.#orders.get(rank) !== message) return;
+    if (this.#orders.get(rank) !== message) return;
     const engine = this.#engine(rank);
     const { order } = message;
     const draw = this.#random.nextFraction();
