--- a/src/direct/rank_driver.ts
+++ b/src/direct/rank_driver.ts
@@ -15,7 +15,7 @@
 import { DeciderDriver } from "../group/formed/decider_driver.ts";
 import { RankAgent } from "../group/formed/rank_agent.ts";
 import { SwitchRescuer } from "../group/formed/switch_rescuer.ts";
-import { HOLDER_RANK, type RankState } from "../group/formed/types.ts";
+import { getHolderRank, type RankState } from "../group/formed/types.ts";
 import type { Link } from "../links/link.ts";
 import { type LinkIdentity, LinkServer } from "../links/link_server.ts";
 import type { Message } from "../messages/types.ts";
@@ -78,7 +78,13 @@
       failureDomain: settings.failureDomain,
     };
     this.#agent = new RankAgent(options.engine);
-    this.#rescuer = new SwitchRescuer({ identity: this.#identity, log });
+    this.#rescuer = new SwitchRescuer({
+      identity: this.#identity,
+      random: options.random,
+      log,
+      agent: this.#agent,
+      createEngine: options.createEngine,
+    });
     this.#settings = new SettingsFollower({
       store,
       format,
@@ -150,7 +156,7 @@
   }
 
   #lookMs(): number {
-    if (this.#state?.rank === HOLDER_RANK) return RESCUER_LOOK_MS;
+    if (isHolder(this.#state)) return RESCUER_LOOK_MS;
     return this.#entryLinks.size > 0 ? HEARD_LOOK_MS : LOOK_MS;
   }
 
@@ -164,9 +170,7 @@
     if (isElsewhere) this.#register(state);
     const hasChanged = isElsewhere || before.isOpen !== state.isOpen;
     this.#tellSight(state, hasChanged);
-    if (state.rank === HOLDER_RANK) {
-      this.#rescuer.observe(state, performance.now());
-    }
+    if (isHolder(state)) this.#rescuer.observe(state, performance.now());
     if (state.rank === 0) return this.#startDecider(state);
     this.#stopDecider();
   }
@@ -190,7 +194,8 @@
     }
   }
 
-  #register({ group, rank }: RankState): void {
+  #register(state: RankState): void {
+    const { group, rank } = state;
     const { store, log, settings } = this.#options;
     void this.#registry?.stop();
     this.#registry = new ProcessRegistry({
@@ -205,7 +210,7 @@
         rank,
         engineAddress: settings.engineAddress,
       },
-      follows: rank <= HOLDER_RANK,
+      follows: rank === 0 || isHolder(state),
       onProcesses: (processes) => this.#onProcesses(processes),
     });
     this.#registry.start();
@@ -242,11 +247,13 @@
     const members = processes.filter((one) =>
       one.role === "rank" && one.group === group
     );
-    const addresses = members.flatMap(({ address, engineAddress }) =>
-      engineAddress === undefined ? [] : [{ address, engineAddress }]
+    const addresses = members.flatMap(({ address, engineAddress, rank }) =>
+      engineAddress === undefined || rank === undefined
+        ? []
+        : [{ address, engineAddress, rank }]
     );
     this.#decider?.setMembers(addresses);
-    this.#rescuer.setAddresses(addresses.map(({ address }) => address));
+    this.#rescuer.setMembers(addresses);
   }
 
   #onMessage(link: Link, message: Message): void {
@@ -266,3 +273,8 @@
     this.#options.log.write("ENGINE_UNREACHABLE", { cause: String(error) });
   }
 }
+
+/** Whether the process is beside the rank that holds the passes of switches. */
+function isHolder(state: RankState | undefined): boolean {
+  return state !== undefined && state.rank === getHolderRank(state.ranks);
+}
--- a/src/events/catalogue.ts
+++ b/src/events/catalogue.ts
@@ -184,8 +184,17 @@
   SWITCH_RESCUED: {
     code: 2605,
     level: "warn",
-    text: "A switch was finished for a decider that stands still",
-    action: "See why the process beside rank 0 does not answer.",
+    text:
+      "A group waits before a held pass; its switch is ended from beside the holder",
+    action:
+      "See why the process beside rank 0 does not answer. `held` says whether the switch was decided: it is finished then, and given up otherwise.",
+  },
+  ORDER_FROM_AFAR: {
+    code: 2611,
+    level: "warn",
+    text: "An order was given to a rank's engine from another machine",
+    action:
+      "See why the process beside that rank does not answer: it was not connected, or did not answer in time.",
   },
   DECIDER_CONNECTED: {
     code: 2606,
--- a/src/external/formed_engine.ts
+++ b/src/external/formed_engine.ts
@@ -4,10 +4,10 @@
  * @module
  */
 import type {
+  EngineOrder,
   ExpertCounts,
   OrderOutcome,
   RankExperts,
-  RankOrder,
   RankState,
 } from "../group/formed/types.ts";
 
@@ -40,5 +40,5 @@
   abstract readExperts(): Promise<RankExperts>;
 
   /** Gives an order. Never throws; an unanswered order may still take effect. */
-  abstract give(order: RankOrder): Promise<OrderOutcome>;
+  abstract give(order: EngineOrder): Promise<OrderOutcome>;
 }
--- a/src/group/formed/decider.ts
+++ b/src/group/formed/decider.ts
@@ -1,21 +1,25 @@
 /**
- * Decides the expert map of a formed group, in the process beside rank 0.
+ * Decides the expert map of a formed group, in the process beside rank 0; and beside
+ * the holder, ends a switch that nobody else does.
  *
- * A switch goes forward only: the ranks prepare a map; one of them holds the pass
- * of the switch, so that the group cannot begin it; the others are armed, and the
- * decider's own rank last; when every rank is seen to be armed, the pass may
- * begin. No version is armed for two passes, so an order that an engine carries
- * out late finds its pass begun.
- * A decider that starts without memory reads from the ranks' states how far the
- * one before it came, and goes on from there.
+ * The ranks prepare a map; the holder's engine holds the pass of the switch, so that the
+ * group cannot begin it; then the holder is armed, which decides the switch, and only
+ * then the others; when every rank is seen to be armed, the pass may begin.
+ *
+ * Whoever finds a held pass reads from the holder's engine alone what to do. If it is
+ * armed, all others are armed and the pass begins with the new map. If it is not, no
+ * rank is: its engine is fenced, so that it cannot be armed for that pass any more, and
+ * the pass begins with the old map. Armed and fenced each last until the pass begins, and
+ * an engine is never both. So any number of processes may do this at once, each may end
+ * at any moment, and no order is harmful when it is carried out late.
  *
  * @module
  */
 import { assertNever, Debug } from "../../core/debug.ts";
 import type { RandomSource } from "../../core/random_source.ts";
 import type { ExpertMap } from "../types.ts";
+import { assembleMap } from "./assemble_map.ts";
 import type {
-  Arming,
   DeciderEffect,
   DeciderEvent,
   DeciderPhase,
@@ -23,17 +27,12 @@
   RankReported,
   Releasing,
 } from "./decider_types.ts";
-import { tryFindUnfinished } from "./unfinished_switch.ts";
-import { assembleMap } from "./assemble_map.ts";
-import {
-  HOLDER_RANK,
-  isCarriedOut,
-  type RankOrder,
-  type RankState,
-} from "./types.ts";
-
-/** Milliseconds after which an order or a question is sent again. */
-export const RESEND_MS = 250;
+import { readHeldPass } from "./held_pass.ts";
+import { type OpenOrder, OpenOrders } from "./open_orders.ts";
+import { getHolderRank, type RankOrder, type RankState } from "./types.ts";
+
+/** Milliseconds between two questions to all ranks, while what they hold is unknown. */
+const GATHERING_LOOK_MS = 250;
 /** Milliseconds between two looks at a group that has yet to begin a pass. */
 const SWITCHING_LOOK_MS = 40;
 /**
@@ -57,19 +56,25 @@
   readonly state: RankState;
   readonly random: RandomSource;
   readonly now: number;
+  /** Number of its first order, apart from those of other deciders of the group. */
+  readonly firstOrderId: number;
 }
 
-interface OpenOrder {
-  readonly id: number;
-  readonly order: RankOrder;
-  sentAt: number;
+/** A switch whose pass is known. */
+interface PlannedSwitch {
+  readonly version: number;
+  readonly pass: number;
+  readonly map: ExpertMap | undefined;
 }
 
 /** Decides the expert map of a formed group. */
 export class FormedGroupDecider {
   readonly #random: RandomSource;
   readonly #ranks: number;
+  readonly #holder: number;
   #epoch: number;
+  /** The last pass of this epoch that any rank is known to have begun. */
+  #lastPass: number;
   #phase: DeciderPhase;
   #phaseEnteredAt: number;
   #highestVersion = 0;
@@ -77,8 +82,7 @@
   #marginPasses = FIRST_MARGIN_PASSES;
   /** Margin with which a switch begins. */
   #usualMarginPasses = FIRST_MARGIN_PASSES;
-  readonly #open = new Map<number, OpenOrder>();
-  #nextOrderId = 1;
+  readonly #orders: OpenOrders;
   #askedAt = Number.NEGATIVE_INFINITY;
   #effects: DeciderEffect[] = [];
 
@@ -86,7 +90,10 @@
   constructor(options: FormedGroupDeciderOptions) {
     this.#random = options.random;
     this.#ranks = options.state.ranks;
+    this.#holder = getHolderRank(options.state.ranks);
     this.#epoch = options.state.epoch;
+    this.#lastPass = options.state.pass;
+    this.#orders = new OpenOrders(options.firstOrderId);
     this.#phase = { kind: "gathering", states: new Map(), experts: new Map() };
     this.#phaseEnteredAt = options.now;
   }
@@ -133,50 +140,52 @@
     if (state.epoch < this.#epoch) return;
     if (state.epoch > this.#epoch) {
       this.#epoch = state.epoch;
+      this.#lastPass = state.pass;
       return this.#gather(now);
     }
+    this.#lastPass = Math.max(this.#lastPass, state.pass);
     this.#noteVersions(state);
-    const open = this.#open.get(rank);
-    const isDone = open !== undefined && isCarriedOut(open.order, state);
-    if (isDone) this.#open.delete(rank);
+    const open = this.#orders.tryGet(rank);
+    this.#orders.closeIfDone(rank, state);
     if (this.#hasStrayHold(state)) return this.#gather(now);
-    const isRejected = open !== undefined && !isDone &&
-      report.orderId === open.id && report.isDone === false;
+    const isRejected = this.#orders.tryGet(rank) !== undefined &&
+      report.orderId === open?.id && report.isDone === false;
     if (isRejected) return this.#rejected(rank, state, now);
     this.#progress(event);
   }
 
   #progress(event: RankReported): void {
-    const { rank, report, now } = event;
+    const { report: { state }, now } = event;
     const phase = this.#phase;
+    const isDone = this.#orders.areDone;
     switch (phase.kind) {
       case "gathering":
-        phase.states.set(rank, report.state);
-        if (report.experts !== undefined) {
-          phase.experts.set(rank, report.experts);
-        }
-        return this.#gathered(phase, now);
+        return this.#gathered(phase, event);
       case "switching":
-        if (report.state.activeVersion === phase.version) {
-          this.#switched(phase.map, now);
+        if (state.activeVersion === phase.version) {
+          this.#switched(phase, now);
         }
         return;
       case "preparing":
-        if (this.#open.size === 0) this.#hold(phase, report.state, now);
+        if (isDone) this.#hold(phase, now);
         return;
       case "holding":
-        if (this.#open.size === 0) this.#arm(phase, now);
+        if (isDone) this.#decide(phase, now);
+        return;
+      case "deciding":
+        if (isDone) this.#armOthers(phase, now);
         return;
       case "arming":
-        if (this.#open.size > 0) return;
-        this.#noteWait(phase.pass, report.state);
-        return this.#armOwn(phase, now);
-      case "arming_own":
-        if (this.#open.size > 0) return;
-        this.#noteSlack(phase.pass, report.state);
-        return this.#release(phase, now);
+        if (isDone) this.#armed(phase, now);
+        return;
+      case "fencing":
+        if (!isDone) return;
+        return this.#release(
+          { pass: phase.pass, version: undefined, map: undefined },
+          now,
+        );
       case "releasing":
-        if (this.#open.size === 0) this.#released(phase, now);
+        if (isDone) this.#released(phase, now);
         return;
       case "settled":
         return;
@@ -185,33 +194,48 @@
     }
   }
 
-  /** Every rank is known: either all is settled, or a switch is unfinished. */
-  #gathered(phase: Gathering, now: number): void {
+  /** A held pass is dealt with first; without one, every rank is to be known. */
+  #gathered(phase: Gathering, { rank, report, now }: RankReported): void {
+    if (rank === this.#holder) {
+      const held = readHeldPass(report.state);
+      switch (held.kind) {
+        case "nothing_held":
+          break;
+        case "decided":
+          return this.#armOthers({ ...held, map: undefined }, now);
+        case "in_vain":
+          return this.#release(
+            { pass: held.pass, version: undefined, map: undefined },
+            now,
+          );
+        case "undecided":
+          // Another pass may still be held for another switch meanwhile.
+          if (held.isAwaited) this.#fence(held.pass, now);
+          return;
+        default:
+          assertNever(held);
+      }
+    }
+    phase.states.set(rank, report.state);
+    if (report.experts !== undefined) phase.experts.set(rank, report.experts);
+    this.#settleIfWhole(phase, now);
+  }
+
+  #settleIfWhole(phase: Gathering, now: number): void {
     const isWhole = phase.states.size === this.#ranks &&
       phase.experts.size === this.#ranks;
     if (!isWhole) return;
     const states = [...phase.states.values()];
-    const unfinished = tryFindUnfinished(states);
-    switch (unfinished.kind) {
-      case "none": {
-        const map = assembleMap(phase.experts);
-        return this.#enter({ kind: "settled", map }, now);
-      }
-      case "changing":
-        // The ranks were seen at different times; they are asked again.
-        phase.states.clear();
-        phase.experts.clear();
-        return;
-      case "held":
-        return this.#arm({ ...unfinished, map: undefined }, now);
-      case "held_in_vain":
-        return this.#release(
-          { ...unfinished, version: undefined, map: undefined },
-          now,
-        );
-      default:
-        assertNever(unfinished);
+    const versions = new Set(states.map((state) => state.activeVersion));
+    const isSettled = versions.size === 1 &&
+      states.every((state) => state.armed === undefined);
+    if (isSettled) {
+      const map = assembleMap(phase.experts);
+      return this.#enter({ kind: "settled", map }, now);
     }
+    // The ranks were seen at different times; they are asked again.
+    phase.states.clear();
+    phase.experts.clear();
   }
 
   #proposed(map: ExpertMap, now: number): void {
@@ -220,81 +244,88 @@
     this.#marginPasses = this.#usualMarginPasses;
     const before = this.#phase.map;
     this.#enter({ kind: "preparing", version, map, before }, now);
-    this.#forEachRank((rank) =>
-      this.#order(
-        rank,
-        { kind: "prepare", epoch: this.#epoch, version, map },
-        now,
-      )
-    );
+    for (let rank = 0; rank < this.#ranks; rank++) {
+      const { epoch } = this;
+      this.#order(rank, { kind: "prepare", epoch, version, map }, now);
+    }
   }
 
+  /**
+   * Two passes ahead at least. A pass that was given up had all before it begun, so it
+   * is never held for another switch, which a late order to let it go could harm.
+   */
   #hold(
-    phase: { readonly version: number; readonly map: ExpertMap | undefined },
-    newest: RankState,
+    { version, map }: Pick<PlannedSwitch, "version" | "map">,
     now: number,
   ): void {
-    const pass = newest.pass + this.#marginPasses;
-    const { version, map } = phase;
-    const holder = Math.min(HOLDER_RANK, this.#ranks - 1);
-    this.#enter({ kind: "holding", holder, version, pass, map }, now);
-    this.#order(holder, { kind: "hold", ...this.#at(pass) }, now);
+    const pass = this.#lastPass + this.#marginPasses;
+    this.#enter({ kind: "holding", version, pass, map }, now);
+    this.#order(this.#holder, { kind: "hold", ...this.#at(pass) }, now);
   }
 
-  #arm(phase: Omit<Arming, "kind">, now: number): void {
-    const { holder, version, pass, map } = phase;
-    this.#enter({ kind: "arming", holder, version, pass, map }, now);
-    for (let rank = 1; rank < this.#ranks; rank++) {
-      this.#order(rank, { kind: "arm", ...this.#at(pass), version }, now);
+  #decide({ version, pass, map }: PlannedSwitch, now: number): void {
+    this.#enter({ kind: "deciding", version, pass, map }, now);
+    this.#arm(this.#holder, { version, pass, map }, now);
+  }
+
+  #armOthers(planned: PlannedSwitch, now: number): void {
+    const { version, pass, map } = planned;
+    this.#orders.clear();
+    this.#enter({ kind: "arming", version, pass, map }, now);
+    for (let rank = 0; rank < this.#ranks; rank++) {
+      if (rank !== this.#holder) this.#arm(rank, planned, now);
     }
-    if (this.#ranks === 1) this.#armOwn(phase, now);
+    if (this.#orders.areDone) this.#armed(planned, now);
   }
 
-  /**
-   * While some other rank is not armed, this one is not either. So if this
-   * machine stands still, the others can tell whether the switch can be left out.
-   */
-  #armOwn(phase: Omit<Arming, "kind">, now: number): void {
-    const { holder, version, pass, map } = phase;
-    this.#enter({ kind: "arming_own", holder, version, pass, map }, now);
-    this.#order(0, { kind: "arm", ...this.#at(pass), version }, now);
+  #armed(planned: PlannedSwitch, now: number): void {
+    this.#noteMargin(planned.pass);
+    this.#release(planned, now);
   }
 
-  /** While orders were still to be given, the group stood before the pass. */
-  #noteWait(pass: number, { pass: begun }: RankState): void {
-    if (begun < pass - 1) return;
-    this.#usualMarginPasses = Math.min(
-      LARGEST_MARGIN_PASSES,
-      this.#usualMarginPasses + 1,
-    );
+  #arm(rank: number, { version, pass }: PlannedSwitch, now: number): void {
+    this.#order(rank, { kind: "arm", ...this.#at(pass), version }, now);
   }
 
-  /** All orders were given with two whole passes to spare. */
-  #noteSlack(pass: number, { pass: begun }: RankState): void {
-    if (begun >= pass - 2) return;
-    this.#usualMarginPasses = Math.max(
-      FIRST_MARGIN_PASSES,
-      this.#usualMarginPasses - 1,
-    );
+  #fence(pass: number, now: number): void {
+    const version = this.#nextVersion();
+    this.#enter({ kind: "fencing", version, pass }, now);
+    const { epoch } = this;
+    this.#order(this.#holder, { kind: "fence", epoch, version }, now);
+  }
+
+  /** The group either stood before the pass meanwhile, or had passes to spare. */
+  #noteMargin(pass: number): void {
+    if (this.#lastPass >= pass - 1) {
+      this.#usualMarginPasses = Math.min(
+        LARGEST_MARGIN_PASSES,
+        this.#usualMarginPasses + 1,
+      );
+    }
+    if (this.#lastPass < pass - 2) {
+      this.#usualMarginPasses = Math.max(
+        FIRST_MARGIN_PASSES,
+        this.#usualMarginPasses - 1,
+      );
+    }
   }
 
   #release(phase: Omit<Releasing, "kind">, now: number): void {
-    const { holder, version, pass, map } = phase;
-    this.#enter({ kind: "releasing", holder, version, pass, map }, now);
-    this.#order(holder, { kind: "go", ...this.#at(pass) }, now);
+    const { version, pass, map } = phase;
+    this.#orders.clear();
+    this.#enter({ kind: "releasing", version, pass, map }, now);
+    this.#order(this.#holder, { kind: "go", ...this.#at(pass) }, now);
   }
 
-  #released(
-    phase: Extract<DeciderPhase, { kind: "releasing" }>,
-    now: number,
-  ): void {
-    const { version, map } = phase;
+  #released({ version, map }: Releasing, now: number): void {
     if (version === undefined) return this.#gather(now);
     this.#enter({ kind: "switching", version, map }, now);
   }
 
-  #switched(map: ExpertMap | undefined, now: number): void {
-    const { version } = this.#phase as { readonly version: number };
+  #switched(
+    { version, map }: Pick<PlannedSwitch, "version" | "map">,
+    now: number,
+  ): void {
     this.#effects.push({ kind: "map_in_force", version });
     if (map === undefined) return this.#gather(now);
     this.#enter({ kind: "settled", map }, now);
@@ -312,8 +343,9 @@
       case "holding":
         return state.heldPass !== phase.pass;
       case "gathering":
+      case "deciding":
       case "arming":
-      case "arming_own":
+      case "fencing":
       case "releasing":
         return false;
       default:
@@ -326,28 +358,33 @@
     switch (phase.kind) {
       case "preparing":
         // Nothing is armed, so what some ranks loaded does no harm.
-        this.#open.clear();
+        this.#orders.clear();
         return this.#enter({ kind: "settled", map: phase.before }, now);
       case "holding":
         // The order was lost, and is given again by the next tick.
         if (state.pass < phase.pass) return;
         // The pass had begun: the switch moves further ahead.
-        this.#open.clear();
+        this.#orders.clear();
         this.#marginPasses = Math.min(
           LARGEST_MARGIN_PASSES,
           this.#marginPasses * 2,
         );
-        return this.#hold(phase, state, now);
+        return this.#hold(phase, now);
+      case "deciding": {
+        const isFenced = state.preparedVersion !== phase.version;
+        if (isFenced || state.pass >= phase.pass) return this.#gather(now);
+        return this.#orders.postpone(rank, now);
+      }
       case "arming":
-      case "arming_own":
-      case "releasing": {
-        // A pass begins when all ranks are armed for it or none is, so one that
-        // began without this rank was let go by another process.
+      case "releasing":
+        // All ranks were armed for a pass that began: another process saw to it.
         if (state.pass >= phase.pass) return this.#gather(now);
-        // Other ranks may be armed: it is asked for again until it is done.
-        const open = this.#open.get(rank);
-        if (open !== undefined) open.sentAt = now;
-        return;
+        // Other ranks are armed: it is asked for again until it is done.
+        return this.#orders.postpone(rank, now);
+      case "fencing": {
+        const isOver = state.pass >= phase.pass || state.armed !== undefined;
+        if (isOver) return this.#gather(now);
+        return this.#fenceHigher(rank, now);
       }
       case "gathering":
       case "settled":
@@ -358,15 +395,19 @@
     }
   }
 
+  /** A version that the rank loads is not told yet, and was higher. */
+  #fenceHigher(rank: number, now: number): void {
+    this.#highestVersion += VERSION_BLOCK;
+    const { epoch } = this;
+    const version = this.#nextVersion();
+    this.#orders.open(rank, { kind: "fence", epoch, version }, now);
+  }
+
   #tick(now: number): void {
-    for (const [rank, open] of this.#open) {
-      if (now - open.sentAt < RESEND_MS) continue;
-      open.sentAt = now;
-      this.#sendOrder(rank, open);
-    }
+    for (const open of this.#orders.takeDue(now)) this.#send(open, true);
     const { kind } = this.#phase;
     const isGathering = kind === "gathering";
-    const lookMs = isGathering ? RESEND_MS : SWITCHING_LOOK_MS;
+    const lookMs = isGathering ? GATHERING_LOOK_MS : SWITCHING_LOOK_MS;
     const isLooking = isGathering || kind === "switching";
     if (!isLooking || now - this.#askedAt < lookMs) return;
     this.#askedAt = now;
@@ -375,7 +416,7 @@
   }
 
   #gather(now: number): void {
-    this.#open.clear();
+    this.#orders.clear();
     this.#enter(
       { kind: "gathering", states: new Map(), experts: new Map() },
       now,
@@ -385,9 +426,9 @@
   }
 
   #askAll(): void {
-    this.#forEachRank((rank) =>
-      this.#effects.push({ kind: "send_query", rank, withExperts: true })
-    );
+    for (let rank = 0; rank < this.#ranks; rank++) {
+      this.#effects.push({ kind: "send_query", rank, withExperts: true });
+    }
   }
 
   #enter(phase: DeciderPhase, now: number): void {
@@ -404,17 +445,16 @@
   }
 
   #order(rank: number, order: RankOrder, now: number): void {
-    const open = { id: this.#nextOrderId++, order, sentAt: now };
-    this.#open.set(rank, open);
-    this.#sendOrder(rank, open);
+    this.#send(this.#orders.open(rank, order, now), false);
   }
 
-  #sendOrder(rank: number, open: OpenOrder): void {
+  #send({ rank, id, order }: OpenOrder, isRepeated: boolean): void {
     this.#effects.push({
       kind: "send_order",
       rank,
-      orderId: open.id,
-      order: open.order,
+      orderId: id,
+      order,
+      isRepeated,
     });
   }
 
@@ -441,8 +481,4 @@
   #at(pass: number) {
     return { epoch: this.#epoch, pass };
   }
-
-  #forEachRank(callback: (rank: number) => void): void {
-    for (let rank = 0; rank < this.#ranks; rank++) callback(rank);
-  }
 }
--- a/src/group/formed/decider_driver.ts
+++ b/src/group/formed/decider_driver.ts
@@ -10,18 +10,23 @@
 import type { EventLog } from "../../events/event_log.ts";
 import type { FormedEngine } from "../../external/formed_engine.ts";
 import type { GroupSettings } from "../../external/operator_settings.ts";
-import type { Link } from "../../links/link.ts";
-import { LinkClient } from "../../links/link_client.ts";
 import type { LinkIdentity } from "../../links/link_server.ts";
-import type { Message } from "../../messages/types.ts";
 import { tryPlanIncrement } from "../../policy/placement/incremental_planner.ts";
 import { FormedGroupDecider } from "./decider.ts";
-import type { DeciderEffect, DeciderEvent } from "./decider_types.ts";
+import type {
+  DeciderEffect,
+  DeciderEvent,
+  SendOrder,
+} from "./decider_types.ts";
 import { PassTimes } from "./pass_times.ts";
 import { Popularity } from "./popularity.ts";
+import {
+  type GroupMemberAddress,
+  RankLinks,
+  type RankMember,
+} from "./rank_links.ts";
 import type {
   GroupLoadMessage,
-  RankOrderMessage,
   RankReportMessage,
   RankState,
 } from "./types.ts";
@@ -55,6 +60,8 @@
 const PASSES_PER_SWITCH = 2;
 /** Passes whose mean time counts. */
 const PASS_SMOOTHING = 0.4;
+/** Orders of a decider are numbered from a random number below this. */
+const FIRST_ORDER_IDS = 2 ** 31;
 
 /** Options of a {@link DeciderDriver}. */
 export interface DeciderDriverOptions {
@@ -71,37 +78,13 @@
   readonly createEngine: (address: string) => FormedEngine;
 }
 
-/** The process of one rank. */
-export interface GroupMemberAddress {
-  readonly address: string;
-  readonly engineAddress: string;
-}
-
-interface Member {
-  readonly client: LinkClient;
-  readonly engineAddress: string;
-  state: RankState | undefined;
-  /** When that state was told, in milliseconds. */
-  stateAt: number;
-  link: Link | undefined;
-  rank: number | undefined;
-  /** When it was last asked for counts, in milliseconds. */
-  askedAt: number;
-  /** Whether that question has no answer yet. */
-  isAsked: boolean;
-  /** Number of the last counts that it told. */
-  knownCounts: number | undefined;
-}
-
 /** Runs the decider of a formed group. */
 export class DeciderDriver {
   readonly #options: DeciderDriverOptions;
   readonly #decider: FormedGroupDecider;
   readonly #popularity = new Popularity();
   readonly #passTimes = new PassTimes(PASS_SMOOTHING);
-  readonly #members = new Map<string, Member>();
-  /** Engines that are given orders from this machine, by address. */
-  readonly #remoteEngines = new Map<string, FormedEngine>();
+  readonly #links: RankLinks;
   /** Ranks that were counted since the last plan, or since a map is in force. */
   readonly #answered = new Set<number>();
   readonly #timer: NodeJS.Timeout;
@@ -116,6 +99,15 @@
       state: options.state,
       random: options.random,
       now: performance.now(),
+      firstOrderId: options.random.nextBelow(FIRST_ORDER_IDS),
+    });
+    const { identity, log, createEngine, state } = options;
+    this.#links = new RankLinks({
+      identity,
+      log,
+      createEngine,
+      group: state.group,
+      onReport: (member, report) => this.#onReport(member, report),
     });
     this.#timer = setInterval(() => this.#tick(), TICK_MS);
   }
@@ -123,78 +115,25 @@
   /** Decides no more. */
   stop(): void {
     clearInterval(this.#timer);
-    for (const { client } of this.#members.values()) client.stop();
+    this.#links.stop();
   }
 
   /** The processes of the group's ranks, this one included. */
   setMembers(members: readonly GroupMemberAddress[]): void {
-    const addresses = members.map(({ address }) => address);
-    for (const member of members) {
-      if (!this.#members.has(member.address)) this.#dial(member);
-    }
-    for (const [address, { client, link }] of this.#members) {
-      // An entry may lapse while the store is away and its process lives on.
-      if (addresses.includes(address) || link !== undefined) continue;
-      client.stop();
-      this.#members.delete(address);
-    }
+    this.#links.setMembers(members);
   }
 
-  #dial({ address, engineAddress }: GroupMemberAddress): void {
-    const member: Member = {
-      engineAddress,
-      state: undefined,
-      stateAt: Number.NEGATIVE_INFINITY,
-      link: undefined,
-      rank: undefined,
-      askedAt: Number.NEGATIVE_INFINITY,
-      isAsked: false,
-      knownCounts: undefined,
-      client: new LinkClient({
-        address,
-        role: "decider",
-        identity: this.#options.identity,
-        listener: {
-          onConnected: (link) => {
-            member.link = link;
-            link.send({ kind: "rank_query", withExperts: true });
-          },
-          onMessage: (message) => this.#onMessage(member, message),
-          onDisconnected: () => {
-            member.link = undefined;
-            member.isAsked = false;
-            member.knownCounts = undefined;
-          },
-          onDialFailed: (fault) => {
-            this.#options.log.write("LINK_FAULT", { address, fault });
-          },
-        },
-      }),
-    };
-    this.#members.set(address, member);
-  }
-
-  #onMessage(member: Member, message: Message): void {
-    if (message.kind !== "rank_report") return;
-    if (message.state.group !== this.#options.state.group) return;
-    member.rank = message.state.rank;
-    member.state = message.state;
-    member.stateAt = performance.now();
-    if (message.counts !== undefined) member.isAsked = false;
-    if (message.state.rank === 0) {
-      this.#passTimes.observe(message.state, performance.now());
-    }
-    this.#takeCounts(member, message);
-    this.#dispatch({
-      kind: "rank_reported",
-      now: performance.now(),
-      rank: message.state.rank,
-      report: message,
-    });
+  #onReport(member: RankMember, report: RankReportMessage): void {
+    if (report.counts !== undefined) member.isAsked = false;
+    const now = performance.now();
+    if (report.state.rank === 0) this.#passTimes.observe(report.state, now);
+    this.#takeCounts(member, report);
+    const { rank } = report.state;
+    this.#dispatch({ kind: "rank_reported", now, rank, report });
     this.#planIfCounted();
   }
 
-  #takeCounts(member: Member, report: RankReportMessage): void {
+  #takeCounts(member: RankMember, report: RankReportMessage): void {
     const { state, counts } = report;
     if (state.epoch > this.#epoch) {
       this.#epoch = state.epoch;
@@ -221,7 +160,7 @@
     const now = performance.now();
     this.#dispatch({ kind: "tick", now });
     this.#tellLoad(now);
-    for (const member of this.#members.values()) {
+    for (const member of this.#links.members) {
       const waitedMs = now - member.askedAt;
       const limitMs = member.isAsked ? COUNT_LIMIT_MS : COUNT_INTERVAL_MS;
       if (waitedMs >= limitMs) askForCounts(member, now);
@@ -232,7 +171,7 @@
     if (now - this.#loadToldAt < LOAD_INTERVAL_MS) return;
     this.#loadToldAt = now;
     const { onLoad, pool, state } = this.#options;
-    const members = [...this.#members.values()];
+    const members = this.#links.members;
     const own = members.find(({ rank }) => rank === 0);
     if (own?.state === undefined) return;
     onLoad({
@@ -256,7 +195,7 @@
   /** What was counted before now does not count for the next plan. */
   #countAnew(now: number): void {
     this.#answered.clear();
-    for (const member of this.#members.values()) askForCounts(member, now);
+    for (const member of this.#links.members) askForCounts(member, now);
   }
 
   #planIfCounted(): void {
@@ -292,7 +231,7 @@
   /** Pace of each rank by its last report. */
   #paces(): readonly number[] {
     const paces = new Array<number>(this.#options.state.ranks).fill(1);
-    for (const { rank, state } of this.#members.values()) {
+    for (const { rank, state } of this.#links.members) {
       if (rank !== undefined && state !== undefined) paces[rank] = state.pace;
     }
     return paces;
@@ -320,11 +259,9 @@
 
   #perform(effect: DeciderEffect): void {
     match(effect)
-      .with({ kind: "send_order" }, ({ rank, orderId, order }) => {
-        this.#sendOrder(rank, { kind: "rank_order", orderId, order });
-      })
+      .with({ kind: "send_order" }, (order) => this.#sendOrder(order))
       .with({ kind: "send_query" }, ({ rank, withExperts }) => {
-        this.#linkOf(rank)?.send({ kind: "rank_query", withExperts });
+        this.#links.ask(rank, withExperts);
       })
       .with({ kind: "phase_entered" }, ({ kind: _, ...details }) => {
         this.#options.log.write("MAP_PHASE", {
@@ -340,43 +277,18 @@
   }
 
   /**
-   * Holds are given and ended from this machine, see {@link HOLDER_RANK}; all
-   * other orders by the process beside the engine, which costs nothing.
+   * Holds are given and ended from this machine: if it stands still right after, the
+   * one beside the holder does not, and can end the hold.
    */
-  #sendOrder(rank: number, message: RankOrderMessage): void {
-    const { kind } = message.order;
-    const isFromHere = rank !== 0 && (kind === "hold" || kind === "go");
-    if (isFromHere) return void this.#giveFromHere(rank, message);
-    this.#linkOf(rank)?.send(message);
-  }
-
-  async #giveFromHere(rank: number, message: RankOrderMessage): Promise<void> {
-    const member = [...this.#members.values()].find((one) => one.rank === rank);
-    if (member === undefined) return;
-    const { order, orderId } = message;
-    await this.#engineAt(member.engineAddress).give(order);
-    // Whatever the answer, the engine's own machine knows what became of it.
-    member.link?.send({ kind: "rank_check", orderId, order });
-  }
-
-  #engineAt(address: string): FormedEngine {
-    let engine = this.#remoteEngines.get(address);
-    if (engine === undefined) {
-      engine = this.#options.createEngine(address);
-      this.#remoteEngines.set(address, engine);
-    }
-    return engine;
-  }
-
-  #linkOf(rank: number): Link | undefined {
-    for (const member of this.#members.values()) {
-      if (member.rank === rank && member.link !== undefined) return member.link;
-    }
-    return undefined;
+  #sendOrder(effect: SendOrder): void {
+    const { kind } = effect.order;
+    const isFromHere = effect.rank !== 0 && (kind === "hold" || kind === "go");
+    if (isFromHere) return this.#links.sendOrderFromHere(effect);
+    this.#links.sendOrder(effect);
   }
 }
 
-function askForCounts(member: Member, now: number): void {
+function askForCounts(member: RankMember, now: number): void {
   if (member.link === undefined) return;
   member.askedAt = now;
   member.isAsked = true;
--- a/src/group/formed/decider_test.ts
+++ b/src/group/formed/decider_test.ts
@@ -37,6 +37,7 @@
     state: createState(0),
     random: new RandomSource(1),
     now: 0,
+    firstOrderId: 1,
   });
 
   report(
@@ -82,22 +83,29 @@
     );
   }
 
-  /** Switches whole; `armedAt` is the last pass that began before all armed. */
-  switchAt(orders: readonly SendOrder[], armedAt: number): number {
+  /**
+   * Switches whole, from the last pass begun; when all are armed, `passesToGo` are left
+   * until the pass of the switch, which is returned.
+   */
+  switchAt(
+    orders: readonly SendOrder[],
+    lastPass: number,
+    passesToGo: number,
+  ): number {
     const version = versionOf(orders);
-    const prepared = { preparedVersion: version };
+    const prepared = { preparedVersion: version, pass: lastPass };
     const holds = this.carryOut(orders, prepared);
     const pass = passOf(holds);
-    const others = this.carryOut(holds, { ...prepared, heldPass: pass });
-    const armed = { armed: { version, pass }, pass: armedAt };
-    const own = this.carryOut(others, armed);
-    const goes = this.carryOut(own, armed);
+    const holder = this.carryOut(holds, { ...prepared, heldPass: pass });
+    const armed = { armed: { version, pass }, pass: pass - passesToGo };
+    const others = this.carryOut(holder, armed);
+    const goes = this.carryOut(others, armed);
     this.carryOut(goes, { activeVersion: version, pass });
     this.report(createState(0, { activeVersion: version, pass }));
     return pass;
   }
 
-  /** Goes on until the other ranks are to be armed. */
+  /** Goes on until the holder is to be armed. */
   arm(): readonly SendOrder[] {
     const prepares = this.propose();
     const version = versionOf(prepares);
@@ -126,7 +134,7 @@
 }
 
 describe("decider of a formed group", () => {
-  it("prepares, holds, arms the others, arms its own, and goes on", () => {
+  it("prepares, holds, arms the holder, arms the others, and goes on", () => {
     const fixture = new DeciderFixture();
     const prepares = fixture.propose();
     assert.deepEqual(namesOf(prepares), [
@@ -138,12 +146,12 @@
     const holds = fixture.carryOut(prepares, { preparedVersion: version });
     assert.deepEqual(namesOf(holds), ["1 hold"]);
     const held = { preparedVersion: version, heldPass: 12 };
-    const others = fixture.carryOut(holds, held);
-    assert.deepEqual(namesOf(others), ["1 arm", "2 arm"]);
+    const holder = fixture.carryOut(holds, held);
+    assert.deepEqual(namesOf(holder), ["1 arm"]);
     const armed = { armed: { version, pass: 12 } };
-    const own = fixture.carryOut(others, armed);
-    assert.deepEqual(namesOf(own), ["0 arm"]);
-    assert.deepEqual(namesOf(fixture.carryOut(own, armed)), ["1 go"]);
+    const others = fixture.carryOut(holder, armed);
+    assert.deepEqual(namesOf(others), ["0 arm", "2 arm"]);
+    assert.deepEqual(namesOf(fixture.carryOut(others, armed)), ["1 go"]);
   });
 
   it("holds a later pass when the first has begun", () => {
@@ -159,14 +167,15 @@
 
   it("holds a pass further ahead after one that the group waited for", () => {
     const fixture = new DeciderFixture();
-    const first = fixture.switchAt(fixture.propose(), 11);
+    const first = fixture.switchAt(fixture.propose(), 10, 1);
     assert.equal(first, 12);
     // The group stood before pass 12 while its ranks were armed.
-    const second = fixture.switchAt(fixture.proposeAgain(), 11);
-    assert.equal(second, 13);
+    const second = fixture.switchAt(fixture.proposeAgain(), 12, 2);
+    assert.equal(second, 12 + 3);
     // It had one pass to go this time, which is kept, and then two.
-    assert.equal(fixture.switchAt(fixture.proposeAgain(), 10), 13);
-    assert.equal(fixture.switchAt(fixture.proposeAgain(), 10), 12);
+    const third = fixture.switchAt(fixture.proposeAgain(), 15, 3);
+    assert.equal(third, 15 + 3);
+    assert.equal(fixture.switchAt(fixture.proposeAgain(), 18, 3), 18 + 2);
   });
 
   it("gives up a map that a rank refuses to prepare, and keeps the old", () => {
@@ -192,6 +201,64 @@
     assert.equal(asked.length, RANKS);
   });
 
+  it("fences the holder of a switch that nobody decided, then lets go", () => {
+    const fixture = new DeciderFixture();
+    const [fence] = ordersOf(fixture.report(createState(1, {
+      preparedVersion: 70_000,
+      heldPass: 11,
+    })));
+    assert.ok(fence?.rank === 1 && fence.order.kind === "fence");
+    assert.ok(fence.order.version > 70_000);
+    const fenced = { preparedVersion: fence.order.version, heldPass: 11 };
+    assert.deepEqual(namesOf(fixture.carryOut([fence], fenced)), ["1 go"]);
+  });
+
+  it("leaves a held pass alone that the group has not come to", () => {
+    const fixture = new DeciderFixture();
+    const held = createState(1, { preparedVersion: 70_000, heldPass: 12 });
+    assert.deepEqual(ordersOf(fixture.report(held)), []);
+  });
+
+  it("finishes a switch that was decided, whoever decided it", () => {
+    const fixture = new DeciderFixture();
+    const armed = { version: 70_000, pass: 11 };
+    const holder = createState(1, { armed, heldPass: 11 });
+    const arms = ordersOf(fixture.report(holder));
+    assert.deepEqual(namesOf(arms), ["0 arm", "2 arm"]);
+    assert.deepEqual(namesOf(fixture.carryOut(arms, { armed })), ["1 go"]);
+  });
+
+  it("finds a higher version when a fence is refused", () => {
+    const fixture = new DeciderFixture();
+    const held = createState(1, { heldPass: 11 });
+    const [fence] = ordersOf(fixture.report(held));
+    assert.ok(fence?.order.kind === "fence");
+    fixture.report(held, { orderId: fence.orderId, isDone: false });
+    const [next] = ordersOf(fixture.decider.reduce({ kind: "tick", now: 500 }));
+    assert.ok(next?.order.kind === "fence");
+    assert.ok(next.order.version > fence.order.version);
+  });
+
+  it("gives up a switch whose holder was fenced by another process", () => {
+    const fixture = new DeciderFixture();
+    const [arm] = fixture.arm();
+    assert.ok(arm?.rank === 1 && arm.order.kind === "arm");
+    const fenced = createState(1, { preparedVersion: 1_000_000, heldPass: 12 });
+    const answer = { orderId: arm.orderId, isDone: false };
+    const effects = fixture.report(fenced, answer);
+    assert.deepEqual(ordersOf(effects), []);
+    assert.ok(effects.some(({ kind }) => kind === "send_query"));
+  });
+
+  it("sends an order again as repeated when it is not answered", () => {
+    const fixture = new DeciderFixture();
+    fixture.arm();
+    const [again] = ordersOf(
+      fixture.decider.reduce({ kind: "tick", now: 200 }),
+    );
+    assert.ok(again?.order.kind === "arm" && again.isRepeated);
+  });
+
   it("starts over when the group is formed anew", () => {
     const fixture = new DeciderFixture();
     fixture.arm();
--- a/src/group/formed/decider_types.ts
+++ b/src/group/formed/decider_types.ts
@@ -41,6 +41,11 @@
   readonly rank: number;
   readonly orderId: number;
   readonly order: RankOrder;
+  /**
+   * Whether the rank's process has not answered this order yet: the engine can be
+   * given it from here, for what that costs.
+   */
+  readonly isRepeated: boolean;
 }
 
 /** Ask a rank's process how its engine stands. */
@@ -92,38 +97,40 @@
   readonly before: ExpertMap;
 }
 
-/** The pass of the switch is to be held. */
-export interface Holding {
-  readonly kind: "holding";
-  readonly holder: number;
+/** A switch at a pass. */
+interface SwitchAtPass {
   readonly version: number;
   readonly pass: number;
   /** Undefined when an earlier decider planned it. */
   readonly map: ExpertMap | undefined;
 }
 
-/** The pass is held; the other ranks are told of the switch. */
-export interface Arming {
+/** The pass of the switch is to be held. */
+export interface Holding extends SwitchAtPass {
+  readonly kind: "holding";
+}
+
+/** The pass is held; the holder is armed first, which decides the switch. */
+export interface Deciding extends SwitchAtPass {
+  readonly kind: "deciding";
+}
+
+/** The switch is decided; all other ranks are armed. */
+export interface Arming extends SwitchAtPass {
   readonly kind: "arming";
-  readonly holder: number;
-  readonly version: number;
-  readonly pass: number;
-  readonly map: ExpertMap | undefined;
 }
 
-/** All other ranks will switch; the decider's own is told last. */
-export interface ArmingOwn {
-  readonly kind: "arming_own";
-  readonly holder: number;
+/** Nobody may decide the switch of a held pass any more. */
+export interface Fencing {
+  readonly kind: "fencing";
   readonly version: number;
   readonly pass: number;
-  readonly map: ExpertMap | undefined;
 }
 
-/** Every rank will switch; the pass may begin. */
+/** Every rank will switch or none can; the pass may begin. */
 export interface Releasing {
   readonly kind: "releasing";
-  readonly holder: number;
+  /** Undefined: no rank can switch. */
   readonly version: number | undefined;
   readonly pass: number;
   readonly map: ExpertMap | undefined;
@@ -142,7 +149,8 @@
   | Settled
   | Preparing
   | Holding
+  | Deciding
   | Arming
-  | ArmingOwn
+  | Fencing
   | Releasing
   | Switching;
--- /dev/null
+++ b/src/group/formed/held_pass.ts
@@ -0,0 +1,66 @@
+/**
+ * Reads from the holder's own engine how far the switch of a held pass has come.
+ *
+ * @module
+ */
+import type { RankState } from "./types.ts";
+
+/** The holder holds no pass. */
+export interface NothingHeld {
+  readonly kind: "nothing_held";
+}
+
+/** The holder is armed for the pass that it holds: every rank is to switch. */
+export interface HeldAndDecided {
+  readonly kind: "decided";
+  readonly version: number;
+  readonly pass: number;
+}
+
+/** The holder is not armed, so no rank is: the switch can be given up. */
+export interface HeldAndUndecided {
+  readonly kind: "undecided";
+  readonly pass: number;
+  /** Whether the group has come to the pass and waits for it. */
+  readonly isAwaited: boolean;
+}
+
+/**
+ * The holder is armed for a later pass: a hold of this one was carried out late, and
+ * no rank will ever be armed for it.
+ */
+export interface HeldInVain {
+  readonly kind: "in_vain";
+  readonly pass: number;
+}
+
+/** How far the switch of a held pass has come. */
+export type HeldPass =
+  | NothingHeld
+  | HeldAndDecided
+  | HeldAndUndecided
+  | HeldInVain;
+
+/**
+ * Reads the state of the holder's engine.
+ *
+ * The holder is armed before any other rank is told of the switch, and its engine
+ * stays armed until the pass begins. So this one engine says for all processes, also
+ * those that have just started, whether there is a switch to be finished.
+ *
+ * @example
+ * ```ts
+ * if (readHeldPass(state).kind === "decided") armAllOthers();
+ * ```
+ */
+export function readHeldPass(holder: RankState): HeldPass {
+  const { heldPass: pass, armed } = holder;
+  if (pass === undefined) return { kind: "nothing_held" };
+  if (armed?.pass === pass) {
+    return { kind: "decided", version: armed.version, pass };
+  }
+  if (armed !== undefined && armed.pass > pass) {
+    return { kind: "in_vain", pass };
+  }
+  return { kind: "undecided", pass, isAwaited: holder.pass >= pass - 1 };
+}
--- /dev/null
+++ b/src/group/formed/held_pass_test.ts
@@ -0,0 +1,62 @@
+import assert from "node:assert/strict";
+import { describe, it } from "node:test";
+import { readHeldPass } from "./held_pass.ts";
+import type { RankState } from "./types.ts";
+
+const PASS = 9;
+
+function createHolder(changes: Partial<RankState>): RankState {
+  return {
+    group: "group",
+    epoch: 1,
+    rank: 1,
+    ranks: 4,
+    isOpen: true,
+    pass: PASS - 1,
+    activeVersion: 4,
+    preparedVersion: 5,
+    heldPass: PASS,
+    running: 1,
+    queued: 0,
+    pace: 1,
+    ...changes,
+  };
+}
+
+describe("a held pass", () => {
+  it("is decided once the holder is armed for it", () => {
+    const holder = createHolder({ armed: { version: 5, pass: PASS } });
+    assert.deepEqual(readHeldPass(holder), {
+      kind: "decided",
+      version: 5,
+      pass: PASS,
+    });
+  });
+
+  it("is undecided while the holder is not armed, and awaited or not", () => {
+    const awaited = readHeldPass(createHolder({}));
+    assert.deepEqual(awaited, {
+      kind: "undecided",
+      pass: PASS,
+      isAwaited: true,
+    });
+    const ahead = readHeldPass(createHolder({ pass: PASS - 2 }));
+    assert.ok(ahead.kind === "undecided" && !ahead.isAwaited);
+  });
+
+  it("is held in vain when the holder is armed for a later one", () => {
+    const armed = { version: 5, pass: PASS + 2 };
+    assert.equal(readHeldPass(createHolder({ armed })).kind, "in_vain");
+  });
+
+  it("waits for the switch of an earlier pass", () => {
+    const armed = { version: 5, pass: PASS - 2 };
+    const held = readHeldPass(createHolder({ armed, pass: PASS - 4 }));
+    assert.ok(held.kind === "undecided" && !held.isAwaited);
+  });
+
+  it("is none when the holder holds none", () => {
+    const held = readHeldPass(createHolder({ heldPass: undefined }));
+    assert.equal(held.kind, "nothing_held");
+  });
+});
--- a/src/group/formed/rank_agent.ts
+++ b/src/group/formed/rank_agent.ts
@@ -1,6 +1,6 @@
 /**
- * Gives a decider's orders to the engine on the same machine, and tells how the
- * engine stands. Keeps nothing that must outlive the process.
+ * Gives a decider's orders to the engine of a rank, and tells how the engine stands.
+ * Keeps nothing that must outlive the process.
  *
  * @module
  */
@@ -8,8 +8,9 @@
 import { setTimeout as sleep } from "node:timers/promises";
 import type { FormedEngine } from "../../external/formed_engine.ts";
 import { CountsMemory } from "./counts_memory.ts";
-import { SwitchPromises } from "./switch_promises.ts";
+import { createFenceMap } from "./fence_map.ts";
 import {
+  type EngineOrder,
   isCarriedOut,
   type OrderOutcome,
   type RankCheckMessage,
@@ -24,32 +25,44 @@
 const LOADING_LOOK_MS = 12;
 /** Part of the shortest load in which no look is worth its cost. */
 const UNWATCHED_PART_OF_LOAD = 0.92;
-/** Milliseconds between two looks at an order that should have taken effect. */
-const EFFECT_LOOK_MS = 5;
 /** Milliseconds for which an engine may load one map. */
 const LOADING_LIMIT_MS = 10_000;
+/** How an engine's state is watched for the effect of an order. */
+export interface EffectWatch {
+  /** Milliseconds between two looks at an order that should have taken effect. */
+  readonly lookMs: number;
+  /**
+   * Milliseconds for which an order that was answered late, or not at all, is
+   * watched before it is given again.
+   */
+  readonly limitMs: number;
+}
+
+/** An engine on the same machine tells its state as it is, at no cost. */
+export const NEAR_ENGINE_WATCH: EffectWatch = { lookMs: 5, limitMs: 60 };
 /**
- * Milliseconds for which an order that was answered late, or not at all, is
- * watched before it is given again.
+ * To other machines an engine tells its state as it was some 200 ms before, and each
+ * look has its price.
  */
-const EFFECT_LIMIT_MS = 60;
+export const FAR_ENGINE_WATCH: EffectWatch = { lookMs: 120, limitMs: 480 };
 
 /** Sends a report to the decider. */
 export type ReportSender = (report: RankReportMessage) => void;
 
-/** Gives a decider's orders to the engine on the same machine. */
+/** Gives a decider's orders to the engine of one rank. */
 export class RankAgent {
   readonly #engine: FormedEngine;
+  readonly #watch: EffectWatch;
   /** The order under way; a repeated one is not given twice at once. */
   #current: RankOrderMessage | undefined;
-  readonly #promises = new SwitchPromises();
   readonly #counts = new CountsMemory();
   /** Shortest time that a map took to load, in milliseconds. */
   #shortestLoadMs = Number.POSITIVE_INFINITY;
 
-  /** Takes the engine on the same machine. */
-  constructor(engine: FormedEngine) {
+  /** Takes the engine, and how to watch it. */
+  constructor(engine: FormedEngine, watch: EffectWatch = NEAR_ENGINE_WATCH) {
     this.#engine = engine;
+    this.#watch = watch;
   }
 
   /**
@@ -61,7 +74,6 @@
     query: RankQueryMessage,
     send: ReportSender,
   ): Promise<void> {
-    if (query.refuse !== undefined) this.#promises.refuse(query.refuse);
     const state = await this.#engine.tryReadState();
     if (state === undefined) return;
     const counts = this.#counts.tell(
@@ -71,13 +83,7 @@
     const experts = query.withExperts
       ? await this.#engine.readExperts()
       : undefined;
-    send({
-      kind: "rank_report",
-      state,
-      ...this.#promises.of(state.epoch),
-      counts,
-      experts,
-    });
+    send({ kind: "rank_report", state, counts, experts });
   }
 
   /**
@@ -106,10 +112,6 @@
   ): Promise<void> {
     const isRepeated = this.#current?.orderId === message.orderId;
     if (isRepeated) return;
-    const { order } = message;
-    if (order.kind === "arm" && !this.#promises.tryOrder(order)) {
-      return await this.#answerRefused(message, send);
-    }
     this.#current = message;
     try {
       await this.#giveUntilSettled(message, send);
@@ -118,25 +120,18 @@
     }
   }
 
-  async #answerRefused(
-    { orderId }: RankOrderMessage,
-    send: ReportSender,
-  ): Promise<void> {
-    const state = await this.#engine.tryReadState();
-    if (state === undefined) return;
-    send({ kind: "rank_report", state, orderId, isDone: false });
-  }
-
   async #giveUntilSettled(
     message: RankOrderMessage,
     send: ReportSender,
   ): Promise<void> {
     const { order, orderId } = message;
+    const engineOrder = await this.#tryEngineOrderOf(order);
+    if (engineOrder === undefined) return;
     let wasUnanswered = false;
     while (this.#current === message) {
-      const outcome = await this.#engine.give(order);
+      const outcome = await this.#engine.give(engineOrder);
       wasUnanswered ||= outcome === "unanswered";
-      const limitMs = watchLimitOf(order, outcome, wasUnanswered);
+      const limitMs = this.#watchLimitOf(order, outcome, wasUnanswered);
       const state = await this.#watchEffect(order, limitMs);
       if (state === undefined) return;
       const isDone = isCarriedOut(order, state);
@@ -148,6 +143,20 @@
     }
   }
 
+  /** An engine knows no fences: it prepares a map that changes nothing for it. */
+  async #tryEngineOrderOf(order: RankOrder): Promise<EngineOrder | undefined> {
+    if (order.kind !== "fence") return order;
+    const state = await this.#engine.tryReadState();
+    if (state === undefined) return undefined;
+    const { rank, ranks } = state;
+    const own = await this.#engine.readExperts();
+    const [counted] = await this.#engine.readCounts();
+    const experts = counted?.length ?? 0;
+    const map = createFenceMap({ rank, ranks, own, experts });
+    const { epoch, version } = order;
+    return { kind: "prepare", epoch, version, map };
+  }
+
   /** Looks until the order shows, or for so long. */
   async #watchEffect(
     order: RankOrder,
@@ -170,7 +179,7 @@
 
   /** One copy takes as long as the next: most of it need not be looked at. */
   #lookMs(order: RankOrder, look: number): number {
-    if (order.kind !== "prepare") return EFFECT_LOOK_MS;
+    if (order.kind !== "prepare") return this.#watch.lookMs;
     const isKnown = Number.isFinite(this.#shortestLoadMs);
     const isFirst = look === 0 && isKnown;
     return isFirst
@@ -182,19 +191,19 @@
     if (order.kind !== "prepare") return;
     this.#shortestLoadMs = Math.min(this.#shortestLoadMs, tookMs);
   }
-}
 
-/**
- * How long an order may take to show. One that was refused shows at once if an
- * earlier giving of it was carried out without an answer.
- */
-function watchLimitOf(
-  order: RankOrder,
-  outcome: OrderOutcome,
-  wasUnanswered: boolean,
-): number {
-  const isLoading = order.kind === "prepare" &&
-    (outcome === "accepted" || (outcome === "rejected" && wasUnanswered));
-  if (isLoading) return LOADING_LIMIT_MS;
-  return outcome === "rejected" ? 0 : EFFECT_LIMIT_MS;
+  /**
+   * How long an order may take to show. One that was refused shows at once if an
+   * earlier giving of it was carried out without an answer.
+   */
+  #watchLimitOf(
+    order: RankOrder,
+    outcome: OrderOutcome,
+    wasUnanswered: boolean,
+  ): number {
+    const isLoading = order.kind === "prepare" &&
+      (outcome === "accepted" || (outcome === "rejected" && wasUnanswered));
+    if (isLoading) return LOADING_LIMIT_MS;
+    return outcome === "rejected" ? 0 : this.#watch.limitMs;
+  }
 }
--- a/src/group/formed/schema.ts
+++ b/src/group/formed/schema.ts
@@ -38,6 +38,7 @@
   z.object({ kind: z.literal("hold"), ...PASS }),
   z.object({ kind: z.literal("arm"), ...PASS, version: COUNT }),
   z.object({ kind: z.literal("go"), ...PASS }),
+  z.object({ kind: z.literal("fence"), epoch: COUNT, version: COUNT }),
 ]);
 
 /** Shapes of all messages of a formed group. */
@@ -76,15 +77,12 @@
     kind: z.literal("rank_query"),
     withExperts: z.boolean(),
     knownCounts: COUNT.optional(),
-    refuse: z.object(PASS).optional(),
   }),
   z.object({
     kind: z.literal("rank_report"),
     state: STATE_SCHEMA,
     orderId: COUNT.optional(),
     isDone: z.boolean().optional(),
-    orderedPass: COUNT.optional(),
-    refusedPass: COUNT.optional(),
     counts: z.object({
       serial: COUNT,
       since: COUNT.optional(),
--- a/src/group/formed/switch_rescuer.ts
+++ b/src/group/formed/switch_rescuer.ts
@@ -1,165 +1,145 @@
 /**
- * Beside the rank that holds passes: ends a hold whose decider stands still while
- * the group waits.
+ * Beside the rank that holds passes: ends a held switch that its decider does not, as
+ * the decider itself would. It decides on no maps of its own.
  *
  * @module
  */
-import { setTimeout as sleep } from "node:timers/promises";
+import { performance } from "node:perf_hooks";
+import type { RandomSource } from "../../core/random_source.ts";
 import type { EventLog } from "../../events/event_log.ts";
-import type { Link } from "../../links/link.ts";
-import { LinkClient } from "../../links/link_client.ts";
+import type { FormedEngine } from "../../external/formed_engine.ts";
 import type { LinkIdentity } from "../../links/link_server.ts";
-import { planRescue, type RankWord, type RescueOrder } from "./rescue.ts";
+import { FormedGroupDecider } from "./decider.ts";
 import type {
-  PassOfEpoch,
-  RankQueryMessage,
-  RankReportMessage,
-  RankState,
-} from "./types.ts";
+  DeciderEffect,
+  DeciderEvent,
+  SendOrder,
+} from "./decider_types.ts";
+import { readHeldPass } from "./held_pass.ts";
+import { HeldPassWatch } from "./held_pass_watch.ts";
+import type { RankAgent } from "./rank_agent.ts";
+import { type GroupMemberAddress, RankLinks } from "./rank_links.ts";
+import type { RankReportMessage, RankState } from "./types.ts";
 
-/**
- * Milliseconds of a hold after which the other ranks are asked. A decider ends
- * one within 30, unless an order has to be given again.
- */
-const SUSPICIOUS_MS = 250;
-/** Milliseconds in which the other ranks must answer. */
-const ANSWER_MS = 120;
-/** Orders of rescuers are numbered from here, apart from those of deciders. */
-const FIRST_ORDER_ID = 2 ** 40;
+const TICK_MS = 25;
+/** Orders from here are numbered from a random number above this, unlike deciders'. */
+const FIRST_ORDER_IDS = 2 ** 40;
+const ORDER_ID_RANGE = 2 ** 31;
 
 /** Options of a {@link SwitchRescuer}. */
 export interface SwitchRescuerOptions {
   readonly identity: LinkIdentity;
+  readonly random: RandomSource;
   readonly log: EventLog;
+  /** Gives orders to the holder's engine. */
+  readonly agent: RankAgent;
+  /** Makes the way to the engine of another machine. */
+  readonly createEngine: (address: string) => FormedEngine;
 }
 
-interface Member {
-  readonly client: LinkClient;
-  link: Link | undefined;
-  rank: number | undefined;
-}
-
-/** Ends a hold whose decider stands still. */
+/** Ends a held switch that its decider does not. */
 export class SwitchRescuer {
   readonly #options: SwitchRescuerOptions;
-  #addresses: readonly string[] = [];
-  readonly #members = new Map<string, Member>();
-  readonly #words = new Map<number, RankWord>();
-  #held: PassOfEpoch | undefined;
-  #heldSince = 0;
-  #isBusy = false;
-  #nextOrderId = FIRST_ORDER_ID;
+  #addresses: readonly GroupMemberAddress[] = [];
+  #rank: number | undefined;
+  readonly #watch = new HeldPassWatch();
+  #decider: FormedGroupDecider | undefined;
+  #links: RankLinks | undefined;
+  #timer: NodeJS.Timeout | undefined;
 
   /** Knows no other ranks yet. */
   constructor(options: SwitchRescuerOptions) {
     this.#options = options;
   }
 
-  /** Addresses of the processes of all ranks, this one included. */
-  setAddresses(addresses: readonly string[]): void {
+  /** The processes of all ranks, this one included. */
+  setMembers(addresses: readonly GroupMemberAddress[]): void {
     this.#addresses = addresses;
   }
 
-  /** Asks nobody any more. */
+  /** Gives no more orders. */
   stop(): void {
-    for (const { client } of this.#members.values()) client.stop();
-    this.#members.clear();
+    clearInterval(this.#timer);
+    this.#links?.stop();
+    this.#timer = undefined;
+    this.#links = undefined;
+    this.#decider = undefined;
   }
 
   /** Takes in how the holder's own engine stands. */
   observe(state: RankState, now: number): void {
-    const { epoch, heldPass } = state;
-    const isSame = heldPass !== undefined && this.#held?.epoch === epoch &&
-      this.#held.pass === heldPass;
-    if (!isSame) this.#heldSince = now;
-    this.#held = heldPass === undefined ? undefined : { epoch, pass: heldPass };
-    if (this.#held === undefined) return this.stop();
-    const heldMs = now - this.#heldSince;
-    if (heldMs < SUSPICIOUS_MS || this.#isBusy) return;
-    this.#isBusy = true;
-    void this.#rescue(state.ranks, heldMs)
-      .finally(() => this.#isBusy = false);
+    this.#rank = state.rank;
+    const awaitedMs = this.#watch.observe(state, now);
+    const isOver = state.heldPass === undefined;
+    if (isOver) return this.stop();
+    if (awaitedMs === undefined) return;
+    this.#decider ??= this.#start(state, awaitedMs);
+    this.#take({ kind: "rank_report", state });
   }
 
-  async #rescue(ranks: number, heldMs: number): Promise<void> {
-    this.#dialAll();
-    await this.#ask(undefined);
-    const plan = planRescue([...this.#words.values()], ranks);
-    if (plan.kind === "wait") return;
-    if (plan.kind === "orders") return this.#give(plan.orders, heldMs);
-    await this.#ask(plan.refuse);
-    const last = planRescue([...this.#words.values()], ranks);
-    if (last.kind === "orders") this.#give(last.orders, heldMs);
+  #take(report: RankReportMessage): void {
+    const { rank } = report.state;
+    const now = performance.now();
+    this.#dispatch({ kind: "rank_reported", now, rank, report });
   }
 
-  /** Asks every rank, and gives each so long to answer. */
-  async #ask(refuse: PassOfEpoch | undefined): Promise<void> {
-    this.#words.clear();
-    const query: RankQueryMessage = {
-      kind: "rank_query",
-      withExperts: false,
-      refuse,
-    };
-    for (const { link } of this.#members.values()) link?.send(query);
-    await sleep(ANSWER_MS);
-  }
-
-  #give(orders: readonly RescueOrder[], heldMs: number): void {
-    this.#options.log.write("SWITCH_RESCUED", {
-      heldMs: Math.round(heldMs),
-      order: orders[0]?.order.kind,
-      ranks: orders.map(({ rank }) => rank).join(" "),
-      heard: this.#words.size,
+  #start(state: RankState, awaitedMs: number): FormedGroupDecider {
+    const { identity, random, log, createEngine } = this.#options;
+    log.write("SWITCH_RESCUED", {
+      epoch: state.epoch,
+      pass: state.heldPass,
+      held: readHeldPass(state).kind,
+      awaitedMs: Math.round(awaitedMs),
+    });
+    this.#links = new RankLinks({
+      identity,
+      log,
+      createEngine,
+      group: state.group,
+      onReport: (_member, report) => this.#take(report),
+    });
+    this.#links.setMembers(this.#addresses);
+    this.#timer = setInterval(
+      () => this.#dispatch({ kind: "tick", now: performance.now() }),
+      TICK_MS,
+    );
+    return new FormedGroupDecider({
+      state,
+      random,
+      now: performance.now(),
+      firstOrderId: FIRST_ORDER_IDS + random.nextBelow(ORDER_ID_RANGE),
     });
-    for (const { rank, order } of orders) {
-      const orderId = this.#nextOrderId++;
-      this.#linkOf(rank)?.send({ kind: "rank_order", orderId, order });
-    }
   }
 
-  #dialAll(): void {
-    for (const address of this.#addresses) {
-      if (!this.#members.has(address)) this.#dial(address);
+  #dispatch(event: DeciderEvent): void {
+    for (const effect of this.#decider?.reduce(event) ?? []) {
+      this.#perform(effect);
     }
   }
 
-  #dial(address: string): void {
-    const { identity, log } = this.#options;
-    const member: Member = {
-      link: undefined,
-      rank: undefined,
-      client: new LinkClient({
-        address,
-        role: "decider",
-        identity,
-        listener: {
-          onConnected: (link) => {
-            member.link = link;
-            link.send({ kind: "rank_query", withExperts: false });
-          },
-          onMessage: (message) => {
-            if (message.kind === "rank_report") this.#hear(member, message);
-          },
-          onDisconnected: () => member.link = undefined,
-          onDialFailed: (fault) => log.write("LINK_FAULT", { address, fault }),
-        },
-      }),
-    };
-    this.#members.set(address, member);
-  }
-
-  #hear(member: Member, report: RankReportMessage): void {
-    const { state, orderedPass, refusedPass } = report;
-    member.rank = state.rank;
-    // An answer to an order says nothing of promises.
-    if (report.orderId !== undefined) return;
-    this.#words.set(state.rank, { state, orderedPass, refusedPass });
+  /** What it would ask, the looks at the holder's own engine answer. */
+  #perform(effect: DeciderEffect): void {
+    if (effect.kind === "send_order") this.#order(effect);
+    if (effect.kind !== "phase_entered") return;
+    const { kind: _, tookMs, ...details } = effect;
+    this.#options.log.write("MAP_PHASE", {
+      ...details,
+      tookMs: Math.round(tookMs),
+      isRescue: true,
+    });
   }
 
-  #linkOf(rank: number): Link | undefined {
-    for (const member of this.#members.values()) {
-      if (member.rank === rank) return member.link;
-    }
-    return undefined;
+  #order(effect: SendOrder): void {
+    const { rank, orderId, order } = effect;
+    if (rank !== this.#rank) return this.#links?.sendOrder(effect);
+    this.#options.agent
+      .carryOut(
+        { kind: "rank_order", orderId, order },
+        (report) => this.#take(report),
+      )
+      .catch((error) => {
+        const cause = String(error);
+        this.#options.log.write("ENGINE_UNREACHABLE", { rank, cause });
+      });
   }
 }
--- a/src/group/formed/types.ts
+++ b/src/group/formed/types.ts
@@ -3,23 +3,23 @@
  * starts anew, in a new epoch and with the first map, whenever a rank is lost.
  *
  * Its engines may carry out an order seconds after they should have answered
- * it. So nothing is ever taken back: a switch that was begun is driven forward.
+ * it, and processes may end at any moment. So whatever a process relies on is a state
+ * of an engine that no late order changes: see `held_pass.ts` and `decider.ts`.
  *
  * @module
  */
 import type { ExpertMap } from "../types.ts";
 
 /**
- * The rank that holds the pass of a switch. The decider, beside rank 0, gives the
- * hold from its own machine: if that machine stands still, the one beside the
- * holder can still let the pass begin.
+ * The rank that holds the pass of a switch, and whose engine decides it: this one is
+ * armed before all others. The decider is beside rank 0: if that machine stands still,
+ * the process beside the holder reads from its own engine how to end the switch.
  */
-export const HOLDER_RANK = 1;
+const HOLDER_RANK = 1;
 
-/** A pass; numbers of passes begin anew in each epoch. */
-export interface PassOfEpoch {
-  readonly epoch: number;
-  readonly pass: number;
+/** The rank that holds the passes of switches in a group of so many ranks. */
+export function getHolderRank(ranks: number): number {
+  return Math.min(HOLDER_RANK, ranks - 1);
 }
 
 /** The engine switches to a prepared map as a pass begins. */
@@ -83,7 +83,21 @@
 }
 
 /** What an engine can be ordered to do. */
-export type RankOrder = PrepareOrder | HoldPassOrder | ArmOrder | GoOrder;
+export type EngineOrder = PrepareOrder | HoldPassOrder | ArmOrder | GoOrder;
+
+/**
+ * Prepare, under a new version, a map that needs no copy. What was prepared before can
+ * then not be armed any more, also not by an order that is carried out late, and also
+ * after the process that gave it has ended.
+ */
+export interface FenceOrder {
+  readonly kind: "fence";
+  readonly epoch: number;
+  readonly version: number;
+}
+
+/** What a rank's process can be ordered to have its engine do. */
+export type RankOrder = EngineOrder | FenceOrder;
 
 /** What became of an order. */
 export type OrderOutcome = "accepted" | "rejected" | "unanswered";
@@ -118,8 +132,6 @@
   readonly withExperts: boolean;
   /** Number of the counts that the asker has of this rank. */
   readonly knownCounts?: number;
-  /** From now on no switch at this pass or an earlier one is to be ordered. */
-  readonly refuse?: PassOfEpoch;
 }
 
 /** Counts of a rank, as they are told. */
@@ -142,10 +154,6 @@
   readonly orderId?: number;
   /** Whether the state shows that the order was carried out. */
   readonly isDone?: boolean;
-  /** The latest pass for which this process ordered a switch. */
-  readonly orderedPass?: number;
-  /** No switch at this pass or an earlier one will be ordered here. */
-  readonly refusedPass?: number;
   readonly counts?: CountsReport;
   readonly experts?: RankExperts;
 }
@@ -201,6 +209,7 @@
   if (state.epoch !== order.epoch) return false;
   switch (order.kind) {
     case "prepare":
+    case "fence":
       return state.preparedVersion === order.version;
     case "hold":
       return state.heldPass === order.pass;
--- a/src/testing/fake_formed_engine.ts
+++ b/src/testing/fake_formed_engine.ts
@@ -5,7 +5,7 @@
  */
 import type {
   ArmedSwitch,
-  RankOrder,
+  EngineOrder,
   RankState,
 } from "../group/formed/types.ts";
 import type { ExpertMap } from "../group/types.ts";
@@ -93,7 +93,7 @@
   }
 
   /** Carries out an order; false when it does not fit the state. */
-  carryOut(order: RankOrder): boolean {
+  carryOut(order: EngineOrder): boolean {
     if (order.epoch !== this.#epoch) return false;
     switch (order.kind) {
       case "prepare":
--- a/src/testing/formed_group_world.ts
+++ b/src/testing/formed_group_world.ts
@@ -1,7 +1,7 @@
 /**
- * A formed group, its ranks' processes and its decider in virtual time, with
- * orders that engines answer late, lose or carry out seconds later, and with
- * deciders and processes that end at any moment.
+ * A formed group, its ranks' processes and those that decide for it, in virtual time:
+ * orders that engines answer late, lose or carry out seconds later, words that are lost
+ * between processes, and machines and processes that stand still or end at any moment.
  *
  * @module
  */
@@ -10,21 +10,16 @@
 import type {
   DeciderEffect,
   DeciderEvent,
+  SendOrder,
 } from "../group/formed/decider_types.ts";
+import { HeldPassWatch } from "../group/formed/held_pass_watch.ts";
 import {
-  HOLDER_RANK,
+  getHolderRank,
   isCarriedOut,
-  type PassOfEpoch,
   type RankOrderMessage,
   type RankReportMessage,
 } from "../group/formed/types.ts";
 import type { ExpertMap } from "../group/types.ts";
-import {
-  planRescue,
-  type RankWord,
-  type RescuePlan,
-} from "../group/formed/rescue.ts";
-import { SwitchPromises } from "../group/formed/switch_promises.ts";
 import { EventQueue } from "./event_queue.ts";
 import { FakeFormedEngine } from "./fake_formed_engine.ts";
 
@@ -45,6 +40,13 @@
   readonly deciderFreezes: number;
   /** Whether only the order to hold a pass can be the last before it. */
   readonly freezesAfterHoldsOnly: boolean;
+  /**
+   * Share of the messages to a rank's process after which its machine stands still for
+   * four seconds. Its engine runs on.
+   */
+  readonly rankFreezes?: number;
+  /** Share of the orders to a rank's process that are forgotten, as if it ended. */
+  readonly forgottenOrders?: number;
   /** Milliseconds between two formations of the group; 0: never. */
   readonly epochMs: number;
   /** Milliseconds of each ten seconds in which there is no work. */
@@ -63,6 +65,7 @@
 }
 
 const RANKS = 4;
+const HOLDER = getHolderRank(RANKS);
 const PASS_MS = 40;
 const TICK_MS = 20;
 const PROPOSAL_MS = 150;
@@ -74,11 +77,23 @@
 const DOWN_MS = 1500;
 const FREEZE_MS = 4000;
 const LOOK_MS = 100;
-const SUSPICIOUS_MS = 300;
-/** Milliseconds in which the ranks must answer the one that asks about a hold. */
-const ANSWER_MS = 120;
-/** Orders about a hold that was left behind are numbered from here. */
-const FIRST_RESCUE_ORDER = 2 ** 40;
+/** Milliseconds until an engine shows another machine what an order did. */
+const FAR_LOOK_MS = 240;
+const ORDER_IDS_OF_SEAT = 2 ** 32;
+
+/** A process that decides, or ends what was decided, beside a rank. */
+interface Seat {
+  readonly rank: number;
+  decider: FormedGroupDecider | undefined;
+  /** Grows with each decider, so that messages to an ended one are dropped. */
+  number: number;
+  /** What arrived while the machine stood still. */
+  readonly kept: DeciderEvent[];
+}
+
+function createSeat(rank: number): Seat {
+  return { rank, decider: undefined, number: 0, kept: [] };
+}
 
 /** A formed group in virtual time. */
 export class FormedGroupWorld {
@@ -89,9 +104,11 @@
     { length: RANKS },
     (_, rank) => new FakeFormedEngine(rank, RANKS),
   );
-  #decider: FormedGroupDecider | undefined;
-  /** Grows with each decider, so that messages to an ended one are dropped. */
-  #deciderNumber = 0;
+  readonly #seat = createSeat(0);
+  readonly #rescueSeat = createSeat(HOLDER);
+  readonly #watch = new HeldPassWatch();
+  /** Until when each machine stands still. */
+  readonly #frozenUntil = new Array<number>(RANKS).fill(0);
   readonly #orders = new Map<number, RankOrderMessage>();
   readonly #mixedPasses: number[] = [];
   #passes = 0;
@@ -99,25 +116,18 @@
   #heldSince: number | undefined;
   #longestHoldMs = 0;
   #proposals = 0;
-  #frozenUntil = 0;
-  readonly #keptEvents: DeciderEvent[] = [];
-  readonly #promises = Array.from(
-    { length: RANKS },
-    () => new SwitchPromises(),
-  );
-  #holdKey: string | undefined;
-  #holdSince = 0;
-  #isRescuing = false;
-  #words = new Map<number, RankWord>();
-  #nextRescueOrder = FIRST_RESCUE_ORDER;
 
   /** The same seed gives the same run. */
   constructor(seed: number, faults: FormedGroupFaults) {
     this.#random = new RandomSource(seed);
     this.#faults = faults;
-    this.#startDecider();
+    this.#startDecider(this.#seat);
     this.#every(PASS_MS, () => this.#pass());
-    this.#every(TICK_MS, () => this.#reduce({ kind: "tick", now: this.#now }));
+    this.#every(TICK_MS, () => {
+      const tick: DeciderEvent = { kind: "tick", now: this.#now };
+      this.#reduce(this.#seat, tick);
+      this.#reduce(this.#rescueSeat, tick);
+    });
     this.#every(PROPOSAL_MS, () => this.#propose());
     this.#every(LOOK_MS, () => this.#lookForHold());
     if (faults.deciderLifeMs > 0) this.#planDeciderEnd();
@@ -150,21 +160,27 @@
     });
   }
 
-  #startDecider(): void {
-    this.#deciderNumber++;
-    this.#decider = new FormedGroupDecider({
-      state: this.#engine(0).state,
+  #startDecider(seat: Seat): void {
+    seat.number++;
+    seat.decider = new FormedGroupDecider({
+      state: this.#engine(seat.rank).state,
       random: this.#random,
       now: this.#now,
+      firstOrderId: seat.rank * ORDER_IDS_OF_SEAT + seat.number * 2 ** 20,
     });
   }
 
+  #endDecider(seat: Seat): void {
+    seat.decider = undefined;
+    seat.number++;
+    seat.kept.splice(0);
+  }
+
   #planDeciderEnd(): void {
     const life = this.#random.nextExponential(this.#faults.deciderLifeMs);
     this.#queue.after(life, () => {
-      this.#decider = undefined;
-      this.#deciderNumber++;
-      this.#queue.after(DOWN_MS, () => this.#startDecider());
+      this.#endDecider(this.#seat);
+      this.#queue.after(DOWN_MS, () => this.#startDecider(this.#seat));
       this.#planDeciderEnd();
     });
   }
@@ -204,173 +220,181 @@
       }],
     };
     this.#proposals++;
-    this.#reduce({ kind: "map_proposed", now: this.#now, map });
+    this.#reduce(this.#seat, { kind: "map_proposed", now: this.#now, map });
   }
 
-  /** The process beside the holder looks whether its hold is left behind. */
+  /** The process beside the holder looks whether the group waits for a held pass. */
   #lookForHold(): void {
-    const { epoch, heldPass } = this.#engine(HOLDER_RANK).state;
-    const key = heldPass === undefined ? undefined : `${epoch}.${heldPass}`;
-    if (key !== this.#holdKey) this.#holdSince = this.#now;
-    this.#holdKey = key;
-    if (key === undefined) return;
-    if (this.#now - this.#holdSince < SUSPICIOUS_MS) return;
-    if (this.#isRescuing) return;
-    this.#isRescuing = true;
-    this.#rescue();
+    if (this.#isFrozen(HOLDER)) return;
+    const seat = this.#rescueSeat;
+    const { state } = this.#engine(HOLDER);
+    const awaitedMs = this.#watch.observe(state, this.#now);
+    if (state.heldPass === undefined) return this.#endDecider(seat);
+    if (awaitedMs === undefined) return;
+    if (seat.decider === undefined) this.#startDecider(seat);
+    this.#reduce(seat, {
+      kind: "rank_reported",
+      now: this.#now,
+      rank: HOLDER,
+      report: { kind: "rank_report", state },
+    });
   }
 
-  /** As the process beside the holder does: ask, perhaps ask again, then order. */
-  #rescue(): void {
-    this.#askForWords(undefined, () => {
-      const plan = planRescue([...this.#words.values()], RANKS);
-      if (plan.kind !== "ask_to_refuse") return this.#endRescue(plan);
-      this.#askForWords(plan.refuse, () => {
-        this.#endRescue(planRescue([...this.#words.values()], RANKS));
-      });
-    });
+  #isFrozen(rank: number): boolean {
+    return this.#now < (this.#frozenUntil[rank] as number);
   }
 
-  #endRescue(plan: RescuePlan): void {
-    this.#isRescuing = false;
-    if (plan.kind !== "orders") return;
-    for (const { rank, order } of plan.orders) {
-      const orderId = this.#nextRescueOrder++;
-      this.#deliverWord(
-        rank,
-        () => this.#carryOut(rank, { kind: "rank_order", orderId, order }),
-      );
-    }
+  #freeze(rank: number): void {
+    this.#frozenUntil[rank] = this.#now + FREEZE_MS;
   }
 
-  /** Each rank is asked, and answers, when its message arrives. */
-  #askForWords(refuse: PassOfEpoch | undefined, then: () => void): void {
-    this.#words = new Map();
-    const words = this.#words;
-    for (let rank = 0; rank < RANKS; rank++) {
-      this.#deliverWord(rank, () => {
-        const promises = this.#promisesOf(rank);
-        if (refuse !== undefined) promises.refuse(refuse);
-        const { state } = this.#engine(rank);
-        const word = { state, ...promises.of(state.epoch) };
-        this.#deliverWord(HOLDER_RANK, () => words.set(rank, word));
-      });
+  #reduce(seat: Seat, event: DeciderEvent): void {
+    if (this.#isFrozen(seat.rank)) {
+      if (event.kind === "rank_reported") seat.kept.push(event);
+      return;
+    }
+    for (const kept of seat.kept.splice(0)) this.#reduce(seat, kept);
+    for (const effect of seat.decider?.reduce(event) ?? []) {
+      this.#perform(seat, effect);
     }
-    this.#queue.after(ANSWER_MS, then);
   }
 
-  /** Lost with its connection, or because the machine of rank 0 stands still. */
-  #deliverWord(rank: number, run: () => void): void {
-    const { lostMessages } = this.#faults;
-    if (this.#random.nextFraction() < lostMessages) return;
-    this.#queue.after(1 + this.#random.nextBelow(12), () => {
-      if (rank !== 0 || this.#now >= this.#frozenUntil) run();
-    });
+  #perform(seat: Seat, effect: DeciderEffect): void {
+    if (this.#isFrozen(seat.rank)) return;
+    if (effect.kind === "send_query") return this.#ask(seat, effect);
+    if (effect.kind !== "send_order") return;
+    const { rank, orderId, order, isRepeated } = effect;
+    if (seat === this.#seat) this.#drawFreeze(effect);
+    if (isRepeated && order.kind !== "prepare") {
+      this.#giveFromAfar(seat, effect);
+    }
+    this.#deliver(
+      seat,
+      rank,
+      () => this.#carryOut(seat, rank, { kind: "rank_order", orderId, order }),
+    );
   }
 
-  #promisesOf(rank: number): SwitchPromises {
-    return this.#promises[rank] as SwitchPromises;
+  /** What is asked beside the holder, the looks at its own engine answer. */
+  #ask(
+    seat: Seat,
+    { rank, withExperts }: { rank: number; withExperts: boolean },
+  ): void {
+    if (seat === this.#rescueSeat) return;
+    this.#deliver(seat, rank, () =>
+      this.#report(seat, rank, {
+        kind: "rank_report",
+        state: this.#engine(rank).state,
+        experts: withExperts ? [[rank]] : undefined,
+      }));
   }
 
-  #reduce(event: DeciderEvent): void {
-    if (this.#now < this.#frozenUntil) {
-      if (event.kind === "rank_reported") this.#keptEvents.push(event);
-      return;
-    }
-    for (const kept of this.#keptEvents.splice(0)) this.#reduce(kept);
-    for (const effect of this.#decider?.reduce(event) ?? []) {
-      this.#perform(effect);
+  #drawFreeze({ order }: SendOrder): void {
+    const { deciderFreezes, freezesAfterHoldsOnly } = this.#faults;
+    const isStruck = !freezesAfterHoldsOnly || order.kind === "hold";
+    if (isStruck && this.#random.nextFraction() < deciderFreezes) {
+      this.#freeze(0);
     }
   }
 
-  #perform(effect: DeciderEffect): void {
-    if (effect.kind === "send_query") {
-      return this.#deliver(() =>
-        this.#report(effect.rank, {
-          kind: "rank_report",
-          state: this.#engine(effect.rank).state,
-          experts: effect.withExperts ? [[effect.rank]] : undefined,
-        })
-      );
-    }
-    if (effect.kind !== "send_order") return;
-    const { rank, orderId, order } = effect;
-    if (this.#now < this.#frozenUntil) return;
-    const isStruck = !this.#faults.freezesAfterHoldsOnly ||
-      order.kind === "hold";
-    if (isStruck && this.#random.nextFraction() < this.#faults.deciderFreezes) {
-      this.#frozenUntil = this.#now + FREEZE_MS;
+  /** Given to the engine itself, as the rank's process does not answer. */
+  #giveFromAfar(seat: Seat, { rank, orderId, order }: SendOrder): void {
+    const message: RankOrderMessage = { kind: "rank_order", orderId, order };
+    const draw = this.#random.nextFraction();
+    if (draw < this.#faults.lateOrders) {
+      this.#applyLate(rank, message);
+    } else {
+      this.#apply(rank, message);
     }
-    this.#deliver(() =>
-      this.#carryOut(rank, { kind: "rank_order", orderId, order })
-    );
+    this.#queue.after(FAR_LOOK_MS, () => {
+      const { state } = this.#engine(rank);
+      const isDone = isCarriedOut(order, state);
+      this.#report(seat, rank, { kind: "rank_report", state, orderId, isDone });
+    });
   }
 
-  /** Messages take some milliseconds, or are lost. */
-  #deliver(run: () => void): void {
-    const number = this.#deciderNumber;
-    if (this.#random.nextFraction() < this.#faults.lostMessages) return;
+  /** Messages take some milliseconds, wait for a machine, or are lost. */
+  #deliver(seat: Seat, rank: number, run: () => void): void {
+    const { number } = seat;
+    const { lostMessages, rankFreezes } = this.#faults;
+    if (this.#random.nextFraction() < lostMessages) return;
     this.#queue.after(1 + this.#random.nextBelow(12), () => {
-      if (number === this.#deciderNumber) run();
+      const frozenMs = (this.#frozenUntil[rank] as number) - this.#now;
+      const isStruck = this.#random.nextFraction() < (rankFreezes ?? 0);
+      this.#queue.after(Math.max(0, frozenMs), () => {
+        if (number === seat.number) run();
+        if (isStruck) this.#freeze(rank);
+      });
     });
   }
 
-  #report(rank: number, report: RankReportMessage): void {
-    this.#deliver(() =>
-      this.#reduce({ kind: "rank_reported", now: this.#now, rank, report })
-    );
+  #report(seat: Seat, rank: number, report: RankReportMessage): void {
+    const { number } = seat;
+    if (this.#random.nextFraction() < this.#faults.lostMessages) return;
+    this.#queue.after(1 + this.#random.nextBelow(12), () => {
+      if (number !== seat.number) return;
+      this.#reduce(seat, {
+        kind: "rank_reported",
+        now: this.#now,
+        rank,
+        report,
+      });
+    });
   }
 
   /** The rank's process gives an order, and gives it again unless answered. */
-  #carryOut(rank: number, message: RankOrderMessage): void {
+  #carryOut(seat: Seat, rank: number, message: RankOrderMessage): void {
     if (this.#orders.get(rank)?.orderId === message.orderId) return;
-    if (rank === 0 && this.#now < this.#frozenUntil) return;
-    const { order, orderId } = message;
-    if (order.kind === "arm" && !this.#promisesOf(rank).tryOrder(order)) {
-      const { state } = this.#engine(rank);
-      return this.#report(rank, {
-        kind: "rank_report",
-        state,
-        orderId,
-        isDone: false,
-      });
+    if (this.#random.nextFraction() < (this.#faults.forgottenOrders ?? 0)) {
+      this.#orders.delete(rank);
+      return;
     }
     this.#orders.set(rank, message);
-    this.#give(rank, message);
+    this.#give(seat, rank, message);
   }
 
-  #give(rank: number, message: RankOrderMessage): void {
+  #give(seat: Seat, rank: number, message: RankOrderMessage): void {
     if (this.#orders.get(rank) !== message) return;
     const engine = this.#engine(rank);
     const { order } = message;
     const draw = this.#random.nextFraction();
     const { lateOrders, lostAnswers } = this.#faults;
     if (draw < lateOrders) {
-      const lateMs = LATE_MIN_MS + this.#random.nextBelow(LATE_SPREAD_MS);
-      this.#queue.after(lateMs, () => this.#apply(rank, message));
+      this.#applyLate(rank, message);
       return this.#queue.after(
         ORDER_LIMIT_MS,
-        () => this.#settle(rank, message, "unanswered"),
+        () => this.#settle(seat, rank, message, "unanswered"),
       );
     }
     const isAccepted = this.#apply(rank, message);
     if (draw < lateOrders + lostAnswers) {
       return this.#queue.after(
         ORDER_LIMIT_MS,
-        () => this.#settle(rank, message, "unanswered"),
+        () => this.#settle(seat, rank, message, "unanswered"),
       );
     }
     const isLoading = order.kind === "prepare" && isAccepted &&
       !isCarriedOut(order, engine.state);
     this.#queue.after(
       isLoading ? LOAD_MS + TICK_MS : 2,
-      () => this.#settle(rank, message, "answered"),
+      () => this.#settle(seat, rank, message, "answered"),
     );
   }
 
-  #apply(rank: number, message: RankOrderMessage): boolean {
-    const { order } = message;
+  #applyLate(rank: number, message: RankOrderMessage): void {
+    const lateMs = LATE_MIN_MS + this.#random.nextBelow(LATE_SPREAD_MS);
+    this.#queue.after(lateMs, () => this.#apply(rank, message));
+  }
+
+  /** An engine that is fenced prepares a map without a copy, so at once. */
+  #apply(rank: number, { order }: RankOrderMessage): boolean {
     const engine = this.#engine(rank);
+    if (order.kind === "fence") {
+      const map: ExpertMap = { layers: [] };
+      const isFenced = engine.carryOut({ ...order, kind: "prepare", map });
+      if (isFenced) engine.finishLoading(order.version);
+      return isFenced;
+    }
     const isAccepted = engine.carryOut(order);
     if (order.kind === "prepare" && isAccepted) {
       this.#queue.after(LOAD_MS, () => engine.finishLoading(order.version));
@@ -379,6 +403,7 @@
   }
 
   #settle(
+    seat: Seat,
     rank: number,
     message: RankOrderMessage,
     outcome: "answered" | "unanswered",
@@ -389,9 +414,9 @@
     const isDone = isCarriedOut(order, state);
     const isSettled = isDone || outcome === "answered" ||
       state.epoch !== order.epoch;
-    if (!isSettled) return this.#give(rank, message);
+    if (!isSettled) return this.#give(seat, rank, message);
     this.#orders.delete(rank);
-    this.#report(rank, { kind: "rank_report", state, orderId, isDone });
+    this.#report(seat, rank, { kind: "rank_report", state, orderId, isDone });
   }
 
   #engine(rank: number): FakeFormedEngine {
