--- /dev/null
+++ b/src/testing/switch_orders_world.ts
@@ -0,0 +1,241 @@
+/**
+ * A small formed group in which the next event is any of those that can happen: words
+ * and orders arrive in any order, late, twice or never, processes end at any moment, and
+ * passes begin whenever nothing holds them. Time plays no part.
+ *
+ * @module
+ */
+import { RandomSource } from "../core/random_source.ts";
+import { FormedGroupDecider } from "../group/formed/decider.ts";
+import type {
+  DeciderEffect,
+  DeciderEvent,
+  SendOrder,
+} from "../group/formed/decider_types.ts";
+import {
+  type EngineOrder,
+  getHolderRank,
+  isCarriedOut,
+  type RankOrder,
+} from "../group/formed/types.ts";
+import type { ExpertMap } from "../group/types.ts";
+import { FakeFormedEngine } from "./fake_formed_engine.ts";
+
+/** What a run showed. */
+export interface SwitchOrdersResult {
+  /** Passes that began with more than one map. */
+  readonly mixedPasses: readonly number[];
+  /** Maps that came into force. */
+  readonly switches: number;
+}
+
+const RANKS = 3;
+const HOLDER = getHolderRank(RANKS);
+/** More than any order waits until it is sent again, in milliseconds. */
+const TICK_MS = 1500;
+/** A proposal counts only while no switch is under way. */
+const CHANCE_OF_PROPOSAL = 0.05;
+
+/** How often each kind of event is the next, drawn anew for each run. */
+interface Chances {
+  readonly pass: number;
+  readonly tick: number;
+  /** The process beside the holder takes a held pass for left behind. */
+  readonly look: number;
+  /** A process ends. */
+  readonly end: number;
+  /** What is on its way is lost. */
+  readonly loss: number;
+  /** What has arrived arrives once more. */
+  readonly repeat: number;
+}
+
+/** A process that decides or ends what was decided. */
+interface Process {
+  readonly rank: number;
+  decider: FormedGroupDecider;
+  /** Grows with each life; words to an earlier one are dropped. */
+  life: number;
+}
+
+/** A small formed group in which the next event is any that can happen. */
+export class SwitchOrdersWorld {
+  readonly #random: RandomSource;
+  readonly #chances: Chances;
+  readonly #engines = Array.from(
+    { length: RANKS },
+    (_, rank) => new FakeFormedEngine(rank, RANKS),
+  );
+  readonly #decider: Process;
+  readonly #rescuer: Process;
+  /** Everything that is on its way. */
+  readonly #pending: (() => void)[] = [];
+  readonly #mixedPasses: number[] = [];
+  #now = 0;
+  #lives = 0;
+  #maps = 0;
+  #switches = 0;
+
+  /** The same seed gives the same run. */
+  constructor(seed: number) {
+    this.#random = new RandomSource(seed);
+    const upTo = (most: number) => most * this.#random.nextFraction();
+    this.#chances = {
+      pass: upTo(0.08),
+      tick: upTo(0.2),
+      look: upTo(0.05),
+      end: upTo(0.005),
+      loss: upTo(0.15),
+      repeat: upTo(0.3),
+    };
+    this.#decider = this.#createProcess(0);
+    this.#rescuer = this.#createProcess(HOLDER);
+  }
+
+  /** Lets so many events happen. */
+  run(events: number): SwitchOrdersResult {
+    for (let event = 0; event < events; event++) this.#next();
+    return { mixedPasses: this.#mixedPasses, switches: this.#switches };
+  }
+
+  #createProcess(rank: number): Process {
+    return { rank, decider: this.#createDecider(rank), life: 0 };
+  }
+
+  #createDecider(rank: number): FormedGroupDecider {
+    return new FormedGroupDecider({
+      state: this.#engine(rank).state,
+      random: this.#random,
+      now: this.#now,
+      firstOrderId: this.#lives++ * 2 ** 20,
+    });
+  }
+
+  #next(): void {
+    const { pass, tick, look, end } = this.#chances;
+    if (this.#isDrawn(pass)) return this.#pass();
+    if (this.#isDrawn(tick)) return this.#tick();
+    if (this.#isDrawn(look)) return this.#look();
+    if (this.#isDrawn(end)) return this.#end();
+    this.#takePending();
+  }
+
+  #takePending(): void {
+    if (this.#pending.length === 0 || this.#isDrawn(CHANCE_OF_PROPOSAL)) {
+      this.#propose();
+    }
+    if (this.#pending.length === 0) return;
+    const index = this.#random.nextBelow(this.#pending.length);
+    const [run] = this.#pending.splice(index, 1);
+    if (this.#isDrawn(this.#chances.repeat)) {
+      this.#pending.push(run as () => void);
+    }
+    if (!this.#isDrawn(this.#chances.loss)) run?.();
+  }
+
+  #pass(): void {
+    const next = this.#engine(0).state.pass + 1;
+    if (this.#engines.some((engine) => !engine.mayBegin(next))) return;
+    const before = this.#engine(0).active.version;
+    for (const engine of this.#engines) engine.begin(next);
+    const versions = new Set(this.#engines.map(({ active }) => active.version));
+    if (versions.size > 1) this.#mixedPasses.push(next);
+    if (this.#engine(0).active.version !== before) this.#switches++;
+  }
+
+  #tick(): void {
+    this.#now += TICK_MS;
+    const process = this.#isDrawn(0.5) ? this.#decider : this.#rescuer;
+    this.#reduce(process, { kind: "tick", now: this.#now });
+  }
+
+  /** The process beside the holder takes a held pass for left behind. */
+  #look(): void {
+    const { state } = this.#engine(HOLDER);
+    if (state.heldPass === undefined) return this.#restart(this.#rescuer);
+    this.#reduce(this.#rescuer, {
+      kind: "rank_reported",
+      now: this.#now,
+      rank: HOLDER,
+      report: { kind: "rank_report", state },
+    });
+  }
+
+  #end(): void {
+    this.#restart(this.#isDrawn(0.5) ? this.#decider : this.#rescuer);
+  }
+
+  #restart(process: Process): void {
+    process.life++;
+    process.decider = this.#createDecider(process.rank);
+  }
+
+  #propose(): void {
+    const map: ExpertMap = { layers: [{ experts: [[this.#maps++]] }] };
+    this.#reduce(this.#decider, { kind: "map_proposed", now: this.#now, map });
+  }
+
+  #reduce(process: Process, event: DeciderEvent): void {
+    for (const effect of process.decider.reduce(event)) {
+      this.#perform(process, effect);
+    }
+  }
+
+  #perform(process: Process, effect: DeciderEffect): void {
+    if (effect.kind === "send_query" && process === this.#decider) {
+      this.#pending.push(() => this.#report(process, effect.rank));
+    }
+    if (effect.kind === "send_order") this.#sendOrder(process, effect);
+  }
+
+  #sendOrder(process: Process, { rank, orderId, order }: SendOrder): void {
+    this.#pending.push(() => {
+      this.#pending.push(() => this.#apply(rank, order));
+      this.#pending.push(() => this.#report(process, rank, orderId, order));
+    });
+  }
+
+  /** The state is read now and told later. */
+  #report(
+    process: Process,
+    rank: number,
+    orderId?: number,
+    order?: RankOrder,
+  ): void {
+    const { life } = process;
+    const { state } = this.#engine(rank);
+    const isDone = order && isCarriedOut(order, state);
+    const experts = [[rank]];
+    this.#pending.push(() => {
+      if (life !== process.life) return;
+      this.#reduce(process, {
+        kind: "rank_reported",
+        now: this.#now,
+        rank,
+        report: { kind: "rank_report", state, orderId, isDone, experts },
+      });
+    });
+  }
+
+  #apply(rank: number, order: RankOrder): void {
+    const engine = this.#engine(rank);
+    const isAccepted = engine.carryOut(engineOrderOf(order));
+    if (!isAccepted || !("version" in order)) return;
+    if (order.kind === "fence") return engine.finishLoading(order.version);
+    if (order.kind !== "prepare") return;
+    this.#pending.push(() => engine.finishLoading(order.version));
+  }
+
+  #isDrawn(chance: number): boolean {
+    return this.#random.nextFraction() < chance;
+  }
+
+  #engine(rank: number): FakeFormedEngine {
+    return this.#engines[rank] as FakeFormedEngine;
+  }
+}
+
+function engineOrderOf(order: RankOrder): EngineOrder {
+  if (order.kind !== "fence") return order;
+  return { ...order, kind: "prepare", map: { layers: [] } };
+}
