--- a/src/group/formed/decider.ts
+++ b/src/group/formed/decider.ts
@@ -147,10 +147,16 @@
     this.#noteVersions(state);
     const open = this.#orders.tryGet(rank);
     this.#orders.closeIfDone(rank, state);
-    if (this.#hasStrayHold(state)) return this.#gather(now);
+    if (this.#hasStrayHold(state)) return this.#startOver(event);
     const isRejected = this.#orders.tryGet(rank) !== undefined &&
       report.orderId === open?.id && report.isDone === false;
-    if (isRejected) return this.#rejected(rank, state, now);
+    if (isRejected) return this.#rejected(event);
+    this.#progress(event);
+  }
+
+  /** Asks all ranks, and takes what this one says of a held pass. */
+  #startOver(event: RankReported): void {
+    this.#gather(event.now);
     this.#progress(event);
   }
 
@@ -353,7 +359,8 @@
     }
   }
 
-  #rejected(rank: number, state: RankState, now: number): void {
+  #rejected(event: RankReported): void {
+    const { rank, report: { state }, now } = event;
     const phase = this.#phase;
     switch (phase.kind) {
       case "preparing":
@@ -361,6 +368,7 @@
         this.#orders.clear();
         return this.#enter({ kind: "settled", map: phase.before }, now);
       case "holding":
+        if (isFenced(state, phase.version)) return this.#startOver(event);
         // The order was lost, and is given again by the next tick.
         if (state.pass < phase.pass) return;
         // The pass had begun: the switch moves further ahead.
@@ -371,19 +379,20 @@
         );
         return this.#hold(phase, now);
       case "deciding": {
-        const isFenced = state.preparedVersion !== phase.version;
-        if (isFenced || state.pass >= phase.pass) return this.#gather(now);
+        const isOver = isFenced(state, phase.version) ||
+          state.pass >= phase.pass;
+        if (isOver) return this.#startOver(event);
         return this.#orders.postpone(rank, now);
       }
       case "arming":
       case "releasing":
         // All ranks were armed for a pass that began: another process saw to it.
-        if (state.pass >= phase.pass) return this.#gather(now);
+        if (state.pass >= phase.pass) return this.#startOver(event);
         // Other ranks are armed: it is asked for again until it is done.
         return this.#orders.postpone(rank, now);
       case "fencing": {
         const isOver = state.pass >= phase.pass || state.armed !== undefined;
-        if (isOver) return this.#gather(now);
+        if (isOver) return this.#startOver(event);
         return this.#fenceHigher(rank, now);
       }
       case "gathering":
@@ -482,3 +491,8 @@
     return { epoch: this.#epoch, pass };
   }
 }
+
+/** The map that the rank had prepared was replaced: it cannot be armed any more. */
+function isFenced(state: RankState, version: number): boolean {
+  return state.armed === undefined && state.preparedVersion !== version;
+}
--- a/src/group/formed/decider_test.ts
+++ b/src/group/formed/decider_test.ts
@@ -250,6 +250,16 @@
     assert.ok(effects.some(({ kind }) => kind === "send_query"));
   });
 
+  it("holds no further pass for a map that the holder has lost", () => {
+    const fixture = new DeciderFixture();
+    const prepares = fixture.propose();
+    const prepared = { preparedVersion: versionOf(prepares) };
+    const [hold] = fixture.carryOut(prepares, prepared);
+    const fenced = createState(1, { preparedVersion: 1_000_000, pass: 12 });
+    const answer = { orderId: hold?.orderId, isDone: false };
+    assert.deepEqual(ordersOf(fixture.report(fenced, answer)), []);
+  });
+
   it("sends an order again as repeated when it is not answered", () => {
     const fixture = new DeciderFixture();
     fixture.arm();
