Say how a group worked each second; tests of fences and of orders from afar

GROUP_WORKED tells load from an uneven map where answers are late: passes, their time, requests running and queued, ranks heard and counted.

--- a/src/events/catalogue.ts
+++ b/src/events/catalogue.ts
@@ -196,6 +196,13 @@
     action:
       "See why the process beside that rank does not answer: it was not connected, or did not answer in time.",
   },
+  GROUP_WORKED: {
+    code: 2612,
+    level: "info",
+    text: "How a group worked in the last second",
+    action:
+      "Answers are late when `passMs` comes near the pause that callers bear: with many `running` for their number, with few for an uneven map, which the lines of `MAP_PROPOSED` show.",
+  },
   DECIDER_CONNECTED: {
     code: 2606,
     level: "info",
--- a/src/group/formed/decider_driver.ts
+++ b/src/group/formed/decider_driver.ts
@@ -60,6 +60,8 @@
 const PASSES_PER_SWITCH = 2;
 /** Passes whose mean time counts. */
 const PASS_SMOOTHING = 0.4;
+/** Milliseconds between two lines of the log on how the group worked. */
+const WORK_LOG_INTERVAL_MS = 1000;
 /** Orders of a decider are numbered from a random number below this. */
 const FIRST_ORDER_IDS = 2 ** 31;
 
@@ -89,6 +91,8 @@
   readonly #answered = new Set<number>();
   readonly #timer: NodeJS.Timeout;
   #loadToldAt = 0;
+  #workLoggedAt = 0;
+  #passLogged = 0;
   #epoch: number;
 
   /** Begins at once; members are told by {@link setMembers}. */
@@ -160,6 +164,7 @@
     const now = performance.now();
     this.#dispatch({ kind: "tick", now });
     this.#tellLoad(now);
+    this.#logWork(now);
     for (const member of this.#links.members) {
       const waitedMs = now - member.askedAt;
       const limitMs = member.isAsked ? COUNT_LIMIT_MS : COUNT_INTERVAL_MS;
@@ -192,6 +197,30 @@
     });
   }
 
+  /** Says what made answers late: long passes, and of these load or an uneven map. */
+  #logWork(now: number): void {
+    if (now - this.#workLoggedAt < WORK_LOG_INTERVAL_MS) return;
+    const { ranks, group } = this.#options.state;
+    const states = this.#links.members.flatMap(({ state }) => state ?? []);
+    const pass = Math.max(0, ...states.map((state) => state.pass));
+    const passes = pass - this.#passLogged;
+    this.#workLoggedAt = now;
+    this.#passLogged = pass;
+    if (passes <= 0) return;
+    const running = states.map((state) => state.running);
+    this.#options.log.write("GROUP_WORKED", {
+      group,
+      epoch: this.#epoch,
+      passes,
+      passMs: Math.round(this.#passTimes.meanMs ?? 0),
+      running: running.reduce((sum, count) => sum + count, 0),
+      mostRunning: Math.max(...running),
+      queued: states.reduce((sum, state) => sum + state.queued, 0),
+      heard: `${states.length} of ${ranks}`,
+      counted: this.#answered.size,
+    });
+  }
+
   /** What was counted before now does not count for the next plan. */
   #countAnew(now: number): void {
     this.#answered.clear();
--- /dev/null
+++ b/src/group/formed/rank_links_test.ts
@@ -0,0 +1,69 @@
+import assert from "node:assert/strict";
+import { describe, it } from "node:test";
+import { setImmediate } from "node:timers/promises";
+import { EventLog } from "../../events/event_log.ts";
+import { FormedEngineFixture } from "../../testing/formed_engine_fixture.ts";
+import { findFreeAddress } from "../../testing/free_address.ts";
+import type { SendOrder } from "./decider_types.ts";
+import { RankLinks } from "./rank_links.ts";
+import type { RankOrder, RankReportMessage } from "./types.ts";
+
+const RANKS = 3;
+const RANK = 2;
+
+class LinksFixture {
+  readonly engine = new FormedEngineFixture(RANK, RANKS);
+  readonly reports: RankReportMessage[] = [];
+  readonly links = new RankLinks({
+    identity: {
+      deployment: "test",
+      secret: "a secret of the tests",
+      name: "rank",
+      incarnation: "1",
+      failureDomain: "a",
+    },
+    group: "group",
+    log: new EventLog({ role: "rank", processName: "test" }),
+    createEngine: () => this.engine,
+    onReport: (_member, report) => this.reports.push(report),
+  });
+
+  /** The rank's process has ended: nobody listens at its address. */
+  async start(): Promise<void> {
+    const address = await findFreeAddress();
+    this.links.setMembers([{ rank: RANK, address, engineAddress: "engine" }]);
+  }
+
+  async send(order: RankOrder): Promise<void> {
+    const effect: SendOrder = {
+      kind: "send_order",
+      rank: RANK,
+      orderId: 1,
+      order,
+      isRepeated: false,
+    };
+    this.links.sendOrder(effect);
+    // What is given from here is given and read without a timer.
+    await setImmediate();
+  }
+}
+
+describe("orders to a rank whose process is not connected", () => {
+  it("go to its engine while a pass may be held", async () => {
+    const fixture = new LinksFixture();
+    await fixture.start();
+    await fixture.send({ kind: "hold", epoch: 1, pass: 3 });
+    fixture.links.stop();
+    assert.deepEqual(fixture.engine.given.map(({ kind }) => kind), ["hold"]);
+    assert.equal(fixture.reports[0]?.isDone, true);
+  });
+
+  it("wait for the process when they copy experts", async () => {
+    const fixture = new LinksFixture();
+    await fixture.start();
+    const map = { layers: [{ experts: [[0], [1], [2]] }] };
+    await fixture.send({ kind: "prepare", epoch: 1, version: 2, map });
+    fixture.links.stop();
+    assert.deepEqual(fixture.engine.given, []);
+  });
+});
