--- a/src/group/formed/decider.ts
+++ b/src/group/formed/decider.ts
@@ -15,7 +15,7 @@
  *
  * @module
  */
-import { assertNever, Debug } from "../../core/debug.ts";
+import { assertNever } from "../../core/debug.ts";
 import type { RandomSource } from "../../core/random_source.ts";
 import type { ExpertMap } from "../types.ts";
 import { assembleMap } from "./assemble_map.ts";
@@ -28,6 +28,8 @@
   Releasing,
 } from "./decider_types.ts";
 import { readHeldPass } from "./held_pass.ts";
+import { HoldMargin } from "./hold_margin.ts";
+import { MapVersions } from "./map_versions.ts";
 import { type OpenOrder, OpenOrders } from "./open_orders.ts";
 import { getHolderRank, type RankOrder, type RankState } from "./types.ts";
 
@@ -35,21 +37,6 @@
 const GATHERING_LOOK_MS = 250;
 /** Milliseconds between two looks at a group that has yet to begin a pass. */
 const SWITCHING_LOOK_MS = 40;
-/**
- * Passes between the last one that was begun and the one of the switch, at least.
- * Orders take 20 ms to reach all of 12 ranks and a pass 40 or more, so with two the
- * pass is rarely held in fact. More ranks take longer: the margin follows from
- * whether the group had to wait.
- */
-const FIRST_MARGIN_PASSES = 2;
-const LARGEST_MARGIN_PASSES = 64;
-/**
- * Versions of one decider come from a block of their own, at a random place: two
- * deciders that know nothing of each other do not give one number to two maps.
- */
-const VERSION_BLOCK = 2 ** 16;
-const RANDOM_PLACES = 2 ** 14;
-
 /** Options of a {@link FormedGroupDecider}. */
 export interface FormedGroupDeciderOptions {
   /** State of rank 0 as the decider starts. */
@@ -69,7 +56,6 @@
 
 /** Decides the expert map of a formed group. */
 export class FormedGroupDecider {
-  readonly #random: RandomSource;
   readonly #ranks: number;
   readonly #holder: number;
   #epoch: number;
@@ -77,18 +63,15 @@
   #lastPass: number;
   #phase: DeciderPhase;
   #phaseEnteredAt: number;
-  #highestVersion = 0;
-  #ownVersion: number | undefined;
-  #marginPasses = FIRST_MARGIN_PASSES;
-  /** Margin with which a switch begins. */
-  #usualMarginPasses = FIRST_MARGIN_PASSES;
+  readonly #versions: MapVersions;
+  readonly #margin = new HoldMargin();
   readonly #orders: OpenOrders;
   #askedAt = Number.NEGATIVE_INFINITY;
   #effects: DeciderEffect[] = [];
 
   /** Knows nothing of the other ranks yet: the first tick asks them. */
   constructor(options: FormedGroupDeciderOptions) {
-    this.#random = options.random;
+    this.#versions = new MapVersions(options.random);
     this.#ranks = options.state.ranks;
     this.#holder = getHolderRank(options.state.ranks);
     this.#epoch = options.state.epoch;
@@ -144,7 +127,7 @@
       return this.#gather(now);
     }
     this.#lastPass = Math.max(this.#lastPass, state.pass);
-    this.#noteVersions(state);
+    this.#versions.note(state);
     const open = this.#orders.tryGet(rank);
     this.#orders.closeIfDone(rank, state);
     if (this.#hasStrayHold(state)) return this.#startOver(event);
@@ -246,8 +229,8 @@
 
   #proposed(map: ExpertMap, now: number): void {
     if (this.#phase.kind !== "settled") return;
-    const version = this.#nextVersion();
-    this.#marginPasses = this.#usualMarginPasses;
+    const version = this.#versions.next();
+    this.#margin.begin();
     const before = this.#phase.map;
     this.#enter({ kind: "preparing", version, map, before }, now);
     for (let rank = 0; rank < this.#ranks; rank++) {
@@ -264,7 +247,7 @@
     { version, map }: Pick<PlannedSwitch, "version" | "map">,
     now: number,
   ): void {
-    const pass = this.#lastPass + this.#marginPasses;
+    const pass = this.#lastPass + this.#margin.passes;
     this.#enter({ kind: "holding", version, pass, map }, now);
     this.#order(this.#holder, { kind: "hold", ...this.#at(pass) }, now);
   }
@@ -285,7 +268,7 @@
   }
 
   #armed(planned: PlannedSwitch, now: number): void {
-    this.#noteMargin(planned.pass);
+    this.#margin.noteArmed(planned.pass - this.#lastPass);
     this.#release(planned, now);
   }
 
@@ -294,28 +277,12 @@
   }
 
   #fence(pass: number, now: number): void {
-    const version = this.#nextVersion();
+    const version = this.#versions.next();
     this.#enter({ kind: "fencing", version, pass }, now);
     const { epoch } = this;
     this.#order(this.#holder, { kind: "fence", epoch, version }, now);
   }
 
-  /** The group either stood before the pass meanwhile, or had passes to spare. */
-  #noteMargin(pass: number): void {
-    if (this.#lastPass >= pass - 1) {
-      this.#usualMarginPasses = Math.min(
-        LARGEST_MARGIN_PASSES,
-        this.#usualMarginPasses + 1,
-      );
-    }
-    if (this.#lastPass < pass - 2) {
-      this.#usualMarginPasses = Math.max(
-        FIRST_MARGIN_PASSES,
-        this.#usualMarginPasses - 1,
-      );
-    }
-  }
-
   #release(phase: Omit<Releasing, "kind">, now: number): void {
     const { version, pass, map } = phase;
     this.#orders.clear();
@@ -373,10 +340,7 @@
         if (state.pass < phase.pass) return;
         // The pass had begun: the switch moves further ahead.
         this.#orders.clear();
-        this.#marginPasses = Math.min(
-          LARGEST_MARGIN_PASSES,
-          this.#marginPasses * 2,
-        );
+        this.#margin.widen();
         return this.#hold(phase, now);
       case "deciding": {
         const isOver = isFenced(state, phase.version) ||
@@ -406,9 +370,9 @@
 
   /** A version that the rank loads is not told yet, and was higher. */
   #fenceHigher(rank: number, now: number): void {
-    this.#highestVersion += VERSION_BLOCK;
+    this.#versions.skip();
     const { epoch } = this;
-    const version = this.#nextVersion();
+    const version = this.#versions.next();
     this.#orders.open(rank, { kind: "fence", epoch, version }, now);
   }
 
@@ -467,26 +431,6 @@
     });
   }
 
-  #noteVersions(state: RankState): void {
-    this.#highestVersion = Math.max(
-      this.#highestVersion,
-      state.activeVersion,
-      state.preparedVersion ?? 0,
-      state.armed?.version ?? 0,
-    );
-  }
-
-  #nextVersion(): number {
-    const isAhead = this.#ownVersion !== undefined &&
-      this.#ownVersion >= this.#highestVersion;
-    const block = Math.floor(this.#highestVersion / VERSION_BLOCK) + 1;
-    const version = isAhead
-      ? Debug.getDefined(this.#ownVersion, "Ahead of all others") + 1
-      : block * VERSION_BLOCK + this.#random.nextBelow(RANDOM_PLACES);
-    this.#ownVersion = version;
-    return version;
-  }
-
   #at(pass: number) {
     return { epoch: this.#epoch, pass };
   }
