--- a/src/group/formed/held_switch_incident_test.ts
+++ b/src/group/formed/held_switch_incident_test.ts
@@ -58,6 +58,18 @@
     }
   });
 
+  it("does not keep the group waiting when it was not decided yet", () => {
+    for (let seed = 1; seed <= SEEDS; seed++) {
+      const { longestHoldMs } = runWorld(seed, {
+        deciderFreezes: 0.3,
+        freezesAfterHoldsOnly: true,
+        lostMessages: 0.1,
+      });
+      const label = `seed ${seed}: ${longestHoldMs}`;
+      assert.ok(longestHoldMs <= LONGEST_HOLD_MS, label);
+    }
+  });
+
   it("does not keep the group waiting for that machine", () => {
     for (let seed = 1; seed <= SEEDS; seed++) {
       const { longestHoldMs } = runWorld(seed, {
--- a/src/group/formed/rank_links.ts
+++ b/src/group/formed/rank_links.ts
@@ -107,8 +107,9 @@
 
   /**
    * Sends an order to the process beside a rank's engine, which gives it at no cost. One
-   * that does not answer is not waited for: it may be restarted, or stand still for
-   * seconds, while its engine runs on and the group needs every rank for a switch.
+   * that does not answer is not waited for: while it is restarted its engine runs on, and
+   * the group needs every rank for a switch. (A machine that stands still takes its
+   * engine's interface with it; then this helps no more than waiting.)
    */
   sendOrder(effect: SendOrder): void {
     const { rank, orderId, order } = effect;
--- a/src/testing/formed_group_world.ts
+++ b/src/testing/formed_group_world.ts
@@ -42,7 +42,7 @@
   readonly freezesAfterHoldsOnly: boolean;
   /**
    * Share of the messages to a rank's process after which its machine stands still for
-   * four seconds. Its engine runs on.
+   * four seconds. Its engine makes passes, but answers nobody.
    */
   readonly rankFreezes?: number;
   /** Share of the orders to a rank's process that are forgotten, as if it ended. */
@@ -297,8 +297,12 @@
     }
   }
 
-  /** Given to the engine itself, as the rank's process does not answer. */
+  /**
+   * Given to the engine itself, as the rank's process does not answer. A machine that
+   * stands still takes its engine's interface with it.
+   */
   #giveFromAfar(seat: Seat, { rank, orderId, order }: SendOrder): void {
+    if (this.#isFrozen(rank)) return;
     const message: RankOrderMessage = { kind: "rank_order", orderId, order };
     const draw = this.#random.nextFraction();
     if (draw < this.#faults.lateOrders) {
