Tell the process beside the holder when rank 0 is armed

If the decider's machine stands still before it lets the pass begin, rank 0's engine answers nobody; the process beside the holder now knows that it is armed and finishes the switch.

--- a/src/direct/rank_driver.ts
+++ b/src/direct/rank_driver.ts
@@ -261,6 +261,7 @@
     if (message.kind === "rank_query") {
       this.#agent.answer(message, send).catch((error) => this.#fault(error));
     }
+    if (message.kind === "rank_report") this.#rescuer.note(message);
     if (message.kind === "rank_check") {
       this.#agent.check(message, send).catch((error) => this.#fault(error));
     }
--- a/src/group/formed/decider_driver.ts
+++ b/src/group/formed/decider_driver.ts
@@ -26,10 +26,11 @@
   RankLinks,
   type RankMember,
 } from "./rank_links.ts";
-import type {
-  GroupLoadMessage,
-  RankReportMessage,
-  RankState,
+import {
+  getHolderRank,
+  type GroupLoadMessage,
+  type RankReportMessage,
+  type RankState,
 } from "./types.ts";
 
 const TICK_MS = 25;
@@ -130,13 +131,26 @@
   #onReport(member: RankMember, report: RankReportMessage): void {
     if (report.counts !== undefined) member.isAsked = false;
     const now = performance.now();
-    if (report.state.rank === 0) this.#passTimes.observe(report.state, now);
+    if (report.state.rank === 0) {
+      this.#passTimes.observe(report.state, now);
+      this.#tellHolder(report);
+    }
     this.#takeCounts(member, report);
     const { rank } = report.state;
     this.#dispatch({ kind: "rank_reported", now, rank, report });
     this.#planIfCounted();
   }
 
+  /**
+   * That rank 0 is armed: if this machine stands still now, so does that rank's engine
+   * towards all others, and the process beside the holder can still end the switch.
+   */
+  #tellHolder(report: RankReportMessage): void {
+    const { state, orderId } = report;
+    if (orderId === undefined || state.armed === undefined) return;
+    this.#links.tell(getHolderRank(state.ranks), report);
+  }
+
   #takeCounts(member: RankMember, report: RankReportMessage): void {
     const { state, counts } = report;
     if (state.epoch > this.#epoch) {
--- a/src/group/formed/rank_links.ts
+++ b/src/group/formed/rank_links.ts
@@ -105,6 +105,11 @@
     this.#tryMember(rank)?.link?.send({ kind: "rank_query", withExperts });
   }
 
+  /** Tells a rank's process how another rank's engine stands. */
+  tell(rank: number, report: RankReportMessage): void {
+    this.#tryMember(rank)?.link?.send(report);
+  }
+
   /**
    * Sends an order to the process beside a rank's engine, which gives it at no cost. One
    * that does not answer is not waited for: while it is restarted its engine runs on, and
--- a/src/group/formed/switch_rescuer.ts
+++ b/src/group/formed/switch_rescuer.ts
@@ -43,6 +43,8 @@
   #addresses: readonly GroupMemberAddress[] = [];
   #rank: number | undefined;
   readonly #watch = new HeldPassWatch();
+  /** That rank 0 is armed, as the decider told it last. */
+  #told: RankReportMessage | undefined;
   #decider: FormedGroupDecider | undefined;
   #links: RankLinks | undefined;
   #timer: NodeJS.Timeout | undefined;
@@ -66,6 +68,11 @@
     this.#decider = undefined;
   }
 
+  /** The decider told that its own rank is armed, which lasts until the pass begins. */
+  note(report: RankReportMessage): void {
+    this.#told = report;
+  }
+
   /** Takes in how the holder's own engine stands. */
   observe(state: RankState, now: number): void {
     this.#rank = state.rank;
@@ -75,6 +82,7 @@
     if (awaitedMs === undefined) return;
     this.#decider ??= this.#start(state, awaitedMs);
     this.#take({ kind: "rank_report", state });
+    if (this.#told !== undefined) this.#take(this.#told);
   }
 
   #take(report: RankReportMessage): void {
--- a/src/testing/formed_group_world.ts
+++ b/src/testing/formed_group_world.ts
@@ -107,6 +107,8 @@
   readonly #seat = createSeat(0);
   readonly #rescueSeat = createSeat(HOLDER);
   readonly #watch = new HeldPassWatch();
+  /** That rank 0 is armed, as the process beside the holder was told last. */
+  #told: RankReportMessage | undefined;
   /** Until when each machine stands still. */
   readonly #frozenUntil = new Array<number>(RANKS).fill(0);
   readonly #orders = new Map<number, RankOrderMessage>();
@@ -232,12 +234,12 @@
     if (state.heldPass === undefined) return this.#endDecider(seat);
     if (awaitedMs === undefined) return;
     if (seat.decider === undefined) this.#startDecider(seat);
-    this.#reduce(seat, {
-      kind: "rank_reported",
-      now: this.#now,
-      rank: HOLDER,
-      report: { kind: "rank_report", state },
-    });
+    this.#take(seat, HOLDER, { kind: "rank_report", state });
+    if (this.#told !== undefined) this.#take(seat, 0, this.#told);
+  }
+
+  #take(seat: Seat, rank: number, report: RankReportMessage): void {
+    this.#reduce(seat, { kind: "rank_reported", now: this.#now, rank, report });
   }
 
   #isFrozen(rank: number): boolean {
@@ -337,12 +339,17 @@
     if (this.#random.nextFraction() < this.#faults.lostMessages) return;
     this.#queue.after(1 + this.#random.nextBelow(12), () => {
       if (number !== seat.number) return;
-      this.#reduce(seat, {
-        kind: "rank_reported",
-        now: this.#now,
-        rank,
-        report,
-      });
+      this.#take(seat, rank, report);
+      if (seat === this.#seat && rank === 0) this.#tellHolder(report);
+    });
+  }
+
+  #tellHolder(report: RankReportMessage): void {
+    const { state, orderId } = report;
+    if (this.#isFrozen(0) || orderId === undefined) return;
+    if (state.armed === undefined) return;
+    this.#deliver(this.#seat, HOLDER, () => {
+      this.#told = report;
     });
   }
 
