--- a/src/group/formed/rank_agent.ts
+++ b/src/group/formed/rank_agent.ts
@@ -74,8 +74,6 @@
     query: RankQueryMessage,
     send: ReportSender,
   ): Promise<void> {
-    const state = await this.#engine.tryReadState();
-    if (state === undefined) return;
     const counts = this.#counts.tell(
       await this.#engine.readCounts(),
       query.knownCounts,
@@ -83,6 +81,10 @@
     const experts = query.withExperts
       ? await this.#engine.readExperts()
       : undefined;
+    // Read last, so that no report overtakes one of a later state: a decider that hears
+    // of a hold which has ended meanwhile takes it for a stray one and starts over.
+    const state = await this.#engine.tryReadState();
+    if (state === undefined) return;
     send({ kind: "rank_report", state, counts, experts });
   }
 
