--- a/src/group/formed/rank_links.ts
+++ b/src/group/formed/rank_links.ts
@@ -38,6 +38,8 @@
   isAsked = false;
   /** Number of the last counts that it told. */
   knownCounts: number | undefined;
+  /** The last order that was given to its engine from here. */
+  lastFarOrder: number | undefined;
 
   /** Nothing was heard of it yet. */
   constructor({ rank, engineAddress }: GroupMemberAddress) {
@@ -150,11 +152,14 @@
   #orderFromHere(member: RankMember, effect: SendOrder): void {
     const { rank, orderId, order } = effect;
     const { log, onReport } = this.#options;
-    log.write("ORDER_FROM_AFAR", {
-      rank,
-      order: order.kind,
-      isConnected: member.link !== undefined,
-    });
+    if (member.lastFarOrder !== orderId) {
+      log.write("ORDER_FROM_AFAR", {
+        rank,
+        order: order.kind,
+        isConnected: member.link !== undefined,
+      });
+    }
+    member.lastFarOrder = orderId;
     this.#farAgentOf(member.engineAddress)
       .carryOut({ kind: "rank_order", orderId, order }, (report) => {
         onReport(member, report);
