--- a/src/group/formed/held_switch_incident_test.ts
+++ b/src/group/formed/held_switch_incident_test.ts
@@ -18,7 +18,10 @@
 import assert from "node:assert/strict";
 import { describe, it } from "node:test";
 import {
+  createFormedGroupFaults,
   type FormedGroupFaults,
+} from "../../testing/formed_group_faults.ts";
+import {
   type FormedGroupResult,
   FormedGroupWorld,
 } from "../../testing/formed_group_world.ts";
@@ -32,17 +35,7 @@
   seed: number,
   faults: Partial<FormedGroupFaults>,
 ): FormedGroupResult {
-  const world = new FormedGroupWorld(seed, {
-    lateOrders: 0,
-    lostAnswers: 0,
-    lostMessages: 0,
-    deciderLifeMs: 0,
-    deciderFreezes: 0,
-    freezesAfterHoldsOnly: false,
-    epochMs: 0,
-    idleMs: 0,
-    ...faults,
-  });
+  const world = new FormedGroupWorld(seed, createFormedGroupFaults(faults));
   return world.run(RUN_MS);
 }
 
--- a/src/group/formed/switch_schedules_test.ts
+++ b/src/group/formed/switch_schedules_test.ts
@@ -1,24 +1,14 @@
 import assert from "node:assert/strict";
 import { describe, it } from "node:test";
 import {
+  createFormedGroupFaults,
   type FormedGroupFaults,
-  FormedGroupWorld,
-} from "../../testing/formed_group_world.ts";
+} from "../../testing/formed_group_faults.ts";
+import { FormedGroupWorld } from "../../testing/formed_group_world.ts";
 
 const SEEDS = 40;
 const RUN_MS = 120_000;
 
-const CALM: FormedGroupFaults = {
-  lateOrders: 0,
-  lostAnswers: 0,
-  lostMessages: 0,
-  deciderLifeMs: 0,
-  deciderFreezes: 0,
-  freezesAfterHoldsOnly: false,
-  epochMs: 0,
-  idleMs: 0,
-};
-
 interface FaultRow {
   readonly name: string;
   readonly faults: Partial<FormedGroupFaults>;
@@ -75,6 +65,19 @@
     fewestSwitches: 6,
     longestHoldMs: 9000,
   },
+  {
+    // The holder's own machine, too: nobody else can let the pass begin then.
+    name: "machines of all ranks that stand still",
+    faults: { rankFreezes: 0.01, lostMessages: 0.02 },
+    fewestSwitches: 50,
+    longestHoldMs: 9000,
+  },
+  {
+    name: "processes that forget orders",
+    faults: { forgottenOrders: 0.2, lateOrders: 0.2 },
+    fewestSwitches: 30,
+    longestHoldMs: 1500,
+  },
   {
     name: "groups that are formed anew",
     faults: { epochMs: 3700 },
@@ -101,7 +104,10 @@
   for (const row of ROWS) {
     it(`never mixes maps in a pass, and goes on, under ${row.name}`, () => {
       for (let seed = 1; seed <= SEEDS; seed++) {
-        const world = new FormedGroupWorld(seed, { ...CALM, ...row.faults });
+        const world = new FormedGroupWorld(
+          seed,
+          createFormedGroupFaults(row.faults),
+        );
         const result = world.run(RUN_MS);
         const label = `seed ${seed}: ${JSON.stringify(result)}`;
         assert.deepEqual(result.mixedPasses, [], label);
--- a/src/testing/formed_group_world.ts
+++ b/src/testing/formed_group_world.ts
@@ -21,38 +21,9 @@
 } from "../group/formed/types.ts";
 import type { ExpertMap } from "../group/types.ts";
 import { EventQueue } from "./event_queue.ts";
+import type { FormedGroupFaults } from "./formed_group_faults.ts";
 import { FakeFormedEngine } from "./fake_formed_engine.ts";
 
-/** How often things go wrong, as shares from 0 to 1. */
-export interface FormedGroupFaults {
-  /** Orders that are carried out 2 to 12 s later, without an answer. */
-  readonly lateOrders: number;
-  /** Orders that are carried out at once, without an answer. */
-  readonly lostAnswers: number;
-  /** Messages between processes that are lost with their connection. */
-  readonly lostMessages: number;
-  /** Milliseconds between two ends of the decider; 0: never. */
-  readonly deciderLifeMs: number;
-  /**
-   * Share of the decider's messages after which it stands still for four seconds,
-   * what arrives meanwhile being kept for it.
-   */
-  readonly deciderFreezes: number;
-  /** Whether only the order to hold a pass can be the last before it. */
-  readonly freezesAfterHoldsOnly: boolean;
-  /**
-   * Share of the messages to a rank's process after which its machine stands still for
-   * four seconds. Its engine makes passes, but answers nobody.
-   */
-  readonly rankFreezes?: number;
-  /** Share of the orders to a rank's process that are forgotten, as if it ended. */
-  readonly forgottenOrders?: number;
-  /** Milliseconds between two formations of the group; 0: never. */
-  readonly epochMs: number;
-  /** Milliseconds of each ten seconds in which there is no work. */
-  readonly idleMs: number;
-}
-
 /** What a run showed. */
 export interface FormedGroupResult {
   /** Passes that began with more than one map. */
@@ -326,7 +297,7 @@
     if (this.#random.nextFraction() < lostMessages) return;
     this.#queue.after(1 + this.#random.nextBelow(12), () => {
       const frozenMs = (this.#frozenUntil[rank] as number) - this.#now;
-      const isStruck = this.#random.nextFraction() < (rankFreezes ?? 0);
+      const isStruck = this.#random.nextFraction() < rankFreezes;
       this.#queue.after(Math.max(0, frozenMs), () => {
         if (number === seat.number) run();
         if (isStruck) this.#freeze(rank);
@@ -356,7 +327,7 @@
   /** The rank's process gives an order, and gives it again unless answered. */
   #carryOut(seat: Seat, rank: number, message: RankOrderMessage): void {
     if (this.#orders.get(rank)?.orderId === message.orderId) return;
-    if (this.#random.nextFraction() < (this.#faults.forgottenOrders ?? 0)) {
+    if (this.#random.nextFraction() < this.#faults.forgottenOrders) {
       this.#orders.delete(rank);
       return;
     }
