--- a/src/group/formed/rank_links.ts
+++ b/src/group/formed/rank_links.ts
@@ -12,13 +12,8 @@
 import type { LinkIdentity } from "../../links/link_server.ts";
 import type { Message } from "../../messages/types.ts";
 import type { SendOrder } from "./decider_types.ts";
-import { SentMap } from "./map_changes.ts";
 import { FAR_ENGINE_WATCH, RankAgent } from "./rank_agent.ts";
-import type {
-  RankOrderMessage,
-  RankReportMessage,
-  RankState,
-} from "./types.ts";
+import type { RankReportMessage, RankState } from "./types.ts";
 
 /** The process of one rank. */
 export interface GroupMemberAddress {
@@ -34,8 +29,6 @@
   /** As registered, until the rank itself tells. */
   rank: number;
   link: Link | undefined;
-  /** What the process was sent of maps on this link. */
-  sentMap = new SentMap();
   state: RankState | undefined;
   /** When that state was told, in milliseconds. */
   stateAt = Number.NEGATIVE_INFINITY;
@@ -128,10 +121,7 @@
   sendOrder(effect: SendOrder): void {
     const { rank, orderId, order } = effect;
     const member = this.#tryMember(rank);
-    const message: RankOrderMessage = { kind: "rank_order", orderId, order };
-    if (member?.link !== undefined) {
-      member.link.send(member.sentMap.encode(message));
-    }
+    member?.link?.send({ kind: "rank_order", orderId, order });
     this.#orderFromHereIfSilent(member, effect);
   }
 
@@ -207,7 +197,6 @@
       listener: {
         onConnected: (link) => {
           member.link = link;
-          member.sentMap = new SentMap();
           link.send({ kind: "rank_query", withExperts: true });
         },
         onMessage: (message) => this.#onMessage(member, message),
--- a/src/group/formed/schema.ts
+++ b/src/group/formed/schema.ts
@@ -48,17 +48,6 @@
     orderId: COUNT,
     order: ORDER_SCHEMA,
   }),
-  z.object({
-    kind: z.literal("map_change"),
-    orderId: COUNT,
-    epoch: COUNT,
-    version: COUNT,
-    rows: z.object({
-      layers: z.array(COUNT),
-      ranks: z.array(COUNT),
-      experts: NUMBERS_BY_LAYER,
-    }),
-  }),
   z.object({
     kind: z.literal("rank_check"),
     orderId: COUNT,
