--- /dev/null
+++ b/src/group/formed/held_pass_watch_test.ts
@@ -0,0 +1,52 @@
+import assert from "node:assert/strict";
+import { describe, it } from "node:test";
+import { HeldPassWatch } from "./held_pass_watch.ts";
+import type { RankState } from "./types.ts";
+
+const PASS = 9;
+
+function createHolder(changes: Partial<RankState> = {}): RankState {
+  return {
+    group: "group",
+    epoch: 1,
+    rank: 1,
+    ranks: 4,
+    isOpen: true,
+    pass: PASS - 1,
+    activeVersion: 4,
+    heldPass: PASS,
+    running: 1,
+    queued: 0,
+    pace: 1,
+    ...changes,
+  };
+}
+
+describe("the watch over held passes", () => {
+  it("tells how long the group has waited, once that is suspicious", () => {
+    const watch = new HeldPassWatch();
+    assert.equal(watch.observe(createHolder(), 1000), undefined);
+    assert.equal(watch.observe(createHolder(), 1100), undefined);
+    assert.equal(watch.observe(createHolder(), 1300), 300);
+  });
+
+  it("counts from when the group has come to the pass", () => {
+    const watch = new HeldPassWatch();
+    watch.observe(createHolder({ pass: PASS - 3 }), 1000);
+    watch.observe(createHolder({ pass: PASS - 3 }), 2000);
+    assert.equal(watch.observe(createHolder(), 2100), undefined);
+    assert.equal(watch.observe(createHolder(), 2300), 300);
+  });
+
+  it("begins anew with another held pass, and with none", () => {
+    const watch = new HeldPassWatch();
+    watch.observe(createHolder(), 1000);
+    const next = createHolder({ pass: PASS, heldPass: PASS + 1 });
+    assert.equal(watch.observe(next, 1300), undefined);
+    assert.equal(
+      watch.observe(createHolder({ heldPass: undefined }), 1700),
+      undefined,
+    );
+    assert.equal(watch.observe(next, 1800), undefined);
+  });
+});
--- /dev/null
+++ b/src/group/formed/open_orders_test.ts
@@ -0,0 +1,53 @@
+import assert from "node:assert/strict";
+import { describe, it } from "node:test";
+import { OpenOrders } from "./open_orders.ts";
+import type { RankState } from "./types.ts";
+
+const GO = { kind: "go", epoch: 1, pass: 9 } as const;
+const MAP = { layers: [] };
+const PREPARE = { kind: "prepare", epoch: 1, version: 5, map: MAP } as const;
+
+function createState(changes: Partial<RankState>): RankState {
+  return {
+    group: "group",
+    epoch: 1,
+    rank: 1,
+    ranks: 4,
+    isOpen: true,
+    pass: 8,
+    activeVersion: 4,
+    running: 1,
+    queued: 0,
+    pace: 1,
+    ...changes,
+  };
+}
+
+describe("orders that are not known to be carried out", () => {
+  it("are sent again sooner while the group may wait for them", () => {
+    const orders = new OpenOrders(1);
+    orders.open(0, PREPARE, 0);
+    orders.open(1, GO, 0);
+    assert.deepEqual(orders.takeDue(100), []);
+    assert.deepEqual(orders.takeDue(200).map(({ rank }) => rank), [1]);
+    assert.deepEqual(orders.takeDue(250), []);
+    assert.deepEqual(orders.takeDue(1000).map(({ rank }) => rank), [0, 1]);
+  });
+
+  it("are closed by a state that shows their effect", () => {
+    const orders = new OpenOrders(1);
+    orders.open(1, GO, 0);
+    orders.closeIfDone(1, createState({ heldPass: GO.pass }));
+    assert.equal(orders.areDone, false);
+    orders.closeIfDone(1, createState({ heldPass: undefined }));
+    assert.equal(orders.areDone, true);
+  });
+
+  it("have numbers of their own, also when one takes another's place", () => {
+    const orders = new OpenOrders(7);
+    const first = orders.open(1, PREPARE, 0);
+    const second = orders.open(1, GO, 0);
+    assert.deepEqual([first.id, second.id], [7, 8]);
+    assert.equal(orders.tryGet(1)?.id, 8);
+  });
+});
