--- a/src/events/catalogue.ts
+++ b/src/events/catalogue.ts
@@ -189,7 +189,7 @@
     action:
       "See why the process beside rank 0 does not answer. `held` says whether the switch was decided: it is finished then, and given up otherwise.",
   },
-  ORDER_FROM_AFAR: {
+  REMOTE_ORDER: {
     code: 2611,
     level: "warn",
     text: "An order was given to a rank's engine from another machine",
--- a/src/group/formed/decider_driver.ts
+++ b/src/group/formed/decider_driver.ts
@@ -335,8 +335,8 @@
    */
   #sendOrder(effect: SendOrder): void {
     const { kind } = effect.order;
-    const isFromHere = effect.rank !== 0 && (kind === "hold" || kind === "go");
-    if (isFromHere) return this.#links.sendOrderFromHere(effect);
+    const isRemote = effect.rank !== 0 && (kind === "hold" || kind === "go");
+    if (isRemote) return this.#links.sendRemoteOrder(effect);
     this.#links.sendOrder(effect);
   }
 }
--- a/src/group/formed/rank_agent.ts
+++ b/src/group/formed/rank_agent.ts
@@ -39,12 +39,12 @@
 }
 
 /** An engine on the same machine tells its state as it is, at no cost. */
-export const NEAR_ENGINE_WATCH: EffectWatch = { lookMs: 5, limitMs: 60 };
+export const LOCAL_ENGINE_WATCH: EffectWatch = { lookMs: 5, limitMs: 60 };
 /**
  * To other machines an engine tells its state as it was some 200 ms before, and each
  * look has its price.
  */
-export const FAR_ENGINE_WATCH: EffectWatch = { lookMs: 120, limitMs: 480 };
+export const REMOTE_ENGINE_WATCH: EffectWatch = { lookMs: 120, limitMs: 480 };
 
 /** Sends a report to the decider. */
 export type ReportSender = (report: RankReportMessage) => void;
@@ -60,7 +60,7 @@
   #shortestLoadMs = Number.POSITIVE_INFINITY;
 
   /** Takes the engine, and how to watch it. */
-  constructor(engine: FormedEngine, watch: EffectWatch = NEAR_ENGINE_WATCH) {
+  constructor(engine: FormedEngine, watch: EffectWatch = LOCAL_ENGINE_WATCH) {
     this.#engine = engine;
     this.#watch = watch;
   }
--- a/src/group/formed/rank_links.ts
+++ b/src/group/formed/rank_links.ts
@@ -12,7 +12,7 @@
 import type { LinkIdentity } from "../../links/link_server.ts";
 import type { Message } from "../../messages/types.ts";
 import type { SendOrder } from "./decider_types.ts";
-import { FAR_ENGINE_WATCH, RankAgent } from "./rank_agent.ts";
+import { RankAgent, REMOTE_ENGINE_WATCH } from "./rank_agent.ts";
 import type { RankReportMessage, RankState } from "./types.ts";
 
 /** The process of one rank. */
@@ -39,7 +39,7 @@
   /** Number of the last counts that it told. */
   knownCounts: number | undefined;
   /** The last order that was given to its engine from here. */
-  lastFarOrder: number | undefined;
+  lastRemoteOrder: number | undefined;
 
   /** Nothing was heard of it yet. */
   constructor({ rank, engineAddress }: GroupMemberAddress) {
@@ -70,7 +70,7 @@
   readonly #dialled = new Map<string, DialledMember>();
   readonly #engines = new Map<string, FormedEngine>();
   /** Those who speak with engines from here, by the engine's address. */
-  readonly #farAgents = new Map<string, RankAgent>();
+  readonly #remoteAgents = new Map<string, RankAgent>();
 
   /** Members are told by {@link setMembers}. */
   constructor(options: RankLinksOptions) {
@@ -122,14 +122,14 @@
     const { rank, orderId, order } = effect;
     const member = this.#tryMember(rank);
     member?.link?.send({ kind: "rank_order", orderId, order });
-    this.#orderFromHereIfSilent(member, effect);
+    this.#giveRemotelyIfSilent(member, effect);
   }
 
   /**
    * Gives an order to a rank's engine from this machine and has it checked by the
    * process beside it: what an engine tells other machines is old.
    */
-  sendOrderFromHere(effect: SendOrder): void {
+  sendRemoteOrder(effect: SendOrder): void {
     const { rank, orderId, order } = effect;
     const member = this.#tryMember(rank);
     const { link } = member ?? {};
@@ -138,29 +138,29 @@
         // Whatever the answer, the process there knows what became of it.
         .then(() => link.send({ kind: "rank_check", orderId, order }));
     }
-    this.#orderFromHereIfSilent(member, effect);
+    this.#giveRemotelyIfSilent(member, effect);
   }
 
-  #orderFromHereIfSilent(
+  #giveRemotelyIfSilent(
     member: RankMember | undefined,
     effect: SendOrder,
   ): void {
     const isSilent = member?.link === undefined || effect.isRepeated;
-    if (member !== undefined && isSilent) this.#orderFromHere(member, effect);
+    if (member !== undefined && isSilent) this.#giveRemotely(member, effect);
   }
 
-  #orderFromHere(member: RankMember, effect: SendOrder): void {
+  #giveRemotely(member: RankMember, effect: SendOrder): void {
     const { rank, orderId, order } = effect;
     const { log, onReport } = this.#options;
-    if (member.lastFarOrder !== orderId) {
-      log.write("ORDER_FROM_AFAR", {
+    if (member.lastRemoteOrder !== orderId) {
+      log.write("REMOTE_ORDER", {
         rank,
         order: order.kind,
         isConnected: member.link !== undefined,
       });
     }
-    member.lastFarOrder = orderId;
-    this.#farAgentOf(member.engineAddress)
+    member.lastRemoteOrder = orderId;
+    this.#remoteAgentOf(member.engineAddress)
       .carryOut({ kind: "rank_order", orderId, order }, (report) => {
         onReport(member, report);
       })
@@ -169,11 +169,11 @@
       });
   }
 
-  #farAgentOf(address: string): RankAgent {
-    let agent = this.#farAgents.get(address);
+  #remoteAgentOf(address: string): RankAgent {
+    let agent = this.#remoteAgents.get(address);
     if (agent === undefined) {
-      agent = new RankAgent(this.#engineAt(address), FAR_ENGINE_WATCH);
-      this.#farAgents.set(address, agent);
+      agent = new RankAgent(this.#engineAt(address), REMOTE_ENGINE_WATCH);
+      this.#remoteAgents.set(address, agent);
     }
     return agent;
   }
--- a/src/testing/formed_group_world.ts
+++ b/src/testing/formed_group_world.ts
@@ -49,7 +49,7 @@
 const FREEZE_MS = 4000;
 const LOOK_MS = 100;
 /** Milliseconds until an engine shows another machine what an order did. */
-const FAR_LOOK_MS = 240;
+const REMOTE_LOOK_MS = 240;
 const ORDER_IDS_OF_SEAT = 2 ** 32;
 
 /** A process that decides, or ends what was decided, beside a rank. */
@@ -239,7 +239,7 @@
     const { rank, orderId, order, isRepeated } = effect;
     if (seat === this.#seat) this.#drawFreeze(effect);
     if (isRepeated && order.kind !== "prepare") {
-      this.#giveFromAfar(seat, effect);
+      this.#giveRemotely(seat, effect);
     }
     this.#deliver(
       seat,
@@ -274,7 +274,7 @@
    * Given to the engine itself, as the rank's process does not answer. A machine that
    * stands still takes its engine's interface with it.
    */
-  #giveFromAfar(seat: Seat, { rank, orderId, order }: SendOrder): void {
+  #giveRemotely(seat: Seat, { rank, orderId, order }: SendOrder): void {
     if (this.#isFrozen(rank)) return;
     const message: RankOrderMessage = { kind: "rank_order", orderId, order };
     const draw = this.#random.nextFraction();
@@ -283,7 +283,7 @@
     } else {
       this.#apply(rank, message);
     }
-    this.#queue.after(FAR_LOOK_MS, () => {
+    this.#queue.after(REMOTE_LOOK_MS, () => {
       const { state } = this.#engine(rank);
       const isDone = isCarriedOut(order, state);
       this.#report(seat, rank, { kind: "rank_report", state, orderId, isDone });
