--- a/src/group/formed/decider_test.ts
+++ b/src/group/formed/decider_test.ts
@@ -1,6 +1,7 @@
 import assert from "node:assert/strict";
 import { describe, it } from "node:test";
 import { RandomSource } from "../../core/random_source.ts";
+import { createRankState } from "../../testing/rank_state.ts";
 import { FormedGroupDecider } from "./decider.ts";
 import type { DeciderEffect, SendOrder } from "./decider_types.ts";
 import { isCarriedOut, type RankState } from "./types.ts";
@@ -11,19 +12,13 @@
   rank: number,
   changes: Partial<RankState> = {},
 ): RankState {
-  return {
-    group: "group",
-    epoch: 1,
+  return createRankState({
     rank,
     ranks: RANKS,
-    isOpen: true,
     pass: 10,
     activeVersion: 0,
-    running: 1,
-    queued: 0,
-    pace: 1,
     ...changes,
-  };
+  });
 }
 
 function ordersOf(effects: readonly DeciderEffect[]): readonly SendOrder[] {
--- a/src/group/formed/held_pass_test.ts
+++ b/src/group/formed/held_pass_test.ts
@@ -1,26 +1,19 @@
 import assert from "node:assert/strict";
 import { describe, it } from "node:test";
+import { createRankState } from "../../testing/rank_state.ts";
 import { readHeldPass } from "./held_pass.ts";
 import type { RankState } from "./types.ts";
 
 const PASS = 9;
 
 function createHolder(changes: Partial<RankState>): RankState {
-  return {
-    group: "group",
-    epoch: 1,
+  return createRankState({
     rank: 1,
-    ranks: 4,
-    isOpen: true,
     pass: PASS - 1,
-    activeVersion: 4,
     preparedVersion: 5,
     heldPass: PASS,
-    running: 1,
-    queued: 0,
-    pace: 1,
     ...changes,
-  };
+  });
 }
 
 describe("a held pass", () => {
--- a/src/group/formed/open_orders_test.ts
+++ b/src/group/formed/open_orders_test.ts
@@ -1,28 +1,12 @@
 import assert from "node:assert/strict";
 import { describe, it } from "node:test";
+import { createRankState } from "../../testing/rank_state.ts";
 import { OpenOrders } from "./open_orders.ts";
-import type { RankState } from "./types.ts";
 
 const GO = { kind: "go", epoch: 1, pass: 9 } as const;
 const MAP = { layers: [] };
 const PREPARE = { kind: "prepare", epoch: 1, version: 5, map: MAP } as const;
 
-function createState(changes: Partial<RankState>): RankState {
-  return {
-    group: "group",
-    epoch: 1,
-    rank: 1,
-    ranks: 4,
-    isOpen: true,
-    pass: 8,
-    activeVersion: 4,
-    running: 1,
-    queued: 0,
-    pace: 1,
-    ...changes,
-  };
-}
-
 describe("orders that are not known to be carried out", () => {
   it("are sent again sooner while the group may wait for them", () => {
     const orders = new OpenOrders(1);
@@ -37,9 +21,9 @@
   it("are closed by a state that shows their effect", () => {
     const orders = new OpenOrders(1);
     orders.open(1, GO, 0);
-    orders.closeIfDone(1, createState({ heldPass: GO.pass }));
+    orders.closeIfDone(1, createRankState({ heldPass: GO.pass }));
     assert.equal(orders.areDone, false);
-    orders.closeIfDone(1, createState({ heldPass: undefined }));
+    orders.closeIfDone(1, createRankState({ heldPass: undefined }));
     assert.equal(orders.areDone, true);
   });
 
--- a/src/group/formed/popularity_test.ts
+++ b/src/group/formed/popularity_test.ts
@@ -1,22 +1,12 @@
 import assert from "node:assert/strict";
 import { describe, it } from "node:test";
+import { createRankState } from "../../testing/rank_state.ts";
 import { PassTimes } from "./pass_times.ts";
 import { Popularity } from "./popularity.ts";
 import type { RankState } from "./types.ts";
 
 function createState(pass: number, running = 1): RankState {
-  return {
-    group: "group",
-    epoch: 1,
-    rank: 0,
-    ranks: 1,
-    isOpen: true,
-    pass,
-    activeVersion: 0,
-    running,
-    queued: 0,
-    pace: 1,
-  };
+  return createRankState({ pass, running });
 }
 
 describe("popularity of experts", () => {
