Reproduce a decider that drowns its link in its own questions

Red first: with 64 ranks behind 4.2 Mbit/s the answers take 1.10 of the link (24 ranks 0.75, 128 ranks 1.72), so they queue without end.

--- a/src/direct/rank_driver.ts
+++ b/src/direct/rank_driver.ts
@@ -38,6 +38,8 @@
 /** The same beside the holder, which looks whether its hold is left behind. */
 const RESCUER_LOOK_MS = 100;
 
+const BYTES_PER_MEGABIT = 125_000;
+
 /** What a {@link RankDriver} works with. */
 export interface RankDriverOptions {
   readonly settings: RankProcessSettings;
@@ -227,6 +229,7 @@
       log,
       createEngine: this.#options.createEngine,
       pool: settings.pool,
+      linkBytesPerSecond: settings.linkMegabitsPerSecond * BYTES_PER_MEGABIT,
       onLoad: (load) => {
         for (const link of this.#entryLinks) link.send(load);
       },
--- a/src/group/formed/decider_driver.ts
+++ b/src/group/formed/decider_driver.ts
@@ -26,6 +26,7 @@
   RankLinks,
   type RankMember,
 } from "./rank_links.ts";
+import { type RankQuestion, RankQuestions } from "./rank_questions.ts";
 import {
   getHolderRank,
   type GroupLoadMessage,
@@ -34,16 +35,6 @@
 } from "./types.ts";
 
 const TICK_MS = 25;
-/** Milliseconds between two questions for counts to a rank. */
-const COUNT_INTERVAL_MS = 200;
-/**
- * Ranks are asked in turn by halves, and a plan is made when half of them have been
- * counted since the last one, or since a map came into force: popularity is the group's,
- * and what one half counts in 100 ms shows that it changed. Counts of 24 ranks played
- * again: the most loaded rank had 2.0 times the mean with counts each 100 ms, 2.1 with
- * 200.
- */
-const TURNS = 2;
 /**
  * Milliseconds after a plan that found nothing worth a copy until the next, unless
  * popularity changes: a plan takes some 20 ms of a small machine's processor.
@@ -51,12 +42,6 @@
 const IDLE_PLAN_INTERVAL_MS = 400;
 /** Milliseconds between two words to entries on how the ranks stand. */
 const LOAD_INTERVAL_MS = 200;
-/**
- * Milliseconds after which a rank that has not answered is asked again. The answers
- * of 24 ranks may take longer than the interval on a small link, and asking for
- * more would only add to them.
- */
-const COUNT_LIMIT_MS = 1000;
 /** Passes whose mean time counts. */
 const PASS_SMOOTHING = 0.4;
 /** Milliseconds between two lines of the log on how the group worked. */
@@ -75,6 +60,8 @@
   /** Called after each round of questions with what the ranks answered. */
   readonly onLoad: (load: GroupLoadMessage) => void;
   readonly pool: string;
+  /** Bytes that this machine's link carries in a second, each way. */
+  readonly linkBytesPerSecond: number;
   /** Makes the way to the engine of another machine. */
   readonly createEngine: (address: string) => FormedEngine;
 }
@@ -86,6 +73,7 @@
   readonly #popularity = new Popularity();
   readonly #passTimes = new PassTimes(PASS_SMOOTHING);
   readonly #links: RankLinks;
+  readonly #questions: RankQuestions;
   /** Ranks that were counted since the last plan, or since a map came into force. */
   readonly #answered = new Set<number>();
   readonly #timer: NodeJS.Timeout;
@@ -114,6 +102,10 @@
       group: state.group,
       onReport: (member, report) => this.#onReport(member, report),
     });
+    this.#questions = new RankQuestions({
+      ranks: state.ranks,
+      bytesPerSecond: options.linkBytesPerSecond,
+    });
     this.#timer = setInterval(() => this.#tick(), TICK_MS);
   }
 
@@ -129,7 +121,7 @@
   }
 
   #onReport(member: RankMember, report: RankReportMessage): void {
-    if (report.counts !== undefined) member.isAsked = false;
+    this.#questions.answered(report);
     const now = performance.now();
     if (report.state.rank === 0) {
       this.#passTimes.observe(report.state, now);
@@ -179,22 +171,26 @@
     this.#dispatch({ kind: "tick", now });
     this.#tellLoad(now);
     this.#logWork(now);
-    this.#askForCounts(now);
+    this.#askRanks(now);
   }
 
-  /** Those of one turn; who has not answered is waited for longer. */
-  #askForCounts(now: number): void {
-    const turn = Math.floor(now * TURNS / COUNT_INTERVAL_MS) % TURNS;
-    for (const member of this.#links.members) {
-      if (member.rank % TURNS !== turn) continue;
-      const waitedMs = now - member.askedAt;
-      const limitMs = member.isAsked
-        ? COUNT_LIMIT_MS
-        : COUNT_INTERVAL_MS / TURNS;
-      if (waitedMs >= limitMs) askForCounts(member, now);
+  #askRanks(now: number): void {
+    const reachable = new Set(
+      this.#links.members.flatMap(({ link, rank }) =>
+        link === undefined ? [] : [rank]
+      ),
+    );
+    for (const question of this.#questions.take(now, reachable)) {
+      this.#ask(question);
     }
   }
 
+  #ask({ rank, ...wanted }: RankQuestion): void {
+    const member = this.#links.tryMember(rank);
+    const { knownCounts } = member ?? {};
+    member?.link?.send({ kind: "rank_query", ...wanted, knownCounts });
+  }
+
   #tellLoad(now: number): void {
     if (now - this.#loadToldAt < LOAD_INTERVAL_MS) return;
     this.#loadToldAt = now;
@@ -247,7 +243,7 @@
   #planIfCounted(): void {
     const map = this.#decider.settledMap;
     const settings = this.#options.trySettings();
-    const isCounted = this.#answered.size * TURNS >= this.#options.state.ranks;
+    const isCounted = this.#answered.size >= this.#questions.countedForPlan;
     if (map === undefined || settings === undefined || !isCounted) return;
     if (!this.#popularity.isKnown || this.#isIdle()) return;
     this.#answered.clear();
@@ -313,9 +309,7 @@
   #perform(effect: DeciderEffect): void {
     match(effect)
       .with({ kind: "send_order" }, (order) => this.#sendOrder(order))
-      .with({ kind: "send_query" }, ({ rank, withExperts }) => {
-        this.#links.ask(rank, withExperts);
-      })
+      .with({ kind: "send_query" }, ({ rank }) => this.#questions.want(rank))
       .with({ kind: "phase_entered" }, ({ kind: _, ...details }) => {
         this.#options.log.write("MAP_PHASE", {
           ...details,
@@ -340,11 +334,3 @@
     this.#links.sendOrder(effect);
   }
 }
-
-function askForCounts(member: RankMember, now: number): void {
-  if (member.link === undefined) return;
-  member.askedAt = now;
-  member.isAsked = true;
-  const { knownCounts } = member;
-  member.link.send({ kind: "rank_query", withExperts: false, knownCounts });
-}
--- a/src/group/formed/rank_agent.ts
+++ b/src/group/formed/rank_agent.ts
@@ -66,7 +66,7 @@
   }
 
   /**
-   * How the engine stands, with its counts.
+   * How the engine stands, with what else is asked for.
    *
    * @throws when the engine does not answer
    */
@@ -74,10 +74,9 @@
     query: RankQueryMessage,
     send: ReportSender,
   ): Promise<void> {
-    const counts = this.#counts.tell(
-      await this.#engine.readCounts(),
-      query.knownCounts,
-    );
+    const counts = query.withCounts
+      ? this.#counts.tell(await this.#engine.readCounts(), query.knownCounts)
+      : undefined;
     const experts = query.withExperts
       ? await this.#engine.readExperts()
       : undefined;
--- a/src/group/formed/rank_links.ts
+++ b/src/group/formed/rank_links.ts
@@ -32,10 +32,6 @@
   state: RankState | undefined;
   /** When that state was told, in milliseconds. */
   stateAt = Number.NEGATIVE_INFINITY;
-  /** When it was last asked for counts, in milliseconds. */
-  askedAt = Number.NEGATIVE_INFINITY;
-  /** Whether that question has no answer yet. */
-  isAsked = false;
   /** Number of the last counts that it told. */
   knownCounts: number | undefined;
   /** The last order that was given to its engine from here. */
@@ -82,6 +78,15 @@
     return [...this.#dialled.values()].map(({ member }) => member);
   }
 
+  /**
+   * The rank, if it is known. An engine may have two entries, of which one process has
+   * ended.
+   */
+  tryMember(rank: number): RankMember | undefined {
+    const members = this.members.filter((member) => member.rank === rank);
+    return members.find(({ link }) => link !== undefined) ?? members.at(-1);
+  }
+
   /** Closes all links. */
   stop(): void {
     for (const { client } of this.#dialled.values()) client.stop();
@@ -102,14 +107,9 @@
     }
   }
 
-  /** Asks a rank's process how its engine stands. */
-  ask(rank: number, withExperts: boolean): void {
-    this.#tryMember(rank)?.link?.send({ kind: "rank_query", withExperts });
-  }
-
   /** Tells a rank's process how another rank's engine stands. */
   tell(rank: number, report: RankReportMessage): void {
-    this.#tryMember(rank)?.link?.send(report);
+    this.tryMember(rank)?.link?.send(report);
   }
 
   /**
@@ -120,7 +120,7 @@
    */
   sendOrder(effect: SendOrder): void {
     const { rank, orderId, order } = effect;
-    const member = this.#tryMember(rank);
+    const member = this.tryMember(rank);
     member?.link?.send({ kind: "rank_order", orderId, order });
     this.#giveRemotelyIfSilent(member, effect);
   }
@@ -131,7 +131,7 @@
    */
   sendRemoteOrder(effect: SendOrder): void {
     const { rank, orderId, order } = effect;
-    const member = this.#tryMember(rank);
+    const member = this.tryMember(rank);
     const { link } = member ?? {};
     if (member !== undefined && link !== undefined && order.kind !== "fence") {
       void this.#engineAt(member.engineAddress).give(order)
@@ -197,12 +197,10 @@
       listener: {
         onConnected: (link) => {
           member.link = link;
-          link.send({ kind: "rank_query", withExperts: true });
         },
         onMessage: (message) => this.#onMessage(member, message),
         onDisconnected: () => {
           member.link = undefined;
-          member.isAsked = false;
           member.knownCounts = undefined;
         },
         onDialFailed: (fault) => {
@@ -221,10 +219,4 @@
     member.stateAt = performance.now();
     this.#options.onReport(member, message);
   }
-
-  /** An engine may have two entries, of which one process has ended. */
-  #tryMember(rank: number): RankMember | undefined {
-    const members = this.members.filter((member) => member.rank === rank);
-    return members.find(({ link }) => link !== undefined) ?? members.at(-1);
-  }
 }
--- a/src/group/formed/schema.ts
+++ b/src/group/formed/schema.ts
@@ -76,6 +76,7 @@
   z.object({
     kind: z.literal("rank_query"),
     withExperts: z.boolean(),
+    withCounts: z.boolean(),
     knownCounts: COUNT.optional(),
   }),
   z.object({
--- a/src/group/formed/types.ts
+++ b/src/group/formed/types.ts
@@ -130,6 +130,8 @@
   readonly kind: "rank_query";
   /** Whether the experts of the rank are wanted, too. */
   readonly withExperts: boolean;
+  /** Whether the counts of the rank are wanted, too: the greatest part of an answer. */
+  readonly withCounts: boolean;
   /** Number of the counts that the asker has of this rank. */
   readonly knownCounts?: number;
 }
--- a/src/process/process_settings.ts
+++ b/src/process/process_settings.ts
@@ -121,6 +121,8 @@
   engineAddress: ADDRESS,
   /** Pool that the engine serves. */
   pool: NAME,
+  /** What the machine's own link carries, each way: bounds what a decider asks for. */
+  linkMegabitsPerSecond: z.number().positive().max(1_000_000).default(100),
 });
 
 /** Process settings of an entry that calls back ends itself. */
--- /dev/null
+++ b/src/testing/linked_group_world.ts
@@ -0,0 +1,186 @@
+/**
+ * A decider of a formed group and its ranks' processes in virtual time, behind the link
+ * of a small machine: what arrives there waits until all before it has crossed.
+ *
+ * @module
+ */
+import { RandomSource } from "../core/random_source.ts";
+import { FormedGroupDecider } from "../group/formed/decider.ts";
+import type { DeciderEvent } from "../group/formed/decider_types.ts";
+import {
+  type RankQuestion,
+  RankQuestions,
+} from "../group/formed/rank_questions.ts";
+import type {
+  ExpertCounts,
+  RankExperts,
+  RankReportMessage,
+} from "../group/formed/types.ts";
+import { encodeFrame } from "../messages/codec.ts";
+import { EventQueue } from "./event_queue.ts";
+import { FakeFormedEngine } from "./fake_formed_engine.ts";
+
+const TICK_MS = 25;
+/** Milliseconds until a rank's process has read its engine, with the way there. */
+const ANSWER_MS = 6;
+/** Bytes of headers around a small frame. */
+const FRAME_OVERHEAD_BYTES = 70;
+/** Largest count that a rank adds between two questions. */
+const MOST_ADDED = 100;
+
+/** A group and the machine of its decider. */
+export interface LinkedGroupOptions {
+  readonly ranks: number;
+  readonly layers: number;
+  readonly experts: number;
+  readonly slotsPerRank: number;
+  readonly linkBytesPerSecond: number;
+  /** Ranks whose processes never answer. */
+  readonly silentRanks?: ReadonlySet<number>;
+}
+
+/** What a run showed. */
+export interface LinkedGroupResult {
+  /** When the decider knew what every rank holds; undefined: never. */
+  readonly settledAt: number | undefined;
+  /** Longest time for which an answer waited for the link, in milliseconds. */
+  readonly longestWaitMs: number;
+  /** Part of the run in which the link was in use. */
+  readonly linkUse: number;
+  /** Ranks whose counts came in each second, at the mean. */
+  readonly countsPerSecond: number;
+  /** Longest time since a rank's state was told, at the end of the run. */
+  readonly oldestStateMs: number;
+}
+
+/** A decider behind a link of bounded width. */
+export class LinkedGroupWorld {
+  readonly #options: LinkedGroupOptions;
+  readonly #queue = new EventQueue();
+  readonly #engines: readonly FakeFormedEngine[];
+  readonly #decider: FormedGroupDecider;
+  readonly #questions: RankQuestions;
+  readonly #reachable: ReadonlySet<number>;
+  readonly #stateAt: number[];
+  readonly #random = new RandomSource(1);
+  #linkFreeAt = 0;
+  #linkBusyMs = 0;
+  #longestWaitMs = 0;
+  #settledAt: number | undefined;
+  #counts = 0;
+
+  /** Begins as the decider starts. */
+  constructor(options: LinkedGroupOptions) {
+    this.#options = options;
+    const { ranks, linkBytesPerSecond } = options;
+    this.#engines = Array.from(
+      { length: ranks },
+      (_, rank) => new FakeFormedEngine(rank, ranks),
+    );
+    this.#reachable = new Set(this.#engines.keys());
+    this.#stateAt = new Array<number>(ranks).fill(0);
+    this.#decider = new FormedGroupDecider({
+      state: this.#engine(0).state,
+      random: this.#random,
+      now: 0,
+      firstOrderId: 1,
+    });
+    this.#questions = new RankQuestions({
+      ranks,
+      bytesPerSecond: linkBytesPerSecond,
+    });
+    this.#tick();
+  }
+
+  /** Runs to a virtual time in milliseconds. */
+  run(untilMs: number): LinkedGroupResult {
+    this.#queue.runUntil(untilMs);
+    const { silentRanks } = this.#options;
+    const told = this.#stateAt.filter((_, rank) => !silentRanks?.has(rank));
+    return {
+      settledAt: this.#settledAt,
+      longestWaitMs: this.#longestWaitMs,
+      linkUse: this.#linkBusyMs / untilMs,
+      countsPerSecond: this.#counts * 1000 / untilMs,
+      oldestStateMs: untilMs - Math.min(...told),
+    };
+  }
+
+  #tick(): void {
+    const { now } = this.#queue;
+    this.#reduce({ kind: "tick", now });
+    for (const question of this.#questions.take(now, this.#reachable)) {
+      this.#ask(question);
+    }
+    this.#queue.after(TICK_MS, () => this.#tick());
+  }
+
+  #reduce(event: DeciderEvent): void {
+    for (const effect of this.#decider.reduce(event)) {
+      if (effect.kind === "send_query") this.#questions.want(effect.rank);
+    }
+    if (this.#decider.settledMap !== undefined) {
+      this.#settledAt ??= this.#queue.now;
+    }
+  }
+
+  #ask(question: RankQuestion): void {
+    if (this.#options.silentRanks?.has(question.rank)) return;
+    this.#queue.after(ANSWER_MS, () => this.#cross(this.#answer(question)));
+  }
+
+  /** The decider's own rank is on its machine. */
+  #cross(report: RankReportMessage): void {
+    const { now } = this.#queue;
+    if (report.state.rank === 0) return this.#take(report);
+    const bytes = encodeFrame([report]).length + FRAME_OVERHEAD_BYTES;
+    const crossingMs = bytes / this.#options.linkBytesPerSecond * 1000;
+    const startsAt = Math.max(now, this.#linkFreeAt);
+    this.#longestWaitMs = Math.max(this.#longestWaitMs, startsAt - now);
+    this.#linkFreeAt = startsAt + crossingMs;
+    this.#linkBusyMs += crossingMs;
+    this.#queue.after(this.#linkFreeAt - now, () => this.#take(report));
+  }
+
+  #take(report: RankReportMessage): void {
+    const { now } = this.#queue;
+    const { rank } = report.state;
+    this.#stateAt[rank] = now;
+    if (report.counts !== undefined) this.#counts++;
+    this.#questions.answered(report);
+    this.#reduce({ kind: "rank_reported", now, rank, report });
+  }
+
+  #answer({ rank, withExperts, withCounts }: RankQuestion): RankReportMessage {
+    const { state } = this.#engine(rank);
+    const counts = withCounts ? this.#createCounts() : undefined;
+    return {
+      kind: "rank_report",
+      state,
+      ...counts && { counts: { serial: 2, since: 1, counts } },
+      ...withExperts && { experts: this.#expertsOf(rank) },
+    };
+  }
+
+  #createCounts(): ExpertCounts {
+    const { layers, experts } = this.#options;
+    return Array.from({ length: layers }, () =>
+      Array.from(
+        { length: experts },
+        () => this.#random.nextBelow(MOST_ADDED),
+      ));
+  }
+
+  #expertsOf(rank: number): RankExperts {
+    const { layers, ranks, slotsPerRank } = this.#options;
+    return Array.from({ length: layers }, () =>
+      Array.from(
+        { length: slotsPerRank },
+        (_, place) => rank + place * ranks,
+      ));
+  }
+
+  #engine(rank: number): FakeFormedEngine {
+    return this.#engines[rank] as FakeFormedEngine;
+  }
+}
