--- a/src/direct/rank_driver.ts
+++ b/src/direct/rank_driver.ts
@@ -13,9 +13,14 @@
 import type { StoreFormat } from "../external/operator_settings.ts";
 import type { WatchedStore } from "../external/watched_store.ts";
 import { DeciderDriver } from "../group/formed/decider_driver.ts";
-import { RankAgent } from "../group/formed/rank_agent.ts";
+import { ReceivedMap } from "../group/formed/map_changes.ts";
+import { RankAgent, type ReportSender } from "../group/formed/rank_agent.ts";
 import { SwitchRescuer } from "../group/formed/switch_rescuer.ts";
-import { getHolderRank, type RankState } from "../group/formed/types.ts";
+import {
+  getHolderRank,
+  type RankOrderMessage,
+  type RankState,
+} from "../group/formed/types.ts";
 import type { Link } from "../links/link.ts";
 import { type LinkIdentity, LinkServer } from "../links/link_server.ts";
 import type { Message } from "../messages/types.ts";
@@ -115,8 +120,9 @@
       listener: {
         onPeer: (link, hello) => {
           if (hello.role === "entry") this.#addEntry(link);
+          const received = new ReceivedMap();
           return {
-            onMessage: (message) => this.#onMessage(link, message),
+            onMessage: (message) => this.#onMessage(link, message, received),
             // Whoever dialled dials again.
             onClose: () => this.#audience.remove(link),
           };
@@ -261,7 +267,7 @@
     this.#rescuer.setMembers(addresses);
   }
 
-  #onMessage(link: Link, message: Message): void {
+  #onMessage(link: Link, message: Message, received: ReceivedMap): void {
     const send = (report: Message) => link.send(report);
     if (message.kind === "rank_query") {
       this.#agent.answer(message, send).catch((error) => this.#fault(error));
@@ -271,8 +277,19 @@
       this.#agent.check(message, send).catch((error) => this.#fault(error));
     }
     if (message.kind === "rank_order") {
-      this.#agent.carryOut(message, send).catch((error) => this.#fault(error));
+      if (message.order.kind === "prepare") received.note(message.order);
+      this.#carryOut(message, send);
     }
+    if (message.kind === "map_change") {
+      const order = received.tryDecode(message);
+      // The decider dials again, and sends the next map whole.
+      if (order === undefined) return link.close("UNEXPECTED_MESSAGE");
+      this.#carryOut(order, send);
+    }
+  }
+
+  #carryOut(message: RankOrderMessage, send: ReportSender): void {
+    this.#agent.carryOut(message, send).catch((error) => this.#fault(error));
   }
 
   #fault(error: unknown): void {
--- /dev/null
+++ b/src/group/formed/map_changes_test.ts
@@ -0,0 +1,98 @@
+import assert from "node:assert/strict";
+import { describe, it } from "node:test";
+import { encodeFrame } from "../../messages/codec.ts";
+import type { ExpertMap } from "../types.ts";
+import { ReceivedMap, SentMap } from "./map_changes.ts";
+import type { MapChangeMessage, RankOrderMessage } from "./types.ts";
+
+const FIRST: ExpertMap = {
+  layers: [{ experts: [[0, 1], [2]] }, { experts: [[0], [1, 2]] }],
+};
+const SECOND: ExpertMap = {
+  layers: [{ experts: [[0, 1], [2, 0]] }, { experts: [[0], [1, 2]] }],
+};
+
+function createPrepare(version: number, map: ExpertMap): RankOrderMessage {
+  const order = { kind: "prepare", epoch: 1, version, map } as const;
+  return { kind: "rank_order", orderId: version, order };
+}
+
+/** What differs between two maps, for a link on which the first was sent. */
+function createChange(): MapChangeMessage {
+  const sent = new SentMap();
+  sent.encode(createPrepare(1, FIRST));
+  const change = sent.encode(createPrepare(2, SECOND));
+  assert.ok(change.kind === "map_change");
+  return change;
+}
+
+describe("maps on a link", () => {
+  it("are sent whole first, then as rows that differ", () => {
+    const sent = new SentMap();
+    const whole = createPrepare(1, FIRST);
+    assert.equal(sent.encode(whole), whole);
+    const change = sent.encode(createPrepare(2, SECOND));
+    assert.ok(change.kind === "map_change");
+    const { checksum: _, ...told } = change;
+    assert.deepEqual(told, {
+      kind: "map_change",
+      orderId: 2,
+      epoch: 1,
+      version: 2,
+      rows: { layers: [0], ranks: [1], experts: [[2, 0]] },
+    });
+  });
+
+  it("come out whole on the other side, also when sent again", () => {
+    const sent = new SentMap();
+    const received = new ReceivedMap();
+    const first = sent.encode(createPrepare(1, FIRST));
+    assert.ok(first.kind === "rank_order" && first.order.kind === "prepare");
+    received.note(first.order);
+    for (const map of [SECOND, SECOND, FIRST]) {
+      const change = sent.encode(createPrepare(2, map));
+      assert.ok(change.kind === "map_change");
+      assert.deepEqual(received.tryDecode(change), createPrepare(2, map));
+    }
+  });
+
+  it("are not made up where none was received", () => {
+    const received = new ReceivedMap();
+    assert.equal(received.tryDecode(createChange()), undefined);
+  });
+
+  it("are not loaded where they do not fit the map before", () => {
+    const received = new ReceivedMap();
+    received.note({ kind: "prepare", epoch: 1, version: 1, map: SECOND });
+    const { checksum } = createChange();
+    const rows = { layers: [0], ranks: [0], experts: [[1, 0]] };
+    const change = { ...createChange(), rows, checksum };
+    assert.equal(received.tryDecode(change), undefined);
+  });
+
+  /** Before: 388 KB to all of 64 ranks, 0.74 s of 4.2 Mbit/s. */
+  it("take less than half of the bytes for 200 copies at 64 ranks", () => {
+    const rows = Array.from(
+      { length: 64 },
+      (_, rank) => [0, 1, 2, 3].map((place) => rank + 64 * place),
+    );
+    const before = {
+      layers: Array.from({ length: 12 }, () => ({ experts: rows })),
+    };
+    const layers = before.layers.map(({ experts }) => ({
+      experts: experts.map((row, rank) =>
+        rank % 4 === 0 ? [...row, 255 - rank] : row
+      ),
+    }));
+    const sent = new SentMap();
+    const whole = encodeFrame([sent.encode(createPrepare(1, before))]).length;
+    const change = encodeFrame([sent.encode(createPrepare(2, { layers }))]);
+    assert.ok(change.length * 2 < whole, `${change.length} of ${whole}`);
+  });
+
+  it("leave other orders as they are", () => {
+    const order = { kind: "go", epoch: 1, pass: 3 } as const;
+    const message = { kind: "rank_order", orderId: 1, order } as const;
+    assert.equal(new SentMap().encode(message), message);
+  });
+});
--- a/src/group/formed/rank_links.ts
+++ b/src/group/formed/rank_links.ts
@@ -12,8 +12,13 @@
 import type { LinkIdentity } from "../../links/link_server.ts";
 import type { Message } from "../../messages/types.ts";
 import type { SendOrder } from "./decider_types.ts";
+import { SentMap } from "./map_changes.ts";
 import { RankAgent, REMOTE_ENGINE_WATCH } from "./rank_agent.ts";
-import type { RankReportMessage, RankState } from "./types.ts";
+import type {
+  RankOrderMessage,
+  RankReportMessage,
+  RankState,
+} from "./types.ts";
 
 /** The process of one rank. */
 export interface GroupMemberAddress {
@@ -29,6 +34,8 @@
   /** As registered, until the rank itself tells. */
   rank: number;
   link: Link | undefined;
+  /** What the process was sent of maps on this link. */
+  sentMap = new SentMap();
   state: RankState | undefined;
   /** When that state was told, in milliseconds. */
   stateAt = Number.NEGATIVE_INFINITY;
@@ -121,7 +128,10 @@
   sendOrder(effect: SendOrder): void {
     const { rank, orderId, order } = effect;
     const member = this.tryMember(rank);
-    member?.link?.send({ kind: "rank_order", orderId, order });
+    const message: RankOrderMessage = { kind: "rank_order", orderId, order };
+    if (member?.link !== undefined) {
+      member.link.send(member.sentMap.encode(message));
+    }
     this.#giveRemotelyIfSilent(member, effect);
   }
 
@@ -197,6 +207,7 @@
       listener: {
         onConnected: (link) => {
           member.link = link;
+          member.sentMap = new SentMap();
         },
         onMessage: (message) => this.#onMessage(member, message),
         onDisconnected: () => {
--- a/src/group/formed/schema.ts
+++ b/src/group/formed/schema.ts
@@ -48,6 +48,18 @@
     orderId: COUNT,
     order: ORDER_SCHEMA,
   }),
+  z.object({
+    kind: z.literal("map_change"),
+    orderId: COUNT,
+    epoch: COUNT,
+    version: COUNT,
+    rows: z.object({
+      layers: z.array(COUNT),
+      ranks: z.array(COUNT),
+      experts: NUMBERS_BY_LAYER,
+    }),
+    checksum: z.string(),
+  }),
   z.object({
     kind: z.literal("rank_check"),
     orderId: COUNT,
--- a/src/group/formed/types.ts
+++ b/src/group/formed/types.ts
@@ -115,6 +115,28 @@
   readonly order: RankOrder;
 }
 
+/** Rows of a new map, by columns, since names of fields would take most of the bytes. */
+export interface MapRows {
+  /** Layer of each row. */
+  readonly layers: readonly number[];
+  /** Rank of each row. */
+  readonly ranks: readonly number[];
+  /** Experts of that layer at that rank. */
+  readonly experts: readonly (readonly number[])[];
+}
+
+/** An order to prepare a map, as what differs from the last one on the same link. */
+export interface MapChangeMessage {
+  readonly kind: "map_change";
+  readonly orderId: number;
+  readonly epoch: number;
+  readonly version: number;
+  /** The rows that differ. */
+  readonly rows: MapRows;
+  /** SHA-256 of all rows of the new map. */
+  readonly checksum: string;
+}
+
 /**
  * The decider asks a rank's process whether an order was carried out that it gave
  * itself: what an engine tells other machines is some hundred milliseconds old.
@@ -216,6 +238,7 @@
   | GroupLoadMessage
   | GroupSightMessage
   | RankOrderMessage
+  | MapChangeMessage
   | RankCheckMessage
   | RankQueryMessage
   | RankReportMessage;
