--- a/src/direct/direct_entry_driver.ts
+++ b/src/direct/direct_entry_driver.ts
@@ -29,7 +29,8 @@
 import { DirectTargetPool } from "./direct_target_pool.ts";
 import { GroupLoadFollower } from "./group_load_follower.ts";
 import { EntryPeers } from "./peers/entry_peers.ts";
-import { type ListedProcess, ProcessRegistry } from "./process_registry.ts";
+import type { ListedProcess } from "./listed_process.ts";
+import { ProcessRegistry } from "./process_registry.ts";
 import { SettingsFollower } from "./settings_follower.ts";
 
 /**
@@ -42,6 +43,11 @@
  * a request on its way does not meet a closed connection.
  */
 const IDLE_MARGIN_MS = 2000;
+/**
+ * Time for which the store may hold a watch of settings, over that for which a back end
+ * that leaves may be sent work: readers are asked how old their settings are.
+ */
+const SETTINGS_WATCH_PART = 0.5;
 /** How long requests wait after a pause for the store to be heard again. */
 const CATCH_UP_LIMIT_MS = 1000;
 
@@ -110,13 +116,13 @@
       store,
       format,
       log,
+      watchWaitMs: settings.leavingLimitMs * SETTINGS_WATCH_PART,
       onSettings: (inForce) => this.#onSettings(inForce),
     });
     this.#directory = new DirectoryFollower({
       store,
       format,
       log,
-      leavingLimitMs: settings.leavingLimitMs,
       onDirectory: (directory) => this.#onDirectory(directory),
       onListed: (directory) => this.#peers.storeAnswered(directory),
       onUnanswered: () => {
@@ -149,16 +155,26 @@
       seedAddresses: settings.seedAddresses,
       random: new RandomSource(options.seed),
       log,
+      leavingLimitMs: settings.leavingLimitMs,
       getKnowledge: () => ({
         settings: this.#settings.inUse,
+        settingsCheckedAt: this.#settings.checkedAt,
         directory: this.#directory.directory,
+        processes: {
+          revision: this.#registry.revision,
+          processes: this.#registry.processes,
+        },
       }),
       onSettings: (text) => this.#settings.offer(text, "entry"),
-      onBehind: () => this.#settings.restart(),
-      onDirectory: (directory, source) =>
-        source === "reader"
-          ? this.#directory.offerByReader(directory)
-          : this.#directory.offer(directory),
+      onSettingsChecked: (checkedAt) => this.#settings.noteChecked(checkedAt),
+      onDirectory: (directory) => this.#directory.offer(directory),
+      onProcesses: ({ processes, revision }) =>
+        this.#registry.offer(processes, revision),
+      onListTurn: () => void this.#directory.list(),
+      onLed: (isLed) => {
+        this.#settings.setLed(isLed);
+        this.#registry.setLed(isLed);
+      },
     });
     this.#groupLoads = new GroupLoadFollower({
       identity,
@@ -199,8 +215,8 @@
     }
     await this.#peers.listen();
     await this.#server.listen(settings.callerAddress);
+    this.#peers.start();
     this.#settings.start();
-    this.#directory.start();
     this.#registry.start();
     log.write("STARTED", {
       callers: settings.callerAddress,
@@ -227,7 +243,6 @@
 
   async close(): Promise<void> {
     this.#settings.stop();
-    this.#directory.stop();
     this.#groupLoads.stop();
     this.#peers.close();
     this.#server.close();
@@ -238,6 +253,7 @@
   }
 
   #onSettings(settings: OperatorSettings): void {
+    this.#peers.knowledgeChanged();
     const routes = new RoutingTable(settings.documents);
     this.#server.setIdleLimit(settings.idleLimitMs + IDLE_MARGIN_MS);
     this.#server.dispatch({
@@ -271,6 +287,7 @@
   /** Back ends may have left while we stood still. */
   async #catchUp(): Promise<void> {
     this.#settings.restart();
+    this.#peers.doubt();
     const limit = new Promise<void>((resolve) => {
       setTimeout(resolve, CATCH_UP_LIMIT_MS);
     });
@@ -278,7 +295,7 @@
   }
 
   async #askStoreOrPeers(): Promise<void> {
-    await this.#directory.refresh();
+    await this.#directory.list();
     if (!this.#directory.isReached) await this.#peers.nextAnswer();
   }
 
--- a/src/direct/directory_follower.ts
+++ b/src/direct/directory_follower.ts
@@ -3,12 +3,12 @@
  *
  * @module
  */
+import { createHash } from "node:crypto";
 import { performance } from "node:perf_hooks";
 import type { EventLog } from "../events/event_log.ts";
 import type { BackEndInstance } from "../external/back_end_directory.ts";
 import type { StoreFormat } from "../external/operator_settings.ts";
 import type { StoreListing, WatchedStore } from "../external/watched_store.ts";
-import { ListingTurns } from "./listing_turns.ts";
 import { Reachability } from "./reachability.ts";
 import { markSuperseded } from "./superseded_instances.ts";
 
@@ -19,11 +19,19 @@
  */
 const SETTLE_MS = 2500;
 
+/**
+ * Milliseconds after which a list that says the same is told once more: what left it is
+ * closed once its requests have ended.
+ */
+const RETELL_MS = 1000;
+
 /** The back ends, as last heard. */
 export interface Directory {
   readonly instances: readonly BackEndInstance[];
   /** Revision of the store; higher is newer. */
   readonly revision: number;
+  /** What the list says, in short: the same for the same back ends. */
+  readonly content: string;
   /** When it was asked for, in milliseconds of the monotonic clock. */
   readonly askedAt: number;
 }
@@ -33,8 +41,6 @@
   readonly store: WatchedStore;
   readonly format: StoreFormat;
   readonly log: EventLog;
-  /** Milliseconds for which a back end that leaves may be sent work. */
-  readonly leavingLimitMs: number;
   readonly onDirectory: (directory: Directory) => void;
   /** Called after each listing that was answered, with the list as it is kept. */
   readonly onListed: (directory: Directory) => void;
@@ -46,18 +52,15 @@
 export class DirectoryFollower {
   readonly #options: DirectoryFollowerOptions;
   readonly #reachability: Reachability;
-  readonly #turns: ListingTurns;
   #directory: Directory | undefined;
   #lostAt: number | undefined;
   #regainedAt = Number.NEGATIVE_INFINITY;
-  #timer: NodeJS.Timeout | undefined;
-  #isStopped = false;
+  #toldAt = Number.NEGATIVE_INFINITY;
 
   /** Follows nothing yet. */
   constructor(options: DirectoryFollowerOptions) {
     this.#options = options;
     this.#reachability = new Reachability("back ends", options.log);
-    this.#turns = new ListingTurns(options.leavingLimitMs);
   }
 
   /** The back ends, as last heard. */
@@ -70,50 +73,14 @@
     return this.#reachability.isReached;
   }
 
-  /** Follows from now on. */
-  start(): void {
-    void this.#listAndWait();
-  }
-
-  /** Follows no more. */
-  stop(): void {
-    this.#isStopped = true;
-    clearTimeout(this.#timer);
-  }
-
-  /** Lists now, for a process that stood still. */
-  async refresh(): Promise<void> {
+  /** Lists the back ends once; a call that is not answered is told. */
+  async list(): Promise<void> {
     await this.#listOnce();
   }
 
-  /** Takes in what another entry heard, if it is newer. */
+  /** Takes in what another entry heard, unless it is older. */
   offer(directory: Directory): void {
-    const known = this.#directory?.revision ?? -1;
-    if (directory.revision > known) this.#take(directory, "entry");
-  }
-
-  /** Takes in what the reader of the failure domain heard just now. */
-  offerByReader(directory: Directory): void {
-    this.#turns.heard(directory, this.#directory?.revision);
-    this.offer(directory);
-  }
-
-  async #listAndWait(): Promise<void> {
-    const startedAt = performance.now();
-    await this.#listOnce();
-    const spent = performance.now() - startedAt;
-    this.#waitFor(Math.max(0, this.#turns.intervalMs - spent));
-  }
-
-  #waitFor(pauseMs: number): void {
-    if (this.#isStopped) return;
-    this.#timer = setTimeout(() => this.#takeTurn(), pauseMs);
-  }
-
-  #takeTurn(): void {
-    const turn = this.#turns.next(performance.now());
-    if (turn.kind === "list") return void this.#listAndWait();
-    this.#waitFor(turn.forMs);
+    this.#take(directory, "entry");
   }
 
   async #listOnce(): Promise<void> {
@@ -126,7 +93,9 @@
       const { createdRevision } = item;
       return instance === undefined ? [] : [{ instance, createdRevision }];
     }));
-    const listed = { instances, revision: listing.revision, askedAt };
+    const { revision } = listing;
+    const content = contentOf(instances);
+    const listed = { instances, revision, content, askedAt };
     this.#take(listed, "store");
     onListed(this.#directory ?? listed);
   }
@@ -154,20 +123,31 @@
     const before = this.#directory;
     // Another entry's list may have been newer than an answer that took long.
     if (directory.revision < (before?.revision ?? 0)) return;
-    const isSettling = performance.now() - this.#regainedAt < SETTLE_MS;
-    const instances = isSettling
-      ? withMissing(directory.instances, before?.instances ?? [])
-      : directory.instances;
-    this.#directory = { ...directory, instances };
+    const kept = this.#keepMissing(directory, before);
+    const askedAt = Math.max(kept.askedAt, before?.askedAt ?? kept.askedAt);
+    this.#directory = { ...kept, askedAt };
     this.#logChange(before, this.#directory, source);
+    const now = performance.now();
+    const isSame = before?.content === kept.content;
+    if (isSame && now - this.#toldAt < RETELL_MS) return;
+    this.#toldAt = now;
     this.#options.onDirectory(this.#directory);
   }
 
+  /** Entries that lapsed while the store was away may be back soon. */
+  #keepMissing(directory: Directory, before: Directory | undefined): Directory {
+    const isSettling = performance.now() - this.#regainedAt < SETTLE_MS;
+    if (!isSettling || before === undefined) return directory;
+    const instances = withMissing(directory.instances, before.instances);
+    return { ...directory, instances, content: contentOf(instances) };
+  }
+
   #logChange(
     before: Directory | undefined,
     now: Directory,
     source: string,
   ): void {
+    if (before?.content === now.content) return;
     const serving = servingIdsOf(now);
     const served = servingIdsOf(before);
     const added = serving.filter((id) => !served.includes(id));
@@ -198,3 +178,10 @@
   const ids = new Set(listed.map(({ id }) => id));
   return [...listed, ...known.filter(({ id }) => !ids.has(id))];
 }
+
+function contentOf(instances: readonly BackEndInstance[]): string {
+  const sorted = [...instances].sort((left, right) =>
+    left.id < right.id ? -1 : 1
+  );
+  return createHash("sha256").update(JSON.stringify(sorted)).digest("base64");
+}
--- a/src/direct/peers/entry_peers.ts
+++ b/src/direct/peers/entry_peers.ts
@@ -1,39 +1,64 @@
 /**
- * What an entry has to do with the other entries: it answers them, asks them while
- * the store does not answer, and leaves listings to one of its failure domain.
+ * What an entry has to do with the other entries: it answers them, has one of them read
+ * the platform's store for it, and asks some of them while the store does not answer.
  *
  * @module
  */
+import { performance } from "node:perf_hooks";
 import type { RandomSource } from "../../core/random_source.ts";
 import type { EventLog } from "../../events/event_log.ts";
 import type { LinkIdentity } from "../../links/link_server.ts";
 import type { Directory } from "../directory_follower.ts";
-import type { ListedEntry } from "./peer_choice.ts";
+import { type ListedEntry, listReaderCandidates } from "./peer_choice.ts";
 import { PeerFollower } from "./peer_follower.ts";
 import { PeerServer, type StoreKnowledge } from "./peer_server.ts";
 import { ReaderFollower } from "./reader_follower.ts";
+import { ReaderTurns } from "./reader_turns.ts";
 import type {
   DirectoryNews,
+  KnownNews,
+  ProcessNews,
   StoreNewsMessage,
-  StoreNewsQueryMessage,
 } from "./types.ts";
 
-/** Who told a list of back ends. */
-export type NewsSource = "peer" | "reader";
+/** Milliseconds between two looks whether something is to be asked. */
+const TURN_MS = 50;
+/**
+ * Milliseconds after the start for which the processes named in the settings are asked
+ * before the store: with all processes starting at once, each would ask it for everything.
+ */
+const SEED_WAIT_MS = 250;
+/** The same for those who are not named there, at least: until those who are know more. */
+const LATER_WAIT_MS = 700;
+/** Milliseconds over which these are spread, where none of the named ones answers. */
+const LATER_SPREAD_MS = 600;
+/**
+ * Age of settings, over the time for which a back end that leaves may be sent work, up to
+ * which a reader is trusted with them. It hears of new ones at once; this is for one whose
+ * connection to the store is dead without a sign.
+ */
+const OLDEST_SETTINGS_PART = 1.2;
 
 /** Options of {@link EntryPeers}. */
 export interface EntryPeersOptions {
   readonly identity: LinkIdentity;
   readonly self: ListedEntry;
   readonly seedAddresses: readonly string[];
+  /** Milliseconds for which a back end that leaves may be sent work. */
+  readonly leavingLimitMs: number;
   readonly random: RandomSource;
   readonly log: EventLog;
   /** What this entry heard from the store. */
   readonly getKnowledge: () => StoreKnowledge;
   readonly onSettings: (text: string) => void;
-  /** Another entry has newer settings than this one heard of. */
-  readonly onBehind: () => void;
-  readonly onDirectory: (directory: Directory, source: NewsSource) => void;
+  /** A reader's settings were the newest at a time in milliseconds. */
+  readonly onSettingsChecked: (checkedAt: number) => void;
+  readonly onDirectory: (directory: Directory) => void;
+  readonly onProcesses: (news: ProcessNews) => void;
+  /** The back ends are to be listed from the store. */
+  readonly onListTurn: () => void;
+  /** Whether another entry tells all that the store says. */
+  readonly onLed: (isLed: boolean) => void;
 }
 
 /** What an entry has to do with the other entries. */
@@ -42,12 +67,17 @@
   readonly #server: PeerServer;
   readonly #asked: PeerFollower;
   readonly #reader: ReaderFollower;
+  readonly #turns: ReaderTurns;
+  #timer: NodeJS.Timeout | undefined;
+  #isLed: boolean | undefined;
+  #candidates: readonly string[] = [];
 
   /** Neither listens nor asks yet. */
   constructor(options: EntryPeersOptions) {
     this.#options = options;
     const { identity, self, seedAddresses, random, log } = options;
-    const getQuery = () => this.#createQuery();
+    const getKnown = () => this.#known();
+    this.#turns = new ReaderTurns(options.leavingLimitMs);
     this.#server = new PeerServer({
       identity,
       log,
@@ -58,14 +88,18 @@
       ownAddress: self.address,
       seedAddresses,
       random,
-      getQuery,
-      onNews: (news, receivedAt) => this.#onNews(news, "peer", receivedAt),
+      getKnown,
+      onNews: (news, askedAt) => this.#take(news, askedAt),
     });
     this.#reader = new ReaderFollower({
       identity,
-      self,
-      getQuery,
-      onNews: (news, receivedAt) => this.#onNews(news, "reader", receivedAt),
+      getKnown,
+      onNews: (news, { address, askedAt }) => {
+        this.#take(news, askedAt);
+        if (askedAt === undefined) return;
+        this.#readerAnswered(news, { address, askedAt });
+      },
+      onLost: (address) => this.#turns.noteFailed(address, performance.now()),
     });
   }
 
@@ -78,8 +112,22 @@
     await this.#server.listen(this.#options.self.address);
   }
 
+  /** Asks the processes named in the settings, then takes turns. */
+  start(): void {
+    const { self, seedAddresses, random } = this.#options;
+    const isNamed = seedAddresses.includes(self.address);
+    const waitMs = isNamed
+      ? SEED_WAIT_MS
+      : LATER_WAIT_MS + LATER_SPREAD_MS * random.nextFraction();
+    this.#turns.begin(performance.now() + waitMs);
+    this.#setLed(true);
+    this.#asked.start();
+    this.#timer = setInterval(() => this.#takeTurn(), TURN_MS);
+  }
+
   /** Closes all connections. */
   close(): void {
+    clearInterval(this.#timer);
     this.#asked.stop();
     this.#reader.stop();
     this.#server.close();
@@ -87,14 +135,18 @@
 
   /** The entries that list themselves in the store, this one included. */
   setListed(entries: readonly ListedEntry[]): void {
+    const { self } = this.#options;
     this.#asked.setListed(entries.map(({ address }) => address));
-    this.#reader.setListed(entries);
+    this.#candidates = listReaderCandidates(entries, self);
+    this.#turns.setCandidates(this.#candidates);
+    this.#server.tellFollowers();
   }
 
-  /** The store listed the back ends: nobody needs to be asked, all may hear. */
+  /** The store listed the back ends: nobody needs to be asked. */
   storeAnswered(directory: Directory): void {
     this.#asked.stop();
-    this.#server.tellFollowers(directory);
+    this.#turns.noteListed(directory.askedAt);
+    this.#server.tellFollowers();
   }
 
   /** The store does not answer: other entries are asked until it does. */
@@ -102,36 +154,99 @@
     this.#asked.start();
   }
 
+  /** This process stood still: what others told before says nothing of the meantime. */
+  doubt(): void {
+    this.#setLed(false);
+  }
+
+  /** Something else that others follow has changed. */
+  knowledgeChanged(): void {
+    this.#server.tellFollowers();
+  }
+
   /** Settles with the next answer of an entry that is asked. */
   nextAnswer(): Promise<void> {
     return this.#asked.nextAnswer();
   }
 
-  #createQuery(): StoreNewsQueryMessage {
-    const { settings, directory } = this.#options.getKnowledge();
+  #takeTurn(): void {
+    const turn = this.#turns.next(performance.now());
+    if (turn.kind === "ask") this.#reader.ask(turn.address);
+    if (turn.kind === "list") {
+      this.#setLed(false);
+      this.#options.onListTurn();
+    }
+  }
+
+  #readerAnswered(
+    { settingsAgeMs = Number.POSITIVE_INFINITY, directory }: StoreNewsMessage,
+    { address, askedAt }: {
+      readonly address: string;
+      readonly askedAt: number;
+    },
+  ): void {
+    const oldestMs = this.#options.leavingLimitMs * OLDEST_SETTINGS_PART;
+    const now = performance.now();
+    const ageMs = settingsAgeMs > oldestMs ? undefined : directory?.ageMs;
+    this.#turns.noteAnswer(address, { askedAt, ageMs }, now);
+    if (!this.#turns.isLed) return;
+    this.#setLed(true);
+    this.#asked.stop();
+  }
+
+  #setLed(isLed: boolean): void {
+    if (isLed === this.#isLed) return;
+    this.#isLed = isLed;
+    const { log, onLed } = this.#options;
+    log.write("STORE_READER_CHANGED", {
+      isLed,
+      candidates: this.#candidates.length,
+    });
+    onLed(isLed);
+  }
+
+  #known(): KnownNews {
+    const { settings, directory, processes } = this.#options.getKnowledge();
     return {
-      kind: "store_news_query",
       settingsVersion: settings?.settings.version,
-      directoryRevision: directory?.revision,
+      directoryContent: directory?.content,
+      processesRevision: processes.revision,
     };
   }
 
-  #onNews(
-    { settingsText, settingsVersion, directory }: StoreNewsMessage,
-    source: NewsSource,
-    receivedAt: number,
+  #take(
+    { settingsText, settingsAgeMs, directory, processes }: StoreNewsMessage,
+    askedAt: number | undefined,
   ): void {
-    const { onSettings, onBehind, onDirectory, getKnowledge } = this.#options;
+    const { onSettings, onSettingsChecked, onDirectory, onProcesses } =
+      this.#options;
     if (settingsText !== undefined) onSettings(settingsText);
-    const known = getKnowledge().settings?.settings.version ?? -1;
-    if ((settingsVersion ?? -1) > known) onBehind();
-    if (directory === undefined) return;
-    onDirectory(directoryOf(directory, receivedAt), source);
+    if (askedAt !== undefined && settingsAgeMs !== undefined) {
+      onSettingsChecked(askedAt - settingsAgeMs);
+    }
+    const told = directory && this.#tryDirectoryOf(directory, askedAt);
+    if (told !== undefined) onDirectory(told);
+    if (processes !== undefined) onProcesses(processes);
+    this.#server.tellFollowers();
   }
-}
 
-/** What another entry told, on this process's clock. */
-function directoryOf(news: DirectoryNews, receivedAt: number): Directory {
-  const { instances, revision, ageMs } = news;
-  return { instances, revision, askedAt: receivedAt - ageMs };
+  /** A list on this process's clock: as old as it was there, since it was asked for. */
+  #tryDirectoryOf(
+    { revision, ageMs, content, instances }: DirectoryNews,
+    askedAt: number | undefined,
+  ): Directory | undefined {
+    const known = this.#options.getKnowledge().directory;
+    const isSame = known?.content === content;
+    const told = instances ?? (isSame ? known?.instances : undefined);
+    if (told === undefined) return undefined;
+    return {
+      instances: told,
+      revision,
+      content,
+      // Of news that follows it is only known that it is newer than what was told before.
+      askedAt: askedAt === undefined
+        ? known?.askedAt ?? Number.NEGATIVE_INFINITY
+        : askedAt - ageMs,
+    };
+  }
 }
--- a/src/direct/peers/peer_choice.ts
+++ b/src/direct/peers/peer_choice.ts
@@ -59,25 +59,33 @@
 }
 
 /**
- * The entry that reads the list of back ends for its failure domain: all choose
- * the same one while they know of the same entries. Undefined for that entry
- * itself and where it is not listed.
+ * Addresses of the entries that may read the store for one entry, the best first: those
+ * of its failure domain that come before it by name, then the first of each failure domain
+ * that comes before its own. So nobody is asked by whom he asks, and the first of all asks
+ * nobody.
  *
  * @example
  * ```ts
- * const reader = tryChooseReader(entries, self);
+ * turns.setCandidates(listReaderCandidates(entries, self));
  * ```
  */
-export function tryChooseReader(
+export function listReaderCandidates(
   entries: readonly ListedEntry[],
   self: ListedEntry,
-): ListedEntry | undefined {
-  const near = entries.filter((one) =>
-    one.failureDomain === self.failureDomain
+): readonly string[] {
+  const sorted = [...entries].sort((left, right) =>
+    left.name < right.name ? -1 : 1
   );
-  const first = near.reduce<ListedEntry | undefined>(
-    (best, one) => best === undefined || one.name < best.name ? one : best,
-    undefined,
+  const near = sorted.filter(({ failureDomain, name }) =>
+    failureDomain === self.failureDomain && name < self.name
   );
-  return first?.name === self.name ? undefined : first;
+  const firsts = new Map<string, ListedEntry>();
+  for (const entry of sorted) {
+    const { failureDomain } = entry;
+    if (!firsts.has(failureDomain)) firsts.set(failureDomain, entry);
+  }
+  const remote = [...firsts.values()]
+    .filter(({ failureDomain }) => failureDomain < self.failureDomain)
+    .sort((left, right) => left.failureDomain < right.failureDomain ? -1 : 1);
+  return [...near, ...remote].map(({ address }) => address);
 }
--- a/src/direct/peers/peer_choice_test.ts
+++ b/src/direct/peers/peer_choice_test.ts
@@ -1,7 +1,11 @@
 import assert from "node:assert/strict";
 import { describe, it } from "node:test";
 import { RandomSource } from "../../core/random_source.ts";
-import { choosePeers, PEERS_IN_ROUND, tryChooseReader } from "./peer_choice.ts";
+import {
+  choosePeers,
+  listReaderCandidates,
+  PEERS_IN_ROUND,
+} from "./peer_choice.ts";
 
 const OWN = "10.0.0.1:1";
 
@@ -45,23 +49,35 @@
   });
 });
 
-describe("tryChooseReader", () => {
-  const entries = ["b", "a", "c"].map((name) => ({
+describe("listReaderCandidates", () => {
+  const entries = ["a-1", "a-2", "b-1", "b-2", "c-1"].map((name) => ({
     name,
     address: `${name}:1`,
-    failureDomain: name === "a" ? "far" : "near",
+    failureDomain: name.slice(0, 1),
   }));
-  const [first, , last] = entries;
 
-  it("is the same one for all entries of a failure domain", () => {
-    assert.ok(first !== undefined && last !== undefined);
-    assert.equal(tryChooseReader(entries, last)?.name, "b");
-    assert.equal(tryChooseReader([...entries].reverse(), last)?.name, "b");
+  function candidatesOf(name: string): readonly string[] {
+    const self = entries.find((one) => one.name === name);
+    assert.ok(self !== undefined);
+    return listReaderCandidates([...entries].reverse(), self);
+  }
+
+  it("are those of the failure domain first, then the first of others", () => {
+    assert.deepEqual(candidatesOf("b-2"), ["b-1:1", "a-1:1"]);
+    assert.deepEqual(candidatesOf("b-1"), ["a-1:1"]);
+    assert.deepEqual(candidatesOf("c-1"), ["a-1:1", "b-1:1"]);
+  });
+
+  it("are none for the first of all", () => {
+    assert.deepEqual(candidatesOf("a-1"), []);
   });
 
-  it("is nobody else for the reader, and nobody while none is listed", () => {
-    assert.ok(first !== undefined);
-    assert.equal(tryChooseReader(entries, first), undefined);
-    assert.equal(tryChooseReader([], first), undefined);
+  it("never ask in a circle", () => {
+    for (const { name, address } of entries) {
+      for (const asked of candidatesOf(name)) {
+        const back = candidatesOf(asked.slice(0, -2));
+        assert.ok(!back.includes(address), `${name} and ${asked}`);
+      }
+    }
   });
 });
--- a/src/direct/peers/peer_follower.ts
+++ b/src/direct/peers/peer_follower.ts
@@ -4,21 +4,19 @@
  *
  * @module
  */
-import { performance } from "node:perf_hooks";
 import type { RandomSource } from "../../core/random_source.ts";
-import type { Link } from "../../links/link.ts";
-import { LinkClient } from "../../links/link_client.ts";
 import type { LinkIdentity } from "../../links/link_server.ts";
+import { PeerClient } from "./peer_client.ts";
 import { choosePeers } from "./peer_choice.ts";
-import type { StoreNewsMessage, StoreNewsQueryMessage } from "./types.ts";
+import type { KnownNews, StoreNewsMessage } from "./types.ts";
 
 /**
  * Milliseconds between two rounds of questions. A back end that leaves may be sent
  * work for two seconds, settings may be in force two seconds late.
  */
-const ASK_INTERVAL_MS = 500;
+const ASK_INTERVAL_MS = 250;
 /** Rounds after which other entries are drawn: those asked may know no more. */
-const ROUNDS_BEFORE_REDRAW = 6;
+const ROUNDS_BEFORE_REDRAW = 12;
 
 /** Options of a {@link PeerFollower}. */
 export interface PeerFollowerOptions {
@@ -27,16 +25,16 @@
   readonly seedAddresses: readonly string[];
   readonly random: RandomSource;
   /** What this entry has already. */
-  readonly getQuery: () => StoreNewsQueryMessage;
-  readonly onNews: (news: StoreNewsMessage, receivedAt: number) => void;
+  readonly getKnown: () => KnownNews;
+  /** `askedAt` is when the question that this answers was sent. */
+  readonly onNews: (news: StoreNewsMessage, askedAt?: number) => void;
 }
 
 /** Asks other entries while the store does not answer. */
 export class PeerFollower {
   readonly #options: PeerFollowerOptions;
   #listed: readonly string[] = [];
-  readonly #clients = new Map<string, LinkClient>();
-  readonly #links = new Set<Link>();
+  readonly #clients = new Map<string, PeerClient>();
   readonly #waiting = new Set<() => void>();
   #timer: NodeJS.Timeout | undefined;
   #rounds = 0;
@@ -65,7 +63,6 @@
     this.#timer = undefined;
     for (const client of this.#clients.values()) client.stop();
     this.#clients.clear();
-    this.#links.clear();
   }
 
   /** Settles with the next answer of any entry, whether or not it is news. */
@@ -76,8 +73,7 @@
   #ask(): void {
     this.#rounds++;
     if (this.#rounds % ROUNDS_BEFORE_REDRAW === 0) this.#dialDrawn();
-    const query = this.#options.getQuery();
-    for (const link of this.#links) link.send(query);
+    for (const client of this.#clients.values()) client.ask();
   }
 
   #dialDrawn(): void {
@@ -98,33 +94,22 @@
   }
 
   #dial(address: string): void {
-    const { identity, getQuery } = this.#options;
-    let connected: Link | undefined;
-    const client = new LinkClient({
+    const { identity, getKnown } = this.#options;
+    const client = new PeerClient({
       address,
-      role: "entry",
       identity,
-      listener: {
-        onConnected: (link) => {
-          connected = link;
-          this.#links.add(link);
-          link.send(getQuery());
-        },
-        onMessage: (message) => {
-          if (message.kind === "store_news") this.#receive(message);
-        },
-        onDisconnected: () => {
-          if (connected !== undefined) this.#links.delete(connected);
-        },
-        // The client dials again, and the next draw may leave the address out.
-        onDialFailed: () => undefined,
-      },
+      getKnown,
+      isFollowing: false,
+      onNews: (news, askedAt) => this.#receive(news, askedAt),
+      // The client dials again, and the next draw may leave the address out.
+      onDisconnected: () => undefined,
     });
+    client.ask();
     this.#clients.set(address, client);
   }
 
-  #receive(news: StoreNewsMessage): void {
-    this.#options.onNews(news, performance.now());
+  #receive(news: StoreNewsMessage, askedAt: number | undefined): void {
+    this.#options.onNews(news, askedAt);
     for (const resolve of this.#waiting) resolve();
     this.#waiting.clear();
   }
--- a/src/direct/peers/peer_server.ts
+++ b/src/direct/peers/peer_server.ts
@@ -11,7 +11,12 @@
 import { HttpListener } from "../../process/http_listener.ts";
 import type { Directory } from "../directory_follower.ts";
 import type { SettingsInUse } from "../settings_follower.ts";
-import type { StoreNewsMessage, StoreNewsQueryMessage } from "./types.ts";
+import type {
+  KnownNews,
+  ProcessNews,
+  StoreNewsMessage,
+  StoreNewsQueryMessage,
+} from "./types.ts";
 
 /** Bytes on their way to a follower beyond which it is told nothing more. */
 const MOST_UNSENT_BYTES = 65_536;
@@ -19,7 +24,10 @@
 /** What an entry knows from the store. */
 export interface StoreKnowledge {
   readonly settings: SettingsInUse | undefined;
+  /** When the store was asked whether there are newer settings, in milliseconds. */
+  readonly settingsCheckedAt: number;
   readonly directory: Directory | undefined;
+  readonly processes: ProcessNews;
 }
 
 /** Options of a {@link PeerServer}. */
@@ -33,8 +41,8 @@
 export class PeerServer {
   readonly #options: PeerServerOptions;
   readonly #listener = new HttpListener(new Hono());
-  /** Connections of those who follow. */
-  readonly #followers = new Set<Link>();
+  /** Connections of those who follow, with what they were told. */
+  readonly #followers = new Map<Link, KnownNews>();
 
   /** Does not listen yet. */
   constructor(options: PeerServerOptions) {
@@ -75,21 +83,25 @@
     this.#listener.close();
   }
 
-  /** Tells those who follow which back ends the store listed just now. */
-  tellFollowers(directory: Directory): void {
-    const { settings } = this.#options.getKnowledge();
-    const news = createReaderNews({ settings, directory }, performance.now());
-    for (const link of this.#followers) {
+  /** Tells those who follow what is news to them. */
+  tellFollowers(): void {
+    const knowledge = this.#options.getKnowledge();
+    for (const [link, known] of this.#followers) {
       // One that does not read is better off with a list of its own.
       if (link.bufferedBytes > MOST_UNSENT_BYTES) continue;
-      link.send(news);
+      if (!hasNews(knowledge, known)) continue;
+      link.send(createNews(knowledge, known, performance.now()));
+      this.#followers.set(link, knownAfter(knowledge, known));
     }
   }
 
   #answer(link: Link, query: StoreNewsQueryMessage): void {
-    if (query.isFollowing === true) this.#followers.add(link);
     const knowledge = this.#options.getKnowledge();
-    link.send(createNews(knowledge, query, performance.now()));
+    if (query.isFollowing) {
+      this.#followers.set(link, knownAfter(knowledge, query));
+    }
+    const news = createNews(knowledge, query, performance.now());
+    link.send({ ...news, queryId: query.queryId });
   }
 }
 
@@ -98,44 +110,69 @@
  *
  * @example
  * ```ts
- * const news = createNews(knowledge, { kind: "store_news_query" }, now);
+ * const news = createNews(knowledge, { settingsVersion: 3 }, now);
  * ```
  */
 export function createNews(
-  { settings, directory }: StoreKnowledge,
-  query: StoreNewsQueryMessage,
+  knowledge: StoreKnowledge,
+  known: KnownNews,
   now: number,
 ): StoreNewsMessage {
-  const hasNewerSettings = settings !== undefined &&
-    settings.settings.version > (query.settingsVersion ?? -1);
-  const hasNewerDirectory = directory !== undefined &&
-    directory.revision > (query.directoryRevision ?? -1);
+  const { settings, settingsCheckedAt, directory, processes } = knowledge;
+  const isListNew = directory?.content !== known.directoryContent;
   return {
     kind: "store_news",
-    settingsText: hasNewerSettings ? settings.text : undefined,
-    directory: hasNewerDirectory
+    settingsText: hasNewerSettings(knowledge, known)
+      ? settings?.text
+      : undefined,
+    settingsAgeMs: Number.isFinite(settingsCheckedAt)
+      ? Math.max(0, now - settingsCheckedAt)
+      : undefined,
+    directory: directory && Number.isFinite(directory.askedAt)
       ? {
-        instances: directory.instances,
         revision: directory.revision,
         ageMs: Math.max(0, now - directory.askedAt),
+        content: directory.content,
+        instances: isListNew ? directory.instances : undefined,
       }
       : undefined,
+    processes: hasNewerProcesses(knowledge, known) ? processes : undefined,
   };
 }
 
-/**
- * What the reader of a failure domain tells those who follow it. They hear settings from
- * the store themselves; the version shows them that they should have, where a connection
- * is dead without a sign.
- */
-export function createReaderNews(
-  { settings, directory }: StoreKnowledge & { readonly directory: Directory },
-  now: number,
-): StoreNewsMessage {
-  const { instances, revision, askedAt } = directory;
+function hasNews(knowledge: StoreKnowledge, known: KnownNews): boolean {
+  const { directory } = knowledge;
+  return hasNewerSettings(knowledge, known) ||
+    hasNewerProcesses(knowledge, known) ||
+    (directory !== undefined && directory.content !== known.directoryContent);
+}
+
+function hasNewerSettings(
+  { settings }: StoreKnowledge,
+  { settingsVersion }: KnownNews,
+): boolean {
+  return settings !== undefined &&
+    settings.settings.version > (settingsVersion ?? -1);
+}
+
+function hasNewerProcesses(
+  { processes }: StoreKnowledge,
+  { processesRevision }: KnownNews,
+): boolean {
+  return processesRevision !== undefined &&
+    processes.revision > processesRevision;
+}
+
+/** What an entry has once it was told what was news to it. */
+function knownAfter(
+  { settings, directory, processes }: StoreKnowledge,
+  known: KnownNews,
+): KnownNews {
   return {
-    kind: "store_news",
-    settingsVersion: settings?.settings.version,
-    directory: { instances, revision, ageMs: Math.max(0, now - askedAt) },
+    settingsVersion: settings?.settings.version ?? known.settingsVersion,
+    directoryContent: directory?.content ?? known.directoryContent,
+    processesRevision: known.processesRevision === undefined
+      ? undefined
+      : Math.max(processes.revision, known.processesRevision),
   };
 }
--- a/src/direct/peers/peer_server_test.ts
+++ b/src/direct/peers/peer_server_test.ts
@@ -1,8 +1,7 @@
 import assert from "node:assert/strict";
 import { describe, it } from "node:test";
-import type { Directory } from "../directory_follower.ts";
 import type { SettingsInUse } from "../settings_follower.ts";
-import { createNews, createReaderNews } from "./peer_server.ts";
+import { createNews, type StoreKnowledge } from "./peer_server.ts";
 
 function createSettings(version: number): SettingsInUse {
   return {
@@ -16,54 +15,55 @@
   };
 }
 
-function createDirectory(revision: number): Directory {
-  return { instances: [], revision, askedAt: 100 };
-}
-
-describe("createNews", () => {
-  const knowledge = {
+function createKnowledge(
+  changes: Partial<StoreKnowledge> = {},
+): StoreKnowledge {
+  return {
     settings: createSettings(4),
-    directory: createDirectory(9),
+    settingsCheckedAt: 50,
+    directory: { instances: [], revision: 9, content: "none", askedAt: 100 },
+    processes: { revision: 3, processes: [] },
+    ...changes,
   };
+}
 
+describe("createNews", () => {
   it("tells all to an entry that knows nothing, with its age", () => {
-    const news = createNews(knowledge, { kind: "store_news_query" }, 350);
+    const news = createNews(createKnowledge(), { processesRevision: 0 }, 350);
     assert.equal(news.settingsText, "settings 4");
+    assert.equal(news.settingsAgeMs, 300);
     assert.deepEqual(news.directory, {
       instances: [],
       revision: 9,
+      content: "none",
       ageMs: 250,
     });
+    assert.equal(news.processes?.revision, 3);
   });
 
-  it("leaves out what the asker has", () => {
-    const query = {
-      kind: "store_news_query",
+  it("leaves out what the asker has, and tells how old that is", () => {
+    const known = {
       settingsVersion: 4,
-      directoryRevision: 9,
-    } as const;
-    const news = createNews(knowledge, query, 350);
+      directoryContent: "none",
+      processesRevision: 3,
+    };
+    const news = createNews(createKnowledge(), known, 350);
     assert.equal(news.settingsText, undefined);
-    assert.equal(news.directory, undefined);
+    assert.equal(news.settingsAgeMs, 300);
+    assert.equal(news.directory?.instances, undefined);
+    assert.equal(news.directory?.ageMs, 250);
+    assert.equal(news.processes, undefined);
   });
 
   it("tells nothing when it knows nothing", () => {
-    const empty = { settings: undefined, directory: undefined };
-    const news = createNews(empty, { kind: "store_news_query" }, 350);
+    const empty = createKnowledge({
+      settings: undefined,
+      settingsCheckedAt: Number.NEGATIVE_INFINITY,
+      directory: undefined,
+    });
+    const news = createNews(empty, {}, 350);
     assert.equal(news.settingsText, undefined);
+    assert.equal(news.settingsAgeMs, undefined);
     assert.equal(news.directory, undefined);
   });
 });
-
-describe("createReaderNews", () => {
-  it("tells the list with its age, and which settings there are", () => {
-    const directory = createDirectory(9);
-    const news = createReaderNews(
-      { settings: createSettings(4), directory },
-      350,
-    );
-    assert.equal(news.settingsVersion, 4);
-    assert.equal(news.settingsText, undefined);
-    assert.equal(news.directory?.ageMs, 250);
-  });
-});
--- a/src/direct/peers/reader_follower.ts
+++ b/src/direct/peers/reader_follower.ts
@@ -1,28 +1,29 @@
 /**
- * Hears the list of back ends from the entry that reads it for the failure domain,
- * so that not every entry has to ask the store as often.
+ * Asks the entry that reads the platform's store for this one, and hears its news.
  *
  * @module
  */
-import { performance } from "node:perf_hooks";
-import { LinkClient } from "../../links/link_client.ts";
 import type { LinkIdentity } from "../../links/link_server.ts";
-import { type ListedEntry, tryChooseReader } from "./peer_choice.ts";
-import type { StoreNewsMessage, StoreNewsQueryMessage } from "./types.ts";
+import { PeerClient } from "./peer_client.ts";
+import type { KnownNews, StoreNewsMessage } from "./types.ts";
 
-/** Options of a {@link ReaderFollower}. */
+/** Options of {@link ReaderFollower}. */
 export interface ReaderFollowerOptions {
   readonly identity: LinkIdentity;
-  readonly self: ListedEntry;
   /** What this entry has already. */
-  readonly getQuery: () => StoreNewsQueryMessage;
-  readonly onNews: (news: StoreNewsMessage, receivedAt: number) => void;
+  readonly getKnown: () => KnownNews;
+  /** `askedAt` is when the question that this answers was sent. */
+  readonly onNews: (
+    news: StoreNewsMessage,
+    from: { readonly address: string; readonly askedAt?: number },
+  ) => void;
+  readonly onLost: (address: string) => void;
 }
 
-/** Hears the list of back ends from the reader of the failure domain. */
+/** Keeps a connection to the entry that was asked last. */
 export class ReaderFollower {
   readonly #options: ReaderFollowerOptions;
-  #client: LinkClient | undefined;
+  #client: PeerClient | undefined;
   #address: string | undefined;
 
   /** Dials nobody yet. */
@@ -30,12 +31,10 @@
     this.#options = options;
   }
 
-  /** The list of processes changed: another entry may be the reader now. */
-  setListed(entries: readonly ListedEntry[]): void {
-    const reader = tryChooseReader(entries, this.#options.self);
-    if (reader?.address === this.#address) return;
-    this.stop();
-    if (reader !== undefined) this.#dial(reader.address);
+  /** Asks an entry; the connection to another one before it is closed. */
+  ask(address: string): void {
+    if (address !== this.#address) this.#dial(address);
+    this.#client?.ask();
   }
 
   /** Hears no more. */
@@ -46,23 +45,16 @@
   }
 
   #dial(address: string): void {
-    const { identity, getQuery, onNews } = this.#options;
+    this.stop();
+    const { identity, getKnown, onNews, onLost } = this.#options;
     this.#address = address;
-    this.#client = new LinkClient({
+    this.#client = new PeerClient({
       address,
-      role: "entry",
       identity,
-      listener: {
-        onConnected: (link) => link.send({ ...getQuery(), isFollowing: true }),
-        onMessage: (message) => {
-          if (message.kind === "store_news") {
-            onNews(message, performance.now());
-          }
-        },
-        // The client dials again; until then this entry asks the store itself.
-        onDisconnected: () => undefined,
-        onDialFailed: () => undefined,
-      },
+      getKnown,
+      isFollowing: true,
+      onNews: (news, askedAt) => onNews(news, { address, askedAt }),
+      onDisconnected: () => onLost(address),
     });
   }
 }
--- a/src/direct/peers/schema.ts
+++ b/src/direct/peers/schema.ts
@@ -4,6 +4,7 @@
  * @module
  */
 import * as z from "zod";
+import { PROCESS_SCHEMA } from "../listed_process.ts";
 
 const COUNT = z.number().int().nonnegative();
 
@@ -16,22 +17,32 @@
   state: z.enum(["serving", "leaving"]),
 });
 
+const AGE_MS = z.number().nonnegative();
+
 /** Shapes of all messages between entries. */
 export const PEER_SCHEMAS = [
   z.object({
     kind: z.literal("store_news_query"),
+    queryId: COUNT,
     settingsVersion: COUNT.optional(),
-    directoryRevision: COUNT.optional(),
-    isFollowing: z.boolean().optional(),
+    directoryContent: z.string().optional(),
+    processesRevision: COUNT.optional(),
+    isFollowing: z.boolean(),
   }),
   z.object({
     kind: z.literal("store_news"),
+    queryId: COUNT.optional(),
     settingsText: z.string().optional(),
-    settingsVersion: COUNT.optional(),
+    settingsAgeMs: AGE_MS.optional(),
     directory: z.object({
-      instances: z.array(INSTANCE_SCHEMA),
       revision: COUNT,
-      ageMs: z.number().nonnegative(),
+      ageMs: AGE_MS,
+      content: z.string(),
+      instances: z.array(INSTANCE_SCHEMA).optional(),
+    }).optional(),
+    processes: z.object({
+      revision: COUNT,
+      processes: z.array(PROCESS_SCHEMA),
     }).optional(),
   }),
 ] as const;
--- a/src/direct/peers/types.ts
+++ b/src/direct/peers/types.ts
@@ -1,38 +1,61 @@
 /**
- * What entries tell each other while the store turns one of them away.
+ * What entries tell each other of the platform's store: one reads it for many, and they
+ * help each other while the store turns one of them away.
  *
  * @module
  */
 import type { BackEndInstance } from "../../external/back_end_directory.ts";
+import type { ListedProcess } from "../listed_process.ts";
+
+/** What an entry has already, so that only news is told. */
+export interface KnownNews {
+  /** Version of its settings; undefined when it has none. */
+  readonly settingsVersion?: number;
+  /** What its list of back ends says; undefined when it has none. */
+  readonly directoryContent?: string;
+  /** Revision of its list of processes; undefined when it wants none. */
+  readonly processesRevision?: number;
+}
 
 /** Asks another entry for whatever it heard from the store since. */
-export interface StoreNewsQueryMessage {
+export interface StoreNewsQueryMessage extends KnownNews {
   readonly kind: "store_news_query";
-  /** Version of the asker's settings; undefined when it has none. */
-  readonly settingsVersion?: number;
-  /** Revision of the asker's list of back ends; undefined when it has none. */
-  readonly directoryRevision?: number;
-  /** Whether lists of back ends are to follow as they are heard. */
-  readonly isFollowing?: boolean;
+  /** Told with the answer. */
+  readonly queryId: number;
+  /** Whether news is to follow as it is heard. */
+  readonly isFollowing: boolean;
 }
 
 /** A list of back ends as another entry heard it. */
 export interface DirectoryNews {
-  readonly instances: readonly BackEndInstance[];
   /** Revision of the store. */
   readonly revision: number;
-  /** Milliseconds since the sender asked the store for it. */
+  /** Milliseconds since the store was asked for it, as told. */
   readonly ageMs: number;
+  /** What the list says, in short: the same for the same back ends. */
+  readonly content: string;
+  /** Undefined where the asker has a list that says the same. */
+  readonly instances?: readonly BackEndInstance[];
 }
 
-/** Answers a query; what the asker has already is left out. */
+/** The system's own processes, as another entry heard of them. */
+export interface ProcessNews {
+  /** Revision of the store at which the list last changed. */
+  readonly revision: number;
+  readonly processes: readonly ListedProcess[];
+}
+
+/** Answers a query, or follows one; what the asker has already is left out. */
 export interface StoreNewsMessage {
   readonly kind: "store_news";
+  /** Question that this answers; undefined for news that follows. */
+  readonly queryId?: number;
   /** Settings as the operator wrote them. */
   readonly settingsText?: string;
-  /** Version of the sender's settings, for those who follow it. */
-  readonly settingsVersion?: number;
+  /** Milliseconds since the store was asked whether there are newer ones. */
+  readonly settingsAgeMs?: number;
   readonly directory?: DirectoryNews;
+  readonly processes?: ProcessNews;
 }
 
 /** Messages between entries that follow one store. */
--- a/src/direct/process_registry.ts
+++ b/src/direct/process_registry.ts
@@ -5,20 +5,29 @@
  */
 import { performance } from "node:perf_hooks";
 import { setTimeout as sleep } from "node:timers/promises";
-import * as z from "zod";
 import type { EventLog } from "../events/event_log.ts";
 import type {
+  StoreChanged,
   StoreItem,
   StoreLease,
   WatchedStore,
 } from "../external/watched_store.ts";
+import { type ListedProcess, PROCESS_SCHEMA } from "./listed_process.ts";
 import { Reachability } from "./reachability.ts";
+import { StoreWatch } from "./store_watch.ts";
 
 const PREFIX = "lagoonwharf/processes/";
 /** Milliseconds after which the entry of a process that is gone lapses. */
-const TIME_TO_LIVE_MS = 8000;
-/** Milliseconds between two renewals: two may be lost before the entry lapses. */
-const RENEW_INTERVAL_MS = 2500;
+const TIME_TO_LIVE_MS = 25_000;
+/**
+ * Milliseconds between two renewals: two may be lost before the entry lapses. Each process
+ * makes them, so they are most of the calls of a large fleet: 291 processes made 116 a
+ * second with 2.5 s. A process that is gone does no harm while it is listed: who dials it
+ * hears nothing.
+ */
+const RENEW_INTERVAL_MS = 8000;
+/** The same after a renewal that failed: the entry may have lapsed with the store away. */
+const RETRY_RENEWAL_MS = 2500;
 /** Milliseconds for which the store may hold a watch. */
 const WATCH_WAIT_MS = 15_000;
 /** Pause after a call that failed, in milliseconds. */
@@ -30,21 +39,6 @@
  */
 const GATHER_MS = 500;
 
-const PROCESS_SCHEMA = z.object({
-  name: z.string(),
-  role: z.enum(["entry", "rank"]),
-  address: z.string(),
-  failureDomain: z.string(),
-  /** The rank group of a rank's engine. */
-  group: z.string().optional(),
-  rank: z.number().int().optional(),
-  /** Host and port at which that engine takes requests and orders. */
-  engineAddress: z.string().optional(),
-});
-
-/** One of the system's own processes. */
-export type ListedProcess = Readonly<z.infer<typeof PROCESS_SCHEMA>>;
-
 /** Options of a {@link ProcessRegistry}. */
 export interface ProcessRegistryOptions {
   readonly store: WatchedStore;
@@ -61,15 +55,31 @@
   readonly #options: ProcessRegistryOptions;
   readonly #reachability: Reachability;
   readonly #processes = new Map<string, ListedProcess>();
+  readonly #watch: StoreWatch;
   #lease: StoreLease | undefined;
-  #revision = 0;
-  #isFollowing = false;
+  /** Revision of the store at which the list last changed. */
+  #changedAt = 0;
   readonly #end = new AbortController();
 
   /** Does nothing yet. */
   constructor(options: ProcessRegistryOptions) {
     this.#options = options;
     this.#reachability = new Reachability("processes", options.log);
+    this.#watch = new StoreWatch({
+      store: options.store,
+      prefix: PREFIX,
+      waitMs: WATCH_WAIT_MS,
+      retryPauseMs: RETRY_PAUSE_MS,
+      gatherMs: GATHER_MS,
+      reachability: this.#reachability,
+      onListed: (items) => this.#takeAll(items),
+      onChanged: (changed) => this.#takeChanges(changed),
+    });
+  }
+
+  /** Revision of the store at which the list last changed. */
+  get revision(): number {
+    return this.#changedAt;
   }
 
   /** The processes that were listed last, this one included. */
@@ -85,14 +95,26 @@
 
   /** Follows the other processes from now on. */
   follow(): void {
-    if (this.#isFollowing) return;
-    this.#isFollowing = true;
-    void this.#follow();
+    this.#watch.start();
+  }
+
+  /** Whether another entry tells the processes. */
+  setLed(isLed: boolean): void {
+    this.#watch.setLed(isLed);
+  }
+
+  /** Takes in what another entry heard, if it is newer. */
+  offer(processes: readonly ListedProcess[], revision: number): void {
+    if (revision <= this.#changedAt) return;
+    this.#processes.clear();
+    for (const one of processes) this.#processes.set(PREFIX + one.name, one);
+    this.#tell(revision, "entry");
   }
 
   /** Follows no more, and takes this process off the list. */
   async stop(): Promise<void> {
     this.#end.abort();
+    this.#watch.stop();
     const lease = this.#lease;
     this.#lease = undefined;
     if (lease !== undefined) await this.#options.store.release(lease);
@@ -100,68 +122,40 @@
 
   async #keepListed(): Promise<void> {
     while (!this.#end.signal.aborted) {
-      await this.#renewOrRegister();
-      await this.#pause(RENEW_INTERVAL_MS);
+      const isListed = await this.#renewOrRegister();
+      await this.#pause(isListed ? RENEW_INTERVAL_MS : RETRY_RENEWAL_MS);
     }
   }
 
-  async #renewOrRegister(): Promise<void> {
+  /** Whether the store answered. */
+  async #renewOrRegister(): Promise<boolean> {
     const { store, self } = this.#options;
     try {
       const isKept = this.#lease !== undefined &&
         await store.renew(this.#lease);
-      if (isKept) return;
+      if (isKept) return true;
       this.#lease = await store.register({
         key: PREFIX + self.name,
         value: JSON.stringify(self),
         timeToLiveMs: TIME_TO_LIVE_MS,
       });
+      return true;
     } catch (error) {
       this.#reachability.noteFailure(performance.now(), error);
+      return false;
     }
   }
 
-  async #follow(): Promise<void> {
-    let isCurrent = false;
-    while (!this.#end.signal.aborted) {
-      try {
-        isCurrent = isCurrent ? await this.#watch() : await this.#list();
-        this.#reachability.noteAnswer(performance.now());
-      } catch (error) {
-        isCurrent = false;
-        if (this.#end.signal.aborted) return;
-        this.#reachability.noteFailure(performance.now(), error);
-        await this.#pause(RETRY_PAUSE_MS);
-      }
-    }
-  }
-
-  async #list(): Promise<boolean> {
-    const listing = await this.#options.store.list(PREFIX);
-    this.#revision = listing.revision;
+  #takeAll(items: readonly StoreItem[]): void {
     this.#processes.clear();
-    for (const item of listing.items) this.#add(item);
-    this.#tell();
-    return true;
+    for (const item of items) this.#add(item);
+    this.#tell(this.#watch.revision, "store");
   }
 
-  /** False when the store's history has a gap and all must be read again. */
-  async #watch(): Promise<boolean> {
-    const outcome = await this.#options.store.watch({
-      prefix: PREFIX,
-      afterRevision: this.#revision,
-      waitMs: WATCH_WAIT_MS,
-      signal: this.#end.signal,
-    });
-    if (outcome.kind === "history_lost") return false;
-    this.#revision = outcome.revision;
-    for (const key of outcome.removed) this.#processes.delete(key);
-    for (const item of outcome.written) this.#add(item);
-    if (outcome.removed.length + outcome.written.length > 0) {
-      this.#tell();
-      await this.#pause(GATHER_MS);
-    }
-    return true;
+  #takeChanges({ written, removed, revision }: StoreChanged): void {
+    for (const key of removed) this.#processes.delete(key);
+    for (const item of written) this.#add(item);
+    this.#tell(revision, "store");
   }
 
   #add(item: StoreItem): void {
@@ -169,10 +163,12 @@
     if (parsed.success) this.#processes.set(item.key, parsed.data);
   }
 
-  #tell(): void {
+  #tell(revision: number, source: string): void {
     const { processes } = this;
+    this.#changedAt = revision;
     this.#options.log.write("PROCESSES_CHANGED", {
-      revision: this.#revision,
+      revision,
+      source,
       entries: processes.filter(({ role }) => role === "entry").length,
       ranks: processes.filter(({ role }) => role === "rank").length,
     });
--- a/src/direct/rank_driver.ts
+++ b/src/direct/rank_driver.ts
@@ -28,7 +28,8 @@
 import type { RankProcessSettings } from "../process/process_settings.ts";
 import type { Drainable } from "../process/shutdown.ts";
 import { EntryAudience } from "./entry_audience.ts";
-import { type ListedProcess, ProcessRegistry } from "./process_registry.ts";
+import type { ListedProcess } from "./listed_process.ts";
+import { ProcessRegistry } from "./process_registry.ts";
 import { SettingsFollower } from "./settings_follower.ts";
 
 /** Milliseconds between two looks at the group that the engine belongs to. */
--- a/src/direct/settings_follower.ts
+++ b/src/direct/settings_follower.ts
@@ -3,8 +3,6 @@
  *
  * @module
  */
-import { performance } from "node:perf_hooks";
-import { setTimeout as sleep } from "node:timers/promises";
 import type { EventLog } from "../events/event_log.ts";
 import type {
   OperatorSettings,
@@ -12,8 +10,9 @@
 } from "../external/operator_settings.ts";
 import type { StoreItem, WatchedStore } from "../external/watched_store.ts";
 import { Reachability } from "./reachability.ts";
+import { StoreWatch } from "./store_watch.ts";
 
-/** Milliseconds for which the store may hold a watch: one call in that time. */
+/** Milliseconds for which the store may hold a watch, unless said otherwise. */
 const WATCH_WAIT_MS = 15_000;
 /**
  * Pause after a call that failed, in milliseconds. Refused calls cost as much as
@@ -32,6 +31,8 @@
   readonly store: WatchedStore;
   readonly format: StoreFormat;
   readonly log: EventLog;
+  /** Milliseconds for which the store may hold a watch. */
+  readonly watchWaitMs?: number;
   /** Called for each newer version, in order. */
   readonly onSettings: (settings: OperatorSettings) => void;
 }
@@ -39,17 +40,23 @@
 /** Follows the settings; never goes back to an older version. */
 export class SettingsFollower {
   readonly #options: SettingsFollowerOptions;
-  readonly #reachability: Reachability;
+  readonly #watch: StoreWatch;
   #inUse: SettingsInUse | undefined;
-  #revision = 0;
-  #round = new AbortController();
-  #isStarted = false;
-  #isStopped = false;
+  #heardCheckedAt = Number.NEGATIVE_INFINITY;
 
   /** Follows nothing yet. */
   constructor(options: SettingsFollowerOptions) {
     this.#options = options;
-    this.#reachability = new Reachability("settings", options.log);
+    const { store, format, log } = options;
+    this.#watch = new StoreWatch({
+      store,
+      prefix: format.settingsKey,
+      waitMs: options.watchWaitMs ?? WATCH_WAIT_MS,
+      retryPauseMs: RETRY_PAUSE_MS,
+      reachability: new Reachability("settings", log),
+      onListed: (items) => this.#offerItems(items),
+      onChanged: ({ written }) => this.#offerItems(written),
+    });
   }
 
   /** The settings in force. */
@@ -57,25 +64,34 @@
     return this.#inUse;
   }
 
+  /** When the store was last asked for newer ones, as far as its answer is known here. */
+  get checkedAt(): number {
+    return Math.max(this.#watch.checkedAt, this.#heardCheckedAt);
+  }
+
+  /** Another entry's settings were the newest at a time in milliseconds. */
+  noteChecked(checkedAt: number): void {
+    this.#heardCheckedAt = Math.max(this.#heardCheckedAt, checkedAt);
+  }
+
   /** Follows from now on. */
   start(): void {
-    if (this.#isStarted) return;
-    this.#isStarted = true;
-    void this.#follow();
+    this.#watch.start();
   }
 
   /** Follows no more. */
   stop(): void {
-    this.#isStopped = true;
-    this.#round.abort();
+    this.#watch.stop();
   }
 
-  /**
-   * Breaks off a watch that may never answer, and reads anew. A connection may
-   * be dead without a sign while other calls are answered or refused.
-   */
+  /** Breaks off a watch that may never answer, and reads anew. */
   restart(): void {
-    this.#round.abort();
+    this.#watch.restart();
+  }
+
+  /** Whether another entry tells the settings. */
+  setLed(isLed: boolean): void {
+    this.#watch.setLed(isLed);
   }
 
   /**
@@ -104,45 +120,6 @@
     onSettings(settings);
   }
 
-  async #follow(): Promise<void> {
-    let isCurrent = false;
-    while (!this.#isStopped) {
-      this.#round = new AbortController();
-      try {
-        isCurrent = isCurrent ? await this.#watch() : await this.#read();
-        this.#reachability.noteAnswer(performance.now());
-      } catch (error) {
-        isCurrent = false;
-        if (this.#isStopped) return;
-        this.#reachability.noteFailure(performance.now(), error);
-        await sleep(RETRY_PAUSE_MS, undefined, { ref: false });
-      }
-    }
-  }
-
-  async #read(): Promise<boolean> {
-    const { store, format } = this.#options;
-    const listing = await store.list(format.settingsKey);
-    this.#revision = listing.revision;
-    this.#offerItems(listing.items);
-    return true;
-  }
-
-  /** False when the store's history has a gap and all must be read again. */
-  async #watch(): Promise<boolean> {
-    const { store, format } = this.#options;
-    const outcome = await store.watch({
-      prefix: format.settingsKey,
-      afterRevision: this.#revision,
-      waitMs: WATCH_WAIT_MS,
-      signal: this.#round.signal,
-    });
-    if (outcome.kind === "history_lost") return false;
-    this.#revision = outcome.revision;
-    this.#offerItems(outcome.written);
-    return true;
-  }
-
   #offerItems(items: readonly StoreItem[]): void {
     const { settingsKey } = this.#options.format;
     for (const item of items) {
--- a/src/events/catalogue.ts
+++ b/src/events/catalogue.ts
@@ -308,6 +308,12 @@
     text: "Settings that were written cannot be read and stay out of force",
     action: "See `findings`, and write settings that this version reads.",
   },
+  STORE_READER_CHANGED: {
+    code: 2804,
+    level: "info",
+    text: "Another entry reads the platform's store for this one, or no longer",
+    action: NOTHING,
+  },
   INTERNAL_FAULT: {
     code: 2901,
     level: "error",
