Tell the starts of a server under one id apart; entries of other writers name no server

A server may start again under its id and then knows nothing of before: its load, slowness, breaker and connections were taken for those of the start before. The incarnation is id and start now, also between entries; a late word of the start before does not win. An entry with fields missing or of another type, an unknown state, or a key that cannot be read is left out and logged once, and one of a pool that no settings name takes nobody's address.

--- a/src/direct/direct_entry_driver.ts
+++ b/src/direct/direct_entry_driver.ts
@@ -123,6 +123,8 @@
       store,
       format,
       log,
+      isKnownPool: (pool) =>
+        this.#settings.inUse?.settings.pools.has(pool) ?? true,
       onDirectory: (directory) => this.#onDirectory(directory),
       onListed: (directory) => this.#peers.storeAnswered(directory),
       onUnanswered: () => {
--- a/src/direct/direct_target.ts
+++ b/src/direct/direct_target.ts
@@ -61,7 +61,7 @@
       onOver: () => this.#attempts.delete(key),
     });
     this.#attempts.set(key, attempt);
-    attempt.start(backEnd, instance.id);
+    attempt.start(backEnd, instance.name);
   }
 
   /** Closes the connections; attempts under way fail. */
--- a/src/direct/directory_follower.ts
+++ b/src/direct/directory_follower.ts
@@ -9,8 +9,8 @@
 import type { BackEndInstance } from "../external/back_end_directory.ts";
 import type { StoreFormat } from "../external/operator_settings.ts";
 import type { StoreListing, WatchedStore } from "../external/watched_store.ts";
+import { ListedBackEnds } from "./listed_back_ends.ts";
 import { Reachability } from "./reachability.ts";
-import { markSuperseded } from "./superseded_instances.ts";
 
 /**
  * Milliseconds after an outage of the store for which a missing back end still
@@ -25,6 +25,9 @@
  */
 const RETELL_MS = 1000;
 
+/** Characters of a key that are logged. */
+const LOGGED_KEY_LENGTH = 80;
+
 /** The back ends, as last heard. */
 export interface Directory {
   readonly instances: readonly BackEndInstance[];
@@ -41,6 +44,8 @@
   readonly store: WatchedStore;
   readonly format: StoreFormat;
   readonly log: EventLog;
+  /** Whether any settings name a pool. */
+  readonly isKnownPool: (pool: string) => boolean;
   readonly onDirectory: (directory: Directory) => void;
   /** Called after each listing that was answered, with the list as it is kept. */
   readonly onListed: (directory: Directory) => void;
@@ -52,6 +57,7 @@
 export class DirectoryFollower {
   readonly #options: DirectoryFollowerOptions;
   readonly #reachability: Reachability;
+  readonly #backEnds: ListedBackEnds;
   #directory: Directory | undefined;
   #lostAt: number | undefined;
   #regainedAt = Number.NEGATIVE_INFINITY;
@@ -60,7 +66,17 @@
   /** Follows nothing yet. */
   constructor(options: DirectoryFollowerOptions) {
     this.#options = options;
-    this.#reachability = new Reachability("back ends", options.log);
+    const { format, log, isKnownPool } = options;
+    this.#reachability = new Reachability("back ends", log);
+    this.#backEnds = new ListedBackEnds({
+      format,
+      isKnownPool,
+      onUnreadable: ({ key, revision }) =>
+        log.write("BACK_END_UNREADABLE", {
+          key: key.slice(0, LOGGED_KEY_LENGTH),
+          revision,
+        }),
+    });
   }
 
   /** The back ends, as last heard. */
@@ -84,15 +100,11 @@
   }
 
   async #listOnce(): Promise<void> {
-    const { format, onListed, onUnanswered } = this.#options;
+    const { onListed, onUnanswered } = this.#options;
     const askedAt = performance.now();
     const listing = await this.#tryList();
     if (listing === undefined) return onUnanswered();
-    const instances = markSuperseded(listing.items.flatMap((item) => {
-      const instance = format.tryReadBackEnd(item.key, item.value);
-      const { createdRevision } = item;
-      return instance === undefined ? [] : [{ instance, createdRevision }];
-    }));
+    const instances = this.#backEnds.read(listing.items);
     const { revision } = listing;
     const content = contentOf(instances);
     const listed = { instances, revision, content, askedAt };
--- /dev/null
+++ b/src/direct/listed_back_ends_test.ts
@@ -0,0 +1,81 @@
+import assert from "node:assert/strict";
+import { describe, it } from "node:test";
+import { Err, type Result } from "ts-results-es";
+import type { BackEndInstance } from "../external/back_end_directory.ts";
+import {
+  type OperatorSettings,
+  StoreFormat,
+} from "../external/operator_settings.ts";
+import type { StoreItem } from "../external/watched_store.ts";
+import { ListedBackEnds } from "./listed_back_ends.ts";
+
+/** Values are a start time, or what cannot be read. */
+class NumberFormat extends StoreFormat {
+  override readonly settingsKey = "settings";
+  override readonly backEndPrefix = "";
+
+  override readSettings(): Result<OperatorSettings, readonly string[]> {
+    return Err([]);
+  }
+
+  override tryReadBackEnd(
+    key: string,
+    text: string,
+  ): BackEndInstance | undefined {
+    const startedAt = Number(text);
+    if (!Number.isFinite(startedAt)) return undefined;
+    return {
+      id: `${key}@${startedAt}`,
+      name: key,
+      startedAt,
+      address: `${key}:80`,
+      pool: "confirm",
+      failureDomain: "a",
+      concurrency: 4,
+      state: "serving",
+    };
+  }
+}
+
+function createItem(key: string, value: string, revision = 1): StoreItem {
+  return { key, value, revision, createdRevision: 1 };
+}
+
+class BackEndsFixture {
+  readonly unreadable: string[] = [];
+  readonly backEnds = new ListedBackEnds({
+    format: new NumberFormat(),
+    onUnreadable: ({ key }) => this.unreadable.push(key),
+    isKnownPool: () => true,
+  });
+
+  read(...items: readonly StoreItem[]): readonly string[] {
+    return this.backEnds.read(items).map(({ id }) => id);
+  }
+}
+
+describe("entries of back ends", () => {
+  it("tell one start from the next, under the same name", () => {
+    const fixture = new BackEndsFixture();
+    assert.deepEqual(fixture.read(createItem("i-1", "100")), ["i-1@100"]);
+    assert.deepEqual(fixture.read(createItem("i-1", "250")), ["i-1@250"]);
+  });
+
+  it("are not taken back by a late word of the start before", () => {
+    const fixture = new BackEndsFixture();
+    fixture.read(createItem("i-1", "250"));
+    assert.deepEqual(fixture.read(createItem("i-1", "100")), ["i-1@250"]);
+  });
+
+  it("hold beside one that cannot be read, which is told once", () => {
+    const fixture = new BackEndsFixture();
+    for (let round = 0; round < 3; round++) {
+      const read = fixture.read(
+        createItem("i-1", "100"),
+        createItem("i-2", "what is this"),
+      );
+      assert.deepEqual(read, ["i-1@100"]);
+    }
+    assert.deepEqual(fixture.unreadable, ["i-2"]);
+  });
+});
--- a/src/direct/peers/peer_server_test.ts
+++ b/src/direct/peers/peer_server_test.ts
@@ -10,6 +10,7 @@
       version,
       documents: new Map(),
       idleLimitMs: 1000,
+      pools: new Set(),
       groups: new Map(),
     },
   };
--- a/src/direct/peers/schema.ts
+++ b/src/direct/peers/schema.ts
@@ -10,6 +10,8 @@
 
 const INSTANCE_SCHEMA = z.object({
   id: z.string().min(1),
+  name: z.string().min(1),
+  startedAt: COUNT.optional(),
   address: z.string().min(1),
   pool: z.string().min(1),
   failureDomain: z.string(),
--- a/src/direct/superseded_instances.ts
+++ b/src/direct/superseded_instances.ts
@@ -19,23 +19,26 @@
 /**
  * All instances, those as leaving whose address a later entry has. The time at which an
  * entry came to be decides and not its last change: a heartbeat of the one before may
- * arrive late.
+ * arrive late. An entry of a pool that nobody knows may come from anyone, and takes no
+ * place; `isKnownPool` tells which pools there are.
  *
  * @example
  * ```ts
- * const instances = markSuperseded(listed);
+ * const instances = markSuperseded(listed, (pool) => pools.has(pool));
  * ```
  */
 export function markSuperseded(
   listed: readonly ListedInstance[],
+  isKnownPool: (pool: string) => boolean,
 ): readonly BackEndInstance[] {
   const newest = new Map<string, number>();
   for (const { instance, createdRevision } of listed) {
+    if (!isKnownPool(instance.pool)) continue;
     const known = newest.get(instance.address) ?? createdRevision;
     newest.set(instance.address, Math.max(known, createdRevision));
   }
   return listed.map(({ instance, createdRevision }) =>
-    createdRevision === newest.get(instance.address)
+    createdRevision >= (newest.get(instance.address) ?? createdRevision)
       ? instance
       : { ...instance, state: "leaving" }
   );
--- a/src/direct/superseded_instances_test.ts
+++ b/src/direct/superseded_instances_test.ts
@@ -7,11 +7,13 @@
   id: string,
   address: string,
   createdRevision: number,
+  pool = "confirm",
 ): ListedInstance {
   const instance: BackEndInstance = {
     id,
+    name: id,
     address,
-    pool: "confirm",
+    pool,
     failureDomain: "a",
     concurrency: 8,
     state: "serving",
@@ -20,7 +22,7 @@
 }
 
 function servingOf(listed: readonly ListedInstance[]): readonly string[] {
-  return markSuperseded(listed)
+  return markSuperseded(listed, (pool) => pool === "confirm")
     .filter(({ state }) => state === "serving")
     .map(({ id }) => id);
 }
@@ -50,4 +52,12 @@
     ];
     assert.deepEqual(servingOf(listed), ["one", "two"]);
   });
+
+  it("stay when an entry of a pool that nobody knows names their address", () => {
+    const listed = [
+      createListed("one", "one:80", 3),
+      createListed("foreign", "one:80", 90, "unknown"),
+    ];
+    assert.ok(servingOf(listed).includes("one"));
+  });
 });
--- a/src/entry/direct_requests_test.ts
+++ b/src/entry/direct_requests_test.ts
@@ -31,6 +31,7 @@
 ): BackEndInstance {
   return {
     id,
+    name: id,
     address: `${id}:80`,
     pool: "confirm",
     failureDomain: "a",
--- a/src/entry/target_view_test.ts
+++ b/src/entry/target_view_test.ts
@@ -13,6 +13,7 @@
 ): readonly BackEndInstance[] {
   return Array.from({ length: SERVERS }, (_, index): BackEndInstance => ({
     id: `i-${index}`,
+    name: `i-${index}`,
     address: `i-${index}:80`,
     pool: "confirm",
     failureDomain: DOMAINS[index % DOMAINS.length] as string,
--- a/src/events/catalogue.ts
+++ b/src/events/catalogue.ts
@@ -314,6 +314,12 @@
     text: "Another entry reads the platform's store for this one, or no longer",
     action: NOTHING,
   },
+  BACK_END_UNREADABLE: {
+    code: 2805,
+    level: "warn",
+    text: "An entry in the platform's store names no back end",
+    action: "Look who wrote the key; the other back ends hold",
+  },
   INTERNAL_FAULT: {
     code: 2901,
     level: "error",
--- a/src/external/back_end_directory.ts
+++ b/src/external/back_end_directory.ts
@@ -8,6 +8,10 @@
 export interface BackEndInstance {
   /** Identifies the incarnation; never used again. */
   readonly id: string;
+  /** What it calls itself; one that starts again may keep its name. */
+  readonly name: string;
+  /** When it started, in Unix milliseconds of its own clock, if it says so. */
+  readonly startedAt?: number;
   /** Host and port. */
   readonly address: string;
   readonly pool: string;
--- a/src/external/operator_settings.ts
+++ b/src/external/operator_settings.ts
@@ -14,6 +14,8 @@
   readonly documents: ReadonlyMap<string, SettingsDocument>;
   /** Milliseconds for which callers may keep a connection idle. */
   readonly idleLimitMs: number;
+  /** Pools that back ends may belong to. */
+  readonly pools: ReadonlySet<string>;
   /** Rank groups by the pool that they serve. */
   readonly groups: ReadonlyMap<string, GroupSettings>;
 }
