--- a/src/entry/target_record.ts
+++ b/src/entry/target_record.ts
@@ -14,6 +14,12 @@
 /** Weight of the newest answer in the mean time to first byte. */
 const LATENCY_SMOOTHING = 0.1;
 
+/**
+ * Milliseconds for which a connection without a request is thought to last: the client
+ * library closes it after four seconds, back ends some seconds later.
+ */
+const IDLE_CONNECTION_MS = 3000;
+
 /** Pace from which a rank is sent no work while others are free. */
 const STRAGGLER_PACE = 1.5;
 /**
@@ -41,6 +47,8 @@
   #pace = 1;
   #group: GroupBelief | undefined;
   #isDecided = false;
+  /** When the connections that are thought to be idle became so, newest last. */
+  readonly #idleSince: number[] = [];
   /** Requests of ours at the target, with the time they were sent. */
   readonly #inFlight = new Map<number, number>();
   /** Those of them that wait for a first byte, oldest first. */
@@ -92,6 +100,11 @@
     return this.#answeredAt;
   }
 
+  get warmUntil(): number {
+    const newest = this.#idleSince.at(-1) ?? Number.NEGATIVE_INFINITY;
+    return newest + IDLE_CONNECTION_MS;
+  }
+
   get waitingSince(): number | undefined {
     const first = this.#silent.values().next();
     return first.done ? undefined : first.value;
@@ -123,6 +136,7 @@
     this.#isConnected = false;
     this.#inFlight.clear();
     this.#silent.clear();
+    this.#idleSince.splice(0);
   }
 
   /** The target said that it is leaving, or that it serves again. */
@@ -193,6 +207,8 @@
   /** A request was sent to it. */
   addInFlight(requestId: number, now: number): void {
     this.#inFlight.set(requestId, now);
+    // The connection that was used last is used first.
+    this.#idleSince.pop();
     this.#silent.set(requestId, now);
   }
 
@@ -220,6 +236,17 @@
     const share = this.failureShare;
     this.#failureShare = share + FAILURE_SMOOTHING * (newest - share);
     this.#failureAt = now;
-    if (!hasFailed) this.#answeredAt = now;
+    if (hasFailed) return;
+    this.#answeredAt = now;
+    this.#noteIdle(now);
+  }
+
+  /** An answer ended whole, so its connection can carry the next request. */
+  #noteIdle(now: number): void {
+    const firstKept = this.#idleSince.findIndex((since) =>
+      now - since < IDLE_CONNECTION_MS
+    );
+    this.#idleSince.splice(0, firstKept < 0 ? Infinity : firstKept);
+    this.#idleSince.push(now);
   }
 }
--- a/src/policy/target_choice.ts
+++ b/src/policy/target_choice.ts
@@ -78,6 +78,8 @@
   readonly failurePenalty: number;
   /** Load that a prompt counts for whose blocks are all to be computed. */
   readonly prefixWeight: number;
+  /** Load that a new connection counts for. */
+  readonly connectPenalty: number;
   /** Milliseconds without a first byte after which a target looks stuck. */
   readonly stuckAfterMs: number;
 }
@@ -88,12 +90,14 @@
   domainPenalty: 0.25,
   failurePenalty: 4,
   prefixWeight: 1,
+  connectPenalty: 0.2,
   stuckAfterMs: 300,
 };
 
 /**
  * Scores a few targets drawn at random, and the one with most of the prompt in
- * its cache: load, failures, slowness, silence, distance and blocks to compute.
+ * its cache: load, failures, slowness, silence, distance, blocks to compute and whether
+ * a connection has to be made.
  */
 export class ScoredChoice extends TargetChoice {
   readonly #random: RandomSource;
@@ -113,13 +117,22 @@
     candidates: readonly TargetView[],
     context: ChoiceContext,
   ): TargetView | undefined {
-    const drawn = drawDistinct(candidates, {
+    const drawn = this.#draw(candidates);
+    // Those with an idle connection are few in a large pool, and seldom drawn by chance.
+    const connected = this.#draw(
+      candidates.filter((view) => view.warmUntil > context.now),
+    );
+    const warmest = this.#tryWarmest(candidates, context);
+    const scored = [...drawn, ...connected];
+    if (warmest !== undefined) scored.push(warmest);
+    return minimumBy(scored, (view) => this.#score(view, context));
+  }
+
+  #draw(candidates: readonly TargetView[]): readonly TargetView[] {
+    return drawDistinct(candidates, {
       count: this.#options.drawn,
       random: this.#random,
     });
-    const warmest = this.#tryWarmest(candidates, context);
-    const scored = warmest === undefined ? drawn : [...drawn, warmest];
-    return minimumBy(scored, (view) => this.#score(view, context));
   }
 
   #tryWarmest(
@@ -135,10 +148,12 @@
   }
 
   #score(view: TargetView, context: ChoiceContext): number {
-    const { domainPenalty, failurePenalty } = this.#options;
+    const { domainPenalty, failurePenalty, connectPenalty } = this.#options;
+    const isConnected = view.warmUntil > context.now;
     const isNear = view.failureDomain === context.failureDomain;
     return estimateLoad(view) * view.slowness +
       (isNear ? 0 : domainPenalty) +
+      (isConnected ? 0 : connectPenalty) +
       failurePenalty * view.failureShare +
       this.#prefixCost(view, context) +
       this.#stuckCost(view, context.now);
--- a/src/policy/target_view.ts
+++ b/src/policy/target_view.ts
@@ -24,6 +24,8 @@
   readonly slowness: number;
   /** When this target last answered anything, in milliseconds. */
   readonly answeredAt: number;
+  /** Until when a connection of ours to it is thought to be idle, in milliseconds. */
+  readonly warmUntil: number;
   /** When the oldest request that waits for a first byte was sent. */
   readonly waitingSince: number | undefined;
 }
