Plan a map of 64 ranks in a third of the time

Cause, from a profile: the highest load of each layer was sought anew for each copy, and every rank with room was tried for each expert. Kept by the draft now, and the 16 least loaded ranks are tried. Ruled out: sums over touched ranks only (137 and 145 ms).

--- a/src/policy/placement/incremental_planner.ts
+++ b/src/policy/placement/incremental_planner.ts
@@ -69,6 +69,12 @@
 const SMALLEST_DROP_GAIN = 0.001;
 /** Most loaded ranks of a layer whose experts are given more replicas. */
 const RANKS_CONSIDERED = 2;
+/**
+ * Least loaded ranks of a layer that are considered for a copy: the best one is among
+ * them. With 64 ranks and 12 layers of 256 experts a first plan takes 50 ms in place of
+ * 140 and the next one 26 in place of 145, with the same cost after it.
+ */
+const RECEIVERS_CONSIDERED = 16;
 /** Replicas at a full rank that are considered for being dropped. */
 const DROPS_CONSIDERED = 2;
 
@@ -220,7 +226,8 @@
   *#changesOf(layer: number): Iterable<ReplicaChange> {
     const draft = this.#drafts[layer] as PlacementDraft;
     const ranks = draft.ranksByLoad();
-    const room = ranks.filter((rank) => this.#mayLoad(layer, rank));
+    const room = ranks.filter((rank) => this.#mayLoad(layer, rank))
+      .slice(-RECEIVERS_CONSIDERED);
     const droppable = new Map(
       room.map((rank) => [rank, droppableAt(draft, rank)]),
     );
--- a/src/policy/placement/placement_draft.ts
+++ b/src/policy/placement/placement_draft.ts
@@ -45,6 +45,7 @@
   readonly #loads: Float64Array;
   readonly #added: Float64Array;
   #powers = 0;
+  #highestLoad = 0;
 
   /** Begins with a copy of a placement. */
   constructor(options: PlacementDraftOptions) {
@@ -69,7 +70,7 @@
 
   /** Load of the most loaded rank: its part of all tokens, times its pace. */
   get highestLoad(): number {
-    return Math.max(...this.#loads);
+    return this.#highestLoad;
   }
 
   /** Close to {@link highestLoad}; falls with every rank near the top. */
@@ -218,6 +219,9 @@
       }
     }
     this.#powers = this.#loads.reduce((sum, load) => sum + power(load), 0);
+    this.#highestLoad = this.#loads.reduce((most, load) =>
+      Math.max(most, load)
+    );
   }
 
   #paceOf(rank: number): number {
