--- /dev/null
+++ b/src/direct/counted_store.ts
@@ -0,0 +1,90 @@
+/**
+ * A store of the platform whose calls are counted by kind: they are what the platform
+ * charges for, so that an operator sees who makes them and why.
+ *
+ * @module
+ */
+import type { EventLog } from "../events/event_log.ts";
+import {
+  type LeasedEntry,
+  type StoreCallKind,
+  type StoreLease,
+  type StoreListing,
+  type StoreWatchOptions,
+  type StoreWatchOutcome,
+  WatchedStore,
+} from "../external/watched_store.ts";
+
+/** Milliseconds between two lines of the log on calls; none where none was made. */
+const LOG_INTERVAL_MS = 20_000;
+
+type CallCounts = Record<StoreCallKind | "failed", number>;
+
+/** Options of a {@link CountedStore}. */
+export interface CountedStoreOptions {
+  readonly store: WatchedStore;
+  readonly log: EventLog;
+  /** Called for each call as it ends. */
+  readonly onCall?: (kind: StoreCallKind, hasFailed: boolean) => void;
+}
+
+/** Counts calls, and makes them at another store. */
+export class CountedStore extends WatchedStore {
+  readonly #options: CountedStoreOptions;
+  readonly #timer: NodeJS.Timeout;
+  #counts = createCounts();
+
+  /** Has counted nothing yet. */
+  constructor(options: CountedStoreOptions) {
+    super();
+    this.#options = options;
+    this.#timer = setInterval(() => this.#logCounts(), LOG_INTERVAL_MS);
+    this.#timer.unref();
+  }
+
+  override list(prefix: string): Promise<StoreListing> {
+    return this.#count("list", this.#options.store.list(prefix));
+  }
+
+  override watch(options: StoreWatchOptions): Promise<StoreWatchOutcome> {
+    return this.#count("watch", this.#options.store.watch(options));
+  }
+
+  override register(entry: LeasedEntry): Promise<StoreLease> {
+    return this.#count("register", this.#options.store.register(entry));
+  }
+
+  override renew(lease: StoreLease): Promise<boolean> {
+    return this.#count("renew", this.#options.store.renew(lease));
+  }
+
+  override release(lease: StoreLease): Promise<void> {
+    return this.#count("release", this.#options.store.release(lease));
+  }
+
+  async #count<T>(kind: StoreCallKind, call: Promise<T>): Promise<T> {
+    const { onCall } = this.#options;
+    this.#counts[kind]++;
+    try {
+      const answer = await call;
+      onCall?.(kind, false);
+      return answer;
+    } catch (error) {
+      this.#counts.failed++;
+      onCall?.(kind, true);
+      throw error;
+    }
+  }
+
+  #logCounts(): void {
+    const counts = this.#counts;
+    const isIdle = Object.values(counts).every((count) => count === 0);
+    if (isIdle) return;
+    this.#counts = createCounts();
+    this.#options.log.write("STORE_CALLS", counts);
+  }
+}
+
+function createCounts(): CallCounts {
+  return { list: 0, watch: 0, register: 0, renew: 0, release: 0, failed: 0 };
+}
--- a/src/direct/direct_entry_driver.ts
+++ b/src/direct/direct_entry_driver.ts
@@ -25,6 +25,7 @@
 import { Metrics } from "../process/metrics.ts";
 import type { DirectEntryProcessSettings } from "../process/process_settings.ts";
 import type { Drainable } from "../process/shutdown.ts";
+import { CountedStore } from "./counted_store.ts";
 import { type Directory, DirectoryFollower } from "./directory_follower.ts";
 import { DirectTargetPool } from "./direct_target_pool.ts";
 import { GroupLoadFollower } from "./group_load_follower.ts";
@@ -82,7 +83,13 @@
   /** Does not listen yet. */
   constructor(options: DirectEntryDriverOptions) {
     this.#options = options;
-    const { settings, store, format, log } = options;
+    const { settings, format, log } = options;
+    const store = new CountedStore({
+      store: options.store,
+      log,
+      onCall: (kind, hasFailed) =>
+        this.#metrics.countStoreCall(kind, hasFailed),
+    });
     this.#reducer = new EntryReducer({
       failureDomain: settings.failureDomain,
       entryName: settings.name,
--- a/src/direct/rank_driver.ts
+++ b/src/direct/rank_driver.ts
@@ -27,6 +27,7 @@
 import { HttpListener } from "../process/http_listener.ts";
 import type { RankProcessSettings } from "../process/process_settings.ts";
 import type { Drainable } from "../process/shutdown.ts";
+import { CountedStore } from "./counted_store.ts";
 import { EntryAudience } from "./entry_audience.ts";
 import type { ListedProcess } from "./listed_process.ts";
 import { ProcessRegistry } from "./process_registry.ts";
@@ -62,6 +63,7 @@
 /** A running process beside the engine of a rank. */
 export class RankDriver implements Drainable {
   readonly #options: RankDriverOptions;
+  readonly #store: WatchedStore;
   readonly #identity: LinkIdentity;
   readonly #agent: RankAgent;
   readonly #listener = new HttpListener(new Hono());
@@ -77,7 +79,9 @@
   /** Does not listen yet. */
   constructor(options: RankDriverOptions) {
     this.#options = options;
-    const { settings, store, format, log } = options;
+    const { settings, format, log } = options;
+    const store = new CountedStore({ store: options.store, log });
+    this.#store = store;
     this.#identity = {
       deployment: settings.deployment,
       secret: settings.secret,
@@ -209,10 +213,10 @@
 
   #register(state: RankState): void {
     const { group, rank } = state;
-    const { store, log, settings } = this.#options;
+    const { log, settings } = this.#options;
     void this.#registry?.stop();
     this.#registry = new ProcessRegistry({
-      store,
+      store: this.#store,
       log,
       self: {
         name: settings.name,
--- a/src/events/catalogue.ts
+++ b/src/events/catalogue.ts
@@ -320,6 +320,12 @@
     text: "An entry in the platform's store names no back end",
     action: "Look who wrote the key; the other back ends hold",
   },
+  STORE_CALLS: {
+    code: 2806,
+    level: "info",
+    text: "Calls to the platform's store since the last such line, by kind",
+    action: NOTHING,
+  },
   INTERNAL_FAULT: {
     code: 2901,
     level: "error",
--- a/src/external/watched_store.ts
+++ b/src/external/watched_store.ts
@@ -62,6 +62,9 @@
   readonly timeToLiveMs: number;
 }
 
+/** What a process asks the store for. */
+export type StoreCallKind = "list" | "watch" | "register" | "renew" | "release";
+
 /** Thrown when the store gave no answer; a read has no other effect. */
 export class StoreUnavailableError extends Error {
   override readonly name = "StoreUnavailableError";
--- a/src/process/metrics.ts
+++ b/src/process/metrics.ts
@@ -7,6 +7,7 @@
 import { build, type Histogram } from "hdr-histogram-js";
 import { Counter, Gauge, Registry } from "prom-client";
 import type { ReturnOutcome } from "../entry/types.ts";
+import type { StoreCallKind } from "../external/watched_store.ts";
 import type { LinkFault } from "../messages/codec.ts";
 import type { RefusalName } from "../refusals/catalogue.ts";
 
@@ -39,6 +40,12 @@
     labelNames: ["outcome"],
     registers: [this.#registry],
   });
+  readonly #storeCalls = new Counter({
+    name: "lagoonwharf_store_calls_total",
+    help: "Calls to the platform's store by kind and outcome",
+    labelNames: ["kind", "outcome"],
+    registers: [this.#registry],
+  });
   readonly #milliseconds = createHistogram();
   readonly #pauses = createHistogram();
   readonly #firstByte = createHistogram();
@@ -117,6 +124,11 @@
     this.#retries.inc({ reason });
   }
 
+  /** A call to the platform's store ended. */
+  countStoreCall(kind: StoreCallKind, hasFailed: boolean): void {
+    this.#storeCalls.inc({ kind, outcome: hasFailed ? "failed" : "answered" });
+  }
+
   /** A connection was closed for a fault. */
   countLinkFault(reason: LinkFault): void {
     this.#faults.inc({ reason });
