Tell ranks the map in force ahead of the first order

Hypothesis: in full the first map took 0.95 s to prepare (388 KB over 4.2 Mbit/s) and later ones, as differences, 0.36 s; with the base told while nothing else is to be sent the first is as soon as the later ones.

--- a/src/direct/rank_driver.ts
+++ b/src/direct/rank_driver.ts
@@ -282,9 +282,10 @@
       this.#agent.check(message, send).catch((error) => this.#fault(error));
     }
     if (message.kind === "rank_order") {
-      if (message.order.kind === "prepare") received.note(message.order);
+      if (message.order.kind === "prepare") received.note(message.order.map);
       this.#carryOut(message, send);
     }
+    if (message.kind === "map_base") received.note(message.map);
     if (message.kind === "map_change") {
       const order = received.tryDecode(message);
       // The decider dials again, and sends the next map whole.
--- /dev/null
+++ b/src/group/formed/base_maps.ts
@@ -0,0 +1,48 @@
+/**
+ * Tells the processes of all ranks the map in force while nothing else is to be sent, so
+ * that the first order needs to carry only what differs from it.
+ *
+ * @module
+ */
+import type { ExpertMap } from "../types.ts";
+
+/** Part of the decider's link for maps that are told ahead. */
+const LINK_PART = 0.2;
+/** Bytes of an expert's number in a map. */
+const NUMBER_BYTES = 1.6;
+const MS_PER_SECOND = 1000;
+
+/** Paces maps that are told ahead of orders. */
+export class BaseMaps {
+  readonly #bytesPerSecond: number;
+  #mayTellAt = Number.NEGATIVE_INFINITY;
+
+  /** Takes the bytes that the decider's link carries in a second. */
+  constructor(bytesPerSecond: number) {
+    this.#bytesPerSecond = bytesPerSecond;
+  }
+
+  /**
+   * Whether one more process may be told the map now.
+   *
+   * @example
+   * ```ts
+   * if (baseMaps.tryTake(map, now)) tell(map);
+   * ```
+   */
+  tryTake(map: ExpertMap, now: number): boolean {
+    if (now < this.#mayTellAt) return false;
+    const pauseMs = bytesOf(map) / (LINK_PART * this.#bytesPerSecond) *
+      MS_PER_SECOND;
+    this.#mayTellAt = now + pauseMs;
+    return true;
+  }
+}
+
+function bytesOf({ layers }: ExpertMap): number {
+  const numbers = layers.reduce(
+    (sum, { experts }) => sum + experts.flat().length,
+    0,
+  );
+  return numbers * NUMBER_BYTES;
+}
--- a/src/group/formed/decider_driver.ts
+++ b/src/group/formed/decider_driver.ts
@@ -12,6 +12,7 @@
 import type { GroupSettings } from "../../external/operator_settings.ts";
 import type { LinkIdentity } from "../../links/link_server.ts";
 import { tryPlanIncrement } from "../../policy/placement/incremental_planner.ts";
+import { BaseMaps } from "./base_maps.ts";
 import { getCopiesPerRank } from "./copies_per_rank.ts";
 import { FormedGroupDecider } from "./decider.ts";
 import type {
@@ -74,6 +75,7 @@
   readonly #passTimes = new PassTimes(PASS_SMOOTHING);
   readonly #links: RankLinks;
   readonly #questions: RankQuestions;
+  readonly #baseMaps: BaseMaps;
   /** Ranks that were counted since the last plan, or since a map came into force. */
   readonly #answered = new Set<number>();
   readonly #timer: NodeJS.Timeout;
@@ -106,6 +108,7 @@
       ranks: state.ranks,
       bytesPerSecond: options.linkBytesPerSecond,
     });
+    this.#baseMaps = new BaseMaps(options.linkBytesPerSecond);
     this.#timer = setInterval(() => this.#tick(), TICK_MS);
   }
 
@@ -172,6 +175,18 @@
     this.#tellLoad(now);
     this.#logWork(now);
     this.#askRanks(now);
+    this.#tellBaseMap(now);
+  }
+
+  #tellBaseMap(now: number): void {
+    const map = this.#decider.settledMap;
+    const member = map &&
+      this.#links.members.find(({ link, sentMap }) =>
+        link !== undefined && !sentMap.hasBase
+      );
+    if (map === undefined || member === undefined) return;
+    if (!this.#baseMaps.tryTake(map, now)) return;
+    member.link?.send(member.sentMap.encodeBase(map));
   }
 
   #askRanks(now: number): void {
--- a/src/group/formed/map_changes.ts
+++ b/src/group/formed/map_changes.ts
@@ -8,9 +8,9 @@
 import { createHash } from "node:crypto";
 import type { ExpertMap } from "../types.ts";
 import type {
+  MapBaseMessage,
   MapChangeMessage,
   MapRows,
-  PrepareOrder,
   RankOrderMessage,
 } from "./types.ts";
 
@@ -18,6 +18,17 @@
 export class SentMap {
   #last: ExpertMap | undefined;
 
+  /** Whether the other side has a map, from which the next ones differ. */
+  get hasBase(): boolean {
+    return this.#last !== undefined;
+  }
+
+  /** Tells a map ahead of the first order: most of what that would carry. */
+  encodeBase(map: ExpertMap): MapBaseMessage {
+    this.#last = map;
+    return { kind: "map_base", map };
+  }
+
   /**
    * The message in its shorter form, if the other side has what that takes.
    *
@@ -44,8 +55,8 @@
   #last: ExpertMap | undefined;
 
   /** Takes in a map that was sent whole. */
-  note(order: PrepareOrder): void {
-    this.#last = order.map;
+  note(map: ExpertMap): void {
+    this.#last = map;
   }
 
   /**
--- a/src/group/formed/map_changes_test.ts
+++ b/src/group/formed/map_changes_test.ts
@@ -48,7 +48,7 @@
     const received = new ReceivedMap();
     const first = sent.encode(createPrepare(1, FIRST));
     assert.ok(first.kind === "rank_order" && first.order.kind === "prepare");
-    received.note(first.order);
+    received.note(first.order.map);
     for (const map of [SECOND, SECOND, FIRST]) {
       const change = sent.encode(createPrepare(2, map));
       assert.ok(change.kind === "map_change");
@@ -63,7 +63,7 @@
 
   it("are not loaded where they do not fit the map before", () => {
     const received = new ReceivedMap();
-    received.note({ kind: "prepare", epoch: 1, version: 1, map: SECOND });
+    received.note(SECOND);
     const { checksum } = createChange();
     const rows = { layers: [0], ranks: [0], experts: [[1, 0]] };
     const change = { ...createChange(), rows, checksum };
@@ -90,6 +90,17 @@
     assert.ok(change.length * 2 < whole, `${change.length} of ${whole}`);
   });
 
+  it("differ from a map that was told ahead of the first order", () => {
+    const sent = new SentMap();
+    const received = new ReceivedMap();
+    assert.equal(sent.hasBase, false);
+    received.note(sent.encodeBase(FIRST).map);
+    assert.equal(sent.hasBase, true);
+    const change = sent.encode(createPrepare(2, SECOND));
+    assert.ok(change.kind === "map_change");
+    assert.deepEqual(received.tryDecode(change), createPrepare(2, SECOND));
+  });
+
   it("leave other orders as they are", () => {
     const order = { kind: "go", epoch: 1, pass: 3 } as const;
     const message = { kind: "rank_order", orderId: 1, order } as const;
--- a/src/group/formed/schema.ts
+++ b/src/group/formed/schema.ts
@@ -48,6 +48,7 @@
     orderId: COUNT,
     order: ORDER_SCHEMA,
   }),
+  z.object({ kind: z.literal("map_base"), map: MAP_SCHEMA }),
   z.object({
     kind: z.literal("map_change"),
     orderId: COUNT,
--- a/src/group/formed/types.ts
+++ b/src/group/formed/types.ts
@@ -125,6 +125,12 @@
   readonly experts: readonly (readonly number[])[];
 }
 
+/** The map in force, ahead of the orders that tell what differs from it. */
+export interface MapBaseMessage {
+  readonly kind: "map_base";
+  readonly map: ExpertMap;
+}
+
 /** An order to prepare a map, as what differs from the last one on the same link. */
 export interface MapChangeMessage {
   readonly kind: "map_change";
@@ -238,6 +244,7 @@
   | GroupLoadMessage
   | GroupSightMessage
   | RankOrderMessage
+  | MapBaseMessage
   | MapChangeMessage
   | RankCheckMessage
   | RankQueryMessage
