--- a/src/group/formed/map_changes.ts
+++ b/src/group/formed/map_changes.ts
@@ -11,6 +11,7 @@
   MapBaseMessage,
   MapChangeMessage,
   MapRows,
+  PrepareOrder,
   RankOrderMessage,
 } from "./types.ts";
 
