Read settings and back ends from the store at once at a start

What callers need is read at once again; the rest is heard from the processes named in the settings, and these read it.

--- a/src/direct/peers/entry_peers.ts
+++ b/src/direct/peers/entry_peers.ts
@@ -23,15 +23,6 @@
 
 /** Milliseconds between two looks whether something is to be asked. */
 const TURN_MS = 50;
-/**
- * Milliseconds after the start for which the processes named in the settings are asked
- * before the store: with all processes starting at once, each would ask it for everything.
- */
-const SEED_WAIT_MS = 250;
-/** The same for those who are not named there, at least: until those who are know more. */
-const LATER_WAIT_MS = 700;
-/** Milliseconds over which these are spread, where none of the named ones answers. */
-const LATER_SPREAD_MS = 600;
 /**
  * Age of settings, over the time for which a back end that leaves may be sent work, up to
  * which a reader is trusted with them. It hears of new ones at once; this is for one whose
@@ -70,6 +61,7 @@
   readonly #turns: ReaderTurns;
   #timer: NodeJS.Timeout | undefined;
   #isLed: boolean | undefined;
+  #hasListed = false;
   #candidates: readonly string[] = [];
 
   /** Neither listens nor asks yet. */
@@ -112,16 +104,15 @@
     await this.#server.listen(this.#options.self.address);
   }
 
-  /** Asks the processes named in the settings, then takes turns. */
+  /**
+   * Lists the back ends at once, so that callers are served at once, and asks the processes
+   * named in the settings for all else, which these read from the store; then takes turns.
+   */
   start(): void {
-    const { self, seedAddresses, random } = this.#options;
-    const isNamed = seedAddresses.includes(self.address);
-    const waitMs = isNamed
-      ? SEED_WAIT_MS
-      : LATER_WAIT_MS + LATER_SPREAD_MS * random.nextFraction();
-    this.#turns.begin(performance.now() + waitMs);
-    this.#setLed(true);
+    const { self, seedAddresses } = this.#options;
+    this.#setLed(!seedAddresses.includes(self.address));
     this.#asked.start();
+    this.#takeTurn();
     this.#timer = setInterval(() => this.#takeTurn(), TURN_MS);
   }
 
@@ -144,7 +135,9 @@
 
   /** The store listed the back ends: nobody needs to be asked. */
   storeAnswered(directory: Directory): void {
-    this.#asked.stop();
+    // Without a list of processes nobody is known yet who could be asked.
+    const { processes } = this.#options.getKnowledge();
+    if (processes.revision > 0) this.#asked.stop();
     this.#turns.noteListed(directory.askedAt);
     this.#server.tellFollowers();
   }
@@ -173,7 +166,8 @@
     const turn = this.#turns.next(performance.now());
     if (turn.kind === "ask") this.#reader.ask(turn.address);
     if (turn.kind === "list") {
-      this.#setLed(false);
+      if (this.#hasListed) this.#setLed(false);
+      this.#hasListed = true;
       this.#options.onListTurn();
     }
   }
--- a/src/direct/peers/reader_turns.ts
+++ b/src/direct/peers/reader_turns.ts
@@ -79,11 +79,6 @@
     this.#oldestMs = leavingLimitMs * OLDEST_PART;
   }
 
-  /** Leaves the store alone until a time in milliseconds: others may be asked first. */
-  begin(firstListAt: number): void {
-    this.#listedAt = firstListAt - this.#listIntervalMs;
-  }
-
   /** Whether a reader tells all that is to be known, so that the store need not. */
   get isLed(): boolean {
     return this.#isLed;
--- a/src/direct/settings_follower.ts
+++ b/src/direct/settings_follower.ts
@@ -53,6 +53,7 @@
       prefix: format.settingsKey,
       waitMs: options.watchWaitMs ?? WATCH_WAIT_MS,
       retryPauseMs: RETRY_PAUSE_MS,
+      readsFirst: true,
       reachability: new Reachability("settings", log),
       onListed: (items) => this.#offerItems(items),
       onChanged: ({ written }) => this.#offerItems(written),
--- a/src/direct/store_watch.ts
+++ b/src/direct/store_watch.ts
@@ -23,6 +23,8 @@
   readonly retryPauseMs: number;
   /** Milliseconds in which changes are gathered before the next call. */
   readonly gatherMs?: number;
+  /** Whether all keys are read once at the start, also while another process leads. */
+  readonly readsFirst?: boolean;
   readonly reachability: Reachability;
   /** All keys were read. */
   readonly onListed: (items: readonly StoreItem[]) => void;
@@ -88,7 +90,8 @@
   }
 
   async #follow(): Promise<void> {
-    let isCurrent = false;
+    let isCurrent = this.#options.readsFirst === true &&
+      await this.#tryRound(false);
     while (!this.#isStopped) {
       if (this.#isLed) {
         isCurrent = false;
