Ask soon again what a rank holds; make no switch that saves less than its hold costs

A light question is asked again after 0.3 s; a plan has to save 40 ms of passes over its use, and more while passes are short against the pause that callers bear.

--- a/src/group/formed/rank_questions.ts
+++ b/src/group/formed/rank_questions.ts
@@ -21,10 +21,15 @@
 const TURNS = 2;
 /** Milliseconds between two questions for the state of a rank that is not counted. */
 const STATE_INTERVAL_MS = 500;
-/** Milliseconds for which a first question is waited for. */
-const ANSWER_LIMIT_MS = 1000;
-/** Questions without an answer after which the wait doubles no more: 8 s. */
-const MOST_DOUBLINGS = 3;
+/** Milliseconds for which a first question is waited for, with counts. */
+const COUNTS_LIMIT_MS = 1000;
+/**
+ * The same without counts: the answer is small, and while what a rank holds is unknown no
+ * map is changed. A process that starts may find its engine too busy for its first answer.
+ */
+const STATE_LIMIT_MS = 300;
+/** Questions without an answer after which the wait doubles no more. */
+const MOST_DOUBLINGS = 5;
 /** Part of the link for all answers: orders, maps and heartbeats need the rest. */
 const LINK_PART = 0.4;
 /** Part of the link for counts. */
@@ -55,9 +60,23 @@
   readonly bytesPerSecond: number;
 }
 
+/** What is expected of an answer. */
+interface ExpectedAnswer {
+  readonly bytes: number;
+  /** Milliseconds for which it is waited for. */
+  readonly limitMs: number;
+}
+
+const STATE_ANSWER: ExpectedAnswer = {
+  bytes: STATE_BYTES,
+  limitMs: STATE_LIMIT_MS,
+};
+
 interface AskedRank {
   askedAt: number;
   isOpen: boolean;
+  /** Milliseconds for which that question is waited for. */
+  limitMs: number;
   /** Questions in a row without an answer. */
   misses: number;
 }
@@ -127,7 +146,7 @@
     reachable: ReadonlySet<number>,
   ): readonly RankQuestion[] {
     const wanted = [...this.#wanted].filter((rank) => reachable.has(rank));
-    return this.#takeSome(wanted, STATE_BYTES, now)
+    return this.#takeSome(wanted, STATE_ANSWER, now)
       .map((rank) => ({ rank, withExperts: true, withCounts: false }));
   }
 
@@ -137,7 +156,8 @@
       place % TURNS === turn &&
       this.#isDue(rank, now, COUNT_INTERVAL_MS / TURNS)
     );
-    return this.#takeSome(due, this.#countsBytes, now)
+    const answer = { bytes: this.#countsBytes, limitMs: COUNTS_LIMIT_MS };
+    return this.#takeSome(due, answer, now)
       .map((rank) => ({ rank, withExperts: false, withCounts: true }));
   }
 
@@ -151,14 +171,14 @@
     );
     // Who was asked the longest ago is first, if not all can be asked.
     due.sort((left, right) => this.#askedAt(left) - this.#askedAt(right));
-    return this.#takeSome(due, STATE_BYTES, now)
+    return this.#takeSome(due, STATE_ANSWER, now)
       .map((rank) => ({ rank, withExperts: false, withCounts: false }));
   }
 
   /** As many as the budget allows, of those that have no open question. */
   #takeSome(
     ranks: readonly number[],
-    bytes: number,
+    { bytes, limitMs }: ExpectedAnswer,
     now: number,
   ): readonly number[] {
     const taken: number[] = [];
@@ -168,6 +188,7 @@
       if (asked === undefined || !this.#mayAsk(asked, now)) continue;
       if (asked.isOpen) asked.misses++;
       asked.isOpen = true;
+      asked.limitMs = limitMs;
       asked.askedAt = now;
       this.#budget -= bytes;
       taken.push(rank);
@@ -176,10 +197,13 @@
   }
 
   /** A question without an answer is not repeated at once, and then ever later. */
-  #mayAsk({ isOpen, askedAt, misses }: AskedRank, now: number): boolean {
+  #mayAsk(
+    { isOpen, askedAt, limitMs, misses }: AskedRank,
+    now: number,
+  ): boolean {
     if (!isOpen) return true;
-    const limitMs = ANSWER_LIMIT_MS * 2 ** Math.min(misses, MOST_DOUBLINGS);
-    return now - askedAt >= limitMs;
+    const longer = 2 ** Math.min(misses, MOST_DOUBLINGS);
+    return now - askedAt >= limitMs * longer;
   }
 
   #isDue(rank: number, now: number, intervalMs: number): boolean {
@@ -233,5 +257,10 @@
 }
 
 function createAskedRank(): AskedRank {
-  return { askedAt: Number.NEGATIVE_INFINITY, isOpen: false, misses: 0 };
+  return {
+    askedAt: Number.NEGATIVE_INFINITY,
+    isOpen: false,
+    limitMs: 0,
+    misses: 0,
+  };
 }
--- a/src/policy/placement/incremental_planner.ts
+++ b/src/policy/placement/incremental_planner.ts
@@ -63,6 +63,17 @@
  * 1.85 times the mean, as many answers in time but at 20 (0.995, 0.993).
  */
 const EASY_GAIN = 10;
+/**
+ * Milliseconds by which a switch delays the group: its pass is held until all ranks are
+ * armed. Over {@link USEFUL_MS} it must save as much, or nobody is better off.
+ */
+const SWITCH_MS = 40;
+/**
+ * Part of a pass that a plan must save, beside that, while passes take no time against the
+ * pause that callers bear: nobody notices what it saves, and each switch may hold the group
+ * for a moment that all of its callers notice.
+ */
+const EASY_PLAN_GAIN = 0.08;
 /** Part of that pause from which each copy that makes up for itself is made. */
 const PRESSING_PASS_PART = 0.8;
 /** Part of a layer's cost that dropping a replica must save: no copy is needed. */
@@ -137,6 +148,9 @@
     const made = this.#addReplicas();
     const dropped = droppedBefore + this.#dropReplicas();
     if (dropped + made === 0) return undefined;
+    const costAfter = this.#cost();
+    const gain = (costBefore - costAfter) / costBefore;
+    if (gain < smallestPlanGainOf(this.#limits)) return undefined;
     const layers = this.#drafts.map((draft): LayerPlacement =>
       draft.toPlacement()
     );
@@ -144,7 +158,7 @@
       map: { layers },
       copies: made,
       costBefore,
-      costAfter: this.#cost(),
+      costAfter,
     };
   }
 
@@ -267,8 +281,17 @@
   movedPart: number,
 ): number {
   const forSlowdown = COPY_SLOWDOWN * loadMs / USEFUL_MS;
-  const ease = 1 - clampToUnit((passPart ?? 1) / PRESSING_PASS_PART);
-  return Math.max(forSlowdown, EASY_GAIN * movedPart * ease);
+  return Math.max(forSlowdown, EASY_GAIN * movedPart * easeOf(passPart));
+}
+
+/** Part of a pass that all copies of a plan must save together, for the switch. */
+function smallestPlanGainOf({ passPart }: PlanLimits): number {
+  return SWITCH_MS / USEFUL_MS + EASY_PLAN_GAIN * easeOf(passPart);
+}
+
+/** 1 while passes take no time against the pause that callers bear, 0 near it. */
+function easeOf(passPart: number | undefined): number {
+  return 1 - clampToUnit((passPart ?? 1) / PRESSING_PASS_PART);
 }
 
 function clampToUnit(value: number): number {
