--- a/src/direct/store_watch.ts
+++ b/src/direct/store_watch.ts
@@ -13,6 +13,13 @@
 } from "../external/watched_store.ts";
 import type { Reachability } from "./reachability.ts";
 
+/**
+ * Milliseconds for which no other process must lead before a watch begins: a reader that
+ * fails is replaced by the next one within that time, and each change of mind cost four
+ * calls.
+ */
+const SETTLE_MS = 1000;
+
 /** Options of a {@link StoreWatch}. */
 export interface StoreWatchOptions {
   readonly store: WatchedStore;
@@ -23,7 +30,7 @@
   readonly retryPauseMs: number;
   /** Milliseconds in which changes are gathered before the next call. */
   readonly gatherMs?: number;
-  /** Whether all keys are read once at the start, also while another process leads. */
+  /** Whether all keys are read at once at the start, and when no other process leads. */
   readonly readsFirst?: boolean;
   readonly reachability: Reachability;
   /** All keys were read. */
@@ -90,18 +97,28 @@
   }
 
   async #follow(): Promise<void> {
-    let isCurrent = this.#options.readsFirst === true &&
-      await this.#tryRound(false);
+    const { readsFirst } = this.#options;
+    let isCurrent = readsFirst === true && await this.#tryRound(false);
     while (!this.#isStopped) {
       if (this.#isLed) {
-        isCurrent = false;
-        await new Promise<void>((resolve) => this.#wake = resolve);
+        isCurrent = await this.#waitUntilAlone();
         continue;
       }
       isCurrent = await this.#tryRound(isCurrent);
     }
   }
 
+  /** Waits until no other process leads, and whether what is known is current then. */
+  async #waitUntilAlone(): Promise<boolean> {
+    await new Promise<void>((resolve) => this.#wake = resolve);
+    if (this.#isStopped) return false;
+    const isCurrent = this.#options.readsFirst === true &&
+      await this.#tryRound(false);
+    this.#round = new AbortController();
+    await this.#pause(SETTLE_MS);
+    return isCurrent;
+  }
+
   /** Whether what is known is current, so that a watch can follow. */
   async #tryRound(isCurrent: boolean): Promise<boolean> {
     const { reachability, retryPauseMs } = this.#options;
@@ -141,11 +158,11 @@
     this.#revision = outcome.revision;
     if (outcome.removed.length + outcome.written.length === 0) return true;
     onChanged(outcome);
-    if (gatherMs !== undefined) await this.#gather(gatherMs);
+    if (gatherMs !== undefined) await this.#pause(gatherMs);
     return true;
   }
 
-  async #gather(milliseconds: number): Promise<void> {
+  async #pause(milliseconds: number): Promise<void> {
     const { signal } = this.#round;
     await sleep(milliseconds, undefined, { ref: false, signal })
       .catch(
--- /dev/null
+++ b/src/direct/store_watch_test.ts
@@ -0,0 +1,106 @@
+import assert from "node:assert/strict";
+import { describe, it } from "node:test";
+import { setTimeout as sleep } from "node:timers/promises";
+import { EventLog } from "../events/event_log.ts";
+import {
+  type StoreLease,
+  type StoreListing,
+  type StoreWatchOptions,
+  type StoreWatchOutcome,
+  WatchedStore,
+} from "../external/watched_store.ts";
+import { Reachability } from "./reachability.ts";
+import { StoreWatch } from "./store_watch.ts";
+
+/** Lists nothing, and holds each watch until it is broken off. */
+class HoldingStore extends WatchedStore {
+  lists = 0;
+  watches = 0;
+
+  override list(): Promise<StoreListing> {
+    this.lists++;
+    return Promise.resolve({ items: [], revision: 1 });
+  }
+
+  override watch({ signal }: StoreWatchOptions): Promise<StoreWatchOutcome> {
+    this.watches++;
+    return new Promise((_, reject) => {
+      signal.addEventListener("abort", () => reject(new Error("broken off")));
+    });
+  }
+
+  override register(): Promise<StoreLease> {
+    return Promise.reject(new Error("not here"));
+  }
+
+  override renew(): Promise<boolean> {
+    return Promise.resolve(false);
+  }
+
+  override release(): Promise<void> {
+    return Promise.resolve();
+  }
+}
+
+function createWatch(store: WatchedStore, readsFirst: boolean): StoreWatch {
+  const log = new EventLog({ role: "entry", processName: "test" });
+  return new StoreWatch({
+    store,
+    prefix: "any/",
+    waitMs: 1000,
+    retryPauseMs: 10,
+    readsFirst,
+    reachability: new Reachability("test", log),
+    onListed: () => undefined,
+    onChanged: () => undefined,
+  });
+}
+
+describe("a watch that another process may lead", () => {
+  it("makes no call while it is led", async () => {
+    const store = new HoldingStore();
+    const watch = createWatch(store, false);
+    watch.setLed(true);
+    watch.start();
+    await sleep(30);
+    watch.stop();
+    assert.equal(store.lists + store.watches, 0);
+  });
+
+  it("reads once at the start where that is wanted at once", async () => {
+    const store = new HoldingStore();
+    const watch = createWatch(store, true);
+    watch.setLed(true);
+    watch.start();
+    await sleep(30);
+    watch.stop();
+    assert.deepEqual([store.lists, store.watches], [1, 0]);
+  });
+
+  it("reads once, and watches only after a while, when its reader fails", async () => {
+    const store = new HoldingStore();
+    const watch = createWatch(store, true);
+    watch.setLed(true);
+    watch.start();
+    await sleep(10);
+    watch.setLed(false);
+    await sleep(50);
+    assert.deepEqual([store.lists, store.watches], [2, 0]);
+    watch.setLed(true);
+    await sleep(30);
+    watch.stop();
+    assert.deepEqual([store.lists, store.watches], [2, 0]);
+  });
+
+  it("watches when nobody leads any more", async () => {
+    const store = new HoldingStore();
+    const watch = createWatch(store, true);
+    watch.setLed(true);
+    watch.start();
+    await sleep(10);
+    watch.setLed(false);
+    await sleep(1200);
+    watch.stop();
+    assert.equal(store.watches, 1);
+  });
+});
