While no load is told, send a rank group the entry's share of its places

An entry that has heard no load lately has at most its share of three quarters of the places. How many entries there are is read at the start, with settings and back ends.

--- a/src/direct/peers/entry_peers.ts
+++ b/src/direct/peers/entry_peers.ts
@@ -105,12 +105,11 @@
   }
 
   /**
-   * Lists the back ends at once, so that callers are served at once, and asks the processes
-   * named in the settings for all else, which these read from the store; then takes turns.
+   * Lists the back ends at once, as settings and processes are read at once, so that callers
+   * are served; then takes turns.
    */
   start(): void {
-    const { self, seedAddresses } = this.#options;
-    this.#setLed(!seedAddresses.includes(self.address));
+    this.#setLed(true);
     this.#asked.start();
     this.#takeTurn();
     this.#timer = setInterval(() => this.#takeTurn(), TURN_MS);
--- a/src/direct/process_registry.ts
+++ b/src/direct/process_registry.ts
@@ -71,6 +71,8 @@
       waitMs: WATCH_WAIT_MS,
       retryPauseMs: RETRY_PAUSE_MS,
       gatherMs: GATHER_MS,
+      // Who else there is tells at once whom to ask, and which groups there are.
+      readsFirst: true,
       reachability: this.#reachability,
       onListed: (items) => this.#takeAll(items),
       onChanged: (changed) => this.#takeChanges(changed),
--- a/src/direct/settings_follower.ts
+++ b/src/direct/settings_follower.ts
@@ -54,6 +54,7 @@
       waitMs: options.watchWaitMs ?? WATCH_WAIT_MS,
       retryPauseMs: RETRY_PAUSE_MS,
       readsFirst: true,
+      readsWhenAlone: true,
       reachability: new Reachability("settings", log),
       onListed: (items) => this.#offerItems(items),
       onChanged: ({ written }) => this.#offerItems(written),
--- a/src/direct/store_watch.ts
+++ b/src/direct/store_watch.ts
@@ -30,8 +30,10 @@
   readonly retryPauseMs: number;
   /** Milliseconds in which changes are gathered before the next call. */
   readonly gatherMs?: number;
-  /** Whether all keys are read at once at the start, and when no other process leads. */
+  /** Whether all keys are read at once at the start, whoever leads. */
   readonly readsFirst?: boolean;
+  /** Whether they are read at once when no other process leads any more. */
+  readonly readsWhenAlone?: boolean;
   readonly reachability: Reachability;
   /** All keys were read. */
   readonly onListed: (items: readonly StoreItem[]) => void;
@@ -112,7 +114,7 @@
   async #waitUntilAlone(): Promise<boolean> {
     await new Promise<void>((resolve) => this.#wake = resolve);
     if (this.#isStopped) return false;
-    const isCurrent = this.#options.readsFirst === true &&
+    const isCurrent = this.#options.readsWhenAlone === true &&
       await this.#tryRound(false);
     this.#round = new AbortController();
     await this.#pause(SETTLE_MS);
--- a/src/direct/store_watch_test.ts
+++ b/src/direct/store_watch_test.ts
@@ -42,14 +42,15 @@
   }
 }
 
-function createWatch(store: WatchedStore, readsFirst: boolean): StoreWatch {
+function createWatch(store: WatchedStore, readsAtOnce: boolean): StoreWatch {
   const log = new EventLog({ role: "entry", processName: "test" });
   return new StoreWatch({
     store,
     prefix: "any/",
     waitMs: 1000,
     retryPauseMs: 10,
-    readsFirst,
+    readsFirst: readsAtOnce,
+    readsWhenAlone: readsAtOnce,
     reachability: new Reachability("test", log),
     onListed: () => undefined,
     onChanged: () => undefined,
--- a/src/entry/direct_requests_test.ts
+++ b/src/entry/direct_requests_test.ts
@@ -432,6 +432,51 @@
   });
 });
 
+describe("rank groups whose loads nobody has told yet", () => {
+  const lines: RouteLines = {
+    service: [...STREAM_LINES.service ?? [], "pauseObjectiveMs: 120"],
+  };
+
+  /** How many of so many requests are sent at once. */
+  function countSent(fixture: DirectFixture, requests: number): number {
+    const effects = Array.from(
+      { length: requests },
+      (_, index) => fixture.request({ id: index + 1 }),
+    ).flat();
+    return effects.filter(({ kind }) => kind === "send").length;
+  }
+
+  /** One rank with eight places, and four entries that start with this one. */
+  function createFixture(): DirectFixture {
+    const fixture = new DirectFixture(["one"], lines);
+    fixture.listRanks(["one"]);
+    fixture.entry.reduce({ kind: "entries_counted", entries: 4 });
+    return fixture;
+  }
+
+  it("are sent the entry's share, so that all entries leave places free", () => {
+    assert.equal(countSent(createFixture(), 6), 2);
+  });
+
+  it("are sent what fits as soon as their loads are told", () => {
+    const fixture = createFixture();
+    fixture.tellLoad([createRow("one")]);
+    assert.equal(countSent(fixture, 6), 6);
+  });
+
+  it("are not held back where no other entry is known", () => {
+    const fixture = new DirectFixture(["one"], lines);
+    fixture.listRanks(["one"]);
+    assert.equal(countSent(fixture, 6), 6);
+  });
+
+  it("are told apart from servers that belong to no group", () => {
+    const fixture = new DirectFixture(["one"], lines);
+    fixture.entry.reduce({ kind: "entries_counted", entries: 4 });
+    assert.equal(countSent(fixture, 6), 6);
+  });
+});
+
 describe("callers with access keys", () => {
   const lines: RouteLines = {
     service: ["callers: access_key"],
--- a/src/entry/entry_reducer.ts
+++ b/src/entry/entry_reducer.ts
@@ -155,6 +155,7 @@
         this.#selection.setInstances(event.instances, event.now);
         return this.#submitWaiting(event.now);
       case "entries_counted":
+        this.#selection.setEntries(event.entries);
         return this.#retries.setEntries(event.entries);
       case "group_load_told":
         this.#groupLoadTold(event);
--- a/src/entry/target_selection.ts
+++ b/src/entry/target_selection.ts
@@ -7,6 +7,7 @@
 import { fingerprintOf, slotOf } from "../core/idempotency_key.ts";
 import type { RandomSource } from "../core/random_source.ts";
 import type { BackEndInstance } from "../external/back_end_directory.ts";
+import { getBlindLimit } from "../policy/blind_limit.ts";
 import { PrefixIndex } from "../policy/prefix_index.ts";
 import {
   estimateLoad,
@@ -60,6 +61,8 @@
   /** Names of all targets that the view was chosen from. */
   #viewedNames = "";
   readonly #choice: TargetChoice;
+  /** Entries of the fleet, this one included. */
+  #entries: number | undefined;
   readonly #prefixes = new PrefixIndex();
 
   /** Begins without targets. */
@@ -86,6 +89,7 @@
       !isFull(target, now) && mayBeSent(inFlight, target, now)
     );
     if (free.length === 0) return Err("POOL_FULL");
+    if (this.#isBlindlyFull(inFlight, serving, now)) return Err("POOL_FULL");
     const brisk = free.filter((target) => !target.isStraggler);
     const candidates = brisk.length > 0 ? brisk : free;
     const inView = candidates.filter(({ name }) => this.#inView.has(name));
@@ -97,6 +101,33 @@
     return target === undefined ? Err("NO_TARGET") : Ok(target);
   }
 
+  /** So many entries send requests, this one included. */
+  setEntries(entries: number): void {
+    this.#entries = entries;
+  }
+
+  /**
+   * Whether this entry has its share of a pool of rank groups none of which has told its
+   * load lately. Only there one request more delays all others.
+   */
+  #isBlindlyFull(
+    { route }: InFlightRequest,
+    serving: readonly TargetRecord[],
+    now: number,
+  ): boolean {
+    if (route.service.pauseObjectiveMs === undefined) return false;
+    const areRanks = serving.some(({ group }) => group !== undefined);
+    const isKnown = serving.some((target) => isLoadKnown(target, now));
+    if (!areRanks || isKnown) return false;
+    const sumOf = (read: (target: TargetRecord) => number) =>
+      serving.reduce((sum, target) => sum + read(target), 0);
+    const limit = getBlindLimit({
+      places: sumOf(({ concurrency }) => concurrency),
+      entries: this.#entries,
+    });
+    return sumOf(({ ownInFlight }) => ownInFlight) >= limit;
+  }
+
   /** The back ends that are called directly were listed. */
   setInstances(instances: readonly BackEndInstance[], now: number): void {
     this.registry.setInstances(instances, now);
@@ -181,6 +212,10 @@
 /** Only a load that was told lately can refuse a request. */
 function isFull(target: TargetRecord, now: number): boolean {
   if (!target.hasDecider) return false;
-  const isFresh = now - target.reportedAt < REPORT_LIMIT_MS;
-  return isFresh && estimateLoad(target) >= FULL_LOAD;
+  return isLoadKnown(target, now) && estimateLoad(target) >= FULL_LOAD;
+}
+
+/** Whether its group's decider told its load lately. */
+function isLoadKnown(target: TargetRecord, now: number): boolean {
+  return target.hasDecider && now - target.reportedAt < REPORT_LIMIT_MS;
 }
