Hold the pass of a switch as far ahead as switches take

The margin follows the time that switches took lately, up to half a second, beside whether the group waited. Time of passes is measured in one place.

--- a/src/group/formed/decider.ts
+++ b/src/group/formed/decider.ts
@@ -31,12 +31,16 @@
 import { HoldMargin } from "./hold_margin.ts";
 import { MapVersions } from "./map_versions.ts";
 import { type OpenOrder, OpenOrders } from "./open_orders.ts";
+import { PassTimes } from "./pass_times.ts";
 import { getHolderRank, type RankOrder, type RankState } from "./types.ts";
 
 /** Milliseconds between two questions to ranks of which it is unknown what they hold. */
 const GATHERING_LOOK_MS = 250;
 /** Milliseconds between two looks at a group that has yet to begin a pass. */
 const SWITCHING_LOOK_MS = 40;
+/** Weight of the newest report in the mean time of a pass. */
+const PASS_SMOOTHING = 0.4;
+
 /** Options of a {@link FormedGroupDecider}. */
 export interface FormedGroupDeciderOptions {
   /** State of rank 0 as the decider starts. */
@@ -65,6 +69,9 @@
   #phaseEnteredAt: number;
   readonly #versions: MapVersions;
   readonly #margin = new HoldMargin();
+  readonly #passTimes = new PassTimes(PASS_SMOOTHING);
+  /** When the pass of the switch under way was to be held; undefined: by another. */
+  #heldAt: number | undefined;
   readonly #orders: OpenOrders;
   #askedAt = Number.NEGATIVE_INFINITY;
   #effects: DeciderEffect[] = [];
@@ -86,6 +93,11 @@
     return this.#phase.kind === "settled" ? this.#phase.map : undefined;
   }
 
+  /** Mean time of the last passes in milliseconds; undefined before two reports. */
+  get passMs(): number | undefined {
+    return this.#passTimes.meanMs;
+  }
+
   /** Formation of the group that is decided for. */
   get epoch(): number {
     return this.#epoch;
@@ -124,9 +136,11 @@
     if (state.epoch > this.#epoch) {
       this.#epoch = state.epoch;
       this.#lastPass = state.pass;
+      this.#passTimes.clear();
       return this.#gather(now);
     }
     this.#lastPass = Math.max(this.#lastPass, state.pass);
+    if (rank === 0) this.#passTimes.observe(state, now);
     this.#versions.note(state);
     const open = this.#orders.tryGet(rank);
     this.#orders.closeIfDone(rank, state);
@@ -247,7 +261,7 @@
   #proposed(map: ExpertMap, now: number): void {
     if (this.#phase.kind !== "settled") return;
     const version = this.#versions.next();
-    this.#margin.begin();
+    this.#margin.begin(this.#passTimes.meanMs);
     const before = this.#phase.map;
     this.#enter({ kind: "preparing", version, map, before }, now);
     for (let rank = 0; rank < this.#ranks; rank++) {
@@ -265,6 +279,7 @@
     now: number,
   ): void {
     const pass = this.#lastPass + this.#margin.passes;
+    this.#heldAt = now;
     this.#enter({ kind: "holding", version, pass, map }, now);
     this.#order(this.#holder, { kind: "hold", ...this.#at(pass) }, now);
   }
@@ -286,6 +301,8 @@
 
   #armed(planned: PlannedSwitch, now: number): void {
     this.#margin.noteArmed(planned.pass - this.#lastPass);
+    if (this.#heldAt !== undefined) this.#margin.noteTook(now - this.#heldAt);
+    this.#heldAt = undefined;
     this.#release(planned, now);
   }
 
@@ -406,6 +423,7 @@
   }
 
   #gather(now: number): void {
+    this.#heldAt = undefined;
     this.#orders.clear();
     this.#enter(
       { kind: "gathering", states: new Map(), experts: new Map() },
--- a/src/group/formed/decider_driver.ts
+++ b/src/group/formed/decider_driver.ts
@@ -20,7 +20,6 @@
   DeciderEvent,
   SendOrder,
 } from "./decider_types.ts";
-import { PassTimes } from "./pass_times.ts";
 import { Popularity } from "./popularity.ts";
 import {
   type GroupMemberAddress,
@@ -43,8 +42,6 @@
 const IDLE_PLAN_INTERVAL_MS = 400;
 /** Milliseconds between two words to entries on how the ranks stand. */
 const LOAD_INTERVAL_MS = 200;
-/** Passes whose mean time counts. */
-const PASS_SMOOTHING = 0.4;
 /** Milliseconds between two lines of the log on how the group worked. */
 const WORK_LOG_INTERVAL_MS = 1000;
 /** Orders of a decider are numbered from a random number below this. */
@@ -72,7 +69,6 @@
   readonly #options: DeciderDriverOptions;
   readonly #decider: FormedGroupDecider;
   readonly #popularity = new Popularity();
-  readonly #passTimes = new PassTimes(PASS_SMOOTHING);
   readonly #links: RankLinks;
   readonly #questions: RankQuestions;
   readonly #baseMaps: BaseMaps;
@@ -126,10 +122,7 @@
   #onReport(member: RankMember, report: RankReportMessage): void {
     this.#questions.answered(report);
     const now = performance.now();
-    if (report.state.rank === 0) {
-      this.#passTimes.observe(report.state, now);
-      this.#tellHolder(report);
-    }
+    if (report.state.rank === 0) this.#tellHolder(report);
     this.#takeCounts(member, report);
     const { rank } = report.state;
     this.#dispatch({ kind: "rank_reported", now, rank, report });
@@ -151,7 +144,6 @@
     if (state.epoch > this.#epoch) {
       this.#epoch = state.epoch;
       this.#popularity.clear();
-      this.#passTimes.clear();
     }
     if (counts === undefined) return;
     const { knownCounts } = member;
@@ -218,7 +210,7 @@
       group: state.group,
       isOpen: own.state.isOpen,
       ageMs: now - own.stateAt,
-      passMs: this.#passTimes.meanMs,
+      passMs: this.#decider.passMs,
       loads: members.flatMap((member) =>
         member.state === undefined ? [] : [{
           engineAddress: member.engineAddress,
@@ -245,7 +237,7 @@
       group,
       epoch: this.#epoch,
       passes,
-      passMs: Math.round(this.#passTimes.meanMs ?? 0),
+      passMs: Math.round(this.#decider.passMs ?? 0),
       running: running.reduce((sum, count) => sum + count, 0),
       mostRunning: Math.max(...running),
       queued: states.reduce((sum, state) => sum + state.queued, 0),
@@ -270,7 +262,7 @@
       slotsPerRank: settings.slotsPerRank,
       mostNewPerRank: getCopiesPerRank(
         settings.loadMs,
-        this.#passTimes.meanMs,
+        this.#decider.passMs,
       ),
       mostNewPerLayer: settings.mostNewExperts,
       loadMs: settings.loadMs,
@@ -309,11 +301,11 @@
 
   /** Time of a pass over the pause that callers bear. */
   #passPart({ pauseObjectiveMs }: GroupSettings): number | undefined {
-    const { meanMs } = this.#passTimes;
-    if (meanMs === undefined || pauseObjectiveMs === undefined) {
+    const { passMs } = this.#decider;
+    if (passMs === undefined || pauseObjectiveMs === undefined) {
       return undefined;
     }
-    return meanMs / pauseObjectiveMs;
+    return passMs / pauseObjectiveMs;
   }
 
   #dispatch(event: DeciderEvent): void {
--- a/src/group/formed/hold_margin.ts
+++ b/src/group/formed/hold_margin.ts
@@ -12,21 +12,64 @@
  */
 const FIRST_MARGIN_PASSES = 2;
 const LARGEST_MARGIN_PASSES = 64;
+/**
+ * Milliseconds from a hold until all ranks are armed, until one was seen: 100 with 20 ranks
+ * whose machines are not busy.
+ */
+const FIRST_TOOK_MS = 120;
+/**
+ * Milliseconds that count for a switch at most: one that took longer waited for a machine
+ * that stood still, which no margin helps.
+ */
+const LONGEST_TOOK_MS = 500;
+/** Milliseconds of the shortest pass that is believed. */
+const SHORTEST_PASS_MS = 5;
+/** Part of a longer time before that still counts with each switch that took less. */
+const TOOK_MEMORY = 0.8;
+/**
+ * Time kept ahead over that which switches took lately. A margin that is too long has the
+ * map come a pass later; with one that is too short the group waits, and each answer under
+ * way is late.
+ */
+const TIME_MARGIN = 1.5;
 
 /** How far ahead the pass of a switch is held. */
 export class HoldMargin {
   #passes = FIRST_MARGIN_PASSES;
   /** With which a switch begins. */
   #usual = FIRST_MARGIN_PASSES;
+  #tookMs = FIRST_TOOK_MS;
 
   /** Passes from the last one begun to the one that is to be held. */
   get passes(): number {
     return this.#passes;
   }
 
-  /** A switch begins. */
-  begin(): void {
-    this.#passes = this.#usual;
+  /** A switch begins, while passes take so many milliseconds, if that is known. */
+  begin(passMs?: number): void {
+    const forTime = passMs === undefined || passMs < SHORTEST_PASS_MS
+      ? 0
+      : Math.ceil(TIME_MARGIN * this.#tookMs / passMs);
+    this.#passes = Math.min(
+      LARGEST_MARGIN_PASSES,
+      Math.max(this.#usual, forTime),
+    );
+  }
+
+  /**
+   * It took so many milliseconds from the hold until all ranks were armed.
+   *
+   * @example
+   * ```ts
+   * margin.noteTook(250);
+   * margin.begin(60);
+   * margin.passes; // 7
+   * ```
+   */
+  noteTook(milliseconds: number): void {
+    const tookMs = Math.min(LONGEST_TOOK_MS, milliseconds);
+    const faded = TOOK_MEMORY * this.#tookMs + (1 - TOOK_MEMORY) * tookMs;
+    this.#tookMs = Math.max(tookMs, faded);
   }
 
   /** The pass had begun before it was held: the next try is further ahead. */
--- /dev/null
+++ b/src/group/formed/hold_margin_test.ts
@@ -0,0 +1,49 @@
+import assert from "node:assert/strict";
+import { describe, it } from "node:test";
+import { HoldMargin } from "./hold_margin.ts";
+
+const PASS_MS = 60;
+
+/** Passes ahead at which a switch that takes so long is held, after three such. */
+function marginAfter(tookMs: number): number {
+  const margin = new HoldMargin();
+  for (let switches = 0; switches < 3; switches++) {
+    margin.begin(PASS_MS);
+    margin.noteTook(tookMs);
+  }
+  margin.begin(PASS_MS);
+  return margin.passes;
+}
+
+describe("how far ahead the pass of a switch is held", () => {
+  /**
+   * The pattern: switches of 250 to 350 ms at busy machines, held two passes of 60 ms
+   * ahead, so that each of them kept the group waiting and made all answers late.
+   */
+  it("leaves time for as long as switches take", () => {
+    for (const tookMs of [60, 120, 250, 400]) {
+      assert.ok(marginAfter(tookMs) * PASS_MS >= tookMs, `${tookMs} ms`);
+    }
+  });
+
+  it("is short where switches are quick", () => {
+    assert.ok(marginAfter(20) <= 3);
+  });
+
+  it("remembers one that took long for some switches", () => {
+    const margin = new HoldMargin();
+    margin.noteTook(400);
+    margin.noteTook(50);
+    margin.begin(PASS_MS);
+    assert.ok(margin.passes * PASS_MS >= 300);
+  });
+
+  it("follows whether the group waited, while passes are not timed", () => {
+    const margin = new HoldMargin();
+    margin.begin();
+    const first = margin.passes;
+    margin.noteArmed(1);
+    margin.begin();
+    assert.ok(margin.passes > first);
+  });
+});
