--- a/src/direct/peers/reader_turns.ts
+++ b/src/direct/peers/reader_turns.ts
@@ -33,8 +33,10 @@
 const ANSWER_LIMIT_MS = 300;
 /** Questions in a row without an answer after which another reader is asked. */
 const MOST_MISSES = 2;
-/** Milliseconds for which a reader that failed is not asked again. */
+/** Milliseconds for which a reader that failed is not asked again, doubled each time. */
 const SUSPICION_MS = 5000;
+/** Times after which that doubles no more: one that is gone is listed for 25 s yet. */
+const MOST_DOUBLINGS = 3;
 
 /** What to do now. */
 export type ReaderTurn =
@@ -50,6 +52,12 @@
   readonly ageMs: number | undefined;
 }
 
+interface Suspicion {
+  readonly until: number;
+  /** Failures in a row. */
+  readonly failures: number;
+}
+
 interface OpenQuestion {
   readonly address: string;
   readonly askedAt: number;
@@ -63,7 +71,7 @@
   readonly #askIntervalMs: number;
   readonly #oldestMs: number;
   #candidates: readonly string[] = [];
-  readonly #suspectedUntil = new Map<string, number>();
+  readonly #suspicions = new Map<string, Suspicion>();
   #open: OpenQuestion | undefined;
   #misses = 0;
   #askedAt = Number.NEGATIVE_INFINITY;
@@ -107,13 +115,17 @@
     // An answer that was long on its way says little, and nothing against the reader.
     if (now - knownAt > this.#oldestMs) return;
     this.#misses = 0;
+    this.#suspicions.delete(address);
     this.#knownAt = Math.max(this.#knownAt, knownAt);
     this.#isLed = true;
   }
 
   /** A reader cannot be reached, or knows too little. */
   noteFailed(address: string, now: number): void {
-    this.#suspectedUntil.set(address, now + SUSPICION_MS);
+    const failures = (this.#suspicions.get(address)?.failures ?? 0) + 1;
+    const doubled = 2 ** Math.min(failures - 1, MOST_DOUBLINGS);
+    const until = now + SUSPICION_MS * doubled;
+    this.#suspicions.set(address, { until, failures });
     this.#isLed = false;
     this.#misses = 0;
     if (this.#open?.address === address) this.#open = undefined;
@@ -129,9 +141,9 @@
    */
   next(now: number): ReaderTurn {
     this.#giveUpSilent(now);
-    const reader = this.#candidates.find((address) => {
-      return (this.#suspectedUntil.get(address) ?? now) <= now;
-    });
+    const reader = this.#candidates.find((address) =>
+      (this.#suspicions.get(address)?.until ?? now) <= now
+    );
     const isOld = now - this.#knownAt > this.#oldestMs;
     const mayList = now - this.#listedAt >= this.#listIntervalMs;
     if (mayList && (reader === undefined || isOld)) {
--- a/src/direct/peers/reader_turns_test.ts
+++ b/src/direct/peers/reader_turns_test.ts
@@ -77,6 +77,20 @@
   });
 });
 
+describe("a reader that is gone", () => {
+  it("is asked ever less often", () => {
+    const turns = new ReaderTurns(LEAVING_LIMIT_MS);
+    turns.setCandidates(["gone:1"]);
+    const asked: number[] = [];
+    for (let now = 0; now < 60_000; now += 50) {
+      const turn = turns.next(now);
+      if (turn.kind === "ask") asked.push(now);
+      if (turn.kind === "list") turns.noteListed(now);
+    }
+    assert.ok(asked.length <= 10, `${asked.length}`);
+  });
+});
+
 describe("what a reader answers", () => {
   it("is not taken for the answer to a later question", () => {
     const turns = createAsked();
