A first entry that the store turns away is replaced by one, not by all

An entry says whether the store answers it or its reader; one of whom neither is true is not asked. The first of a failure domain takes its knowledge for old before those that ask it do.

--- a/src/direct/direct_entry_driver.ts
+++ b/src/direct/direct_entry_driver.ts
@@ -166,6 +166,7 @@
       log,
       leavingLimitMs: settings.leavingLimitMs,
       getKnowledge: () => ({
+        isReading: this.#peers.isLed || this.#directory.isReached,
         settings: this.#settings.inUse,
         settingsCheckedAt: this.#settings.checkedAt,
         directory: this.#directory.directory,
--- a/src/direct/peers/entry_peers.ts
+++ b/src/direct/peers/entry_peers.ts
@@ -115,6 +115,11 @@
     this.#timer = setInterval(() => this.#takeTurn(), TURN_MS);
   }
 
+  /** Whether a reader tells all that the store says. */
+  get isLed(): boolean {
+    return this.#turns.isLed;
+  }
+
   /** Closes all connections. */
   close(): void {
     clearInterval(this.#timer);
@@ -128,7 +133,12 @@
     const { self } = this.#options;
     this.#asked.setListed(entries.map(({ address }) => address));
     this.#candidates = listReaderCandidates(entries, self);
-    this.#turns.setCandidates(this.#candidates);
+    const first = entries.find(({ address }) =>
+      address === this.#candidates[0]
+    );
+    this.#turns.setCandidates(this.#candidates, {
+      isFirst: first?.failureDomain !== self.failureDomain,
+    });
     this.#server.tellFollowers();
   }
 
@@ -172,15 +182,19 @@
   }
 
   #readerAnswered(
-    { settingsAgeMs = Number.POSITIVE_INFINITY, directory }: StoreNewsMessage,
+    news: StoreNewsMessage,
     { address, askedAt }: {
       readonly address: string;
       readonly askedAt: number;
     },
   ): void {
+    const { isReading, directory } = news;
+    const { settingsAgeMs = Number.POSITIVE_INFINITY } = news;
     const oldestMs = this.#options.leavingLimitMs * OLDEST_SETTINGS_PART;
     const now = performance.now();
-    const ageMs = settingsAgeMs > oldestMs ? undefined : directory?.ageMs;
+    // One that the store turns away knows what those told it who ask it.
+    const isFit = isReading && settingsAgeMs <= oldestMs;
+    const ageMs = isFit ? directory?.ageMs : undefined;
     this.#turns.noteAnswer(address, { askedAt, ageMs }, now);
     if (!this.#turns.isLed) return;
     this.#setLed(true);
--- a/src/direct/peers/peer_server.ts
+++ b/src/direct/peers/peer_server.ts
@@ -23,6 +23,8 @@
 
 /** What an entry knows from the store. */
 export interface StoreKnowledge {
+  /** Whether the store answers this entry, or the reader that it asks. */
+  readonly isReading: boolean;
   readonly settings: SettingsInUse | undefined;
   /** When the store was asked whether there are newer settings, in milliseconds. */
   readonly settingsCheckedAt: number;
@@ -118,10 +120,12 @@
   known: KnownNews,
   now: number,
 ): StoreNewsMessage {
-  const { settings, settingsCheckedAt, directory, processes } = knowledge;
+  const { isReading, settings, settingsCheckedAt, directory, processes } =
+    knowledge;
   const isListNew = directory?.content !== known.directoryContent;
   return {
     kind: "store_news",
+    isReading,
     settingsText: hasNewerSettings(knowledge, known)
       ? settings?.text
       : undefined,
--- a/src/direct/peers/peer_server_test.ts
+++ b/src/direct/peers/peer_server_test.ts
@@ -20,6 +20,7 @@
   changes: Partial<StoreKnowledge> = {},
 ): StoreKnowledge {
   return {
+    isReading: true,
     settings: createSettings(4),
     settingsCheckedAt: 50,
     directory: { instances: [], revision: 9, content: "none", askedAt: 100 },
@@ -42,6 +43,11 @@
     assert.equal(news.processes?.revision, 3);
   });
 
+  it("says whether it has this from the store, or from whom it helps", () => {
+    const turnedAway = createKnowledge({ isReading: false });
+    assert.equal(createNews(turnedAway, {}, 350).isReading, false);
+  });
+
   it("leaves out what the asker has, and tells how old that is", () => {
     const known = {
       settingsVersion: 4,
--- a/src/direct/peers/reader_turns.ts
+++ b/src/direct/peers/reader_turns.ts
@@ -22,13 +22,18 @@
  */
 const LISTS_IN_LEAVING_TIME = 2.85;
 /** Questions to a reader that fit into that time: they cost no call. */
-const QUESTIONS_IN_LEAVING_TIME = 8;
+const QUESTIONS_IN_LEAVING_TIME = 12;
 /**
  * Part of that time beyond which knowledge is too old: a list, 0.35, and two questions on
- * the way from the first reader, 0.13 each, with some time for the answers. What is left
+ * the way from the first reader, 0.08 each, with some time for the answers. What is left
  * is for an own list that has to be made again.
  */
 const OLDEST_PART = 0.7;
+/**
+ * The same for the first of a failure domain, which asks one less: it lists the store before
+ * those that ask it find its knowledge too old, and so not all of them list at once.
+ */
+const OLDEST_PART_OF_FIRST = 0.52;
 /** Milliseconds after which a reader that has not answered is asked once more. */
 const ANSWER_LIMIT_MS = 300;
 /** Questions in a row without an answer after which another reader is asked. */
@@ -69,7 +74,8 @@
 export class ReaderTurns {
   readonly #listIntervalMs: number;
   readonly #askIntervalMs: number;
-  readonly #oldestMs: number;
+  readonly #leavingLimitMs: number;
+  #oldestMs: number;
   #candidates: readonly string[] = [];
   readonly #suspicions = new Map<string, Suspicion>();
   #open: OpenQuestion | undefined;
@@ -84,6 +90,7 @@
   constructor(leavingLimitMs: number) {
     this.#listIntervalMs = leavingLimitMs / LISTS_IN_LEAVING_TIME;
     this.#askIntervalMs = leavingLimitMs / QUESTIONS_IN_LEAVING_TIME;
+    this.#leavingLimitMs = leavingLimitMs;
     this.#oldestMs = leavingLimitMs * OLDEST_PART;
   }
 
@@ -92,9 +99,17 @@
     return this.#isLed;
   }
 
-  /** Entries that may read for this one, the best first. */
-  setCandidates(addresses: readonly string[]): void {
+  /**
+   * Entries that may read for this one, the best first; `isFirst` says whether it is the
+   * first of its failure domain, whom others there ask.
+   */
+  setCandidates(
+    addresses: readonly string[],
+    { isFirst }: { readonly isFirst: boolean },
+  ): void {
     this.#candidates = addresses;
+    this.#oldestMs = this.#leavingLimitMs *
+      (isFirst ? OLDEST_PART_OF_FIRST : OLDEST_PART);
     const isListed = this.#open && addresses.includes(this.#open.address);
     if (!isListed) this.#open = undefined;
     if (addresses.length === 0) this.#isLed = false;
--- a/src/direct/peers/schema.ts
+++ b/src/direct/peers/schema.ts
@@ -34,6 +34,7 @@
   z.object({
     kind: z.literal("store_news"),
     queryId: COUNT.optional(),
+    isReading: z.boolean(),
     settingsText: z.string().optional(),
     settingsAgeMs: AGE_MS.optional(),
     directory: z.object({
--- a/src/direct/peers/types.ts
+++ b/src/direct/peers/types.ts
@@ -50,6 +50,8 @@
   readonly kind: "store_news";
   /** Question that this answers; undefined for news that follows. */
   readonly queryId?: number;
+  /** Whether the store answers the sender, or a reader that the store answers. */
+  readonly isReading: boolean;
   /** Settings as the operator wrote them. */
   readonly settingsText?: string;
   /** Milliseconds since the store was asked whether there are newer ones. */
--- a/src/testing/reading_fleet.ts
+++ b/src/testing/reading_fleet.ts
@@ -51,6 +51,8 @@
   readonly turns: ReaderTurns;
   /** All that the store said until then is known here. */
   knownAt: number;
+  /** Whether the store answered its last list. */
+  isReached: boolean;
   /** Until when what it knows may be old, as it did not reach the store. */
   excusedUntil: number;
 }
@@ -71,9 +73,13 @@
     const entries = createEntries(options);
     this.#readers = entries.map((self) => {
       const turns = new ReaderTurns(options.leavingLimitMs);
-      turns.setCandidates(listReaderCandidates(entries, self));
+      const candidates = listReaderCandidates(entries, self);
+      const first = entries.find(({ address }) => address === candidates[0]);
+      turns.setCandidates(candidates, {
+        isFirst: first?.failureDomain !== self.failureDomain,
+      });
       const excusedUntil = options.leavingLimitMs;
-      return { self, turns, knownAt: 0, excusedUntil };
+      return { self, turns, knownAt: 0, excusedUntil, isReached: false };
     });
     for (const reader of this.#readers) {
       this.#queue.after(
@@ -101,6 +107,7 @@
       reader.excusedUntil = this.#now + leavingLimitMs;
     }
     if (this.#has(reader, "stands_still")) return;
+    if (!reachesStore) this.#hearPeers(reader);
     if (this.#now >= reader.excusedUntil) {
       const ageMs = this.#now - reader.knownAt;
       this.#oldestMs = Math.max(this.#oldestMs, ageMs);
@@ -110,9 +117,17 @@
     if (turn.kind === "ask") this.#ask(reader, turn.address);
   }
 
+  /** An entry that the store turns away hears what another one knows. */
+  #hearPeers(reader: Reader): void {
+    const peer = this.#readers[this.#random.nextBelow(this.#readers.length)];
+    if (peer === undefined || this.#has(peer, "stands_still")) return;
+    reader.knownAt = Math.max(reader.knownAt, peer.knownAt);
+  }
+
   #list(reader: Reader, reachesStore: boolean): void {
     this.#lists++;
     const askedAt = this.#now;
+    reader.isReached = reachesStore;
     if (!reachesStore) return;
     this.#queue.after(STORE_MS, () => {
       reader.turns.noteListed(askedAt);
@@ -127,8 +142,10 @@
     this.#cross(asker, asked, () => {
       const toldAt = this.#now;
       const { knownAt } = asked;
+      const isReading = asked.isReached || asked.turns.isLed;
       this.#cross(asked, asker, () => {
-        const answer = { askedAt, ageMs: toldAt - knownAt };
+        const ageMs = isReading ? toldAt - knownAt : undefined;
+        const answer = { askedAt, ageMs };
         asker.turns.noteAnswer(address, answer, this.#now);
         asker.knownAt = Math.max(asker.knownAt, knownAt);
       });
