--- a/src/direct/directory_follower.ts
+++ b/src/direct/directory_follower.ts
@@ -89,17 +89,13 @@
     return this.#reachability.isReached;
   }
 
-  /** Lists the back ends once; a call that is not answered is told. */
-  async list(): Promise<void> {
-    await this.#listOnce();
-  }
-
   /** Takes in what another entry heard, unless it is older. */
   offer(directory: Directory): void {
     this.#take(directory, "entry");
   }
 
-  async #listOnce(): Promise<void> {
+  /** Lists the back ends once; a call that is not answered is told. */
+  async list(): Promise<void> {
     const { onListed, onUnanswered } = this.#options;
     const askedAt = performance.now();
     const listing = await this.#tryList();
--- a/src/entry/target_selection.ts
+++ b/src/entry/target_selection.ts
@@ -50,6 +50,11 @@
 const FULL_LOAD = 1.25;
 /** Milliseconds for which a reported load is taken for the load. */
 const REPORT_LIMIT_MS = 1000;
+/**
+ * Milliseconds after which nothing is known of a pool's load. A decider says nothing while
+ * it plans: a first plan after a start took 0.6 s of a small machine.
+ */
+const BLIND_AFTER_MS = 2500;
 
 /** Finds the target of a request. */
 export class TargetSelection {
@@ -117,7 +122,9 @@
   ): boolean {
     if (route.service.pauseObjectiveMs === undefined) return false;
     const areRanks = serving.some(({ group }) => group !== undefined);
-    const isKnown = serving.some((target) => isLoadKnown(target, now));
+    const isKnown = serving.some((target) =>
+      wasLoadTold(target, { withinMs: BLIND_AFTER_MS, now })
+    );
     if (!areRanks || isKnown) return false;
     const sumOf = (read: (target: TargetRecord) => number) =>
       serving.reduce((sum, target) => sum + read(target), 0);
@@ -212,10 +219,14 @@
 /** Only a load that was told lately can refuse a request. */
 function isFull(target: TargetRecord, now: number): boolean {
   if (!target.hasDecider) return false;
-  return isLoadKnown(target, now) && estimateLoad(target) >= FULL_LOAD;
+  const isKnown = wasLoadTold(target, { withinMs: REPORT_LIMIT_MS, now });
+  return isKnown && estimateLoad(target) >= FULL_LOAD;
 }
 
-/** Whether its group's decider told its load lately. */
-function isLoadKnown(target: TargetRecord, now: number): boolean {
-  return target.hasDecider && now - target.reportedAt < REPORT_LIMIT_MS;
+/** Whether its group's decider told its load within so many milliseconds. */
+function wasLoadTold(
+  { hasDecider, reportedAt }: TargetRecord,
+  { withinMs, now }: { readonly withinMs: number; readonly now: number },
+): boolean {
+  return hasDecider && now - reportedAt < withinMs;
 }
