Read as a newcomer: one pacer for parts of a link, readers with who is first, names of their own

What goes out beside more urgent messages was paced in two places; who is the first of its failure domain was sought anew by address, twice; a question carried whether experts are wanted, which nobody read; "warm" meant a prompt in a cache and an idle connection; whether a reader leads stood under one name for what is so and for what was told. Tests of watches share a fixture.

--- a/src/direct/entry_audience.ts
+++ b/src/direct/entry_audience.ts
@@ -6,6 +6,7 @@
 import { LoadWriter } from "../group/formed/load_columns.ts";
 import type { GroupLoad, GroupSightMessage } from "../group/formed/types.ts";
 import type { Message } from "../messages/types.ts";
+import { LinkPacer } from "../policy/link_pacer.ts";
 
 /**
  * Part of the machine's link for telling loads: a hundred entries each 200 ms take half
@@ -16,7 +17,6 @@
 const LOAD_BYTES = 220;
 /** Bytes of a rank's row. */
 const ROW_BYTES = 5;
-const MS_PER_SECOND = 1000;
 
 /** A connection to an entry, as far as it is needed here. */
 export interface EntryLink {
@@ -25,13 +25,12 @@
 
 /** The entries that hear from a rank's process. */
 export class EntryAudience {
-  readonly #bytesPerSecond: number;
+  readonly #pacer: LinkPacer;
   readonly #writers = new Map<EntryLink, LoadWriter>();
-  #loadsMayGoAt = Number.NEGATIVE_INFINITY;
 
   /** Takes the bytes that the machine's link carries in a second. */
   constructor(bytesPerSecond: number) {
-    this.#bytesPerSecond = bytesPerSecond;
+    this.#pacer = new LinkPacer({ bytesPerSecond, part: LINK_PART });
   }
 
   /** Entries that hear from here. */
@@ -63,10 +62,8 @@
    * ```
    */
   tellLoad(load: GroupLoad, now: number): void {
-    if (now < this.#loadsMayGoAt) return;
     const bytes = this.size * (LOAD_BYTES + ROW_BYTES * load.loads.length);
-    const pauseMs = bytes / (LINK_PART * this.#bytesPerSecond) * MS_PER_SECOND;
-    this.#loadsMayGoAt = now + pauseMs;
+    if (!this.#pacer.tryTake(bytes, now)) return;
     for (const [link, writer] of this.#writers) link.send(writer.write(load));
   }
 }
--- a/src/direct/peers/entry_peers.ts
+++ b/src/direct/peers/entry_peers.ts
@@ -60,9 +60,10 @@
   readonly #reader: ReaderFollower;
   readonly #turns: ReaderTurns;
   #timer: NodeJS.Timeout | undefined;
-  #isLed: boolean | undefined;
+  /** What was told last of whether a reader leads. */
+  #toldLed: boolean | undefined;
   #hasListed = false;
-  #candidates: readonly string[] = [];
+  #candidateCount = 0;
 
   /** Neither listens nor asks yet. */
   constructor(options: EntryPeersOptions) {
@@ -109,7 +110,7 @@
    * are served; then takes turns.
    */
   start(): void {
-    this.#setLed(true);
+    this.#tellLed(true);
     this.#asked.start();
     this.#takeTurn();
     this.#timer = setInterval(() => this.#takeTurn(), TURN_MS);
@@ -132,13 +133,9 @@
   setListed(entries: readonly ListedEntry[]): void {
     const { self } = this.#options;
     this.#asked.setListed(entries.map(({ address }) => address));
-    this.#candidates = listReaderCandidates(entries, self);
-    const first = entries.find(({ address }) =>
-      address === this.#candidates[0]
-    );
-    this.#turns.setCandidates(this.#candidates, {
-      isFirst: first?.failureDomain !== self.failureDomain,
-    });
+    const candidates = listReaderCandidates(entries, self);
+    this.#candidateCount = candidates.addresses.length;
+    this.#turns.setCandidates(candidates);
     this.#server.tellFollowers();
   }
 
@@ -158,7 +155,7 @@
 
   /** This process stood still: what others told before says nothing of the meantime. */
   doubt(): void {
-    this.#setLed(false);
+    this.#tellLed(false);
   }
 
   /** Something else that others follow has changed. */
@@ -175,7 +172,7 @@
     const turn = this.#turns.next(performance.now());
     if (turn.kind === "ask") this.#reader.ask(turn.address);
     if (turn.kind === "list") {
-      if (this.#hasListed) this.#setLed(false);
+      if (this.#hasListed) this.#tellLed(false);
       this.#hasListed = true;
       this.#options.onListTurn();
     }
@@ -197,17 +194,17 @@
     const ageMs = isFit ? directory?.ageMs : undefined;
     this.#turns.noteAnswer(address, { askedAt, ageMs }, now);
     if (!this.#turns.isLed) return;
-    this.#setLed(true);
+    this.#tellLed(true);
     this.#asked.stop();
   }
 
-  #setLed(isLed: boolean): void {
-    if (isLed === this.#isLed) return;
-    this.#isLed = isLed;
+  #tellLed(isLed: boolean): void {
+    if (isLed === this.#toldLed) return;
+    this.#toldLed = isLed;
     const { log, onLed } = this.#options;
     log.write("STORE_READER_CHANGED", {
       isLed,
-      candidates: this.#candidates.length,
+      candidates: this.#candidateCount,
     });
     onLed(isLed);
   }
--- a/src/direct/peers/peer_choice.ts
+++ b/src/direct/peers/peer_choice.ts
@@ -58,11 +58,18 @@
   readonly failureDomain: string;
 }
 
+/** The entries that may read the store for one entry. */
+export interface ReaderCandidates {
+  /** Host and port of each, the best first. */
+  readonly addresses: readonly string[];
+  /** Whether the entry is the first of its failure domain, whom the others there ask. */
+  readonly isFirst: boolean;
+}
+
 /**
- * Addresses of the entries that may read the store for one entry, the best first: those
- * of its failure domain that come before it by name, then the first of each failure domain
- * that comes before its own. So nobody is asked by whom he asks, and the first of all asks
- * nobody.
+ * The entries that may read the store for one entry: those of its failure domain that come
+ * before it by name, then the first of each failure domain that comes before its own. So
+ * nobody is asked by whom he asks, and the first of all asks nobody.
  *
  * @example
  * ```ts
@@ -72,7 +79,7 @@
 export function listReaderCandidates(
   entries: readonly ListedEntry[],
   self: ListedEntry,
-): readonly string[] {
+): ReaderCandidates {
   const sorted = [...entries].sort((left, right) =>
     left.name < right.name ? -1 : 1
   );
@@ -87,5 +94,8 @@
   const remote = [...firsts.values()]
     .filter(({ failureDomain }) => failureDomain < self.failureDomain)
     .sort((left, right) => left.failureDomain < right.failureDomain ? -1 : 1);
-  return [...near, ...remote].map(({ address }) => address);
+  return {
+    addresses: [...near, ...remote].map(({ address }) => address),
+    isFirst: near.length === 0,
+  };
 }
--- a/src/direct/peers/peer_choice_test.ts
+++ b/src/direct/peers/peer_choice_test.ts
@@ -59,7 +59,7 @@
   function candidatesOf(name: string): readonly string[] {
     const self = entries.find((one) => one.name === name);
     assert.ok(self !== undefined);
-    return listReaderCandidates([...entries].reverse(), self);
+    return listReaderCandidates([...entries].reverse(), self).addresses;
   }
 
   it("are those of the failure domain first, then the first of others", () => {
@@ -80,4 +80,11 @@
       }
     }
   });
+
+  it("say who is the first of its failure domain", () => {
+    const firsts = entries.filter((self) =>
+      listReaderCandidates(entries, self).isFirst
+    );
+    assert.deepEqual(firsts.map(({ name }) => name), ["a-1", "b-1", "c-1"]);
+  });
 });
--- a/src/direct/peers/reader_turns.ts
+++ b/src/direct/peers/reader_turns.ts
@@ -15,6 +15,7 @@
  *
  * @module
  */
+import type { ReaderCandidates } from "./peer_choice.ts";
 
 /**
  * Lists that fit into the time in which a back end that leaves may be sent work. A watch
@@ -99,14 +100,8 @@
     return this.#isLed;
   }
 
-  /**
-   * Entries that may read for this one, the best first; `isFirst` says whether it is the
-   * first of its failure domain, whom others there ask.
-   */
-  setCandidates(
-    addresses: readonly string[],
-    { isFirst }: { readonly isFirst: boolean },
-  ): void {
+  /** The entries that may read for this one. */
+  setCandidates({ addresses, isFirst }: ReaderCandidates): void {
     this.#candidates = addresses;
     this.#oldestMs = this.#leavingLimitMs *
       (isFirst ? OLDEST_PART_OF_FIRST : OLDEST_PART);
--- a/src/direct/peers/reader_turns_test.ts
+++ b/src/direct/peers/reader_turns_test.ts
@@ -97,7 +97,7 @@
 describe("a reader that is gone", () => {
   it("is asked ever less often", () => {
     const turns = new ReaderTurns(LEAVING_LIMIT_MS);
-    turns.setCandidates(["gone:1"], { isFirst: false });
+    turns.setCandidates({ addresses: ["gone:1"], isFirst: false });
     const asked: number[] = [];
     for (let now = 0; now < 60_000; now += 50) {
       const turn = turns.next(now);
@@ -120,7 +120,7 @@
 
   function createAsked(): ReaderTurns {
     const turns = new ReaderTurns(LEAVING_LIMIT_MS);
-    turns.setCandidates(["reader:1"], { isFirst: false });
+    turns.setCandidates({ addresses: ["reader:1"], isFirst: false });
     turns.noteListed(0);
     assert.deepEqual(turns.next(10), { kind: "ask", address: "reader:1" });
     return turns;
--- a/src/direct/store_watch_test.ts
+++ b/src/direct/store_watch_test.ts
@@ -12,6 +12,16 @@
 import { Reachability } from "./reachability.ts";
 import { StoreWatch } from "./store_watch.ts";
 
+/** Milliseconds in which a list of this store is read. */
+const READ_MS = 50;
+/** Milliseconds after which a watch without a reader has begun. */
+const ALONE_MS = 1200;
+
+interface WatchFixture {
+  readonly store: HoldingStore;
+  readonly watch: StoreWatch;
+}
+
 /** Lists nothing, and holds each watch until it is broken off. */
 class HoldingStore extends WatchedStore {
   lists = 0;
@@ -57,50 +67,44 @@
   });
 }
 
+/** A watch that starts while another process leads, and has had time to read. */
+async function startLed(readsAtOnce: boolean): Promise<WatchFixture> {
+  const store = new HoldingStore();
+  const watch = createWatch(store, readsAtOnce);
+  watch.setLed(true);
+  watch.start();
+  await sleep(READ_MS);
+  return { store, watch };
+}
+
 describe("a watch that another process may lead", () => {
   it("makes no call while it is led", async () => {
-    const store = new HoldingStore();
-    const watch = createWatch(store, false);
-    watch.setLed(true);
-    watch.start();
-    await sleep(30);
+    const { store, watch } = await startLed(false);
     watch.stop();
-    assert.equal(store.lists + store.watches, 0);
+    assert.deepEqual([store.lists, store.watches], [0, 0]);
   });
 
   it("reads once at the start where that is wanted at once", async () => {
-    const store = new HoldingStore();
-    const watch = createWatch(store, true);
-    watch.setLed(true);
-    watch.start();
-    await sleep(30);
+    const { store, watch } = await startLed(true);
     watch.stop();
     assert.deepEqual([store.lists, store.watches], [1, 0]);
   });
 
   it("reads once, and watches only after a while, when its reader fails", async () => {
-    const store = new HoldingStore();
-    const watch = createWatch(store, true);
-    watch.setLed(true);
-    watch.start();
-    await sleep(10);
+    const { store, watch } = await startLed(true);
     watch.setLed(false);
-    await sleep(50);
+    await sleep(READ_MS);
     assert.deepEqual([store.lists, store.watches], [2, 0]);
     watch.setLed(true);
-    await sleep(30);
+    await sleep(READ_MS);
     watch.stop();
     assert.deepEqual([store.lists, store.watches], [2, 0]);
   });
 
   it("watches when nobody leads any more", async () => {
-    const store = new HoldingStore();
-    const watch = createWatch(store, true);
-    watch.setLed(true);
-    watch.start();
-    await sleep(10);
+    const { store, watch } = await startLed(true);
     watch.setLed(false);
-    await sleep(1200);
+    await sleep(ALONE_MS);
     watch.stop();
     assert.equal(store.watches, 1);
   });
--- a/src/entry/target_record.ts
+++ b/src/entry/target_record.ts
@@ -101,7 +101,7 @@
     return this.#answeredAt;
   }
 
-  get warmUntil(): number {
+  get idleConnectionUntil(): number {
     const newest = this.#idleSince.at(-1) ?? Number.NEGATIVE_INFINITY;
     return newest + IDLE_CONNECTION_MS;
   }
--- a/src/group/formed/base_maps.ts
+++ b/src/group/formed/base_maps.ts
@@ -4,22 +4,21 @@
  *
  * @module
  */
+import { LinkPacer } from "../../policy/link_pacer.ts";
 import type { ExpertMap } from "../types.ts";
 
 /** Part of the decider's link for maps that are told ahead. */
 const LINK_PART = 0.2;
 /** Bytes of an expert's number in a map. */
 const NUMBER_BYTES = 1.6;
-const MS_PER_SECOND = 1000;
 
 /** Paces maps that are told ahead of orders. */
 export class BaseMaps {
-  readonly #bytesPerSecond: number;
-  #mayTellAt = Number.NEGATIVE_INFINITY;
+  readonly #pacer: LinkPacer;
 
   /** Takes the bytes that the decider's link carries in a second. */
   constructor(bytesPerSecond: number) {
-    this.#bytesPerSecond = bytesPerSecond;
+    this.#pacer = new LinkPacer({ bytesPerSecond, part: LINK_PART });
   }
 
   /**
@@ -31,11 +30,7 @@
    * ```
    */
   tryTake(map: ExpertMap, now: number): boolean {
-    if (now < this.#mayTellAt) return false;
-    const pauseMs = bytesOf(map) / (LINK_PART * this.#bytesPerSecond) *
-      MS_PER_SECOND;
-    this.#mayTellAt = now + pauseMs;
-    return true;
+    return this.#pacer.tryTake(bytesOf(map), now);
   }
 }
 
--- a/src/group/formed/decider.ts
+++ b/src/group/formed/decider.ts
@@ -419,7 +419,7 @@
     if (!isLooking || now - this.#askedAt < lookMs) return;
     this.#askedAt = now;
     if (isGathering) return this.#askUnknown();
-    this.#effects.push({ kind: "send_query", rank: 0, withExperts: false });
+    this.#effects.push({ kind: "send_query", rank: 0 });
   }
 
   #gather(now: number): void {
@@ -438,7 +438,7 @@
     if (phase.kind !== "gathering") return;
     for (let rank = 0; rank < this.#ranks; rank++) {
       if (phase.experts.has(rank)) continue;
-      this.#effects.push({ kind: "send_query", rank, withExperts: true });
+      this.#effects.push({ kind: "send_query", rank });
     }
   }
 
--- a/src/group/formed/decider_types.ts
+++ b/src/group/formed/decider_types.ts
@@ -48,11 +48,10 @@
   readonly isRepeated: boolean;
 }
 
-/** Ask a rank's process how its engine stands. */
+/** Ask a rank's process how its engine stands, and what it holds. */
 export interface SendQuery {
   readonly kind: "send_query";
   readonly rank: number;
-  readonly withExperts: boolean;
 }
 
 /** The decider goes from one phase to the next. */
--- /dev/null
+++ b/src/policy/link_pacer_test.ts
@@ -0,0 +1,14 @@
+import assert from "node:assert/strict";
+import { describe, it } from "node:test";
+import { LinkPacer } from "./link_pacer.ts";
+
+describe("a part of a link", () => {
+  it("is not exceeded, and is used", () => {
+    const pacer = new LinkPacer({ bytesPerSecond: 500_000, part: 0.2 });
+    let sent = 0;
+    for (let now = 0; now < 10_000; now++) {
+      if (pacer.tryTake(5000, now)) sent += 5000;
+    }
+    assert.ok(sent <= 1_005_000 && sent >= 950_000, `${sent} bytes`);
+  });
+});
--- a/src/policy/target_choice.ts
+++ b/src/policy/target_choice.ts
@@ -120,7 +120,7 @@
     const drawn = this.#draw(candidates);
     // Those with an idle connection are few in a large pool, and seldom drawn by chance.
     const connected = this.#draw(
-      candidates.filter((view) => view.warmUntil > context.now),
+      candidates.filter((view) => view.idleConnectionUntil > context.now),
     );
     const warmest = this.#tryWarmest(candidates, context);
     const scored = [...drawn, ...connected];
@@ -149,7 +149,7 @@
 
   #score(view: TargetView, context: ChoiceContext): number {
     const { domainPenalty, failurePenalty, connectPenalty } = this.#options;
-    const isConnected = view.warmUntil > context.now;
+    const isConnected = view.idleConnectionUntil > context.now;
     const isNear = view.failureDomain === context.failureDomain;
     return estimateLoad(view) * view.slowness +
       (isNear ? 0 : domainPenalty) +
--- a/src/policy/target_view.ts
+++ b/src/policy/target_view.ts
@@ -25,7 +25,7 @@
   /** When this target last answered anything, in milliseconds. */
   readonly answeredAt: number;
   /** Until when a connection of ours to it is thought to be idle, in milliseconds. */
-  readonly warmUntil: number;
+  readonly idleConnectionUntil: number;
   /** When the oldest request that waits for a first byte was sent. */
   readonly waitingSince: number | undefined;
 }
--- a/src/testing/formed_group_world.ts
+++ b/src/testing/formed_group_world.ts
@@ -234,7 +234,7 @@
 
   #perform(seat: Seat, effect: DeciderEffect): void {
     if (this.#isFrozen(seat.rank)) return;
-    if (effect.kind === "send_query") return this.#ask(seat, effect);
+    if (effect.kind === "send_query") return this.#ask(seat, effect.rank);
     if (effect.kind !== "send_order") return;
     const { rank, orderId, order, isRepeated } = effect;
     if (seat === this.#seat) this.#drawFreeze(effect);
@@ -249,16 +249,13 @@
   }
 
   /** What is asked beside the holder, the looks at its own engine answer. */
-  #ask(
-    seat: Seat,
-    { rank, withExperts }: { rank: number; withExperts: boolean },
-  ): void {
+  #ask(seat: Seat, rank: number): void {
     if (seat === this.#rescueSeat) return;
     this.#deliver(seat, rank, () =>
       this.#report(seat, rank, {
         kind: "rank_report",
         state: this.#engine(rank).state,
-        experts: withExperts ? [[rank]] : undefined,
+        experts: [[rank]],
       }));
   }
 
--- a/src/testing/reading_fleet.ts
+++ b/src/testing/reading_fleet.ts
@@ -73,11 +73,7 @@
     const entries = createEntries(options);
     this.#readers = entries.map((self) => {
       const turns = new ReaderTurns(options.leavingLimitMs);
-      const candidates = listReaderCandidates(entries, self);
-      const first = entries.find(({ address }) => address === candidates[0]);
-      turns.setCandidates(candidates, {
-        isFirst: first?.failureDomain !== self.failureDomain,
-      });
+      turns.setCandidates(listReaderCandidates(entries, self));
       const excusedUntil = options.leavingLimitMs;
       return { self, turns, knownAt: 0, excusedUntil, isReached: false };
     });
