Hear who has left before a request is sent on, also after a stall

Cause: a request is read in one turn of the event loop, the close behind it in the next one, and in between the request goes to a server. After a stall that is every caller who gave up meanwhile; requests that wait for a place go out the same way when a load is read before the close. A caller's close was also known some turns late, as the answer's close.

Ruled out: looking at the answer's state alone (it changes turns later); a threshold for new requests (those in the backlog are read after the first tick, when nothing looks stalled any more).

--- a/src/entry/caller_connection.ts
+++ b/src/entry/caller_connection.ts
@@ -41,9 +41,16 @@
     }
   }
 
-  /** Calls back once if the caller goes away before its answer is whole. */
+  /**
+   * Calls back if the caller goes away before its answer is whole: as soon as its close
+   * is read, which is some turns of the event loop before the answer is closed.
+   */
   onGone(callback: () => void): void {
+    const { socket } = this.#incoming;
+    const onEnd = () => callback();
+    socket.once("end", onEnd);
     this.#outgoing.once("close", () => {
+      socket.off("end", onEnd);
       if (!this.#outgoing.writableFinished) callback();
     });
   }
@@ -53,9 +60,13 @@
     return this.#incoming.headers["idempotency-key"] !== undefined;
   }
 
-  /** Whether the caller has closed its connection. */
+  /**
+   * Whether the caller has closed its connection. That is known from the connection some
+   * turns of the event loop before it is known from the answer.
+   */
   get isGone(): boolean {
-    return this.#outgoing.destroyed;
+    const { destroyed, readableEnded } = this.#incoming.socket;
+    return this.#outgoing.destroyed || destroyed || readableEnded;
   }
 
   /**
--- a/src/entry/caller_connection_test.ts
+++ b/src/entry/caller_connection_test.ts
@@ -27,6 +27,29 @@
   return text.toLowerCase();
 }
 
+describe("a caller that leaves", () => {
+  it("is known to have left before its answer is closed", async () => {
+    const seen: string[] = [];
+    const server = createServer((incoming, outgoing) => {
+      const protocol = new OwnCallerProtocol();
+      const connection = new CallerConnection(incoming, outgoing, protocol);
+      connection.onGone(() => seen.push(`gone ${connection.isGone}`));
+      outgoing.once("close", () => seen.push("closed"));
+    });
+    server.listen(0, "127.0.0.1");
+    await once(server, "listening");
+    const { port } = server.address() as AddressInfo;
+    const socket = connect(port, "127.0.0.1");
+    socket.write("GET / HTTP/1.1\r\nHost: a\r\n\r\n");
+    await once(server, "request");
+    socket.end();
+    await once(socket, "close");
+    await once(server.close(), "close");
+    assert.equal(seen[0], "gone true");
+    assert.ok(seen.indexOf("closed") > 0);
+  });
+});
+
 describe("answers to callers", () => {
   it("that ended with their connection end with the caller's", async () => {
     const text = await receive((connection) => {
--- a/src/entry/entry_reducer.ts
+++ b/src/entry/entry_reducer.ts
@@ -57,6 +57,7 @@
   EntryEvent,
   GroupLoadTold,
   GroupSeen,
+  RequestArrived,
   SettingsInForce,
   TargetMessageReceived,
 } from "./types.ts";
@@ -133,7 +134,7 @@
   #reduce(event: EntryEvent): void {
     switch (event.kind) {
       case "request_arrived":
-        return this.#requestArrived(event.request, event.now);
+        return this.#requestArrived(event);
       case "caller_gone":
         return this.#callerGone(event.requestId);
       case "caller_too_slow":
@@ -190,7 +191,7 @@
     if (isOpen) this.#submitWaiting(now);
   }
 
-  #requestArrived(request: CallerRequest, now: number): void {
+  #requestArrived({ request, now, readAt = now }: RequestArrived): void {
     if (this.#isDraining) return this.#refuseAtDoor(request, "ENTRY_DRAINING");
     const admitted = this.#admission.admit(request, now);
     if (admitted.isErr()) return this.#refuseAtDoor(request, admitted.error);
@@ -206,8 +207,8 @@
     }
     const pool = this.#pools.choose(route.service);
     const inFlight = new InFlightRequest(request, route, {
-      arrivedAt: now,
-      deadlineAt: now + deadlineMs,
+      arrivedAt: readAt,
+      deadlineAt: readAt + deadlineMs,
       pool,
       isRepeated: this.#returning.observe(request, route, now),
     });
--- a/src/entry/request_server.ts
+++ b/src/entry/request_server.ts
@@ -10,6 +10,7 @@
 import { RESPONSE_ALREADY_SENT } from "@hono/node-server/utils/response";
 import { Hono } from "hono";
 import { assertNever } from "../core/debug.ts";
+import { turnEventLoop } from "../core/event_loop.ts";
 import type { EventLog } from "../events/event_log.ts";
 import { HttpListener } from "../process/http_listener.ts";
 import type { Metrics } from "../process/metrics.ts";
@@ -18,6 +19,7 @@
 import type { CallerProtocol } from "./caller_protocol.ts";
 import type { EntryReducer } from "./entry_reducer.ts";
 import { forwardToScripts } from "./scripts_forwarder.ts";
+import { StallGuard } from "./stall_guard.ts";
 import type { TargetLinks } from "./target_links.ts";
 import type {
   EntryEffect,
@@ -57,6 +59,11 @@
   readonly #options: RequestServerOptions;
   readonly #exchanges = new Map<number, CallerExchange>();
   readonly #listener: HttpListener;
+  readonly #stalls = new StallGuard({
+    now: () => performance.now(),
+    turn: turnEventLoop,
+    deliver: (event) => this.#reduce(event),
+  });
   #links: TargetLinks | undefined;
   #tick: NodeJS.Timeout | undefined;
   #tickedAt = performance.now();
@@ -117,6 +124,10 @@
 
   /** Feeds the reducer and performs what it asks for. */
   dispatch(event: EntryEvent): void {
+    if (!this.#stalls.tryHold(event)) this.#reduce(event);
+  }
+
+  #reduce(event: EntryEvent): void {
     for (const effect of this.#options.reducer.reduce(event)) {
       this.#perform(effect);
     }
@@ -160,6 +171,7 @@
 
   async #serve(connection: CallerConnection): Promise<void> {
     const id = this.#nextRequestId++;
+    const startedAt = performance.now();
     const { metrics } = this.#options;
     metrics.countRequest();
     if (this.#closesConnections) connection.closeAfterAnswer();
@@ -176,14 +188,21 @@
     }
     if (performance.now() - this.#tickedAt > PAUSE_MS) this.#onTick();
     await this.#catchUp;
-    if (connection.isGone) return;
+    // A caller may have left while its request lay unread; its close is read after it.
+    await turnEventLoop();
+    if (connection.isGone) {
+      const { correlationId } = request.value;
+      const waitedMs = Math.round(performance.now() - startedAt);
+      const details = { request: id, correlation: correlationId, waitedMs };
+      return this.#options.log.write("CALLER_LEFT", details);
+    }
     await new Promise<void>((close) => {
-      const startedAt = performance.now();
       this.#exchanges.set(id, { connection, startedAt, close });
       connection.onGone(() => this.#onCallerGone(id));
       this.dispatch({
         kind: "request_arrived",
-        now: startedAt,
+        now: performance.now(),
+        readAt: startedAt,
         request: request.value,
       });
     });
--- /dev/null
+++ b/src/entry/stall_guard_test.ts
@@ -0,0 +1,69 @@
+import assert from "node:assert/strict";
+import { describe, it } from "node:test";
+import { LONGEST_GAP_MS, StallGuard } from "./stall_guard.ts";
+import type { EntryEvent } from "./types.ts";
+
+class GuardFixture {
+  now = 0;
+  /** Ends the turn under way. */
+  endTurn: () => void = () => undefined;
+  readonly delivered: string[] = [];
+  readonly guard = new StallGuard({
+    now: () => this.now,
+    turn: () => new Promise((resolve) => this.endTurn = resolve),
+    deliver: (event) => this.delivered.push(event.kind),
+  });
+
+  /** Feeds an event as a server does. */
+  feed(event: EntryEvent): void {
+    if (!this.guard.tryHold(event)) this.delivered.push(event.kind);
+  }
+
+  async turn(): Promise<void> {
+    this.endTurn();
+    await new Promise((resolve) => setImmediate(resolve));
+  }
+}
+
+function createTick(): EntryEvent {
+  return { kind: "tick", now: 0 };
+}
+
+function createGone(): EntryEvent {
+  return { kind: "caller_gone", now: 0, requestId: 1 };
+}
+
+describe("the guard against stalls", () => {
+  it("lets events through while the process runs", () => {
+    const fixture = new GuardFixture();
+    for (let tick = 1; tick <= 5; tick++) {
+      fixture.now += LONGEST_GAP_MS;
+      fixture.feed(createTick());
+    }
+    assert.equal(fixture.delivered.length, 5);
+  });
+
+  it("hears who has left before anything that was there first", async () => {
+    const fixture = new GuardFixture();
+    fixture.now = LONGEST_GAP_MS + 1;
+    fixture.feed({ kind: "entries_counted", entries: 3 });
+    fixture.feed(createTick());
+    fixture.feed(createGone());
+    assert.deepEqual(fixture.delivered, ["caller_gone"]);
+    await fixture.turn();
+    assert.deepEqual(
+      fixture.delivered,
+      ["caller_gone", "entries_counted", "tick"],
+    );
+  });
+
+  it("holds nothing back after that turn", async () => {
+    const fixture = new GuardFixture();
+    fixture.now = 2000;
+    fixture.feed(createTick());
+    await fixture.turn();
+    fixture.now += 1;
+    fixture.feed(createTick());
+    assert.deepEqual(fixture.delivered, ["tick", "tick"]);
+  });
+});
--- a/src/entry/types.ts
+++ b/src/entry/types.ts
@@ -55,6 +55,8 @@
 export interface RequestArrived {
   readonly kind: "request_arrived";
   readonly now: number;
+  /** When its head was read, from which its deadline runs; `now` unless given. */
+  readonly readAt?: number;
   readonly request: CallerRequest;
 }
 
