Use the connection that rested least, for as long as it is known to last

Cause: the client library's pool trusted servers' promise, took the first connection that was free even if it had to be made anew, went on to the others after it had met a dead one, and used none twice that was promised for two seconds or less. The choice of a target thought of seven seconds whatever the server said.

A call whose connection was made only after the process stood still is not begun (the limits fire after it).

--- a/bench/choice_bench.ts
+++ b/bench/choice_bench.ts
@@ -308,6 +308,7 @@
     request.isOver = true;
     target.removeInFlight(request.id);
     target.countAttempt(false, this.#events.now);
+    target.noteConnection(undefined, this.#events.now);
     target.setReportedLoad(answer.load, this.#events.now);
     if (request.arrivedAt < COUNT_FROM_MS || request.tokens < 2) return;
     this.#between.push(answer.milliseconds / (request.tokens - 1));
--- a/src/direct/direct_target.ts
+++ b/src/direct/direct_target.ts
@@ -82,6 +82,8 @@
   #sequence = 0;
   #byteCount = 0;
   #load: BackEndLoad = { running: 0, queued: 0 };
+  /** Nothing is kept of a connection that gave no answer. */
+  #keptMs = 0;
   #isOver = false;
 
   constructor(submit: SubmitMessage, options: DirectAttemptOptions) {
@@ -104,6 +106,7 @@
     };
     this.#call = backEnd.start(request, {
       onLoad: (load) => this.#load = load,
+      onKept: (milliseconds) => this.#keptMs = milliseconds,
       onHead: (status, answerHeaders, framing) =>
         this.#onHead(status, answerHeaders, framing),
       onData: (bytes) => this.#onData(bytes),
@@ -149,6 +152,7 @@
       ...this.#place(),
       sequence: this.#sequence++,
       byteCount: this.#byteCount,
+      keptMs: this.#keptMs,
       ...this.#load,
     });
   }
@@ -160,6 +164,7 @@
       kind: "refused",
       ...this.#place(),
       reason: getReasonOf(failure),
+      keptMs: isNotRun(failure) ? this.#keptMs : 0,
       outcome: submission,
       submission,
     });
--- a/src/entry/entry_reducer.ts
+++ b/src/entry/entry_reducer.ts
@@ -340,6 +340,7 @@
     const status = inFlight.head?.status ?? 0;
     const isServerError = status >= SERVER_ERROR_STATUS;
     at.target.countAttempt(isServerError, at.now);
+    at.target.noteConnection(message.keptMs, at.now);
     at.target.setReportedLoad(message.queued + message.running, at.now);
     if (isServerError && this.#tryAgain(inFlight, SERVER_ERROR, at.now)) return;
     this.#end(inFlight);
@@ -354,6 +355,8 @@
     at: AttemptPlace,
   ): void {
     at.target.countAttempt(isTargetsFault(message.reason), at.now);
+    if (message.submission === "unknown") at.target.forgetConnections();
+    else at.target.noteConnection(message.keptMs, at.now);
     const isLeaving = message.reason === "TARGET_LEAVING" ||
       message.reason === "WRONG_INSTANCE";
     if (isLeaving) at.target.setLeaving(true);
--- a/src/entry/target_record.ts
+++ b/src/entry/target_record.ts
@@ -14,12 +14,8 @@
 /** Weight of the newest answer in the mean time to first byte. */
 const LATENCY_SMOOTHING = 0.1;
 
-/**
- * Milliseconds for which a connection without a request is thought to last. Back ends
- * promise ten seconds and the client library uses eight of them; a connection that is gone
- * already costs no more than a new one.
- */
-const IDLE_CONNECTION_MS = 7000;
+/** Milliseconds for which a connection lasts whose messages do not say. */
+const UNTOLD_KEPT_MS = 7000;
 
 /** Pace from which a rank is sent no work while others are free. */
 const STRAGGLER_PACE = 1.5;
@@ -48,8 +44,8 @@
   #pace = 1;
   #group: GroupBelief | undefined;
   #isDecided = false;
-  /** When the connections that are thought to be idle became so, newest last. */
-  readonly #idleSince: number[] = [];
+  /** Until when connections can carry another request, the one used last at the end. */
+  readonly #idleUntil: number[] = [];
   /** Requests of ours at the target, with the time they were sent. */
   readonly #inFlight = new Map<number, number>();
   /** Those of them that wait for a first byte, oldest first. */
@@ -102,8 +98,7 @@
   }
 
   get idleConnectionUntil(): number {
-    const newest = this.#idleSince.at(-1) ?? Number.NEGATIVE_INFINITY;
-    return newest + IDLE_CONNECTION_MS;
+    return this.#idleUntil.at(-1) ?? Number.NEGATIVE_INFINITY;
   }
 
   get waitingSince(): number | undefined {
@@ -137,7 +132,7 @@
     this.#isConnected = false;
     this.#inFlight.clear();
     this.#silent.clear();
-    this.#idleSince.splice(0);
+    this.#idleUntil.splice(0);
   }
 
   /** The target said that it is leaving, or that it serves again. */
@@ -209,7 +204,7 @@
   addInFlight(requestId: number, now: number): void {
     this.#inFlight.set(requestId, now);
     // The connection that was used last is used first.
-    this.#idleSince.pop();
+    this.#idleUntil.pop();
     this.#silent.set(requestId, now);
   }
 
@@ -237,17 +232,19 @@
     const share = this.failureShare;
     this.#failureShare = share + FAILURE_SMOOTHING * (newest - share);
     this.#failureAt = now;
-    if (hasFailed) return;
-    this.#answeredAt = now;
-    this.#noteIdle(now);
+    if (!hasFailed) this.#answeredAt = now;
+  }
+
+  /** An attempt is over, and its connection can carry another one for so long. */
+  noteConnection(keptMs: number | undefined, now: number): void {
+    const firstKept = this.#idleUntil.findIndex((until) => until > now);
+    this.#idleUntil.splice(0, firstKept < 0 ? Infinity : firstKept);
+    const lastsMs = keptMs ?? UNTOLD_KEPT_MS;
+    if (lastsMs > 0) this.#idleUntil.push(now + lastsMs);
   }
 
-  /** An answer ended whole, so its connection can carry the next request. */
-  #noteIdle(now: number): void {
-    const firstKept = this.#idleSince.findIndex((since) =>
-      now - since < IDLE_CONNECTION_MS
-    );
-    this.#idleSince.splice(0, firstKept < 0 ? Infinity : firstKept);
-    this.#idleSince.push(now);
+  /** A connection was found dead; those that rested longer are no better. */
+  forgetConnections(): void {
+    this.#idleUntil.splice(0);
   }
 }
--- a/src/external/back_end.ts
+++ b/src/external/back_end.ts
@@ -69,6 +69,11 @@
   onFailed(failure: BackEndFailure): void;
   /** Comes before `onHead` or `onFailed` when the back end told its load. */
   onLoad?(load: BackEndLoad): void;
+  /**
+   * Comes before `onHead`: milliseconds for which the connection can carry another call
+   * once this one has ended; 0 if it ends with it.
+   */
+  onKept?(milliseconds: number): void;
 }
 
 /** A call under way. */
--- a/src/external/http_back_end.ts
+++ b/src/external/http_back_end.ts
@@ -4,7 +4,9 @@
  * @module
  */
 import type { Socket } from "node:net";
-import { buildConnector, type Dispatcher, Pool } from "undici";
+import { performance } from "node:perf_hooks";
+import { buildConnector, type Dispatcher } from "undici";
+import { IdleLifetime } from "../policy/idle_lifetime.ts";
 import {
   BackEnd,
   type BackEndCall,
@@ -13,17 +15,15 @@
   type BackEndRequest,
 } from "./back_end.ts";
 import { endToEndHeadersOf } from "../core/http_headers.ts";
+import {
+  type AnswerHeaders,
+  getUsableMs,
+  type HttpConnection,
+  HttpConnections,
+} from "./http_connections.ts";
 
 const CONNECT_LIMIT_MS = 2000;
 
-/** Errors after which no byte of the request can have been sent. */
-const NOT_BEGUN_CODES: ReadonlySet<string> = new Set([
-  "ECONNREFUSED",
-  "EHOSTUNREACH",
-  "ENETUNREACH",
-  "UND_ERR_CONNECT_TIMEOUT",
-]);
-
 /** Options of an {@link HttpBackEnd}. */
 export interface HttpBackEndOptions {
   /** Host and port. */
@@ -32,25 +32,27 @@
   readonly connections: number;
   /** Milliseconds in which a connection must be made. */
   readonly connectLimitMs?: number;
+  /** For how long connections rest, as learnt with all servers of a pool. */
+  readonly lifetime?: IdleLifetime;
 }
 
 /** A back end that is called by HTTP. */
 export class HttpBackEnd extends BackEnd {
-  readonly #pool: Pool;
+  readonly #connections: HttpConnections;
+  readonly #lifetime: IdleLifetime;
+  readonly #connectLimitMs: number;
   readonly #resets = new ResetDetector();
 
   /** Connects on the first call. */
   constructor(options: HttpBackEndOptions) {
     super();
-    this.#pool = new Pool(`http://${options.address}`, {
-      connections: options.connections,
-      pipelining: 1,
-      connect: this.#resets.createConnector(
-        options.connectLimitMs ?? CONNECT_LIMIT_MS,
-      ),
-      // Deadlines are ours, not the client's.
-      headersTimeout: 0,
-      bodyTimeout: 0,
+    this.#connectLimitMs = options.connectLimitMs ?? CONNECT_LIMIT_MS;
+    this.#lifetime = options.lifetime ?? new IdleLifetime();
+    this.#connections = new HttpConnections({
+      address: options.address,
+      most: options.connections,
+      connect: this.#resets.createConnector(this.#connectLimitMs),
+      lifetime: this.#lifetime,
     });
   }
 
@@ -58,11 +60,16 @@
     request: BackEndRequest,
     listener: BackEndListener,
   ): BackEndCall {
+    const connection = this.#connections.take(performance.now());
     const call = new HttpBackEndCall(listener, {
       limitMs: request.limitMs,
+      beginLimitMs: this.#connectLimitMs,
+      connection,
+      connections: this.#connections,
+      lifetime: this.#lifetime,
       resets: this.#resets,
     });
-    this.#pool.dispatch({
+    connection.client.dispatch({
       method: request.method as Dispatcher.HttpMethod,
       path: request.path,
       headers: request.headers.flatMap(([name, value]) => [name, value]),
@@ -72,7 +79,7 @@
   }
 
   override async close(): Promise<void> {
-    await this.#pool.destroy();
+    await this.#connections.close();
   }
 }
 
@@ -134,22 +141,36 @@
 
 interface HttpBackEndCallOptions {
   readonly limitMs: number;
+  /** Milliseconds in which its request must be on its way. */
+  readonly beginLimitMs: number;
+  readonly connection: HttpConnection;
+  readonly connections: HttpConnections;
+  readonly lifetime: IdleLifetime;
   readonly resets: ResetDetector;
 }
 
 class HttpBackEndCall implements Dispatcher.DispatchHandler, BackEndCall {
   readonly #listener: BackEndListener;
+  readonly #options: HttpBackEndCallOptions;
   readonly #limit: NodeJS.Timeout;
-  readonly #resets: ResetDetector;
+  readonly #startedAt = performance.now();
+  /** How long its connection had rested; undefined: it is a new one. */
+  readonly #restedMs: number | undefined;
   #controller: Dispatcher.DispatchController | undefined;
+  #usableMs = 0;
+  #hasHead = false;
   #isCancelled = false;
   #isLate = false;
   #isOver = false;
 
   constructor(listener: BackEndListener, options: HttpBackEndCallOptions) {
+    const { connection, limitMs } = options;
     this.#listener = listener;
-    this.#resets = options.resets;
-    this.#limit = setTimeout(() => this.#endLate(), options.limitMs);
+    this.#options = options;
+    this.#restedMs = connection.wasUsed
+      ? connection.getRestedMs(this.#startedAt)
+      : undefined;
+    this.#limit = setTimeout(() => this.#endLate(), limitMs);
   }
 
   cancel(): void {
@@ -158,17 +179,25 @@
   }
 
   onRequestStart(controller: Dispatcher.DispatchController): void {
+    // A connection that took longer was made while the process stood still, and whoever
+    // asked may have left meanwhile: the timers that say so fire after this.
+    const isOverdue = performance.now() - this.#startedAt >= this.#beginLimitMs;
+    if (this.#isCancelled || isOverdue) {
+      return controller.abort(new Error("The call is not begun any more"));
+    }
     this.#controller = controller;
-    if (this.#isCancelled) this.cancel();
   }
 
   onResponseStart(
     _controller: Dispatcher.DispatchController,
     status: number,
-    headers: Record<string, string | string[] | undefined>,
+    headers: AnswerHeaders,
   ): void {
     // Informational answers come before the real one.
     if (status < 200 || this.#isOver) return;
+    this.#hasHead = true;
+    this.#usableMs = this.#getUsableMs(headers);
+    this.#listener.onKept?.(this.#usableMs);
     const endsWithConnection = headers["content-length"] === undefined &&
       headers["transfer-encoding"] === undefined;
     this.#listener.onHead(status, endToEndHeadersOf(headers), {
@@ -185,20 +214,48 @@
 
   onResponseEnd(): void {
     if (!this.#finish()) return;
-    if (this.#resets.isResetting) this.#listener.onFailed("broken");
+    const { connection, connections, resets } = this.#options;
+    const isKept = this.#usableMs > 0 && !resets.isResetting;
+    if (isKept) connections.keep(connection, this.#usableMs, performance.now());
+    else connections.drop(connection);
+    if (resets.isResetting) this.#listener.onFailed("broken");
     else this.#listener.onEnd();
   }
 
   onResponseError(
     _controller: Dispatcher.DispatchController,
-    error: Error & { readonly code?: string },
+    _error: Error,
   ): void {
     if (!this.#finish()) return;
-    this.#listener.onFailed(this.#failureOf(error.code ?? ""));
+    const { connection, connections } = this.#options;
+    this.#noteIfDead();
+    connections.drop(connection);
+    this.#listener.onFailed(this.#getFailure());
+  }
+
+  get #beginLimitMs(): number {
+    return Math.min(this.#options.limitMs, this.#options.beginLimitMs);
+  }
+
+  #getUsableMs(headers: AnswerHeaders): number {
+    const limitMs = this.#options.lifetime.getLimitMs(performance.now());
+    return Math.min(limitMs, getUsableMs(headers));
+  }
+
+  /** Whether no byte of the request can have been sent. */
+  get #isNotBegun(): boolean {
+    return this.#controller === undefined;
+  }
+
+  /** A server that ends a connection before it answers has forgotten it. */
+  #noteIfDead(): void {
+    const isOurs = this.#isCancelled || this.#isNotBegun || this.#hasHead;
+    if (isOurs || this.#restedMs === undefined) return;
+    this.#options.lifetime.noteDead(this.#restedMs, performance.now());
   }
 
-  #failureOf(code: string): BackEndFailure {
-    if (NOT_BEGUN_CODES.has(code)) return "not_begun";
+  #getFailure(): BackEndFailure {
+    if (this.#isNotBegun) return "not_begun";
     return this.#isLate ? "late" : "broken";
   }
 
--- a/src/external/http_back_end_test.ts
+++ b/src/external/http_back_end_test.ts
@@ -1,6 +1,7 @@
 import assert from "node:assert/strict";
 import { once } from "node:events";
 import { type AddressInfo, createServer, type Socket } from "node:net";
+import { performance } from "node:perf_hooks";
 import { describe, it } from "node:test";
 import { HttpBackEnd } from "./http_back_end.ts";
 
@@ -20,7 +21,10 @@
 }
 
 /** A server on raw sockets, and the way to it. */
-async function startServer(onConnection: (socket: Socket) => void) {
+async function startServer(
+  onConnection: (socket: Socket) => void,
+  connectLimitMs?: number,
+) {
   const server = createServer(onConnection);
   server.listen(0, "127.0.0.1");
   await once(server, "listening");
@@ -28,6 +32,7 @@
   const backEnd = new HttpBackEnd({
     address: `127.0.0.1:${port}`,
     connections: 1,
+    connectLimitMs,
   });
   return { server, backEnd };
 }
@@ -135,3 +140,36 @@
     assert.equal(await breakOff(), "ECONNRESET");
   });
 });
+
+/** Stands still as a process without a processor does. */
+function standStill(milliseconds: number): void {
+  const end = performance.now() + milliseconds;
+  while (performance.now() < end) { /* Nothing else runs. */ }
+}
+
+describe("a call whose connection was made while the process stood still", () => {
+  it("sends nothing, and says so", async () => {
+    const connectLimitMs = 30;
+    let received = 0;
+    const { server, backEnd } = await startServer(
+      (socket) => {
+        socket.on("error", () => {/* It is reset, as nothing was sent. */});
+        socket.on("data", (bytes) => received += bytes.length);
+      },
+      connectLimitMs,
+    );
+    const failure = new Promise<string>((resolve) => {
+      backEnd.start(REQUEST, {
+        onHead: () => undefined,
+        onData: () => undefined,
+        onEnd: () => resolve("whole"),
+        onFailed: resolve,
+      });
+    });
+    standStill(2 * connectLimitMs);
+    assert.equal(await failure, "not_begun");
+    await backEnd.close();
+    server.close();
+    assert.equal(received, 0);
+  });
+});
--- a/src/messages/types.ts
+++ b/src/messages/types.ts
@@ -120,6 +120,11 @@
   /** Load of the target as it sent this, so that reports can be rare. */
   readonly queued: number;
   readonly running: number;
+  /**
+   * Milliseconds for which its connection can carry another request, of a back end that
+   * is called without a target process.
+   */
+  readonly keptMs?: number;
 }
 
 /** The attempt gets no answer, or no whole one. */
@@ -127,6 +132,8 @@
   readonly kind: "refused";
   readonly requestId: number;
   readonly attempt: number;
+  /** As in {@link AnswerEndMessage}. */
+  readonly keptMs?: number;
   readonly reason: RefusalName;
   /** What is known of the key (without a key: of the submission). */
   readonly outcome: Outcome;
