Start processes from code compiled at the build, without what they never use

Change: a launcher takes code compiled in a short start at the build, for the flags of the deploy file; callers' requests and text pages are served by Node.js directly; the application library stays for the administration API and the stand-ins. An error in a request is logged (2709) and closes its connection.

--- a/scripts/build_bundle.ts
+++ b/scripts/build_bundle.ts
@@ -1,24 +1,30 @@
 /**
- * Bundles the programs of machines that have Node.js, one file for each role:
- * target/entry.cjs and target/rank.cjs.
+ * Bundles and compiles the programs of machines that have Node.js, one for each role:
+ * target/entry.cjs and target/rank.cjs run them.
  *
  * @module
  */
 import { bundle } from "./bundle.ts";
+import { writeCompiled } from "./compiled_program.ts";
 
 /**
- * The programs call others through pools of connections only; the rest of the
- * library would be loaded for nothing.
+ * The programs call others through connections by HTTP/1.1 only, and build
+ * histograms but read or write no logs of them; the rest of these libraries would be
+ * loaded for nothing.
  */
-const REPLACING = { undici: "./scripts/connection_pools.cjs" };
+const REPLACING = {
+  undici: "./scripts/connection_pools.cjs",
+  "hdr-histogram-js": "hdr-histogram-js/dist/HistogramBuilder.js",
+};
+/** HTTP/2, for which Node.js loads some 20 ms of code. */
+const EMPTIED = ["undici/lib/dispatcher/client-h2.js"];
 
-await bundle({
-  from: "platform/entry_main.ts",
-  to: "target/entry.cjs",
-  replacing: REPLACING,
-});
-await bundle({
-  from: "platform/rank_main.ts",
-  to: "target/rank.cjs",
-  replacing: REPLACING,
-});
+for (const role of ["entry", "rank"] as const) {
+  await bundle({
+    from: `platform/${role}_main.ts`,
+    to: `target/${role}_program.cjs`,
+    replacing: REPLACING,
+    emptied: EMPTIED,
+  });
+  writeCompiled(role, "target");
+}
--- a/scripts/bundle.ts
+++ b/scripts/bundle.ts
@@ -3,7 +3,7 @@
  *
  * @module
  */
-import { build } from "esbuild";
+import { build, type Plugin } from "esbuild";
 
 /** Optional native parts of libraries, which the program does without. */
 const LEFT_OUT = [
@@ -38,6 +38,8 @@
   readonly to: string;
   /** Modules that take the place of others, by the name of those. */
   readonly replacing?: Readonly<Record<string, string>>;
+  /** Files of libraries that are never called, and left empty; their paths end so. */
+  readonly emptied?: readonly string[];
 }
 
 /**
@@ -49,7 +51,7 @@
  * ```
  */
 export async function bundle(options: BundleOptions): Promise<void> {
-  const { from, to, replacing } = options;
+  const { from, to, replacing, emptied = [] } = options;
   await build({
     entryPoints: [from],
     bundle: true,
@@ -58,6 +60,7 @@
     format: "cjs",
     outfile: to,
     alias: replacing,
+    plugins: [createEmptying(emptied)],
     external: LEFT_OUT,
     define: { "import.meta": "__importMeta" },
     banner: { js: BANNER },
@@ -67,3 +70,19 @@
     minifySyntax: true,
   });
 }
+
+/** Leaves files empty, and with them all that only they load. */
+function createEmptying(emptied: readonly string[]): Plugin {
+  return {
+    name: "emptying",
+    setup({ onLoad }) {
+      onLoad(
+        { filter: /node_modules/ },
+        ({ path }) =>
+          emptied.some((end) => path.endsWith(end))
+            ? { contents: "module.exports = undefined;" }
+            : undefined,
+      );
+    },
+  };
+}
--- a/src/direct/direct_entry_driver.ts
+++ b/src/direct/direct_entry_driver.ts
@@ -6,7 +6,6 @@
  */
 import { randomUUID } from "node:crypto";
 import { performance } from "node:perf_hooks";
-import { Hono } from "hono";
 import { RandomSource } from "../core/random_source.ts";
 import type { CallerProtocol } from "../entry/caller_protocol.ts";
 import { EntryReducer } from "../entry/entry_reducer.ts";
@@ -25,6 +24,11 @@
 import { Metrics } from "../process/metrics.ts";
 import type { DirectEntryProcessSettings } from "../process/process_settings.ts";
 import type { Drainable } from "../process/shutdown.ts";
+import {
+  createTextPages,
+  type TextPage,
+  type TextPages,
+} from "../process/text_pages.ts";
 import { CountedStore } from "./counted_store.ts";
 import { type Directory, DirectoryFollower } from "./directory_follower.ts";
 import { DirectTargetPool } from "./direct_target_pool.ts";
@@ -202,8 +206,16 @@
           sight,
         }),
     });
-    this.#health = new HttpListener(this.#createHealthApplication());
-    this.#metricsPage = new HttpListener(this.#createMetricsApplication());
+    const metricsPages: TextPages = {
+      "/metrics": async () => ({
+        status: 200,
+        text: await this.#metrics.page(),
+      }),
+    };
+    this.#metricsPage = new HttpListener(createTextPages(metricsPages));
+    this.#health = new HttpListener(
+      createTextPages({ ...metricsPages, "/ready": () => this.#readyPage() }),
+    );
   }
 
   /** Requests on their way. */
@@ -314,25 +326,10 @@
       this.#directory.directory !== undefined;
   }
 
-  #createMetricsApplication(): Hono {
-    const app = new Hono();
-    app.get(
-      "/metrics",
-      async (context) => context.text(await this.#metrics.page()),
-    );
-    return app;
-  }
-
-  #createHealthApplication(): Hono {
-    const app = this.#createMetricsApplication();
-    app.get(
-      "/ready",
-      (context) =>
-        this.#isReady()
-          ? context.text("ready\n")
-          : context.text("not ready\n", 503),
-    );
-    return app;
+  #readyPage(): TextPage {
+    return this.#isReady()
+      ? { status: 200, text: "ready\n" }
+      : { status: 503, text: "not ready\n" };
   }
 }
 
--- a/src/direct/peers/peer_server.ts
+++ b/src/direct/peers/peer_server.ts
@@ -4,7 +4,6 @@
  * @module
  */
 import { performance } from "node:perf_hooks";
-import { Hono } from "hono";
 import type { EventLog } from "../../events/event_log.ts";
 import type { Link } from "../../links/link.ts";
 import { type LinkIdentity, LinkServer } from "../../links/link_server.ts";
@@ -42,7 +41,7 @@
 /** Answers the queries of other entries. */
 export class PeerServer {
   readonly #options: PeerServerOptions;
-  readonly #listener = new HttpListener(new Hono());
+  readonly #listener = new HttpListener();
   /** Connections of those who follow, with what they were told. */
   readonly #followers = new Map<Link, KnownNews>();
 
--- a/src/direct/rank_driver.ts
+++ b/src/direct/rank_driver.ts
@@ -6,7 +6,6 @@
  */
 import { randomUUID } from "node:crypto";
 import { performance } from "node:perf_hooks";
-import { Hono } from "hono";
 import type { RandomSource } from "../core/random_source.ts";
 import type { EventLog } from "../events/event_log.ts";
 import type { FormedEngine } from "../external/formed_engine.ts";
@@ -66,7 +65,7 @@
   readonly #store: WatchedStore;
   readonly #identity: LinkIdentity;
   readonly #agent: RankAgent;
-  readonly #listener = new HttpListener(new Hono());
+  readonly #listener = new HttpListener();
   readonly #settings: SettingsFollower;
   #registry: ProcessRegistry | undefined;
   #decider: DeciderDriver | undefined;
--- a/src/entry/entry_driver.ts
+++ b/src/entry/entry_driver.ts
@@ -20,7 +20,8 @@
   VirtualMachine,
   VirtualMachineList,
 } from "../external/virtual_machine_list.ts";
-import { HttpListener } from "../process/http_listener.ts";
+import { createHonoListener } from "../process/hono_listener.ts";
+import type { HttpListener } from "../process/http_listener.ts";
 import { Metrics } from "../process/metrics.ts";
 import type { EntryProcessSettings } from "../process/process_settings.ts";
 import type { Drainable } from "../process/shutdown.ts";
@@ -89,7 +90,7 @@
       log: options.log,
       onPaused: () => this.#catchUp(),
     });
-    this.#administration = new HttpListener(
+    this.#administration = createHonoListener(
       createAdministrationApplication({
         processName: options.settings.name,
         administratorTokenSha256: options.settings.administratorTokenSha256,
--- a/src/entry/request_server.ts
+++ b/src/entry/request_server.ts
@@ -6,9 +6,6 @@
  */
 import { performance } from "node:perf_hooks";
 import type { IncomingMessage, ServerResponse } from "node:http";
-import type { HttpBindings } from "@hono/node-server";
-import { RESPONSE_ALREADY_SENT } from "@hono/node-server/utils/response";
-import { Hono } from "hono";
 import { assertNever } from "../core/debug.ts";
 import { turnEventLoop } from "../core/event_loop.ts";
 import type { EventLog } from "../events/event_log.ts";
@@ -75,7 +72,9 @@
   /** Does not listen yet. */
   constructor(options: RequestServerOptions) {
     this.#options = options;
-    this.#listener = new HttpListener(this.#createApplication());
+    this.#listener = new HttpListener((incoming, outgoing) =>
+      this.#onRequest(incoming, outgoing)
+    );
   }
 
   /** Requests that have not been answered whole. */
@@ -153,20 +152,13 @@
     this.dispatch({ kind: "tick", now });
   }
 
-  #createApplication(): Hono<{ Bindings: HttpBindings }> {
-    const app = new Hono<{ Bindings: HttpBindings }>();
-    app.all("*", async (context) => {
-      const { incoming, outgoing } = context.env;
-      await this.#serve(
-        new CallerConnection(
-          incoming as IncomingMessage,
-          outgoing as ServerResponse,
-          this.#options.protocol,
-        ),
-      );
-      return RESPONSE_ALREADY_SENT;
+  #onRequest(incoming: IncomingMessage, outgoing: ServerResponse): void {
+    const { protocol, log } = this.#options;
+    const connection = new CallerConnection(incoming, outgoing, protocol);
+    this.#serve(connection).catch((error) => {
+      log.write("REQUEST_FAULT", { cause: String(error) });
+      connection.cut();
     });
-    return app;
   }
 
   async #serve(connection: CallerConnection): Promise<void> {
--- a/src/events/catalogue.ts
+++ b/src/events/catalogue.ts
@@ -290,6 +290,12 @@
     text: "A request waits at the entry for a target to get free",
     action: "If many do, the pool is too small or a rank group is lost.",
   },
+  REQUEST_FAULT: {
+    code: 2709,
+    level: "error",
+    text: "An error of this program ended a request",
+    action: "Report `cause`; the request's connection was closed.",
+  },
   DIRECTORY_CHANGED: {
     code: 2801,
     level: "info",
--- a/src/links/link_faults_test.ts
+++ b/src/links/link_faults_test.ts
@@ -1,7 +1,6 @@
 import assert from "node:assert/strict";
 import { once } from "node:events";
 import { after, before, describe, it } from "node:test";
-import { Hono } from "hono";
 import { Packr } from "msgpackr";
 import { WebSocket } from "ws";
 import { LINK_FAULT_CODES, type LinkFault } from "../messages/codec.ts";
@@ -149,7 +148,7 @@
   let goodIsOpen = false;
 
   before(async () => {
-    listener = new HttpListener(new Hono());
+    listener = new HttpListener();
     address = await findFreeAddress();
     received = [];
     new LinkServer(listener.server, {
--- a/src/process/http_listener.ts
+++ b/src/process/http_listener.ts
@@ -1,27 +1,21 @@
 /**
- * An HTTP server for a `hono` application.
+ * An HTTP server on one address.
  *
  * @module
  */
-import { createServer, type Server } from "node:http";
-import { getRequestListener } from "@hono/node-server";
-import type { Hono } from "hono";
+import { createServer, type RequestListener, type Server } from "node:http";
 import { listenOn } from "./address.ts";
 
 /** Largest headers of one request, in bytes. */
 const MAX_HEADER_BYTES = 16_384;
 
-/** An application that answers on one address. */
+/** An HTTP server on one address. */
 export class HttpListener {
   readonly #server: Server;
 
-  /** Does not listen yet. */
-  // deno-lint-ignore no-explicit-any
-  constructor(app: Hono<any>) {
-    this.#server = createServer(
-      { maxHeaderSize: MAX_HEADER_BYTES },
-      getRequestListener(app.fetch, { overrideGlobalObjects: false }),
-    );
+  /** Does not listen yet; without `handle` it serves upgrades alone. */
+  constructor(handle: RequestListener = answerNotFound) {
+    this.#server = createServer({ maxHeaderSize: MAX_HEADER_BYTES }, handle);
     // A stream of tokens may take long; deadlines are kept elsewhere.
     this.#server.requestTimeout = 0;
   }
@@ -57,3 +51,7 @@
     this.#server.closeAllConnections();
   }
 }
+
+const answerNotFound: RequestListener = (_incoming, outgoing) => {
+  outgoing.writeHead(404).end();
+};
--- a/src/target/target_driver.ts
+++ b/src/target/target_driver.ts
@@ -26,7 +26,8 @@
   VirtualMachine,
   VirtualMachineList,
 } from "../external/virtual_machine_list.ts";
-import { HttpListener } from "../process/http_listener.ts";
+import { createHonoListener } from "../process/hono_listener.ts";
+import type { HttpListener } from "../process/http_listener.ts";
 import { Metrics } from "../process/metrics.ts";
 import type { TargetProcessSettings } from "../process/process_settings.ts";
 import type { Drainable } from "../process/shutdown.ts";
@@ -101,7 +102,7 @@
       settingsRevision: this.#keeper.revision,
       olderOffers: this.#keeper.olderOffers,
     }));
-    this.#listener = new HttpListener(this.#createApplication());
+    this.#listener = createHonoListener(this.#createApplication());
     new LinkServer(this.#listener.server, {
       identity: { ...options.settings, incarnation: options.incarnation },
       welcome: {
--- a/standins/key_value_stand_in.ts
+++ b/standins/key_value_stand_in.ts
@@ -6,7 +6,7 @@
  */
 import { setTimeout as sleep } from "node:timers/promises";
 import { type Context, Hono } from "hono";
-import { HttpListener } from "../src/process/http_listener.ts";
+import { createHonoListener } from "../src/process/hono_listener.ts";
 
 interface StoredValue {
   readonly value: string;
@@ -39,7 +39,7 @@
   #staleValues = new Map<string, StoredValue>();
   #waiters = new Set<() => void>();
   #calls = 0;
-  readonly #listener = new HttpListener(this.#createApplication());
+  readonly #listener = createHonoListener(this.#createApplication());
 
   /** Calls so far, a waiting watch counted as one. */
   get calls(): number {
--- a/standins/machine_list_stand_in.ts
+++ b/standins/machine_list_stand_in.ts
@@ -5,7 +5,7 @@
  */
 import { Hono } from "hono";
 import type { VirtualMachine } from "../src/external/virtual_machine_list.ts";
-import { HttpListener } from "../src/process/http_listener.ts";
+import { createHonoListener } from "../src/process/hono_listener.ts";
 
 /** Stands in for the platform's list of machines. */
 export class MachineListStandIn {
@@ -14,7 +14,7 @@
   /** Answers nothing but status 503. */
   isDown = false;
   #shown: readonly VirtualMachine[] = [];
-  readonly #listener = new HttpListener(this.#createApplication());
+  readonly #listener = createHonoListener(this.#createApplication());
 
   /** Listens. */
   async listen(address: string): Promise<void> {
--- a/standins/rank_group_stand_in.ts
+++ b/standins/rank_group_stand_in.ts
@@ -8,7 +8,8 @@
 import { Hono } from "hono";
 import type { EngineOrder } from "../src/group/types.ts";
 import type { RankLoad } from "../src/external/rank_engine.ts";
-import { HttpListener } from "../src/process/http_listener.ts";
+import { createHonoListener } from "../src/process/hono_listener.ts";
+import type { HttpListener } from "../src/process/http_listener.ts";
 import { FakeEngine } from "../src/testing/fake_engine.ts";
 
 /** Options of a {@link RankGroupStandIn}. */
@@ -64,7 +65,7 @@
 
   /** Listens for one rank's orders. */
   async listen(rank: number, address: string): Promise<void> {
-    const listener = new HttpListener(this.#createApplication(rank));
+    const listener = createHonoListener(this.#createApplication(rank));
     this.#listeners.push(listener);
     await listener.listen(address);
   }
