Metrics of ranks' processes; events and timer delays as metrics of all roles

The deploy file named a metrics address for entries alone. Ranks' processes and deciders now serve a page: calls to the store, entries that hear them, age of the engine's state, whether they decide. All roles count events by name, also those left out of the log, and how late timers fire, which tells a process without a processor from a slow network.

--- a/src/direct/direct_entry_driver.ts
+++ b/src/direct/direct_entry_driver.ts
@@ -105,7 +105,7 @@
       queued: 0,
       settingsRevision: this.#settings.inUse?.settings.version ?? 0,
       olderOffers: 0,
-    }));
+    }), log);
     this.#server = new RequestServer({
       reducer: this.#reducer,
       protocol: options.protocol,
--- a/src/direct/rank_driver.ts
+++ b/src/direct/rank_driver.ts
@@ -24,12 +24,15 @@
 import { type LinkIdentity, LinkServer } from "../links/link_server.ts";
 import type { Message } from "../messages/types.ts";
 import { HttpListener } from "../process/http_listener.ts";
+import { DelayedTimer } from "../process/loop_delay.ts";
 import type { RankProcessSettings } from "../process/process_settings.ts";
 import type { Drainable } from "../process/shutdown.ts";
+import { createTextPages } from "../process/text_pages.ts";
 import { CountedStore } from "./counted_store.ts";
 import { EntryAudience } from "./entry_audience.ts";
 import type { ListedProcess } from "./listed_process.ts";
 import { ProcessRegistry } from "./process_registry.ts";
+import { RankMetrics, type RankMetricsSource } from "./rank_metrics.ts";
 import { SettingsFollower } from "./settings_follower.ts";
 
 /** Milliseconds between two looks at the group that the engine belongs to. */
@@ -73,13 +76,29 @@
   readonly #audience: EntryAudience;
   #state: RankState | undefined;
   #sightToldAt = Number.NEGATIVE_INFINITY;
-  #timer: NodeJS.Timeout | undefined;
+  #stateReadAt: number | undefined;
+  readonly #metrics: RankMetrics;
+  readonly #metricsListener: HttpListener;
+  readonly #timer: DelayedTimer;
 
   /** Does not listen yet. */
   constructor(options: RankDriverOptions) {
     this.#options = options;
     const { settings, format, log } = options;
-    const store = new CountedStore({ store: options.store, log });
+    this.#metrics = new RankMetrics(() => this.#readMetrics(), log);
+    this.#timer = new DelayedTimer(this.#metrics.loopDelays);
+    this.#metricsListener = new HttpListener(createTextPages({
+      "/metrics": async () => ({
+        status: 200,
+        text: await this.#metrics.page(),
+      }),
+    }));
+    const store = new CountedStore({
+      store: options.store,
+      log,
+      onCall: (kind, hasFailed) =>
+        this.#metrics.countStoreCall(kind, hasFailed),
+    });
     this.#store = store;
     this.#identity = {
       deployment: settings.deployment,
@@ -137,6 +156,9 @@
       },
     });
     await this.#listener.listen(settings.peerAddress);
+    if (settings.metricsAddress !== undefined) {
+      await this.#metricsListener.listen(settings.metricsAddress);
+    }
     log.write("STARTED", {
       engine: settings.engineAddress,
       store: settings.storeAddress,
@@ -153,6 +175,15 @@
     return linkMegabitsPerSecond * BYTES_PER_MEGABIT;
   }
 
+  #readMetrics(): RankMetricsSource {
+    const readAt = this.#stateReadAt;
+    return {
+      entriesHeard: this.#audience.size,
+      stateAgeMs: readAt && performance.now() - readAt,
+      isDecider: this.#decider !== undefined,
+    };
+  }
+
   /** The next look tells it how the group stands. */
   #addEntry(link: Link): void {
     this.#audience.add(link);
@@ -160,17 +191,18 @@
   }
 
   async close(): Promise<void> {
-    clearTimeout(this.#timer);
+    this.#timer.stop();
     this.#decider?.stop();
     this.#rescuer.stop();
     this.#settings.stop();
     this.#listener.close();
+    this.#metricsListener.close();
     await this.#registry?.stop();
   }
 
   async #lookAndWait(): Promise<void> {
     await this.#look();
-    this.#timer = setTimeout(() => void this.#lookAndWait(), this.#lookMs());
+    this.#timer.plan(() => void this.#lookAndWait(), this.#lookMs());
   }
 
   #lookMs(): number {
@@ -183,6 +215,7 @@
     if (state === undefined) return;
     const before = this.#state;
     this.#state = state;
+    this.#stateReadAt = performance.now();
     const isElsewhere = before?.group !== state.group ||
       before.rank !== state.rank;
     if (isElsewhere) this.#register(state);
--- a/src/entry/entry_driver.ts
+++ b/src/entry/entry_driver.ts
@@ -82,7 +82,7 @@
       queued: 0,
       settingsRevision: this.#settings.keeper.revision,
       olderOffers: this.#settings.keeper.olderOffers,
-    }));
+    }), options.log);
     this.#server = new RequestServer({
       reducer: this.#reducer,
       protocol: new OwnCallerProtocol(),
--- a/src/entry/request_server.ts
+++ b/src/entry/request_server.ts
@@ -10,6 +10,7 @@
 import { turnEventLoop } from "../core/event_loop.ts";
 import type { EventLog } from "../events/event_log.ts";
 import { HttpListener } from "../process/http_listener.ts";
+import { DelayedTimer } from "../process/loop_delay.ts";
 import type { Metrics } from "../process/metrics.ts";
 import { createProblem } from "../refusals/problem.ts";
 import { CallerConnection } from "./caller_connection.ts";
@@ -62,7 +63,7 @@
     deliver: (event) => this.#reduce(event),
   });
   #links: TargetLinks | undefined;
-  #tick: NodeJS.Timeout | undefined;
+  readonly #tick: DelayedTimer;
   #tickedAt = performance.now();
   #catchUp: Promise<void> | undefined;
   #nextRequestId = 1;
@@ -72,6 +73,7 @@
   /** Does not listen yet. */
   constructor(options: RequestServerOptions) {
     this.#options = options;
+    this.#tick = new DelayedTimer(options.metrics.loopDelays);
     this.#listener = new HttpListener((incoming, outgoing) =>
       this.#onRequest(incoming, outgoing)
     );
@@ -117,7 +119,7 @@
 
   /** Closes whatever is still open. */
   close(): void {
-    clearTimeout(this.#tick);
+    this.#tick.stop();
     this.#listener.close();
   }
 
@@ -134,7 +136,7 @@
 
   #planTick(): void {
     const isBusy = this.#options.reducer.inFlight > 0;
-    this.#tick = setTimeout(() => {
+    this.#tick.plan(() => {
       this.#onTick();
       this.#planTick();
     }, isBusy ? BUSY_TICK_MS : IDLE_TICK_MS);
--- a/src/events/event_log.ts
+++ b/src/events/event_log.ts
@@ -33,6 +33,7 @@
   readonly #logger: bunyan;
   readonly #stream = new LogStream(STANDARD_OUTPUT);
   readonly #lines = new TokenBucket(LINES, performance.now());
+  readonly #counts = new Map<EventName, number>();
   #leftOut = 0;
 
   /** Logs to standard output. */
@@ -45,6 +46,11 @@
     });
   }
 
+  /** How often each event was to be written, those that were left out too. */
+  get counts(): ReadonlyMap<EventName, number> {
+    return this.#counts;
+  }
+
   /**
    * Writes one event. Errors are always written; of the others so many a
    * second, and how many were left out is written in their place.
@@ -56,6 +62,7 @@
    */
   write(name: EventName, details: EventDetails = {}): void {
     const event = getEvent(name);
+    this.#counts.set(name, (this.#counts.get(name) ?? 0) + 1);
     const isLeftOut = !this.#lines.tryTake(performance.now()) &&
       event.level !== "error";
     if (isLeftOut) {
--- /dev/null
+++ b/src/process/loop_delay_test.ts
@@ -0,0 +1,31 @@
+import assert from "node:assert/strict";
+import { describe, it } from "node:test";
+import { DelayedTimer } from "./loop_delay.ts";
+import { MetricsPage } from "./metrics_page.ts";
+
+describe("a timer whose delay is recorded", () => {
+  it("shows how long the process stood still", async () => {
+    const page = new MetricsPage();
+    const delays = page.quantiles("loop_delay_milliseconds", "Delay");
+    const timer = new DelayedTimer(delays);
+    const fired = new Promise<void>((resolve) => timer.plan(resolve, 5));
+    const end = performance.now() + 60;
+    while (performance.now() < end) { /* Nothing else runs. */ }
+    await fired;
+    assert.ok(delays.quantile(50) >= 50);
+    assert.match(
+      await page.text(),
+      /lagoonwharf_loop_delay_milliseconds\{quantile="0.5"\} \d+/,
+    );
+  });
+
+  it("calls back no more once it is stopped", async () => {
+    const delays = new MetricsPage().quantiles("delay", "Delay");
+    const timer = new DelayedTimer(delays);
+    let calls = 0;
+    timer.plan(() => calls++, 1);
+    timer.stop();
+    await new Promise((resolve) => setTimeout(resolve, 20));
+    assert.equal(calls, 0);
+  });
+});
--- a/src/process/metrics.ts
+++ b/src/process/metrics.ts
@@ -1,18 +1,14 @@
 /**
- * Counters and histograms of a process, as a page in the Prometheus text
- * format.
+ * Counters and quantiles of a process that serves callers.
  *
  * @module
  */
-import { build, type Histogram } from "hdr-histogram-js";
-import { Counter, Gauge, Registry } from "prom-client";
 import type { ReturnOutcome } from "../entry/types.ts";
+import type { EventLog } from "../events/event_log.ts";
 import type { StoreCallKind } from "../external/watched_store.ts";
 import type { LinkFault } from "../messages/codec.ts";
 import type { RefusalName } from "../refusals/catalogue.ts";
-
-const QUANTILES = [50, 95, 99] as const;
-const LONGEST_MS = 3_600_000;
+import { MetricsPage, type Milliseconds } from "./metrics_page.ts";
 
 /** What the gauges of a process show when the page is read. */
 export interface MetricsSource {
@@ -22,65 +18,84 @@
   readonly olderOffers: number;
 }
 
-/** Counters and histograms of a process. */
+/** Counters and quantiles of a process that serves callers. */
 export class Metrics {
-  readonly #registry = new Registry();
-  readonly #requests = this.#counter("requests_total", "Requests taken in");
-  readonly #answers = this.#counter("answers_total", "Whole answers given");
-  readonly #stale = this.#counter(
+  readonly #page = new MetricsPage();
+  readonly #requests = this.#page.counter(
+    "requests_total",
+    "Requests taken in",
+  );
+  readonly #answers = this.#page.counter(
+    "answers_total",
+    "Whole answers given",
+  );
+  readonly #stale = this.#page.counter(
     "stale_messages_total",
     "Messages of attempts that were over",
   );
-  readonly #refusals = this.#labelled("refusals_total", "Refusals by reason");
-  readonly #retries = this.#labelled("retries_total", "Retries by reason");
-  readonly #faults = this.#labelled("link_faults_total", "Links closed");
-  readonly #returns = new Counter({
-    name: "lagoonwharf_returns_total",
-    help: "Callers told when to return, and what became of those who did",
-    labelNames: ["outcome"],
-    registers: [this.#registry],
-  });
-  readonly #storeCalls = new Counter({
-    name: "lagoonwharf_store_calls_total",
-    help: "Calls to the platform's store by kind and outcome",
-    labelNames: ["kind", "outcome"],
-    registers: [this.#registry],
-  });
-  readonly #milliseconds = createHistogram();
-  readonly #pauses = createHistogram();
-  readonly #firstByte = createHistogram();
-  readonly #source: () => MetricsSource;
+  readonly #refusals = this.#page.counter(
+    "refusals_total",
+    "Refusals by reason",
+    "reason",
+  );
+  readonly #retries = this.#page.counter(
+    "retries_total",
+    "Retries by reason",
+    "reason",
+  );
+  readonly #faults = this.#page.counter(
+    "link_faults_total",
+    "Links closed",
+    "reason",
+  );
+  readonly #returns = this.#page.counter(
+    "returns_total",
+    "Callers told when to return, and what became of those who did",
+    "outcome",
+  );
+  readonly #storeCalls = this.#page.counter(
+    "store_calls_total",
+    "Calls to the platform's store by kind and outcome",
+    "kind",
+    "outcome",
+  );
+  readonly #milliseconds = this.#page.quantiles(
+    "answer_milliseconds",
+    "Time to the whole answer",
+  );
+  readonly #pauses = this.#page.quantiles(
+    "longest_pause_milliseconds",
+    "Longest pause between two pieces of each answer",
+  );
+  readonly #firstByte = this.#page.quantiles(
+    "first_byte_milliseconds",
+    "Time to the first byte of streamed answers",
+  );
+  /** How late timers fired. */
+  readonly loopDelays: Milliseconds = this.#page.quantiles(
+    "loop_delay_milliseconds",
+    "How late timers fired",
+  );
 
   /** Reads the gauges from `source` when the page is asked for. */
-  constructor(source: () => MetricsSource) {
-    this.#source = source;
-    this.#gauge("in_flight", "Requests in flight", (now) => now.inFlight);
-    this.#gauge("queued", "Requests that wait", (now) => now.queued);
-    this.#gauge(
+  constructor(source: () => MetricsSource, log: EventLog) {
+    this.#page.gauge(
+      "in_flight",
+      "Requests in flight",
+      () => source().inFlight,
+    );
+    this.#page.gauge("queued", "Requests that wait", () => source().queued);
+    this.#page.gauge(
       "settings_revision",
       "Settings in force",
-      (now) => now.settingsRevision,
+      () => source().settingsRevision,
     );
-    this.#gauge(
+    this.#page.gauge(
       "settings_older_offers",
       "Settings that were older and ignored",
-      (now) => now.olderOffers,
-    );
-    this.#latencyGauge(
-      "answer_milliseconds",
-      "Time to the whole answer, since the process started",
-      this.#milliseconds,
-    );
-    this.#latencyGauge(
-      "longest_pause_milliseconds",
-      "Longest pause between two pieces of each answer, since the process started",
-      this.#pauses,
-    );
-    this.#latencyGauge(
-      "first_byte_milliseconds",
-      "Time to the first byte of streamed answers, since the process started",
-      this.#firstByte,
+      () => source().olderOffers,
     );
+    this.#page.events(log);
   }
 
   /** A request was taken in. */
@@ -91,12 +106,12 @@
   /** A whole answer was given after so many milliseconds. */
   countAnswer(milliseconds: number): void {
     this.#answers.inc();
-    this.#milliseconds.recordValue(Math.min(LONGEST_MS, milliseconds));
+    this.#milliseconds.record(milliseconds);
   }
 
   /** A streamed answer began after so many milliseconds. */
   countFirstByte(milliseconds: number): void {
-    this.#firstByte.recordValue(Math.min(LONGEST_MS, milliseconds));
+    this.#firstByte.record(milliseconds);
   }
 
   /** A caller was told when to return, or one that returned was served or refused. */
@@ -106,7 +121,7 @@
 
   /** The longest pause between two pieces of an answer took so long. */
   countPause(milliseconds: number): void {
-    this.#pauses.recordValue(Math.min(LONGEST_MS, milliseconds));
+    this.#pauses.record(milliseconds);
   }
 
   /** A message belonged to no attempt under way. */
@@ -136,61 +151,6 @@
 
   /** The page, in the Prometheus text format. */
   async page(): Promise<string> {
-    return await this.#registry.metrics();
-  }
-
-  #counter(name: string, help: string): Counter {
-    return new Counter({
-      name: `lagoonwharf_${name}`,
-      help,
-      registers: [this.#registry],
-    });
-  }
-
-  #labelled(name: string, help: string): Counter<"reason"> {
-    return new Counter({
-      name: `lagoonwharf_${name}`,
-      help,
-      labelNames: ["reason"],
-      registers: [this.#registry],
-    });
+    return await this.#page.text();
   }
-
-  #gauge(
-    name: string,
-    help: string,
-    read: (source: MetricsSource) => number,
-  ): void {
-    const readNow = () => read(this.#source());
-    new Gauge({
-      name: `lagoonwharf_${name}`,
-      help,
-      registers: [this.#registry],
-      collect() {
-        this.set(readNow());
-      },
-    });
-  }
-
-  #latencyGauge(name: string, help: string, histogram: Histogram): void {
-    new Gauge({
-      name: `lagoonwharf_${name}`,
-      help,
-      labelNames: ["quantile"],
-      registers: [this.#registry],
-      collect() {
-        for (const quantile of QUANTILES) {
-          const value = histogram.getValueAtPercentile(quantile);
-          this.set({ quantile: String(quantile / 100) }, value);
-        }
-      },
-    });
-  }
-}
-
-function createHistogram(): Histogram {
-  return build({
-    highestTrackableValue: LONGEST_MS,
-    numberOfSignificantValueDigits: 2,
-  });
 }
--- a/src/process/process_settings.ts
+++ b/src/process/process_settings.ts
@@ -119,6 +119,8 @@
   ...STORE_FOLLOWING,
   /** Host and port of the engine on the same machine. */
   engineAddress: ADDRESS,
+  /** Host and port for metrics. */
+  metricsAddress: ADDRESS.optional(),
   /** Pool that the engine serves. */
   pool: NAME,
   /** What the machine's own link carries, each way: bounds what a decider asks for. */
--- a/src/target/target_driver.ts
+++ b/src/target/target_driver.ts
@@ -101,7 +101,7 @@
       queued: this.#reducer.queued,
       settingsRevision: this.#keeper.revision,
       olderOffers: this.#keeper.olderOffers,
-    }));
+    }), options.log);
     this.#listener = createHonoListener(this.#createApplication());
     new LinkServer(this.#listener.server, {
       identity: { ...options.settings, incarnation: options.incarnation },
