--- a/src/direct/direct_entry_driver.ts
+++ b/src/direct/direct_entry_driver.ts
@@ -24,11 +24,7 @@
 import { Metrics } from "../process/metrics.ts";
 import type { DirectEntryProcessSettings } from "../process/process_settings.ts";
 import type { Drainable } from "../process/shutdown.ts";
-import {
-  createTextPages,
-  type TextPage,
-  type TextPages,
-} from "../process/text_pages.ts";
+import { createTextPages, type TextPage } from "../process/text_pages.ts";
 import { CountedStore } from "./counted_store.ts";
 import { type Directory, DirectoryFollower } from "./directory_follower.ts";
 import { DirectTargetPool } from "./direct_target_pool.ts";
@@ -206,15 +202,10 @@
           sight,
         }),
     });
-    const metricsPages: TextPages = {
-      "/metrics": async () => ({
-        status: 200,
-        text: await this.#metrics.page(),
-      }),
-    };
-    this.#metricsPage = new HttpListener(createTextPages(metricsPages));
+    const { pages } = this.#metrics;
+    this.#metricsPage = new HttpListener(createTextPages(pages));
     this.#health = new HttpListener(
-      createTextPages({ ...metricsPages, "/ready": () => this.#readyPage() }),
+      createTextPages({ ...pages, "/ready": () => this.#readyPage() }),
     );
   }
 
--- a/src/direct/rank_driver.ts
+++ b/src/direct/rank_driver.ts
@@ -87,12 +87,9 @@
     const { settings, format, log } = options;
     this.#metrics = new RankMetrics(() => this.#readMetrics(), log);
     this.#timer = new DelayedTimer(this.#metrics.loopDelays);
-    this.#metricsListener = new HttpListener(createTextPages({
-      "/metrics": async () => ({
-        status: 200,
-        text: await this.#metrics.page(),
-      }),
-    }));
+    this.#metricsListener = new HttpListener(
+      createTextPages(this.#metrics.pages),
+    );
     const store = new CountedStore({
       store: options.store,
       log,
--- a/src/entry/request_server.ts
+++ b/src/entry/request_server.ts
@@ -12,6 +12,7 @@
 import { HttpListener } from "../process/http_listener.ts";
 import { DelayedTimer } from "../process/loop_delay.ts";
 import type { Metrics } from "../process/metrics.ts";
+import type { RefusalName } from "../refusals/catalogue.ts";
 import { createProblem } from "../refusals/problem.ts";
 import { CallerConnection } from "./caller_connection.ts";
 import type { CallerProtocol } from "./caller_protocol.ts";
@@ -20,6 +21,7 @@
 import { StallGuard } from "./stall_guard.ts";
 import type { TargetLinks } from "./target_links.ts";
 import type {
+  CallerRequest,
   EntryEffect,
   EntryEvent,
   ForwardToScripts,
@@ -45,9 +47,13 @@
   readonly onPaused: (gapMs: number) => Promise<void>;
 }
 
-interface CallerExchange {
+interface CallerArrival {
   readonly connection: CallerConnection;
+  /** When its head was read. */
   readonly startedAt: number;
+}
+
+interface CallerExchange extends CallerArrival {
   /** Lets the HTTP handler return. */
   readonly close: () => void;
 }
@@ -164,40 +170,47 @@
   }
 
   async #serve(connection: CallerConnection): Promise<void> {
-    const id = this.#nextRequestId++;
     const startedAt = performance.now();
-    const { metrics } = this.#options;
-    metrics.countRequest();
+    this.#options.metrics.countRequest();
     if (this.#closesConnections) connection.closeAfterAnswer();
-    const request = await connection.read(id);
-    if (request.isErr()) {
-      metrics.countRefusal(request.error);
-      connection.refuse(
-        createProblem(request.error, {
-          outcome: connection.isKeyed ? "unknown" : "not-run",
-          submission: "not-run",
-        }),
-      );
-      return;
-    }
+    const request = await connection.read(this.#nextRequestId++);
+    if (request.isErr()) return this.#refuseUnread(connection, request.error);
     if (performance.now() - this.#tickedAt > PAUSE_MS) this.#onTick();
     await this.#catchUp;
     // A caller may have left while its request lay unread; its close is read after it.
     await turnEventLoop();
-    if (connection.isGone) {
-      const { correlationId } = request.value;
-      const waitedMs = Math.round(performance.now() - startedAt);
-      const details = { request: id, correlation: correlationId, waitedMs };
-      return this.#options.log.write("CALLER_LEFT", details);
-    }
-    await new Promise<void>((close) => {
-      this.#exchanges.set(id, { connection, startedAt, close });
-      connection.onGone(() => this.#onCallerGone(id));
+    if (connection.isGone) return this.#noteLeft(request.value, startedAt);
+    await this.#takeIn(request.value, { connection, startedAt });
+  }
+
+  #refuseUnread(connection: CallerConnection, reason: RefusalName): void {
+    this.#options.metrics.countRefusal(reason);
+    const problem = createProblem(reason, {
+      outcome: connection.isKeyed ? "unknown" : "not-run",
+      submission: "not-run",
+    });
+    connection.refuse(problem);
+  }
+
+  #noteLeft({ id, correlationId }: CallerRequest, startedAt: number): void {
+    this.#options.log.write("CALLER_LEFT", {
+      request: id,
+      correlation: correlationId,
+      waitedMs: Math.round(performance.now() - startedAt),
+    });
+  }
+
+  /** Ends when the request has. */
+  #takeIn(request: CallerRequest, arrival: CallerArrival): Promise<void> {
+    const { id } = request;
+    return new Promise((close) => {
+      this.#exchanges.set(id, { ...arrival, close });
+      arrival.connection.onGone(() => this.#onCallerGone(id));
       this.dispatch({
         kind: "request_arrived",
         now: performance.now(),
-        readAt: startedAt,
-        request: request.value,
+        readAt: arrival.startedAt,
+        request,
       });
     });
   }
--- a/src/process/metrics.ts
+++ b/src/process/metrics.ts
@@ -5,10 +5,9 @@
  */
 import type { ReturnOutcome } from "../entry/types.ts";
 import type { EventLog } from "../events/event_log.ts";
-import type { StoreCallKind } from "../external/watched_store.ts";
 import type { LinkFault } from "../messages/codec.ts";
 import type { RefusalName } from "../refusals/catalogue.ts";
-import { MetricsPage, type Milliseconds } from "./metrics_page.ts";
+import { ProcessMetrics } from "./process_metrics.ts";
 
 /** What the gauges of a process show when the page is read. */
 export interface MetricsSource {
@@ -19,83 +18,75 @@
 }
 
 /** Counters and quantiles of a process that serves callers. */
-export class Metrics {
-  readonly #page = new MetricsPage();
-  readonly #requests = this.#page.counter(
+export class Metrics extends ProcessMetrics {
+  readonly #requests = this.metricsPage.counter(
     "requests_total",
     "Requests taken in",
   );
-  readonly #answers = this.#page.counter(
+  readonly #answers = this.metricsPage.counter(
     "answers_total",
     "Whole answers given",
   );
-  readonly #stale = this.#page.counter(
+  readonly #stale = this.metricsPage.counter(
     "stale_messages_total",
     "Messages of attempts that were over",
   );
-  readonly #refusals = this.#page.counter(
+  readonly #refusals = this.metricsPage.counter(
     "refusals_total",
     "Refusals by reason",
     "reason",
   );
-  readonly #retries = this.#page.counter(
+  readonly #retries = this.metricsPage.counter(
     "retries_total",
     "Retries by reason",
     "reason",
   );
-  readonly #faults = this.#page.counter(
+  readonly #faults = this.metricsPage.counter(
     "link_faults_total",
     "Links closed",
     "reason",
   );
-  readonly #returns = this.#page.counter(
+  readonly #returns = this.metricsPage.counter(
     "returns_total",
     "Callers told when to return, and what became of those who did",
     "outcome",
   );
-  readonly #storeCalls = this.#page.counter(
-    "store_calls_total",
-    "Calls to the platform's store by kind and outcome",
-    "kind",
-    "outcome",
-  );
-  readonly #milliseconds = this.#page.quantiles(
+  readonly #milliseconds = this.metricsPage.quantiles(
     "answer_milliseconds",
     "Time to the whole answer",
   );
-  readonly #pauses = this.#page.quantiles(
+  readonly #pauses = this.metricsPage.quantiles(
     "longest_pause_milliseconds",
     "Longest pause between two pieces of each answer",
   );
-  readonly #firstByte = this.#page.quantiles(
+  readonly #firstByte = this.metricsPage.quantiles(
     "first_byte_milliseconds",
     "Time to the first byte of streamed answers",
   );
-  /** How late timers fired. */
-  readonly loopDelays: Milliseconds = this.#page.quantiles(
-    "loop_delay_milliseconds",
-    "How late timers fired",
-  );
 
   /** Reads the gauges from `source` when the page is asked for. */
   constructor(source: () => MetricsSource, log: EventLog) {
-    this.#page.gauge(
+    super(log);
+    this.metricsPage.gauge(
       "in_flight",
       "Requests in flight",
       () => source().inFlight,
     );
-    this.#page.gauge("queued", "Requests that wait", () => source().queued);
-    this.#page.gauge(
+    this.metricsPage.gauge(
+      "queued",
+      "Requests that wait",
+      () => source().queued,
+    );
+    this.metricsPage.gauge(
       "settings_revision",
       "Settings in force",
       () => source().settingsRevision,
     );
-    this.#page.gauge(
+    this.metricsPage.gauge(
       "settings_older_offers",
       "Settings that were older and ignored",
       () => source().olderOffers,
     );
-    this.#page.events(log);
   }
 
   /** A request was taken in. */
@@ -139,18 +130,8 @@
     this.#retries.inc({ reason });
   }
 
-  /** A call to the platform's store ended. */
-  countStoreCall(kind: StoreCallKind, hasFailed: boolean): void {
-    this.#storeCalls.inc({ kind, outcome: hasFailed ? "failed" : "answered" });
-  }
-
   /** A connection was closed for a fault. */
   countLinkFault(reason: LinkFault): void {
     this.#faults.inc({ reason });
   }
-
-  /** The page, in the Prometheus text format. */
-  async page(): Promise<string> {
-    return await this.#page.text();
-  }
 }
