--- a/scripts/compiled_program.ts
+++ b/scripts/compiled_program.ts
@@ -29,29 +29,24 @@
 /** A role of the deploy file that is compiled. */
 export type CompiledRole = "entry" | "rank";
 
+const OF_BOTH = {
+  name: "compiled",
+  deployment: "compiled",
+  secret: "only-for-one-start-at-the-build",
+  failureDomain: "none",
+  storeAddress: NOWHERE,
+  peerAddress: ANYWHERE,
+} as const;
+
 /** Settings with which a process gets as far as it does without a store. */
 const SETTINGS: Readonly<Record<CompiledRole, object>> = {
   entry: {
-    name: "compiled",
-    deployment: "compiled",
-    secret: "only-for-one-start-at-the-build",
-    failureDomain: "none",
-    storeAddress: NOWHERE,
-    peerAddress: ANYWHERE,
+    ...OF_BOTH,
     callerAddress: ANYWHERE,
     readyAddress: ANYWHERE,
     poolRetries: { share: 0.2, slack: 90, windowMs: 10_000 },
   },
-  rank: {
-    name: "compiled",
-    deployment: "compiled",
-    secret: "only-for-one-start-at-the-build",
-    failureDomain: "none",
-    storeAddress: NOWHERE,
-    peerAddress: ANYWHERE,
-    engineAddress: NOWHERE,
-    pool: "none",
-  },
+  rank: { ...OF_BOTH, engineAddress: NOWHERE, pool: "none" },
 };
 
 /**
