--- a/src/direct/rank_driver.ts
+++ b/src/direct/rank_driver.ts
@@ -24,7 +24,7 @@
 import { type LinkIdentity, LinkServer } from "../links/link_server.ts";
 import type { Message } from "../messages/types.ts";
 import { HttpListener } from "../process/http_listener.ts";
-import { DelayedTimer } from "../process/loop_delay.ts";
+import { MeasuredTimer } from "../process/measured_timer.ts";
 import type { RankProcessSettings } from "../process/process_settings.ts";
 import type { Drainable } from "../process/shutdown.ts";
 import { createTextPages } from "../process/text_pages.ts";
@@ -79,14 +79,14 @@
   #stateReadAt: number | undefined;
   readonly #metrics: RankMetrics;
   readonly #metricsListener: HttpListener;
-  readonly #timer: DelayedTimer;
+  readonly #timer: MeasuredTimer;
 
   /** Does not listen yet. */
   constructor(options: RankDriverOptions) {
     this.#options = options;
     const { settings, format, log } = options;
     this.#metrics = new RankMetrics(() => this.#readMetrics(), log);
-    this.#timer = new DelayedTimer(this.#metrics.loopDelays);
+    this.#timer = new MeasuredTimer(this.#metrics.loopDelays);
     this.#metricsListener = new HttpListener(
       createTextPages(this.#metrics.pages),
     );
--- a/src/entry/request_server.ts
+++ b/src/entry/request_server.ts
@@ -10,7 +10,7 @@
 import { turnEventLoop } from "../core/event_loop.ts";
 import type { EventLog } from "../events/event_log.ts";
 import { HttpListener } from "../process/http_listener.ts";
-import { DelayedTimer } from "../process/loop_delay.ts";
+import { MeasuredTimer } from "../process/measured_timer.ts";
 import type { Metrics } from "../process/metrics.ts";
 import type { RefusalName } from "../refusals/catalogue.ts";
 import { createProblem } from "../refusals/problem.ts";
@@ -69,7 +69,7 @@
     deliver: (event) => this.#reduce(event),
   });
   #links: TargetLinks | undefined;
-  readonly #tick: DelayedTimer;
+  readonly #tick: MeasuredTimer;
   #tickedAt = performance.now();
   #catchUp: Promise<void> | undefined;
   #nextRequestId = 1;
@@ -79,7 +79,7 @@
   /** Does not listen yet. */
   constructor(options: RequestServerOptions) {
     this.#options = options;
-    this.#tick = new DelayedTimer(options.metrics.loopDelays);
+    this.#tick = new MeasuredTimer(options.metrics.loopDelays);
     this.#listener = new HttpListener((incoming, outgoing) =>
       this.#onRequest(incoming, outgoing)
     );
--- a/src/external/whole_call.ts
+++ b/src/external/whole_call.ts
@@ -3,7 +3,12 @@
  *
  * @module
  */
-import type { BackEnd, BackEndFailure, BackEndRequest } from "./back_end.ts";
+import type {
+  BackEnd,
+  BackEndCall,
+  BackEndFailure,
+  BackEndRequest,
+} from "./back_end.ts";
 
 /** A whole answer. */
 export interface WholeAnswer {
@@ -49,8 +54,12 @@
     const decoder = new TextDecoder();
     let status = 0;
     let text = "";
+    // A call may fail before it is returned.
+    let call: BackEndCall | undefined = undefined;
+    const onAbort = () => call?.cancel();
     const end = () => signal?.removeEventListener("abort", onAbort);
-    const call = backEnd.start(request, {
+    signal?.addEventListener("abort", onAbort, { once: true });
+    call = backEnd.start(request, {
       onHead: (answered) => status = answered,
       onData: (bytes) => text += decoder.decode(bytes, { stream: true }),
       onEnd: () => {
@@ -62,8 +71,6 @@
         reject(new CallFailedError(failure));
       },
     });
-    const onAbort = () => call.cancel();
     if (signal?.aborted) onAbort();
-    else signal?.addEventListener("abort", onAbort, { once: true });
   });
 }
--- /dev/null
+++ b/src/external/whole_call_test.ts
@@ -0,0 +1,79 @@
+import assert from "node:assert/strict";
+import { describe, it } from "node:test";
+import {
+  BackEnd,
+  type BackEndCall,
+  type BackEndListener,
+  type BackEndRequest,
+} from "./back_end.ts";
+import { CallFailedError, callWhole } from "./whole_call.ts";
+
+const REQUEST: BackEndRequest = {
+  method: "GET",
+  path: "/",
+  headers: [],
+  body: new Uint8Array(),
+  limitMs: 100,
+};
+
+/** A back end that does the same with each call. */
+class FixedBackEnd extends BackEnd {
+  readonly #answer: (listener: BackEndListener) => void;
+  isCancelled = false;
+
+  constructor(answer: (listener: BackEndListener) => void) {
+    super();
+    this.#answer = answer;
+  }
+
+  override start(_: BackEndRequest, listener: BackEndListener): BackEndCall {
+    this.#answer(listener);
+    return {
+      cancel: () => {
+        this.isCancelled = true;
+        listener.onFailed("broken");
+      },
+    };
+  }
+
+  override async close(): Promise<void> {}
+}
+
+describe("a call whose answer is awaited whole", () => {
+  it("joins the pieces, also where one ends within a character", async () => {
+    const bytes = new TextEncoder().encode("né");
+    const backEnd = new FixedBackEnd((listener) => {
+      listener.onHead(200, []);
+      listener.onData(bytes.subarray(0, 2));
+      listener.onData(bytes.subarray(2));
+      listener.onEnd();
+    });
+    assert.deepEqual(await callWhole(backEnd, REQUEST), {
+      status: 200,
+      text: "né",
+    });
+  });
+
+  it("says why it failed, also when it does so at once", async () => {
+    const backEnd = new FixedBackEnd((listener) =>
+      listener.onFailed("not_begun")
+    );
+    const { signal } = new AbortController();
+    await assert.rejects(
+      callWhole(backEnd, REQUEST, { signal }),
+      (error) =>
+        error instanceof CallFailedError &&
+        error.failure === "not_begun",
+    );
+  });
+
+  it("is broken off by its signal", async () => {
+    const backEnd = new FixedBackEnd(() => undefined);
+    const controller = new AbortController();
+    const { signal } = controller;
+    const answer = callWhole(backEnd, REQUEST, { signal });
+    controller.abort();
+    await assert.rejects(answer, CallFailedError);
+    assert.equal(backEnd.isCancelled, true);
+  });
+});
--- a/src/process/loop_delay.ts
+++ b/src/process/measured_timer.ts
@@ -7,7 +7,7 @@
 import type { Milliseconds } from "./metrics_page.ts";
 
 /** Plans timers, and records how late each of them fired. */
-export class DelayedTimer {
+export class MeasuredTimer {
   readonly #delays: Milliseconds;
   #timer: NodeJS.Timeout | undefined;
 
--- a/src/process/loop_delay_test.ts
+++ b/src/process/measured_timer_test.ts
@@ -1,13 +1,13 @@
 import assert from "node:assert/strict";
 import { describe, it } from "node:test";
-import { DelayedTimer } from "./loop_delay.ts";
+import { MeasuredTimer } from "./measured_timer.ts";
 import { MetricsPage } from "./metrics_page.ts";
 
 describe("a timer whose delay is recorded", () => {
   it("shows how long the process stood still", async () => {
     const page = new MetricsPage();
     const delays = page.quantiles("loop_delay_milliseconds", "Delay");
-    const timer = new DelayedTimer(delays);
+    const timer = new MeasuredTimer(delays);
     const fired = new Promise<void>((resolve) => timer.plan(resolve, 5));
     const end = performance.now() + 60;
     while (performance.now() < end) { /* Nothing else runs. */ }
@@ -21,7 +21,7 @@
 
   it("calls back no more once it is stopped", async () => {
     const delays = new MetricsPage().quantiles("delay", "Delay");
-    const timer = new DelayedTimer(delays);
+    const timer = new MeasuredTimer(delays);
     let calls = 0;
     timer.plan(() => calls++, 1);
     timer.stop();
