Count only crashes of targets that lived after the crash before

An innocent request that waits for one silent target after the other, when both fell silent at once, looked like the cause: its second attempt was sent after the first had ended. Now a target must have lived after that, by a broken connection, a part of the answer or an answer to anyone; and times get no tolerance, since many that are lost at once end within milliseconds.

--- a/src/direct/peers/crash_news.ts
+++ b/src/direct/peers/crash_news.ts
@@ -47,9 +47,9 @@
 ): readonly CrashedRequest[] {
   return requests.map(({ request, crashes, servedAgeMs }) => ({
     request,
-    crashes: crashes.map(({ target, sentAgeMs, endedAgeMs }) => ({
+    crashes: crashes.map(({ target, aliveAgeMs, endedAgeMs }) => ({
       target,
-      sentAt: now - sentAgeMs,
+      aliveAt: now - aliveAgeMs,
       endedAt: now - endedAgeMs,
     })),
     servedAt: servedAgeMs === undefined ? undefined : now - servedAgeMs,
@@ -62,9 +62,9 @@
 ): CrashedRequestNews {
   return {
     request,
-    crashes: crashes.map(({ target, sentAt, endedAt }) => ({
+    crashes: crashes.map(({ target, aliveAt, endedAt }) => ({
       target,
-      sentAgeMs: getAge(sentAt, now),
+      aliveAgeMs: getAge(aliveAt, now),
       endedAgeMs: getAge(endedAt, now),
     })),
     servedAgeMs: servedAt === undefined ? undefined : getAge(servedAt, now),
--- a/src/direct/peers/schema.ts
+++ b/src/direct/peers/schema.ts
@@ -27,7 +27,7 @@
     request: z.string().min(1),
     crashes: z.array(z.object({
       target: z.string().min(1),
-      sentAgeMs: AGE_MS,
+      aliveAgeMs: AGE_MS,
       endedAgeMs: AGE_MS,
     })),
     servedAgeMs: AGE_MS.optional(),
--- a/src/direct/peers/types.ts
+++ b/src/direct/peers/types.ts
@@ -10,8 +10,8 @@
 /** A target that ended under a request, as another entry heard of it. */
 export interface CrashNews {
   readonly target: string;
-  /** Milliseconds since the request was sent to it. */
-  readonly sentAgeMs: number;
+  /** Milliseconds since it was last known to live. */
+  readonly aliveAgeMs: number;
   /** Milliseconds since the attempt there ended without an answer. */
   readonly endedAgeMs: number;
 }
--- a/src/entry/crash_watch.ts
+++ b/src/entry/crash_watch.ts
@@ -28,9 +28,20 @@
   readonly organisation: string;
   readonly path: string;
   readonly sentAt: number;
+  /** When the target was last known to live, in milliseconds. */
+  readonly aliveAt: number;
   readonly endedAt: number;
 }
 
+/** How an attempt ended. */
+export interface AttemptEnd {
+  readonly now: number;
+  /** Whether its connection broke; otherwise nobody waits for it any more. */
+  readonly isBroken: boolean;
+  /** When its target last answered anything, in milliseconds. */
+  readonly answeredAt: number;
+}
+
 /** A target that ended under a request. */
 export interface NotedCrash extends LostAttempt {
   /** Milliseconds for which the request is refused now; 0: it may run. */
@@ -71,19 +82,13 @@
   }
 
   /** The attempt under way has ended without an answer, and may have run. */
-  noteLost(inFlight: InFlightRequest, now: number): readonly NotedCrash[] {
-    const { targetName, attemptStartedAt, digest, request, route } = inFlight;
-    if (targetName === undefined) return [];
-    const lost: LostAttempt = {
-      digest,
-      target: targetName,
-      organisation: route.organisation,
-      path: request.path,
-      sentAt: attemptStartedAt,
-      endedAt: now,
-    };
-    const goneAt = this.#goneAt.get(targetName);
-    if (goneAt !== undefined) return this.#note([lost], now);
+  noteLost(
+    inFlight: InFlightRequest,
+    end: AttemptEnd,
+  ): readonly NotedCrash[] {
+    const lost = tryLostAttempt(inFlight, end);
+    if (lost === undefined) return [];
+    if (this.#goneAt.has(lost.target)) return this.#note([lost], end.now);
     this.#lost.push(lost);
     if (this.#lost.length > MOST_LOST) this.#lost.shift();
     return [];
@@ -127,3 +132,24 @@
     }
   }
 }
+
+function tryLostAttempt(
+  inFlight: InFlightRequest,
+  { now, isBroken, answeredAt }: AttemptEnd,
+): LostAttempt | undefined {
+  const { targetName, attemptStartedAt, digest, head, request } = inFlight;
+  if (targetName === undefined) return undefined;
+  // One that is silent from the start may have been gone before it got the request.
+  const hasLived = isBroken || head !== undefined;
+  return {
+    digest,
+    target: targetName,
+    organisation: inFlight.route.organisation,
+    path: request.path,
+    sentAt: attemptStartedAt,
+    aliveAt: hasLived
+      ? attemptStartedAt
+      : Math.min(attemptStartedAt, answeredAt),
+    endedAt: now,
+  };
+}
--- a/src/entry/entry_reducer.ts
+++ b/src/entry/entry_reducer.ts
@@ -28,6 +28,7 @@
 } from "./decision_notes.ts";
 import { Admission } from "./admission.ts";
 import {
+  type AttemptEnd,
   type CrashMemory,
   CrashWatch,
   type NotedCrash,
@@ -454,15 +455,23 @@
   ): void {
     this.#leaveTarget(inFlight);
     this.#effects.push(createAttemptFailedNote(inFlight, { ...failure, now }));
-    if (failure.submission === "unknown") this.#noteLost(inFlight, now);
+    const isBroken = failure.reason !== "DEADLINE";
+    if (failure.submission === "unknown") {
+      this.#noteLost(inFlight, { now, isBroken });
+    }
     inFlight.endAttempt(failure.submission);
     if (this.#tryAgain(inFlight, failure, now)) return;
     if (this.#tryWaitAgain(inFlight, failure, now)) return;
     this.#fail(inFlight, failure, now);
   }
 
-  #noteLost(inFlight: InFlightRequest, now: number): void {
-    this.#noteCrashes(this.#crashes.noteLost(inFlight, now));
+  #noteLost(
+    inFlight: InFlightRequest,
+    end: Pick<AttemptEnd, "now" | "isBroken">,
+  ): void {
+    const target = this.registry.tryGet(inFlight.targetName ?? "");
+    const answeredAt = target?.answeredAt ?? Number.NEGATIVE_INFINITY;
+    this.#noteCrashes(this.#crashes.noteLost(inFlight, { ...end, answeredAt }));
   }
 
   /** Lets it wait for a lost group, as if it had not been sent there. */
@@ -519,7 +528,7 @@
   #callerGone(requestId: number, now: number): void {
     const inFlight = this.#inFlight.get(requestId);
     if (inFlight === undefined) return;
-    this.#noteLost(inFlight, now);
+    this.#noteLost(inFlight, { now, isBroken: false });
     this.#cancel(inFlight);
     this.#effects.push(createLeftNote(inFlight));
     this.#end(inFlight);
@@ -564,7 +573,7 @@
     for (const inFlight of [...this.#inFlight.values()]) {
       if (inFlight.deadlineAt > now) continue;
       this.#countSilence(inFlight, now);
-      this.#noteLost(inFlight, now);
+      this.#noteLost(inFlight, { now, isBroken: false });
       this.#cancel(inFlight);
       this.#fail(inFlight, createUnknown("DEADLINE"), now);
     }
--- a/src/policy/crash_history.ts
+++ b/src/policy/crash_history.ts
@@ -6,7 +6,7 @@
  * the next target ends. Each may take its whole rank group with it for seconds. All that ran
  * beside it looks the same after one crash, and a loss of power or of a rack ends many
  * targets at once. What tells the cause apart is the order: it was sent again after a target
- * had ended under it, and another one ended. Nobody has seen it answered in between.
+ * had ended under it, to one that lived, and that one ended. Nobody has seen it answered in between.
  *
  * @module
  */
@@ -28,14 +28,15 @@
 const MOST_REQUESTS = 64;
 /** Crashes of one request that are remembered. */
 const MOST_CRASHES = 8;
-/** Milliseconds by which times that another process told may be wrong. */
-const CLOCK_ERROR_MS = 100;
 
 /** A target that ended under a request. Times are in milliseconds of the own clock. */
 export interface Crash {
   readonly target: string;
-  /** When the request was sent to the target. */
-  readonly sentAt: number;
+  /**
+   * When the target was last known to live before it crashed: when the request was sent to
+   * it, or earlier if it gave no sign of life since.
+   */
+  readonly aliveAt: number;
   /** When the attempt there ended without an answer. */
   readonly endedAt: number;
 }
@@ -161,12 +162,12 @@
   return { crashes: new Map(), servedAt: Number.NEGATIVE_INFINITY };
 }
 
-/** Crashes each of which the request was sent to after the one before. */
+/** Crashes of targets each of which lived after the request had ended the one before. */
 function crashesInRow({ crashes }: RequestRecord): readonly Crash[] {
   const row: Crash[] = [];
   for (const crash of byTimeOf(crashes)) {
     const before = row.at(-1)?.endedAt ?? Number.NEGATIVE_INFINITY;
-    if (crash.sentAt >= before - CLOCK_ERROR_MS) row.push(crash);
+    if (crash.aliveAt >= before) row.push(crash);
   }
   return row;
 }
--- a/src/policy/crash_history_test.ts
+++ b/src/policy/crash_history_test.ts
@@ -14,7 +14,7 @@
 
 interface CrashFixture {
   readonly target: string;
-  readonly sentAt: number;
+  readonly aliveAt: number;
   readonly endedAt: number;
 }
 
@@ -28,7 +28,7 @@
 }
 
 function createCrash(number: number, at = number * 5000): CrashFixture {
-  return { target: `target-${number}`, sentAt: at, endedAt: at + 200 };
+  return { target: `target-${number}`, aliveAt: at, endedAt: at + 200 };
 }
 
 describe("a request that came again after a target had ended under it", () => {
@@ -65,6 +65,14 @@
     name: "that was at many targets when all lost power",
     crashes: [1, 2, 3, 4].map((number) => createCrash(number, 1000)),
   },
+  {
+    name:
+      "that waited for two targets one after the other, silent from the start",
+    crashes: [
+      { target: "one", aliveAt: 900, endedAt: 3000 },
+      { target: "two", aliveAt: 950, endedAt: 5000 },
+    ],
+  },
   {
     name: "whose one crash is told twice",
     crashes: [createCrash(1), { ...createCrash(1), endedAt: 9000 }],
@@ -99,7 +107,7 @@
   crashes: fc.array(
     fc.record({
       target: fc.constantFrom("one", "two", "three", "four"),
-      sentAt: fc.nat(5000),
+      aliveAt: fc.nat(5000),
       endedAt: fc.integer({ min: 5000, max: 20_000 }),
     }),
     { maxLength: 4 },
--- /dev/null
+++ b/src/testing/crashing_pool.ts
@@ -0,0 +1,192 @@
+/**
+ * A pool of targets before one entry, in virtual time: targets crash, fall silent, leave
+ * and come back, as a test has it.
+ *
+ * @module
+ */
+import assert from "node:assert/strict";
+import { Buffer } from "node:buffer";
+import { RandomSource } from "../core/random_source.ts";
+import { EntryReducer } from "../entry/entry_reducer.ts";
+import type { EntryEffect } from "../entry/types.ts";
+import type { BackEndInstance } from "../external/back_end_directory.ts";
+import type { CrashedRequest } from "../policy/crash_history.ts";
+import type { RefusalName } from "../refusals/catalogue.ts";
+import { createCallerRequest, createRoutes } from "./fixtures.ts";
+
+/** An attempt that the entry has sent. */
+export interface SentAttempt {
+  readonly requestId: number;
+  readonly attempt: number;
+  readonly target: string;
+}
+
+/** A pool of targets before one entry. */
+export class CrashingPool {
+  readonly entry = new EntryReducer({
+    failureDomain: "a",
+    random: new RandomSource(1),
+  });
+  now = 0;
+  #requests = 0;
+  #starts = 0;
+  #instances: readonly BackEndInstance[] = [];
+  #effects: readonly EntryEffect[] = [];
+
+  /** Begins with so many targets that serve; lines are of the service's settings. */
+  constructor(targets: number, lines: readonly string[] = []) {
+    this.entry.reduce({
+      kind: "settings_in_force",
+      now: 0,
+      routes: createRoutes({ service: ["retryShare: 1", ...lines] }),
+    });
+    for (let number = 0; number < targets; number++) this.#add(number);
+    this.#list();
+  }
+
+  /** Names of the targets that are listed. */
+  get targets(): readonly string[] {
+    return this.#instances.map(({ id }) => id);
+  }
+
+  /** Why the last event had a request refused, if it had. */
+  get refusedFor(): RefusalName | undefined {
+    for (const effect of this.#effects) {
+      if (effect.kind === "refuse_request") {
+        return effect.problem.reason as RefusalName;
+      }
+    }
+    return undefined;
+  }
+
+  /** Attempts that the last event had sent. */
+  get sent(): readonly SentAttempt[] {
+    return this.#effects.flatMap((effect) => {
+      if (effect.kind !== "send" || effect.message.kind !== "submit") return [];
+      const { requestId, attempt } = effect.message;
+      return [{ requestId, attempt, target: effect.targetName }];
+    });
+  }
+
+  /** What the entry remembers. */
+  get remembered(): readonly CrashedRequest[] {
+    return this.entry.crashes.list();
+  }
+
+  /** Time passes. */
+  pass(milliseconds: number): void {
+    this.now += milliseconds;
+    this.#reduce({ kind: "tick", now: this.now });
+  }
+
+  /** A request with this body arrives; it must be sent on. */
+  send(body: string): SentAttempt {
+    this.arrive(body);
+    const [sent] = this.sent;
+    assert.ok(sent !== undefined, `Refused: ${this.refusedFor}`);
+    return sent;
+  }
+
+  /** A request with this body arrives. */
+  arrive(body: string): void {
+    const request = createCallerRequest({
+      id: ++this.#requests,
+      body: Buffer.from(body),
+    });
+    this.#reduce({ kind: "request_arrived", now: this.now, request });
+  }
+
+  /** The connection of an attempt breaks. */
+  break({ requestId, attempt, target }: SentAttempt): void {
+    this.#reduce({
+      kind: "message_received",
+      now: this.now,
+      targetName: target,
+      message: {
+        kind: "refused",
+        requestId,
+        attempt,
+        reason: "BACK_END_FAILED",
+        outcome: "unknown",
+        submission: "unknown",
+      },
+    });
+  }
+
+  /** An attempt is answered. */
+  answer({ requestId, attempt, target }: SentAttempt): void {
+    const place = { requestId, attempt };
+    const head = { status: 200, headers: [["content-length", "0"]] } as const;
+    const now = this.now;
+    this.#reduce({
+      kind: "message_received",
+      now,
+      targetName: target,
+      message: { kind: "answer_head", ...place, sequence: 0, ...head },
+    });
+    this.#reduce({
+      kind: "message_received",
+      now,
+      targetName: target,
+      message: {
+        kind: "answer_end",
+        ...place,
+        sequence: 1,
+        byteCount: 0,
+        keptMs: 0,
+        queued: 0,
+        running: 0,
+      },
+    });
+  }
+
+  /** The caller of an attempt leaves. */
+  leave({ requestId }: SentAttempt): void {
+    this.#reduce({ kind: "caller_gone", now: this.now, requestId });
+  }
+
+  /** A target is gone, and another one has its address. */
+  replace(target: string): void {
+    const index = this.#instances.findIndex(({ id }) => id === target);
+    this.#instances = this.#instances.filter(({ id }) => id !== target);
+    this.#add(index);
+    this.#list();
+  }
+
+  /** A target says that it leaves, and is gone then. */
+  retire(target: string): void {
+    this.#instances = this.#instances.map((instance) =>
+      instance.id === target ? { ...instance, state: "leaving" } : instance
+    );
+    this.#list();
+    this.replace(target);
+  }
+
+  /** Another entry tells what it remembers. */
+  tell(requests: readonly CrashedRequest[]): void {
+    this.#reduce({ kind: "crashes_told", now: this.now, requests });
+  }
+
+  #add(number: number): void {
+    const id = `target-${++this.#starts}`;
+    const instance: BackEndInstance = {
+      id,
+      name: id,
+      address: `address-${number}:80`,
+      pool: "confirm",
+      failureDomain: "a",
+      concurrency: 8,
+      state: "serving",
+    };
+    this.#instances = [...this.#instances, instance];
+  }
+
+  #list(): void {
+    const instances = this.#instances;
+    this.#reduce({ kind: "instances_listed", now: this.now, instances });
+  }
+
+  #reduce(event: Parameters<EntryReducer["reduce"]>[0]): void {
+    this.#effects = this.entry.reduce(event);
+  }
+}
