Tell and hear of crashes without a reader that is trusted

What callers saw: an entry that had stood still sent a request to one more server that was known to end servers. Cause: what entries remember of crashes went along with questions to the entry that reads the store, and one that does not trust its reader asks nobody for five seconds and more; the store has nothing of it. Now an entry that has readers and trusts none asks four drawn entries each 250 ms, as it does while the store is silent, and a change is told upwards at once. Why it holds: each such entry asks others than its reader, and whoever is asked or asks has all that the other remembers after one question.

--- a/src/direct/direct_entry_driver.ts
+++ b/src/direct/direct_entry_driver.ts
@@ -109,7 +109,7 @@
       metrics: this.#metrics,
       log,
       onPaused: () => this.#catchUp(),
-      onCrashes: () => this.#peers.knowledgeChanged(),
+      onCrashes: () => this.#peers.crashesChanged(),
     });
     this.#targets = new DirectTargetPool({
       createBackEnd: options.createBackEnd,
--- a/src/direct/peers/entry_peers.ts
+++ b/src/direct/peers/entry_peers.ts
@@ -151,15 +151,24 @@
     this.#server.tellFollowers();
   }
 
-  /** The store listed the back ends: nobody needs to be asked. */
+  /** The store listed the back ends: nobody needs to be asked for them. */
   storeAnswered(directory: Directory): void {
     // Without a list of processes nobody is known yet who could be asked.
     const { processes } = this.#options.getKnowledge();
-    if (processes.revision > 0) this.#asked.stop();
+    if (this.#isAlone) this.#asked.start();
+    else if (processes.revision > 0) this.#asked.stop();
     this.#turns.noteListed(directory.askedAt);
     this.#server.tellFollowers();
   }
 
+  /**
+   * What entries remember of crashes is in no store. While this one asks no reader, it asks
+   * others, or it would neither tell nor hear of a request that ends targets.
+   */
+  get #isAlone(): boolean {
+    return this.#candidateCount > 0 && !this.#turns.isLed;
+  }
+
   /** The store does not answer: other entries are asked until it does. */
   storeSilent(): void {
     this.#asked.start();
@@ -175,6 +184,12 @@
     this.#server.tellFollowers();
   }
 
+  /** What is remembered of crashes has changed: all are to hear it before the next one. */
+  crashesChanged(): void {
+    this.#server.tellFollowers();
+    this.#reader.askAgain();
+  }
+
   /** Settles with the next answer of an entry that is asked. */
   nextAnswer(): Promise<void> {
     return this.#asked.nextAnswer();
--- a/src/direct/peers/reader_follower.ts
+++ b/src/direct/peers/reader_follower.ts
@@ -40,6 +40,11 @@
     this.#client?.ask();
   }
 
+  /** Asks the entry that was asked last, if any was. */
+  askAgain(): void {
+    this.#client?.ask();
+  }
+
   /** Hears no more. */
   stop(): void {
     this.#client?.stop();
