--- a/src/entry/entry_reducer.ts
+++ b/src/entry/entry_reducer.ts
@@ -203,10 +203,14 @@
   #instancesListed({ instances, now }: InstancesListed): void {
     for (const target of this.#selection.setInstances(instances, now)) {
       this.#effects.push(createTargetEndedNote(target));
-      this.#noteCrashes(this.#crashes.noteGone(target.name, now));
+      this.#targetGone({ target, now });
     }
   }
 
+  #targetGone({ target, now }: AttemptPlace): void {
+    this.#noteCrashes(this.#crashes.noteGone(target.name, now));
+  }
+
   #noteCrashes(crashes: readonly NotedCrash[]): void {
     if (crashes.length === 0) return;
     for (const crash of crashes) this.#effects.push(createCrashNote(crash));
@@ -416,6 +420,9 @@
     const isLeaving = message.reason === "TARGET_LEAVING" ||
       message.reason === "WRONG_INSTANCE";
     if (isLeaving) at.target.setLeaving(true);
+    const isReplaced = message.reason === "WRONG_INSTANCE" &&
+      !at.target.isListedLeaving;
+    if (isReplaced) this.#targetGone(at);
     if (message.reason === "GROUP_CLOSED") this.#groupFoundClosed(at);
     this.#attemptFailed(inFlight, message, at.now);
   }
@@ -470,7 +477,7 @@
     end: Pick<AttemptEnd, "now" | "isBroken">,
   ): void {
     const target = this.registry.tryGet(inFlight.targetName ?? "");
-    const answeredAt = target?.answeredAt ?? Number.NEGATIVE_INFINITY;
+    const answeredAt = target?.answeredAt ?? 0;
     this.#noteCrashes(this.#crashes.noteLost(inFlight, { ...end, answeredAt }));
   }
 
--- a/src/entry/poison_requests_test.ts
+++ b/src/entry/poison_requests_test.ts
@@ -63,6 +63,16 @@
     assert.equal(told.refusedFor, "CRASHES_TARGETS");
   });
 
+  it("is known as soon as another instance answers where a target was", () => {
+    const pool = new CrashingPool(1, ["mostAttempts: 1"]);
+    const sent = pool.send(POISON);
+    const beside = pool.send("beside");
+    pool.break(sent);
+    assert.deepEqual(pool.remembered, []);
+    pool.misdirect(beside);
+    assert.equal(pool.remembered.length, 1);
+  });
+
   it("ends one target an attempt, where it might run twice", () => {
     const pool = new CrashingPool(TARGETS, ["idempotentMethods: [POST]"]);
     const first = pool.send(POISON);
@@ -105,10 +115,15 @@
 
 /** Has a target answer something, so that it is known to live. */
 function answerAt(pool: CrashingPool, target: string): void {
+  pool.answer(sendTo(pool, target));
+}
+
+/** Sends others until one goes to a target; those before it are answered. */
+function sendTo(pool: CrashingPool, target: string): SentAttempt {
   for (let tries = 0; tries < 200; tries++) {
     const sent = pool.send(`beside ${tries}`);
+    if (sent.target === target) return sent;
     pool.answer(sent);
-    if (sent.target === target) return;
   }
   assert.fail(`Nothing was sent to ${target}`);
 }
@@ -121,6 +136,8 @@
 
 interface InnocentRow {
   readonly name: string;
+  /** Six unless given. */
+  readonly targets?: number;
   readonly happen: (pool: CrashingPool) => void;
 }
 
@@ -144,6 +161,20 @@
       }
     },
   },
+  {
+    name: "whose targets had left when others answered in their place",
+    targets: 1,
+    happen: (pool) => {
+      for (let times = 0; times < 3; times++) {
+        const sent = pool.send(POISON);
+        const beside = pool.send("beside");
+        pool.startLeaving(sent.target);
+        pool.break(sent);
+        pool.misdirect(beside);
+        pool.replace(sent.target);
+      }
+    },
+  },
   {
     name: "that was at several targets when all were lost at once",
     happen: (pool) => {
@@ -193,9 +224,9 @@
 ];
 
 describe("a request is sent on", () => {
-  for (const { name, happen } of INNOCENT) {
+  for (const { name, happen, targets = TARGETS } of INNOCENT) {
     it(name, () => {
-      const pool = new CrashingPool(TARGETS);
+      const pool = new CrashingPool(targets);
       happen(pool);
       pool.send(POISON);
     });
--- a/src/testing/crashing_pool.ts
+++ b/src/testing/crashing_pool.ts
@@ -113,6 +113,23 @@
     });
   }
 
+  /** Another instance answers in the place of an attempt's target. */
+  misdirect({ requestId, attempt, target }: SentAttempt): void {
+    this.#reduce({
+      kind: "message_received",
+      now: this.now,
+      targetName: target,
+      message: {
+        kind: "refused",
+        requestId,
+        attempt,
+        reason: "WRONG_INSTANCE",
+        outcome: "not-run",
+        submission: "not-run",
+      },
+    });
+  }
+
   /** An attempt is answered. */
   answer({ requestId, attempt, target }: SentAttempt): void {
     const place = { requestId, attempt };
@@ -153,12 +170,17 @@
     this.#list();
   }
 
-  /** A target says that it leaves, and is gone then. */
-  retire(target: string): void {
+  /** A target says that it leaves. */
+  startLeaving(target: string): void {
     this.#instances = this.#instances.map((instance) =>
       instance.id === target ? { ...instance, state: "leaving" } : instance
     );
     this.#list();
+  }
+
+  /** A target says that it leaves, and is gone then. */
+  retire(target: string): void {
+    this.startLeaving(target);
     this.replace(target);
   }
 
