Remember crashes so that entries agree on them, not losses of power

Why it holds: entries that remember the same digests agree on the rest, and one that does not take in what it is told is not told again. What is remembered is compared by a hash.

--- a/src/direct/peers/crash_news.ts
+++ b/src/direct/peers/crash_news.ts
@@ -12,25 +12,39 @@
 /** Content of a memory that holds nothing. */
 export const NOTHING_REMEMBERED = "";
 
-/**
- * What is told to one that remembers `told`, in short; undefined: neither remembers any.
- * `now` is in milliseconds.
- *
- * @example
- * ```ts
- * const crashes = tryCreateCrashNews(memory, NOTHING_REMEMBERED, now);
- * ```
- */
-export function tryCreateCrashNews(
-  memory: CrashMemory,
-  told: string,
-  now: number,
-): CrashMemoryNews | undefined {
-  const { content } = memory;
-  if (content === told) {
-    return content === NOTHING_REMEMBERED ? undefined : { content };
+/** Tells one other entry what this one remembers. */
+export class CrashTeller {
+  readonly #memory: CrashMemory;
+  /** What both remembered, in short, when all was told last. */
+  #ownThen: string | undefined;
+  #otherThen: string | undefined;
+
+  /** Has told nothing yet. */
+  constructor(memory: CrashMemory) {
+    this.#memory = memory;
+  }
+
+  /**
+   * What is told to one that remembers `other`, in short; undefined: neither remembers any.
+   * All is told once for each difference: what the other does not take in, since it
+   * has more to remember already, is not told again and again. `now` is in milliseconds.
+   *
+   * @example
+   * ```ts
+   * const crashes = teller.tryTell(NOTHING_REMEMBERED, performance.now());
+   * ```
+   */
+  tryTell(other: string, now: number): CrashMemoryNews | undefined {
+    const { content } = this.#memory;
+    const isNothing = content === other && content === NOTHING_REMEMBERED;
+    if (isNothing) return undefined;
+    const isTold = content === this.#ownThen && other === this.#otherThen;
+    if (content === other || isTold) return { content };
+    this.#ownThen = content;
+    this.#otherThen = other;
+    const requests = this.#memory.list().map((one) => toNews(one, now));
+    return { content, requests };
   }
-  return { content, requests: memory.list().map((one) => toNews(one, now)) };
 }
 
 /**
--- a/src/direct/peers/peer_client.ts
+++ b/src/direct/peers/peer_client.ts
@@ -8,7 +8,7 @@
 import type { Link } from "../../links/link.ts";
 import { LinkClient } from "../../links/link_client.ts";
 import type { LinkIdentity } from "../../links/link_server.ts";
-import { NOTHING_REMEMBERED, tryCreateCrashNews } from "./crash_news.ts";
+import { CrashTeller, NOTHING_REMEMBERED } from "./crash_news.ts";
 import type { KnownNews, StoreNewsMessage } from "./types.ts";
 
 /** Options of a {@link PeerClient}. */
@@ -39,13 +39,15 @@
   #askedAt = 0;
   /** What the other entry said last that it remembers of crashes, in short. */
   #toldCrashes = NOTHING_REMEMBERED;
+  #teller: CrashTeller;
   /** A question that waits for the connection. */
   #isWaiting = false;
 
   /** Dials at once. */
   constructor(options: PeerClientOptions) {
     this.#options = options;
-    const { address, identity } = options;
+    const { address, identity, crashes } = options;
+    this.#teller = new CrashTeller(crashes);
     this.#client = new LinkClient({
       address,
       role: "entry",
@@ -70,14 +72,14 @@
   ask(): void {
     this.#isWaiting = this.#link === undefined;
     if (this.#link === undefined) return;
-    const { getKnown, isFollowing, crashes } = this.#options;
+    const { getKnown, isFollowing } = this.#options;
     this.#askedAt = performance.now();
     this.#link.send({
       kind: "store_news_query",
       ...getKnown(),
       queryId: ++this.#queryId,
       isFollowing,
-      crashes: tryCreateCrashNews(crashes, this.#toldCrashes, this.#askedAt),
+      crashes: this.#teller.tryTell(this.#toldCrashes, this.#askedAt),
     });
   }
 
@@ -89,6 +91,7 @@
   #disconnected(): void {
     this.#link = undefined;
     this.#toldCrashes = NOTHING_REMEMBERED;
+    this.#teller = new CrashTeller(this.#options.crashes);
     this.#options.onDisconnected();
   }
 
--- a/src/direct/peers/peer_server.ts
+++ b/src/direct/peers/peer_server.ts
@@ -11,7 +11,7 @@
 import { HttpListener } from "../../process/http_listener.ts";
 import type { Directory } from "../directory_follower.ts";
 import type { SettingsInUse } from "../settings_follower.ts";
-import { NOTHING_REMEMBERED, tryCreateCrashNews } from "./crash_news.ts";
+import { CrashTeller, NOTHING_REMEMBERED } from "./crash_news.ts";
 import type {
   CrashedRequestNews,
   KnownNews,
@@ -50,6 +50,7 @@
   readonly known: KnownNews;
   /** What it remembers of targets that ended under requests, in short. */
   readonly crashes: string;
+  readonly teller: CrashTeller;
 }
 
 /** Answers the queries of other entries. */
@@ -66,15 +67,18 @@
       identity: options.identity,
       welcome: { pool: "entries", concurrency: 0 },
       listener: {
-        onPeer: (link) => ({
-          onMessage: (message) => {
-            if (message.kind === "store_news_query") {
-              this.#answer(link, message);
-            }
-          },
-          // Whoever asks dials again.
-          onClose: () => this.#followers.delete(link),
-        }),
+        onPeer: (link) => {
+          const teller = new CrashTeller(options.crashes);
+          return {
+            onMessage: (message) => {
+              if (message.kind === "store_news_query") {
+                this.#answer(link, message, teller);
+              }
+            },
+            // Whoever asks dials again.
+            onClose: () => this.#followers.delete(link),
+          };
+        },
         onRejected: (fault) => {
           if (fault !== undefined) {
             options.log.write("PEER_REJECTED", { fault });
@@ -102,43 +106,44 @@
   tellFollowers(): void {
     const knowledge = this.#options.getKnowledge();
     const { content } = this.#options.crashes;
-    for (const [link, { known, crashes }] of this.#followers) {
+    for (const [link, { known, crashes, teller }] of this.#followers) {
       // One that does not read is better off with a list of its own.
       if (link.bufferedBytes > MOST_UNSENT_BYTES) continue;
       if (!hasNews(knowledge, known) && crashes === content) continue;
-      link.send(this.#createNews(knowledge, known, crashes));
-      this.#follow(link, knownAfter(knowledge, known));
+      const now = performance.now();
+      link.send({
+        ...createNews(knowledge, known, now),
+        crashes: teller.tryTell(crashes, now),
+      });
+      this.#follow(link, knownAfter(knowledge, known), teller);
     }
   }
 
-  #follow(link: Link, known: KnownNews): void {
+  #follow(link: Link, known: KnownNews, teller: CrashTeller): void {
     const crashes = this.#options.crashes.content;
-    this.#followers.set(link, { known, crashes });
-  }
-
-  #createNews(
-    knowledge: StoreKnowledge,
-    known: KnownNews,
-    toldCrashes: string,
-  ): StoreNewsMessage {
-    const now = performance.now();
-    const { crashes } = this.#options;
-    return {
-      ...createNews(knowledge, known, now),
-      crashes: tryCreateCrashNews(crashes, toldCrashes, now),
-    };
+    this.#followers.set(link, { known, crashes, teller });
   }
 
-  #answer(link: Link, query: StoreNewsQueryMessage): void {
+  #answer(
+    link: Link,
+    query: StoreNewsQueryMessage,
+    teller: CrashTeller,
+  ): void {
     const { getKnowledge, onCrashes } = this.#options;
     if (query.crashes?.requests !== undefined) {
       onCrashes(query.crashes.requests);
     }
     const knowledge = getKnowledge();
-    if (query.isFollowing) this.#follow(link, knownAfter(knowledge, query));
-    const toldCrashes = query.crashes?.content ?? NOTHING_REMEMBERED;
-    const news = this.#createNews(knowledge, query, toldCrashes);
-    link.send({ ...news, queryId: query.queryId });
+    if (query.isFollowing) {
+      this.#follow(link, knownAfter(knowledge, query), teller);
+    }
+    const now = performance.now();
+    const other = query.crashes?.content ?? NOTHING_REMEMBERED;
+    link.send({
+      ...createNews(knowledge, query, now),
+      crashes: teller.tryTell(other, now),
+      queryId: query.queryId,
+    });
   }
 }
 
--- a/src/entry/crash_watch.ts
+++ b/src/entry/crash_watch.ts
@@ -21,6 +21,13 @@
 /** Attempts that are remembered: those of the busiest seconds of one entry. */
 const MOST_LOST = 512;
 
+/**
+ * Targets at which attempts break within so many milliseconds beyond which power, a rack or
+ * the network was lost: a request runs at one or two at a time.
+ */
+const MOST_AT_ONCE = 2;
+const AT_ONCE_MS = 100;
+
 /** An attempt that ended without an answer, and may have run. */
 export interface LostAttempt {
   readonly digest: string;
@@ -88,19 +95,19 @@
   ): readonly NotedCrash[] {
     const lost = tryLostAttempt(inFlight, end);
     if (lost === undefined) return [];
-    if (this.#goneAt.has(lost.target)) return this.#note([lost], end.now);
     this.#lost.push(lost);
     if (this.#lost.length > MOST_LOST) this.#lost.shift();
-    return [];
+    return this.#goneAt.has(lost.target) ? this.#note([lost], end.now) : [];
   }
 
   /** A target is gone without a word that it leaves. */
   noteGone(target: string, now: number): readonly NotedCrash[] {
     this.#forgetOld(now);
     this.#goneAt.set(target, now);
-    const under = this.#lost.filter((lost) => lost.target === target);
-    this.#lost = this.#lost.filter((lost) => lost.target !== target);
-    return this.#note(under, now);
+    return this.#note(
+      this.#lost.filter((lost) => lost.target === target),
+      now,
+    );
   }
 
   /** A request was answered; returns whether that changed what is remembered. */
@@ -116,6 +123,7 @@
 
   #note(lost: readonly LostAttempt[], now: number): readonly NotedCrash[] {
     return lost
+      .filter((one) => !this.#isOneOfMany(one))
       .filter((one) => this.#history.note(one.digest, one, now))
       .map((one) => ({
         ...one,
@@ -123,6 +131,14 @@
       }));
   }
 
+  /** Whether attempts at many targets ended with this one. */
+  #isOneOfMany({ endedAt }: LostAttempt): boolean {
+    const atOnce = this.#lost.filter((other) =>
+      Math.abs(other.endedAt - endedAt) <= AT_ONCE_MS
+    );
+    return new Set(atOnce.map(({ target }) => target)).size > MOST_AT_ONCE;
+  }
+
   #forgetOld(now: number): void {
     this.#lost = this.#lost.filter(({ endedAt }) =>
       now - endedAt < HEARD_WITHIN_MS
