--- a/src/entry/crash_watch.ts
+++ b/src/entry/crash_watch.ts
@@ -9,7 +9,9 @@
  * @module
  */
 import { type CrashedRequest, CrashHistory } from "../policy/crash_history.ts";
+import { createCrashNote } from "./decision_notes.ts";
 import type { InFlightRequest } from "./in_flight_request.ts";
+import type { CrashesChanged, CrashesTold, EntryEffect } from "./types.ts";
 
 /**
  * Milliseconds in which it is heard that a target is gone: its entry lapses after three
@@ -28,6 +30,8 @@
 const MOST_AT_ONCE = 2;
 const AT_ONCE_MS = 100;
 
+const CRASHES_CHANGED: CrashesChanged = { kind: "crashes_changed" };
+
 /** An attempt that ended without an answer, and may have run. */
 export interface LostAttempt {
   readonly digest: string;
@@ -45,8 +49,6 @@
   readonly now: number;
   /** Whether its connection broke; otherwise nobody waits for it any more. */
   readonly isBroken: boolean;
-  /** When its target last answered anything, in milliseconds. */
-  readonly answeredAt: number;
 }
 
 /** A target that ended under a request. */
@@ -65,10 +67,17 @@
 /** Tells which requests targets have ended under. */
 export class CrashWatch implements CrashMemory {
   readonly #history = new CrashHistory();
+  /** When a target last answered anything, in milliseconds; 0 if it never did. */
+  readonly #getAnsweredAt: (target: string) => number;
   #lost: LostAttempt[] = [];
   /** Targets that are gone, with the time at which that was heard. */
   readonly #goneAt = new Map<string, number>();
 
+  /** Remembers nothing yet. */
+  constructor(getAnsweredAt: (target: string) => number) {
+    this.#getAnsweredAt = getAnsweredAt;
+  }
+
   get content(): string {
     return this.#history.content;
   }
@@ -77,10 +86,10 @@
     return this.#history.list();
   }
 
-  /** Milliseconds for which a request is refused yet; 0: it may run. */
-  getRefusedMs(inFlight: InFlightRequest, now: number): number {
-    if (this.#history.isEmpty) return 0;
-    return this.#history.getRefusedMs(inFlight.digest, now);
+  /** Whether a request may run: each target so far has not ended under it. */
+  mayRun(inFlight: InFlightRequest, now: number): boolean {
+    return this.#history.isEmpty ||
+      this.#history.getRefusedMs(inFlight.digest, now) === 0;
   }
 
   /** Whether a target has ended under the request before. */
@@ -92,16 +101,21 @@
   noteLost(
     inFlight: InFlightRequest,
     end: AttemptEnd,
-  ): readonly NotedCrash[] {
-    const lost = tryLostAttempt(inFlight, end);
-    if (lost === undefined) return [];
+  ): readonly EntryEffect[] {
+    const { targetName } = inFlight;
+    if (targetName === undefined) return [];
+    const answeredAt = this.#getAnsweredAt(targetName);
+    const lost = createLostAttempt(inFlight, targetName, {
+      ...end,
+      answeredAt,
+    });
     this.#lost.push(lost);
     if (this.#lost.length > MOST_LOST) this.#lost.shift();
-    return this.#goneAt.has(lost.target) ? this.#note([lost], end.now) : [];
+    return this.#goneAt.has(targetName) ? this.#note([lost], end.now) : [];
   }
 
   /** A target is gone without a word that it leaves. */
-  noteGone(target: string, now: number): readonly NotedCrash[] {
+  noteGone(target: string, now: number): readonly EntryEffect[] {
     this.#forgetOld(now);
     this.#goneAt.set(target, now);
     return this.#note(
@@ -110,25 +124,27 @@
     );
   }
 
-  /** A request was answered; returns whether that changed what is remembered. */
-  noteServed(inFlight: InFlightRequest, now: number): boolean {
-    return this.hasCrashed(inFlight) &&
+  /** A request was answered. */
+  noteServed(inFlight: InFlightRequest, now: number): readonly EntryEffect[] {
+    const isNews = this.hasCrashed(inFlight) &&
       this.#history.noteServed(inFlight.digest, now);
+    return isNews ? [CRASHES_CHANGED] : [];
   }
 
-  /** Takes in what another entry remembers; returns whether it is news. */
-  merge(told: readonly CrashedRequest[], now: number): boolean {
-    return this.#history.merge(told, now);
+  /** Another entry told what it remembers. */
+  noteTold({ requests, now }: CrashesTold): readonly EntryEffect[] {
+    return this.#history.merge(requests, now) ? [CRASHES_CHANGED] : [];
   }
 
-  #note(lost: readonly LostAttempt[], now: number): readonly NotedCrash[] {
-    return lost
+  #note(lost: readonly LostAttempt[], now: number): readonly EntryEffect[] {
+    const notes = lost
       .filter((one) => !this.#isOneOfMany(one))
       .filter((one) => this.#history.note(one.digest, one, now))
-      .map((one) => ({
-        ...one,
-        refusedMs: this.#history.getRefusedMs(one.digest, now),
-      }));
+      .map((one) => {
+        const refusedMs = this.#history.getRefusedMs(one.digest, now);
+        return createCrashNote({ ...one, refusedMs });
+      });
+    return notes.length === 0 ? [] : [...notes, CRASHES_CHANGED];
   }
 
   /** Whether attempts at many targets ended with this one. */
@@ -149,18 +165,23 @@
   }
 }
 
-function tryLostAttempt(
+interface LostAttemptEnd extends AttemptEnd {
+  /** When the target last answered anything, in milliseconds. */
+  readonly answeredAt: number;
+}
+
+function createLostAttempt(
   inFlight: InFlightRequest,
-  { now, isBroken, answeredAt }: AttemptEnd,
-): LostAttempt | undefined {
-  const { targetName, attemptStartedAt, digest, head, request } = inFlight;
-  if (targetName === undefined) return undefined;
+  target: string,
+  { now, isBroken, answeredAt }: LostAttemptEnd,
+): LostAttempt {
+  const { attemptStartedAt, digest, head, request, route } = inFlight;
   // One that is silent from the start may have been gone before it got the request.
   const hasLived = isBroken || head !== undefined;
   return {
     digest,
-    target: targetName,
-    organisation: inFlight.route.organisation,
+    target,
+    organisation: route.organisation,
     path: request.path,
     sentAt: attemptStartedAt,
     aliveAt: hasLived
--- a/src/entry/entry_reducer.ts
+++ b/src/entry/entry_reducer.ts
@@ -19,7 +19,6 @@
 import {
   createAnsweredNote,
   createAttemptFailedNote,
-  createCrashNote,
   createGroupNote,
   createLeftNote,
   createSentNote,
@@ -31,7 +30,6 @@
   type AttemptEnd,
   type CrashMemory,
   CrashWatch,
-  type NotedCrash,
 } from "./crash_watch.ts";
 import { relayEnd, relayHead, relayPiece } from "./answer_relay.ts";
 import {
@@ -61,7 +59,6 @@
 import { WaitingRequests } from "./waiting_requests.ts";
 import type {
   CallerRequest,
-  CrashesTold,
   EntryEffect,
   EntryEvent,
   GroupLoadTold,
@@ -107,7 +104,7 @@
   readonly #withScripts = new Map<number, Route>();
   readonly #returning = new ReturningCallers();
   readonly #digestKey: string;
-  readonly #crashes = new CrashWatch();
+  readonly #crashes: CrashWatch;
   #isDraining = false;
   #saidDrained = false;
   #comparedAt = 0;
@@ -119,6 +116,9 @@
     this.#pools = new PoolChoice(options.random);
     this.#retries = new RetryPolicy(options.poolRetries);
     this.#digestKey = options.digestKey ?? "";
+    this.#crashes = new CrashWatch((name) =>
+      this.registry.tryGet(name)?.answeredAt ?? 0
+    );
   }
 
   /** Requests on their way. */
@@ -183,7 +183,8 @@
         this.#leaveStragglers(event.now);
         return this.#submitWaiting(event.now);
       case "crashes_told":
-        return this.#crashesTold(event);
+        this.#effects.push(...this.#crashes.noteTold(event));
+        return;
       case "ranks_listed":
         return this.registry.setRanks(event.ranks);
       case "group_seen":
@@ -208,18 +209,7 @@
   }
 
   #targetGone({ target, now }: AttemptPlace): void {
-    this.#noteCrashes(this.#crashes.noteGone(target.name, now));
-  }
-
-  #noteCrashes(crashes: readonly NotedCrash[]): void {
-    if (crashes.length === 0) return;
-    for (const crash of crashes) this.#effects.push(createCrashNote(crash));
-    this.#effects.push({ kind: "crashes_changed" });
-  }
-
-  #crashesTold({ requests, now }: CrashesTold): void {
-    const isNews = this.#crashes.merge(requests, now);
-    if (isNews) this.#effects.push({ kind: "crashes_changed" });
+    this.#effects.push(...this.#crashes.noteGone(target.name, now));
   }
 
   #groupLoadTold({ load, now }: GroupLoadTold): void {
@@ -279,7 +269,7 @@
    * others that run there, or in its group, their answers.
    */
   #tryRefuseCrashing(inFlight: InFlightRequest, now: number): boolean {
-    if (this.#crashes.getRefusedMs(inFlight, now) === 0) return false;
+    if (this.#crashes.mayRun(inFlight, now)) return false;
     this.#failUnsent(inFlight, "CRASHES_TARGETS", now);
     return true;
   }
@@ -400,9 +390,7 @@
     at.target.noteConnection(message.keptMs, at.now);
     at.target.setReportedLoad(message.queued + message.running, at.now);
     if (isServerError && this.#tryAgain(inFlight, SERVER_ERROR, at.now)) return;
-    if (this.#crashes.noteServed(inFlight, at.now)) {
-      this.#effects.push({ kind: "crashes_changed" });
-    }
+    this.#effects.push(...this.#crashes.noteServed(inFlight, at.now));
     this.#end(inFlight);
     this.#effects.push(createAnsweredNote(inFlight, at.now));
     this.#effects.push(...createAnswerCounts(inFlight));
@@ -472,13 +460,8 @@
     this.#fail(inFlight, failure, now);
   }
 
-  #noteLost(
-    inFlight: InFlightRequest,
-    end: Pick<AttemptEnd, "now" | "isBroken">,
-  ): void {
-    const target = this.registry.tryGet(inFlight.targetName ?? "");
-    const answeredAt = target?.answeredAt ?? 0;
-    this.#noteCrashes(this.#crashes.noteLost(inFlight, { ...end, answeredAt }));
+  #noteLost(inFlight: InFlightRequest, end: AttemptEnd): void {
+    this.#effects.push(...this.#crashes.noteLost(inFlight, end));
   }
 
   /** Lets it wait for a lost group, as if it had not been sent there. */
