An era beside every revision of the platform's store

What callers saw: after the store had come back from an older copy, an entry went on sending to a server that was gone; the next one was not served in 30 s (500 changes lost). Cause: lists, watches and what entries tell each other compare revisions as if they only grew. What is missing right after counts as there for 2.5 s, as after an outage, and a back end that leaves does not take that back. Processes list themselves again at once, under a new lease, since the number of the old one may be another's; others stay known until they had the time to. Settings in force never go back, as before.

Why it holds: comparisons are by the one number, so none can be forgotten.

The test of whole calls expects the headers, too.

--- a/src/direct/counted_store.ts
+++ b/src/direct/counted_store.ts
@@ -62,6 +62,10 @@
     return this.#count("release", this.#options.store.release(lease));
   }
 
+  override onWentBack(listener: () => void): void {
+    this.#options.store.onWentBack(listener);
+  }
+
   async #count<T>(kind: StoreCallKind, call: Promise<T>): Promise<T> {
     const { onCall } = this.#options;
     this.#counts[kind]++;
--- a/src/direct/direct_entry_driver.ts
+++ b/src/direct/direct_entry_driver.ts
@@ -136,6 +136,8 @@
         this.#settings.inUse?.settings.pools.has(pool) ?? true,
       onDirectory: (directory) => this.#onDirectory(directory),
       onListed: (directory) => this.#peers.storeAnswered(directory),
+      // Whoever is told of back ends by another entry calls the store too seldom to hear it.
+      onWentBack: () => this.#registry.listAgain(),
       onUnanswered: () => {
         this.#settings.restart();
         this.#peers.storeSilent();
--- a/src/direct/directory_follower.ts
+++ b/src/direct/directory_follower.ts
@@ -8,6 +8,7 @@
 import type { EventLog } from "../events/event_log.ts";
 import type { BackEndInstance } from "../external/back_end_directory.ts";
 import type { StoreFormat } from "../external/operator_settings.ts";
+import { splitRevision } from "../external/store_revision.ts";
 import type { StoreListing, WatchedStore } from "../external/watched_store.ts";
 import { ListedBackEnds } from "./listed_back_ends.ts";
 import { Reachability } from "./reachability.ts";
@@ -51,6 +52,8 @@
   readonly onListed: (directory: Directory) => void;
   /** Called after each listing that was not answered. */
   readonly onUnanswered: () => void;
+  /** Called when the store has come back from an older copy. */
+  readonly onWentBack: () => void;
 }
 
 /** Follows the back ends. */
@@ -131,6 +134,7 @@
     const before = this.#directory;
     // Another entry's list may have been newer than an answer that took long.
     if (directory.revision < (before?.revision ?? 0)) return;
+    if (before !== undefined) this.#noteEra(directory, before, source);
     const kept = this.#keepMissing(directory, before);
     const askedAt = Math.max(kept.askedAt, before?.askedAt ?? kept.askedAt);
     this.#directory = { ...kept, askedAt };
@@ -142,6 +146,15 @@
     this.#options.onDirectory(this.#directory);
   }
 
+  /** A store that came back from an older copy lacks what is soon written again. */
+  #noteEra(directory: Directory, before: Directory, source: string): void {
+    const { era } = splitRevision(directory.revision);
+    if (era <= splitRevision(before.revision).era) return;
+    this.#regainedAt = performance.now();
+    this.#options.log.write("STORE_WENT_BACK", { source, era });
+    this.#options.onWentBack();
+  }
+
   /** Entries that lapsed while the store was away may be back soon. */
   #keepMissing(directory: Directory, before: Directory | undefined): Directory {
     const isSettling = performance.now() - this.#regainedAt < SETTLE_MS;
@@ -178,13 +191,22 @@
     .map((instance) => instance.id);
 }
 
-/** Keeps back ends that an outage may have dropped from the list. */
+/**
+ * Keeps what an outage may have dropped: back ends from the list, and the word of some that
+ * they leave.
+ */
 function withMissing(
   listed: readonly BackEndInstance[],
   known: readonly BackEndInstance[],
 ): readonly BackEndInstance[] {
   const ids = new Set(listed.map(({ id }) => id));
-  return [...listed, ...known.filter(({ id }) => !ids.has(id))];
+  const leaving = new Set(
+    known.filter(({ state }) => state === "leaving").map(({ id }) => id),
+  );
+  const kept = listed.map((instance): BackEndInstance =>
+    leaving.has(instance.id) ? { ...instance, state: "leaving" } : instance
+  );
+  return [...kept, ...known.filter(({ id }) => !ids.has(id))];
 }
 
 function contentOf(instances: readonly BackEndInstance[]): string {
--- a/src/direct/process_registry.ts
+++ b/src/direct/process_registry.ts
@@ -6,6 +6,7 @@
 import { performance } from "node:perf_hooks";
 import { setTimeout as sleep } from "node:timers/promises";
 import type { EventLog } from "../events/event_log.ts";
+import { splitRevision } from "../external/store_revision.ts";
 import type {
   StoreChanged,
   StoreItem,
@@ -60,11 +61,14 @@
   /** Revision of the store at which the list last changed. */
   #changedAt = 0;
   readonly #end = new AbortController();
+  /** Ends the pause before the next renewal. */
+  #wake = new AbortController();
 
   /** Does nothing yet. */
   constructor(options: ProcessRegistryOptions) {
     this.#options = options;
     this.#reachability = new Reachability("processes", options.log);
+    options.store.onWentBack(() => this.listAgain());
     this.#watch = new StoreWatch({
       store: options.store,
       prefix: PREFIX,
@@ -100,6 +104,15 @@
     this.#watch.start();
   }
 
+  /**
+   * The store has come back from an older copy: lists this process again at once. Its lease
+   * is gone, and the store may have given the lease's number to another process.
+   */
+  listAgain(): void {
+    this.#lease = undefined;
+    this.#wake.abort();
+  }
+
   /** Whether another entry tells the processes. */
   setLed(isLed: boolean): void {
     this.#watch.setLed(isLed);
@@ -149,9 +162,21 @@
   }
 
   #takeAll(items: readonly StoreItem[]): void {
-    this.#processes.clear();
+    const { revision } = this.#watch;
+    const isKept = this.#changedAt > 0 &&
+      splitRevision(revision).era > splitRevision(this.#changedAt).era;
+    if (isKept) this.#readAnewLater();
+    else this.#processes.clear();
     for (const item of items) this.#add(item);
-    this.#tell(this.#watch.revision, "store");
+    this.#tell(revision, "store");
+  }
+
+  /**
+   * A store that came back from an older copy lacks processes until they list themselves
+   * again. Those that have not by then are gone.
+   */
+  #readAnewLater(): void {
+    setTimeout(() => this.#watch.restart(), TIME_TO_LIVE_MS).unref();
   }
 
   #takeChanges({ written, removed, revision }: StoreChanged): void {
@@ -178,9 +203,10 @@
   }
 
   async #pause(milliseconds: number): Promise<void> {
-    const { signal } = this.#end;
+    this.#wake = new AbortController();
+    const signal = AbortSignal.any([this.#end.signal, this.#wake.signal]);
     await sleep(milliseconds, undefined, { ref: false, signal })
-      .catch(() => {/* The registry was stopped. */});
+      .catch(() => {/* The registry was stopped, or lists itself again. */});
   }
 }
 
--- a/src/events/catalogue.ts
+++ b/src/events/catalogue.ts
@@ -346,6 +346,14 @@
     action:
       "Nothing after a loss of power. If `refusedMs` is above 0, each target that ran the request of this `digest` has ended: see what `organisation` sends to `path`.",
   },
+  STORE_WENT_BACK: {
+    code: 2809,
+    level: "warn",
+    text:
+      "The platform's store has come back from an older copy; what is missing there stays known for some seconds",
+    action:
+      "Compare what the operator wrote last with the settings in force (2101).",
+  },
   INTERNAL_FAULT: {
     code: 2901,
     level: "error",
--- a/src/external/watched_store.ts
+++ b/src/external/watched_store.ts
@@ -18,7 +18,10 @@
 /** All keys below a prefix. */
 export interface StoreListing {
   readonly items: readonly StoreItem[];
-  /** Revision of the store that the listing is at least as new as. */
+  /**
+   * Revision of the store that the listing is at least as new as; higher is newer, also
+   * after the store came back from an older copy.
+   */
   readonly revision: number;
 }
 
@@ -102,4 +105,10 @@
 
   /** Ends a lease and removes its entry, as far as the store can be reached. */
   abstract release(lease: StoreLease): Promise<void>;
+
+  /**
+   * Calls back whenever the store has come back from an older copy: what was written since
+   * is gone, leases too. Never for a store that does not.
+   */
+  onWentBack(_listener: () => void): void {}
 }
--- a/src/external/whole_call.ts
+++ b/src/external/whole_call.ts
@@ -9,10 +9,12 @@
   BackEndFailure,
   BackEndRequest,
 } from "./back_end.ts";
+import type { Header } from "../messages/types.ts";
 
 /** A whole answer. */
 export interface WholeAnswer {
   readonly status: number;
+  readonly headers: readonly Header[];
   readonly text: string;
 }
 
@@ -53,6 +55,7 @@
   return new Promise((resolve, reject) => {
     const decoder = new TextDecoder();
     let status = 0;
+    let headers: readonly Header[] = [];
     let text = "";
     // A call may fail before it is returned.
     let call: BackEndCall | undefined = undefined;
@@ -60,11 +63,14 @@
     const end = () => signal?.removeEventListener("abort", onAbort);
     signal?.addEventListener("abort", onAbort, { once: true });
     call = backEnd.start(request, {
-      onHead: (answered) => status = answered,
+      onHead: (answered, answeredHeaders) => {
+        status = answered;
+        headers = answeredHeaders;
+      },
       onData: (bytes) => text += decoder.decode(bytes, { stream: true }),
       onEnd: () => {
         end();
-        resolve({ status, text: text + decoder.decode() });
+        resolve({ status, headers, text: text + decoder.decode() });
       },
       onFailed: (failure) => {
         end();
--- a/src/external/whole_call_test.ts
+++ b/src/external/whole_call_test.ts
@@ -43,13 +43,14 @@
   it("joins the pieces, also where one ends within a character", async () => {
     const bytes = new TextEncoder().encode("né");
     const backEnd = new FixedBackEnd((listener) => {
-      listener.onHead(200, []);
+      listener.onHead(200, [["content-language", "fr"]]);
       listener.onData(bytes.subarray(0, 2));
       listener.onData(bytes.subarray(2));
       listener.onEnd();
     });
     assert.deepEqual(await callWhole(backEnd, REQUEST), {
       status: 200,
+      headers: [["content-language", "fr"]],
       text: "né",
     });
   });
--- /dev/null
+++ b/src/testing/listed_store.ts
@@ -0,0 +1,48 @@
+/**
+ * A store that gives some listings, one after the other.
+ *
+ * @module
+ */
+import {
+  type StoreLease,
+  type StoreListing,
+  StoreUnavailableError,
+  type StoreWatchOutcome,
+  WatchedStore,
+} from "../external/watched_store.ts";
+
+/** A store that gives some listings, one after the other, and answers nothing else. */
+export class ListedStore extends WatchedStore {
+  readonly #listings: StoreListing[];
+
+  /** Takes the listings in the order in which they are given. */
+  constructor(listings: readonly StoreListing[]) {
+    super();
+    this.#listings = [...listings];
+  }
+
+  override list(): Promise<StoreListing> {
+    const listing = this.#listings.shift();
+    return listing === undefined ? unavailable() : Promise.resolve(listing);
+  }
+
+  override watch(): Promise<StoreWatchOutcome> {
+    return unavailable();
+  }
+
+  override register(): Promise<StoreLease> {
+    return unavailable();
+  }
+
+  override renew(): Promise<boolean> {
+    return unavailable();
+  }
+
+  override release(): Promise<void> {
+    return unavailable();
+  }
+}
+
+function unavailable(): Promise<never> {
+  return Promise.reject(new StoreUnavailableError("Nothing is listed"));
+}
