--- a/src/direct/directory_follower_test.ts
+++ b/src/direct/directory_follower_test.ts
@@ -14,6 +14,7 @@
 import { joinRevision } from "../external/store_revision.ts";
 import type { StoreItem, StoreListing } from "../external/watched_store.ts";
 import { type Directory, DirectoryFollower } from "./directory_follower.ts";
+import { createInstance } from "../testing/fixtures.ts";
 import { ListedStore } from "../testing/listed_store.ts";
 
 /** Reads back ends that are written as JSON. */
@@ -41,15 +42,7 @@
   id: string,
   state: BackEndInstance["state"],
 ): StoreItem {
-  const value = JSON.stringify({
-    id,
-    name: id,
-    address: `${id}:80`,
-    pool: "confirm",
-    failureDomain: "a",
-    concurrency: 8,
-    state,
-  });
+  const value = JSON.stringify(createInstance(id, { state }));
   return { key: `back-ends/${id}`, value, revision: 1, createdRevision: 1 };
 }
 
--- a/src/entry/direct_requests_test.ts
+++ b/src/entry/direct_requests_test.ts
@@ -7,6 +7,8 @@
 import type { Message, SubmitMessage } from "../messages/types.ts";
 import {
   createCallerRequest,
+  createInstance,
+  createRefused,
   createRoutes,
   type RouteLines,
 } from "../testing/fixtures.ts";
@@ -25,21 +27,6 @@
 };
 const STREAM_HEAD = [["content-type", "text/event-stream"]] as const;
 
-function createInstance(
-  id: string,
-  state: BackEndInstance["state"] = "serving",
-): BackEndInstance {
-  return {
-    id,
-    name: id,
-    address: `${id}:80`,
-    pool: "confirm",
-    failureDomain: "a",
-    concurrency: 8,
-    state,
-  };
-}
-
 function createRow(
   id: string,
   changes: Partial<RankLoadRow> = {},
@@ -168,30 +155,13 @@
   )[0];
 }
 
-function refused(
-  submit: SubmitMessage,
-  reason:
-    | "BACK_END_FULL"
-    | "WRONG_INSTANCE"
-    | "BACK_END_FAILED"
-    | "GROUP_CLOSED",
-): Message {
-  const submission = reason === "BACK_END_FAILED" ? "unknown" : "not-run";
-  const { requestId, attempt } = submit;
-  return {
-    kind: "refused",
-    requestId,
-    attempt,
-    reason,
-    outcome: submission,
-    submission,
-  };
-}
-
 describe("back ends that an entry calls itself", () => {
   it("leave by the list, and get nothing new", () => {
     const fixture = new DirectFixture(["one", "two"]);
-    fixture.list([createInstance("one", "leaving"), createInstance("two")]);
+    fixture.list([
+      createInstance("one", { state: "leaving" }),
+      createInstance("two"),
+    ]);
     for (let id = 1; id <= 8; id++) {
       assert.equal(getSent(fixture.request({ id })).target, "two");
     }
@@ -207,7 +177,7 @@
     const first = getSent(fixture.request());
     const effects = fixture.receive(
       first.target,
-      refused(first.message, "WRONG_INSTANCE"),
+      createRefused(first.message, "WRONG_INSTANCE"),
     );
     const second = getSent(effects);
     assert.notEqual(second.target, first.target);
@@ -219,7 +189,10 @@
       service: ["retryShare: 1", "mostAttempts: 1"],
     });
     const { target, message } = getSent(fixture.request());
-    const effects = fixture.receive(target, refused(message, "BACK_END_FULL"));
+    const effects = fixture.receive(
+      target,
+      createRefused(message, "BACK_END_FULL"),
+    );
     assert.equal(problemOf(effects)?.submission, "not-run");
     assert.equal(problemOf(effects)?.status, 503);
   });
@@ -230,11 +203,14 @@
     });
     const first = getSent(fixture.request());
     const second = getSent(
-      fixture.receive(first.target, refused(first.message, "BACK_END_FAILED")),
+      fixture.receive(
+        first.target,
+        createRefused(first.message, "BACK_END_FAILED"),
+      ),
     );
     const effects = fixture.receive(
       second.target,
-      refused(second.message, "BACK_END_FULL"),
+      createRefused(second.message, "BACK_END_FULL"),
     );
     assert.equal(problemOf(effects)?.submission, "unknown");
     assert.equal(problemOf(effects)?.status, 502);
@@ -276,7 +252,10 @@
     const first = getSent(fixture.request());
     fixture.startStream(first.message, first.target);
     const second = getSent(
-      fixture.receive(first.target, refused(first.message, "BACK_END_FAILED")),
+      fixture.receive(
+        first.target,
+        createRefused(first.message, "BACK_END_FAILED"),
+      ),
     );
     assert.deepEqual(
       second.message.headers.find(([name]) => name === "last-event-id"),
@@ -305,7 +284,10 @@
     const first = getSent(fixture.request());
     fixture.startStream(first.message, first.target);
     const second = getSent(
-      fixture.receive(first.target, refused(first.message, "BACK_END_FAILED")),
+      fixture.receive(
+        first.target,
+        createRefused(first.message, "BACK_END_FAILED"),
+      ),
     );
     const { requestId, attempt } = second.message;
     fixture.receive(second.target, {
@@ -391,7 +373,7 @@
     const first = getSent(fixture.request({ deadlineMs: 8022 }));
     const effects = fixture.receive(
       first.target,
-      refused(first.message, "GROUP_CLOSED"),
+      createRefused(first.message, "GROUP_CLOSED"),
     );
     // The other target belongs to the same group: it is not asked.
     assert.equal(problemOf(effects)?.reason, "GROUP_CLOSED");
@@ -404,7 +386,7 @@
     const first = getSent(fixture.request({ deadlineMs: 5000 }));
     const effects = fixture.receive(
       first.target,
-      refused(first.message, "GROUP_CLOSED"),
+      createRefused(first.message, "GROUP_CLOSED"),
     );
     assert.equal(problemOf(effects), undefined);
     assert.notEqual(getSent(fixture.see(true, 700)).target, first.target);
@@ -415,7 +397,7 @@
     const address = "one:80";
     fixture.list([
       { ...createInstance("after"), address },
-      { ...createInstance("before", "leaving"), address },
+      { ...createInstance("before", { state: "leaving" }), address },
     ]);
     fixture.listRanks(["one"]);
     fixture.see(false, 5);
--- a/src/entry/ended_targets_test.ts
+++ b/src/entry/ended_targets_test.ts
@@ -2,24 +2,9 @@
 import { describe, it } from "node:test";
 import { RandomSource } from "../core/random_source.ts";
 import type { BackEndInstance } from "../external/back_end_directory.ts";
+import { createInstance } from "../testing/fixtures.ts";
 import { EntryReducer } from "./entry_reducer.ts";
 
-function createInstance(
-  id: string,
-  changes: Partial<BackEndInstance> = {},
-): BackEndInstance {
-  return {
-    id,
-    name: id,
-    address: `${id}:80`,
-    pool: "confirm",
-    failureDomain: "a",
-    concurrency: 8,
-    state: "serving",
-    ...changes,
-  };
-}
-
 const ONE = createInstance("one");
 const TWO = createInstance("two");
 const LEAVING_TWO = createInstance("two", { state: "leaving" });
--- a/src/entry/target_view_test.ts
+++ b/src/entry/target_view_test.ts
@@ -2,7 +2,11 @@
 import { describe, it } from "node:test";
 import { RandomSource } from "../core/random_source.ts";
 import type { BackEndInstance } from "../external/back_end_directory.ts";
-import { createCallerRequest, createRoutes } from "../testing/fixtures.ts";
+import {
+  createCallerRequest,
+  createInstance,
+  createRoutes,
+} from "../testing/fixtures.ts";
 import { EntryReducer } from "./entry_reducer.ts";
 
 const SERVERS = 72;
@@ -11,16 +15,14 @@
 function createInstances(
   changes: Partial<BackEndInstance> = {},
 ): readonly BackEndInstance[] {
-  return Array.from({ length: SERVERS }, (_, index): BackEndInstance => ({
-    id: `i-${index}`,
-    name: `i-${index}`,
-    address: `i-${index}:80`,
-    pool: "confirm",
-    failureDomain: DOMAINS[index % DOMAINS.length] as string,
-    concurrency: 8,
-    state: "serving",
-    ...changes,
-  }));
+  return Array.from(
+    { length: SERVERS },
+    (_, index) =>
+      createInstance(`i-${index}`, {
+        failureDomain: DOMAINS[index % DOMAINS.length],
+        ...changes,
+      }),
+  );
 }
 
 /** Targets of an entry's requests, one after the other ended. */
--- a/src/testing/crashing_pool.ts
+++ b/src/testing/crashing_pool.ts
@@ -10,9 +10,16 @@
 import { EntryReducer } from "../entry/entry_reducer.ts";
 import type { EntryEffect } from "../entry/types.ts";
 import type { BackEndInstance } from "../external/back_end_directory.ts";
+import type { AttemptMessage } from "../messages/types.ts";
 import type { CrashedRequest } from "../policy/crash_history.ts";
 import type { RefusalName } from "../refusals/catalogue.ts";
-import { createCallerRequest, createRoutes } from "./fixtures.ts";
+import {
+  createCallerRequest,
+  createEmptyAnswer,
+  createInstance,
+  createRefused,
+  createRoutes,
+} from "./fixtures.ts";
 
 /** An attempt that the entry has sent. */
 export interface SentAttempt {
@@ -97,64 +104,18 @@
   }
 
   /** The connection of an attempt breaks. */
-  break({ requestId, attempt, target }: SentAttempt): void {
-    this.#reduce({
-      kind: "message_received",
-      now: this.now,
-      targetName: target,
-      message: {
-        kind: "refused",
-        requestId,
-        attempt,
-        reason: "BACK_END_FAILED",
-        outcome: "unknown",
-        submission: "unknown",
-      },
-    });
+  break(sent: SentAttempt): void {
+    this.#receive(sent, createRefused(sent, "BACK_END_FAILED"));
   }
 
   /** Another instance answers in the place of an attempt's target. */
-  misdirect({ requestId, attempt, target }: SentAttempt): void {
-    this.#reduce({
-      kind: "message_received",
-      now: this.now,
-      targetName: target,
-      message: {
-        kind: "refused",
-        requestId,
-        attempt,
-        reason: "WRONG_INSTANCE",
-        outcome: "not-run",
-        submission: "not-run",
-      },
-    });
+  misdirect(sent: SentAttempt): void {
+    this.#receive(sent, createRefused(sent, "WRONG_INSTANCE"));
   }
 
   /** An attempt is answered. */
-  answer({ requestId, attempt, target }: SentAttempt): void {
-    const place = { requestId, attempt };
-    const head = { status: 200, headers: [["content-length", "0"]] } as const;
-    const now = this.now;
-    this.#reduce({
-      kind: "message_received",
-      now,
-      targetName: target,
-      message: { kind: "answer_head", ...place, sequence: 0, ...head },
-    });
-    this.#reduce({
-      kind: "message_received",
-      now,
-      targetName: target,
-      message: {
-        kind: "answer_end",
-        ...place,
-        sequence: 1,
-        byteCount: 0,
-        keptMs: 0,
-        queued: 0,
-        running: 0,
-      },
-    });
+  answer(sent: SentAttempt): void {
+    for (const message of createEmptyAnswer(sent)) this.#receive(sent, message);
   }
 
   /** The caller of an attempt leaves. */
@@ -191,18 +152,19 @@
 
   #add(number: number): void {
     const id = `target-${++this.#starts}`;
-    const instance: BackEndInstance = {
-      id,
-      name: id,
-      address: `address-${number}:80`,
-      pool: "confirm",
-      failureDomain: "a",
-      concurrency: 8,
-      state: "serving",
-    };
+    const instance = createInstance(id, { address: `address-${number}:80` });
     this.#instances = [...this.#instances, instance];
   }
 
+  #receive({ target }: SentAttempt, message: AttemptMessage): void {
+    this.#reduce({
+      kind: "message_received",
+      now: this.now,
+      targetName: target,
+      message,
+    });
+  }
+
   #list(): void {
     const instances = this.#instances;
     this.#reduce({ kind: "instances_listed", now: this.now, instances });
--- a/src/testing/fixtures.ts
+++ b/src/testing/fixtures.ts
@@ -7,7 +7,12 @@
 import { Buffer } from "node:buffer";
 import { RoutingTable } from "../entry/routing_table.ts";
 import type { CallerRequest } from "../entry/types.ts";
-import type { SubmitMessage } from "../messages/types.ts";
+import type { BackEndInstance } from "../external/back_end_directory.ts";
+import type {
+  AttemptMessage,
+  RefusedMessage,
+  SubmitMessage,
+} from "../messages/types.ts";
 import { checkDocument } from "../settings/check_document.ts";
 import type { SettingsDocument } from "../settings/types.ts";
 
@@ -39,6 +44,70 @@
   };
 }
 
+/** A back end that serves, named by its id, in the pool of {@link createRoutes}. */
+export function createInstance(
+  id: string,
+  changes: Partial<BackEndInstance> = {},
+): BackEndInstance {
+  return {
+    id,
+    name: id,
+    address: `${id}:80`,
+    pool: "confirm",
+    failureDomain: "a",
+    concurrency: 8,
+    state: "serving",
+    ...changes,
+  };
+}
+
+/** Which attempt a message belongs to. */
+export type AttemptPlace = Pick<AttemptMessage, "requestId" | "attempt">;
+
+/** The messages of a whole answer without a body, on a connection that ends with it. */
+export function createEmptyAnswer(
+  place: AttemptPlace,
+): readonly AttemptMessage[] {
+  const { requestId, attempt } = place;
+  return [
+    {
+      kind: "answer_head",
+      requestId,
+      attempt,
+      sequence: 0,
+      status: 200,
+      headers: [["content-length", "0"]],
+    },
+    {
+      kind: "answer_end",
+      requestId,
+      attempt,
+      sequence: 1,
+      byteCount: 0,
+      keptMs: 0,
+      queued: 0,
+      running: 0,
+    },
+  ];
+}
+
+/** The message of an attempt that its back end did not answer. */
+export function createRefused(
+  place: AttemptPlace,
+  reason: RefusedMessage["reason"],
+): RefusedMessage {
+  const { requestId, attempt } = place;
+  const submission = reason === "BACK_END_FAILED" ? "unknown" : "not-run";
+  return {
+    kind: "refused",
+    requestId,
+    attempt,
+    reason,
+    outcome: submission,
+    submission,
+  };
+}
+
 /** A caller's request. */
 export function createCallerRequest(
   changes: Partial<CallerRequest> = {},
--- a/src/testing/poison_fleet.ts
+++ b/src/testing/poison_fleet.ts
@@ -9,8 +9,7 @@
 import { RandomSource } from "../core/random_source.ts";
 import { EntryReducer } from "../entry/entry_reducer.ts";
 import type { EntryEffect, EntryEvent } from "../entry/types.ts";
-import type { BackEndInstance } from "../external/back_end_directory.ts";
-import type { SubmitMessage } from "../messages/types.ts";
+import type { AttemptMessage, SubmitMessage } from "../messages/types.ts";
 import type { RefusalName } from "../refusals/catalogue.ts";
 import {
   CrashingRanks,
@@ -18,7 +17,14 @@
   type RunEnd,
 } from "./crashing_ranks.ts";
 import { EventQueue } from "./event_queue.ts";
-import { createCallerRequest, createRoutes } from "./fixtures.ts";
+import {
+  type AttemptPlace,
+  createCallerRequest,
+  createEmptyAnswer,
+  createInstance,
+  createRefused,
+  createRoutes,
+} from "./fixtures.ts";
 
 const CLIENT_DEADLINE_MS = 8000;
 /** Milliseconds after which a caller that got no answer comes back. */
@@ -29,7 +35,6 @@
 /** Milliseconds until entries have told each other of a crash: least, and spread. */
 const TOLD_MS = { least: 20, spread: 300 } as const;
 const TICK_MS = 100;
-const POOL = "confirm";
 /** Times that an entry tells of changes, after which it is given up as endless. */
 const TOLD_LIMIT = 120;
 
@@ -176,7 +181,9 @@
   }
 
   #list(entry: EntryReducer): void {
-    const instances = this.#ranks.listed.map(toInstance);
+    const instances = this.#ranks.listed.map(({ id, address }) =>
+      createInstance(id, { address })
+    );
     const { now } = this.#queue;
     this.#reduce(entry, { kind: "instances_listed", now, instances });
   }
@@ -324,47 +331,16 @@
   }
 }
 
-function toInstance({ id, address }: RankStart): BackEndInstance {
-  return {
-    id,
-    name: id,
-    address,
-    pool: POOL,
-    failureDomain: "a",
-    concurrency: 8,
-    state: "serving",
-  };
-}
-
-interface AttemptNumber {
-  readonly requestId: number;
-  readonly attempt: number;
-}
-
-function toMessages(place: AttemptNumber, end: RunEnd) {
-  if (end === "answered") {
-    return [
-      {
-        kind: "answer_head",
-        ...place,
-        sequence: 0,
-        status: 200,
-        headers: [["content-length", "0"]],
-      },
-      {
-        kind: "answer_end",
-        ...place,
-        sequence: 1,
-        byteCount: 0,
-        queued: 0,
-        running: 0,
-      },
-    ] as const;
+function toMessages(
+  place: AttemptPlace,
+  end: RunEnd,
+): readonly AttemptMessage[] {
+  switch (end) {
+    case "answered":
+      return createEmptyAnswer(place);
+    case "broken":
+      return [createRefused(place, "BACK_END_FAILED")];
+    case "group lost":
+      return [createRefused(place, "GROUP_CLOSED")];
   }
-  const isLost = end === "group lost";
-  const submission = isLost ? "not-run" : "unknown";
-  const reason = isLost ? "GROUP_CLOSED" : "BACK_END_FAILED";
-  return [
-    { kind: "refused", ...place, reason, outcome: submission, submission },
-  ] as const;
 }
