--- a/src/direct/process_registry.ts
+++ b/src/direct/process_registry.ts
@@ -60,7 +60,7 @@
   #lease: StoreLease | undefined;
   /** Revision of the store at which the list last changed. */
   #changedAt = 0;
-  readonly #end = new AbortController();
+  #isStopped = false;
   /** Ends the pause before the next renewal. */
   #wake = new AbortController();
 
@@ -128,7 +128,8 @@
 
   /** Follows no more, and takes this process off the list. */
   async stop(): Promise<void> {
-    this.#end.abort();
+    this.#isStopped = true;
+    this.#wake.abort();
     this.#watch.stop();
     const lease = this.#lease;
     this.#lease = undefined;
@@ -136,7 +137,7 @@
   }
 
   async #keepListed(): Promise<void> {
-    while (!this.#end.signal.aborted) {
+    while (!this.#isStopped) {
       const isListed = await this.#renewOrRegister();
       await this.#pause(isListed ? RENEW_INTERVAL_MS : RETRY_RENEWAL_MS);
     }
@@ -203,8 +204,9 @@
   }
 
   async #pause(milliseconds: number): Promise<void> {
+    if (this.#isStopped) return;
     this.#wake = new AbortController();
-    const signal = AbortSignal.any([this.#end.signal, this.#wake.signal]);
+    const { signal } = this.#wake;
     await sleep(milliseconds, undefined, { ref: false, signal })
       .catch(() => {/* The registry was stopped, or lists itself again. */});
   }
