An entry that stood still asks others before it serves on

Cause: those who would have told it dial it again after pauses that double up to five seconds, and the first of all entries asks nobody by itself. Why it holds: it asks by itself, whoever has given it up meanwhile.

The test waits for what its comment says, that the entries have heard of the restart; with nothing refused, 9 servers end in both of its cases.

--- a/src/direct/direct_entry_driver.ts
+++ b/src/direct/direct_entry_driver.ts
@@ -315,12 +315,14 @@
     const limit = new Promise<void>((resolve) => {
       setTimeout(resolve, CATCH_UP_LIMIT_MS);
     });
-    await Promise.race([this.#askStoreOrPeers(), limit]);
+    await Promise.race([this.#askStoreAndPeers(), limit]);
   }
 
-  async #askStoreOrPeers(): Promise<void> {
+  async #askStoreAndPeers(): Promise<void> {
+    const answered = this.#peers.nextAnswer();
     await this.#directory.list();
-    if (!this.#directory.isReached) await this.#peers.nextAnswer();
+    const isAnswerDue = !this.#directory.isReached || this.#peers.asksOthers;
+    if (isAnswerDue) await answered;
   }
 
   #isReady(): boolean {
