A crash is as old as its oldest word; an entry that stood still waits for nobody again

Cause, traced: the first word of a crash lay unread while the entry stood still, and its age was counted from when it was read, so the first crash looked later than the second and the two were no row. A word is only ever late, so the earliest one goes. Why it holds: ages told with one word keep their order, and a later one cannot move a crash back.

--- a/src/direct/direct_entry_driver.ts
+++ b/src/direct/direct_entry_driver.ts
@@ -315,14 +315,12 @@
     const limit = new Promise<void>((resolve) => {
       setTimeout(resolve, CATCH_UP_LIMIT_MS);
     });
-    await Promise.race([this.#askStoreAndPeers(), limit]);
+    await Promise.race([this.#askStoreOrPeers(), limit]);
   }
 
-  async #askStoreAndPeers(): Promise<void> {
-    const answered = this.#peers.nextAnswer();
+  async #askStoreOrPeers(): Promise<void> {
     await this.#directory.list();
-    const isAnswerDue = !this.#directory.isReached || this.#peers.asksOthers;
-    if (isAnswerDue) await answered;
+    if (!this.#directory.isReached) await this.#peers.nextAnswer();
   }
 
   #isReady(): boolean {
--- a/src/direct/peers/entry_peers.ts
+++ b/src/direct/peers/entry_peers.ts
@@ -71,8 +71,6 @@
   /** What was told last of whether a reader leads. */
   #toldLed: boolean | undefined;
   #hasListed = false;
-  /** Whether nobody has answered since this process stood still. */
-  #isInDoubt = false;
   #candidateCount = 0;
 
   /** Neither listens nor asks yet. */
@@ -95,10 +93,7 @@
       random,
       getKnown,
       crashes,
-      onNews: (news, askedAt) => {
-        this.#isInDoubt = false;
-        this.#take(news, askedAt);
-      },
+      onNews: (news, askedAt) => this.#take(news, askedAt),
     });
     this.#reader = new ReaderFollower({
       identity,
@@ -171,8 +166,7 @@
    * others, or it would neither tell nor hear of a request that ends targets.
    */
   get #isAlone(): boolean {
-    return this.#isInDoubt ||
-      (this.#candidateCount > 0 && !this.#turns.isLed);
+    return this.#candidateCount > 0 && !this.#turns.isLed;
   }
 
   /** The store does not answer: other entries are asked until it does. */
@@ -180,14 +174,9 @@
     this.#asked.start();
   }
 
-  /**
-   * This process stood still: what others told before says nothing of the meantime. Others
-   * are asked, since what they remember of crashes is in no store.
-   */
+  /** This process stood still: what others told before says nothing of the meantime. */
   doubt(): void {
     this.#tellLed(false);
-    this.#isInDoubt = true;
-    this.#asked.start();
   }
 
   /** Something else that others follow has changed. */
@@ -201,11 +190,6 @@
     this.#reader.askAgain();
   }
 
-  /** Whether other entries are being asked. */
-  get asksOthers(): boolean {
-    return this.#asked.isAsking;
-  }
-
   /** Settles with the next answer of an entry that is asked. */
   nextAnswer(): Promise<void> {
     return this.#asked.nextAnswer();
--- a/src/direct/peers/peer_follower.ts
+++ b/src/direct/peers/peer_follower.ts
@@ -47,11 +47,6 @@
     this.#options = options;
   }
 
-  /** Whether any entry is being asked. */
-  get isAsking(): boolean {
-    return this.#clients.size > 0;
-  }
-
   /** Addresses of the entries that list themselves in the store. */
   setListed(addresses: readonly string[]): void {
     this.#listed = addresses;
--- a/src/policy/crash_history.ts
+++ b/src/policy/crash_history.ts
@@ -144,8 +144,10 @@
     this.#byRequest.set(request, record);
     record.servedAt = Math.max(record.servedAt, servedAt ?? record.servedAt);
     for (const crash of crashes) {
-      const isOld = now - crash.endedAt >= KEPT_MS;
-      if (isOld || record.crashes.has(crash.target)) continue;
+      // A word that was long on its way makes a crash look later than it was.
+      const known = record.crashes.get(crash.target);
+      const isLater = known !== undefined && known.endedAt <= crash.endedAt;
+      if (isLater || now - crash.endedAt >= KEPT_MS) continue;
       record.crashes.set(crash.target, crash);
     }
     for (const { target, endedAt } of [...record.crashes.values()]) {
--- a/src/policy/crash_history_test.ts
+++ b/src/policy/crash_history_test.ts
@@ -38,6 +38,15 @@
     assert.equal(history.getRefusedMs("another", 10_300), 0);
   });
 
+  it("is refused where the first word of it lay unread for a while", () => {
+    const [first, second] = [createCrash(1), createCrash(2)];
+    const history = new CrashHistory();
+    const late = { ...first, aliveAt: 9000, endedAt: 11_200 };
+    history.merge([{ request: "poison", crashes: [late] }], 12_000);
+    history.merge([{ request: "poison", crashes: [first, second] }], 12_000);
+    assert.ok(history.getRefusedMs("poison", 12_000) > 0);
+  });
+
   it("may run again a minute later, and then four", () => {
     const two = createHistory([createCrash(1), createCrash(2)]);
     assert.equal(two.getRefusedMs("poison", 10_200 + MINUTE_MS), 0);
