--- a/src/entry/crash_watch.ts
+++ b/src/entry/crash_watch.ts
@@ -24,10 +24,11 @@
 const MOST_LOST = 512;
 
 /**
- * Targets at which attempts break within so many milliseconds beyond which power, a rack or
- * the network was lost: a request runs at one or two at a time.
+ * Targets at which one request runs at a time. Where attempts at more of them end together,
+ * power, a rack or the network was lost.
  */
 const MOST_AT_ONCE = 2;
+/** Milliseconds within which attempts end together. */
 const AT_ONCE_MS = 100;
 
 const CRASHES_CHANGED: CrashesChanged = { kind: "crashes_changed" };
@@ -86,7 +87,7 @@
     return this.#history.list();
   }
 
-  /** Whether a request may run: each target so far has not ended under it. */
+  /** Whether a request may run, since targets have not ended under it again and again. */
   mayRun(inFlight: InFlightRequest, now: number): boolean {
     return this.#history.isEmpty ||
       this.#history.getRefusedMs(inFlight.digest, now) === 0;
--- a/src/policy/crash_history.ts
+++ b/src/policy/crash_history.ts
@@ -6,7 +6,8 @@
  * the next target ends. Each may take its whole rank group with it for seconds. All that ran
  * beside it looks the same after one crash, and a loss of power or of a rack ends many
  * targets at once. What tells the cause apart is the order: it was sent again after a target
- * had ended under it, to one that lived, and that one ended. Nobody has seen it answered in between.
+ * had ended under it, to one that lived, and that one ended, too; and nobody has seen it
+ * answered in between.
  *
  * @module
  */
