--- a/src/direct/peers/peer_server.ts
+++ b/src/direct/peers/peer_server.ts
@@ -1,5 +1,5 @@
 /**
- * Tells other entries what this one heard from the store.
+ * Tells other entries what this one heard from the store, and what it remembers of crashes.
  *
  * @module
  */
