--- a/src/group/formed/decider_test.ts
+++ b/src/group/formed/decider_test.ts
@@ -286,6 +286,27 @@
     assert.ok(versionOf(orders) > 70_000);
   });
 
+  /**
+   * The pattern: an order was answered late, so the decider looked at that rank's engine
+   * from its own machine. What an engine tells other machines is some 200 ms old: it still
+   * shows the hold of the switch before, after the process beside the engine told that the
+   * pass has begun. Taken for a hold of today, that word made the decider start over, and
+   * the pass that it had just held stayed held until the group waited for it.
+   */
+  it("does not start over for a state that was overtaken", () => {
+    const fixture = new DeciderFixture();
+    const first = fixture.switchAt(fixture.propose(), 10, 2);
+    const prepares = fixture.proposeAgain();
+    const prepared = { preparedVersion: versionOf(prepares), pass: first + 1 };
+    const [hold] = fixture.carryOut(prepares, prepared);
+    assert.equal(hold?.order.kind, "hold");
+    const old = createState(1, { pass: first - 1, heldPass: first });
+    const effects = fixture.report(old);
+    assert.deepEqual(effects, []);
+    const held = { ...prepared, heldPass: passOf([hold]) };
+    assert.deepEqual(namesOf(fixture.carryOut([hold], held)), ["1 arm"]);
+  });
+
   it("asks again only of ranks whose holdings it does not know", () => {
     const fixture = new DeciderFixture();
     fixture.report(createState(0));
