A decider drops the state of a rank that a newer one has overtaken

Callers saw pauses of 167 and 227 ms in 133 and 135 answers at once. Cause: an order that is not answered is given again from the decider's machine, whose look at the engine is some 200 ms old. It still showed the hold of the switch before, the decider took that for a stray hold and started over, and the pass that it had just held waited to be fenced. Passes of a rank only grow within a formation, so a state with a smaller number than the rank told before is older, from whichever machine it was read.

--- a/src/group/formed/decider.ts
+++ b/src/group/formed/decider.ts
@@ -65,6 +65,8 @@
   #epoch: number;
   /** The last pass of this epoch that any rank is known to have begun. */
   #lastPass: number;
+  /** The same of each rank by itself. */
+  readonly #lastPassOf = new Map<number, number>();
   #phase: DeciderPhase;
   #phaseEnteredAt: number;
   readonly #versions: MapVersions;
@@ -136,9 +138,12 @@
     if (state.epoch > this.#epoch) {
       this.#epoch = state.epoch;
       this.#lastPass = state.pass;
+      this.#lastPassOf.clear();
       this.#passTimes.clear();
       return this.#gather(now);
     }
+    if (this.#isOvertaken(rank, state)) return;
+    this.#lastPassOf.set(rank, state.pass);
     this.#lastPass = Math.max(this.#lastPass, state.pass);
     if (rank === 0) this.#passTimes.observe(state, now);
     this.#versions.note(state);
@@ -151,6 +156,14 @@
     this.#progress(event);
   }
 
+  /**
+   * An engine tells other machines its state as it was a while ago, and the process
+   * beside it as it is. A hold that has ended meanwhile is none of today.
+   */
+  #isOvertaken(rank: number, state: RankState): boolean {
+    return state.pass < (this.#lastPassOf.get(rank) ?? 0);
+  }
+
   /** Asks all ranks, and takes what this one says of a held pass. */
   #startOver(event: RankReported): void {
     this.#gather(event.now);
