Hold the pass of a switch further ahead

Change: 2.5 times what switches took lately, with the end of the hold counted in, in place of 1.5 times without it; 1.5 while passes are longer than callers bear anyway.

--- a/src/group/formed/decider.ts
+++ b/src/group/formed/decider.ts
@@ -24,6 +24,7 @@
   DeciderEvent,
   DeciderPhase,
   Gathering,
+  MapProposed,
   RankReported,
   Releasing,
 } from "./decider_types.ts";
@@ -120,7 +121,7 @@
         this.#reported(event);
         break;
       case "map_proposed":
-        this.#proposed(event.map, event.now);
+        this.#proposed(event);
         break;
       case "tick":
         this.#tick(event.now);
@@ -271,10 +272,10 @@
     }
   }
 
-  #proposed(map: ExpertMap, now: number): void {
+  #proposed({ map, passPart, now }: MapProposed): void {
     if (this.#phase.kind !== "settled") return;
     const version = this.#versions.next();
-    this.#margin.begin(this.#passTimes.meanMs);
+    this.#margin.begin(this.#passTimes.meanMs, passPart);
     const before = this.#phase.map;
     this.#enter({ kind: "preparing", version, map, before }, now);
     for (let rank = 0; rank < this.#ranks; rank++) {
@@ -314,8 +315,6 @@
 
   #armed(planned: PlannedSwitch, now: number): void {
     this.#margin.noteArmed(planned.pass - this.#lastPass);
-    if (this.#heldAt !== undefined) this.#margin.noteTook(now - this.#heldAt);
-    this.#heldAt = undefined;
     this.#release(planned, now);
   }
 
@@ -338,6 +337,8 @@
   }
 
   #released({ version, map }: Releasing, now: number): void {
+    if (this.#heldAt !== undefined) this.#margin.noteTook(now - this.#heldAt);
+    this.#heldAt = undefined;
     if (version === undefined) return this.#gather(now);
     this.#enter({ kind: "switching", version, map }, now);
   }
--- a/src/group/formed/decider_driver.ts
+++ b/src/group/formed/decider_driver.ts
@@ -254,6 +254,7 @@
     if (!this.#popularity.isKnown || this.#isIdle()) return;
     this.#answered.clear();
     const startedAt = performance.now();
+    const passPart = this.#passPart(settings);
     const plan = tryPlanIncrement({
       current: map,
       tokens: this.#popularity.tokens,
@@ -267,7 +268,7 @@
       }),
       mostNewPerLayer: settings.mostNewExperts,
       loadMs: settings.loadMs,
-      passPart: this.#passPart(settings),
+      passPart,
     });
     if (plan === undefined) {
       const { changes } = this.#popularity;
@@ -282,7 +283,7 @@
       planningMs: Math.round(performance.now() - startedAt),
     });
     const now = performance.now();
-    this.#dispatch({ kind: "map_proposed", now, map: plan.map });
+    this.#dispatch({ kind: "map_proposed", now, map: plan.map, passPart });
   }
 
   #isIdle(): boolean {
--- a/src/group/formed/decider_types.ts
+++ b/src/group/formed/decider_types.ts
@@ -24,6 +24,8 @@
   readonly kind: "map_proposed";
   readonly now: number;
   readonly map: ExpertMap;
+  /** Time of a pass over the pause that callers bear, if both are known. */
+  readonly passPart?: number;
 }
 
 /** Time passed. */
--- a/src/group/formed/hold_margin.ts
+++ b/src/group/formed/hold_margin.ts
@@ -12,26 +12,25 @@
  */
 const FIRST_MARGIN_PASSES = 2;
 const LARGEST_MARGIN_PASSES = 64;
-/**
- * Milliseconds from a hold until all ranks are armed, until one was seen: 100 with 20 ranks
- * whose machines are not busy.
- */
+/** Milliseconds from a hold until the pass may begin, until one was seen. */
 const FIRST_TOOK_MS = 120;
 /**
  * Milliseconds that count for a switch at most: one that took longer waited for a machine
  * that stood still, which no margin helps.
  */
-const LONGEST_TOOK_MS = 500;
+const LONGEST_TOOK_MS = 300;
 /** Milliseconds of the shortest pass that is believed. */
 const SHORTEST_PASS_MS = 5;
 /** Part of a longer time before that still counts with each switch that took less. */
 const TOOK_MEMORY = 0.8;
 /**
  * Time kept ahead over that which switches took lately. A margin that is too long has the
- * map come a pass later; with one that is too short the group waits, and each answer under
- * way is late.
+ * map come some passes later; with one that is too short the group waits, and each answer
+ * under way is late.
  */
-const TIME_MARGIN = 1.5;
+const TIME_MARGIN = 2.5;
+/** The same while passes are longer than callers bear: all answers are late until then. */
+const URGENT_TIME_MARGIN = 1.5;
 
 /** How far ahead the pass of a switch is held. */
 export class HoldMargin {
@@ -45,11 +44,16 @@
     return this.#passes;
   }
 
-  /** A switch begins, while passes take so many milliseconds, if that is known. */
-  begin(passMs?: number): void {
+  /**
+   * A switch begins, while passes take so many milliseconds and so large a part of the
+   * pause that callers bear, as far as that is known.
+   */
+  begin(passMs?: number, passPart = 0): void {
+    const isUrgent = passPart > 1;
+    const margin = isUrgent ? URGENT_TIME_MARGIN : TIME_MARGIN;
     const forTime = passMs === undefined || passMs < SHORTEST_PASS_MS
       ? 0
-      : Math.ceil(TIME_MARGIN * this.#tookMs / passMs);
+      : Math.ceil(margin * this.#tookMs / passMs);
     this.#passes = Math.min(
       LARGEST_MARGIN_PASSES,
       Math.max(this.#usual, forTime),
@@ -57,7 +61,7 @@
   }
 
   /**
-   * It took so many milliseconds from the hold until all ranks were armed.
+   * It took so many milliseconds from the hold until the pass might begin.
    *
    * @example
    * ```ts
--- a/src/group/formed/hold_margin_test.ts
+++ b/src/group/formed/hold_margin_test.ts
@@ -30,6 +30,26 @@
     assert.ok(marginAfter(20) <= 3);
   });
 
+  /**
+   * The pattern: engines leave some orders without an answer, so one switch takes twice as
+   * long as those before it. With short passes nobody misses the new map; the answers of
+   * all callers would miss the pass that is held too long.
+   */
+  it("bears a switch of twice the usual time while passes are short", () => {
+    const margin = new HoldMargin();
+    for (let switches = 0; switches < 10; switches++) margin.noteTook(120);
+    margin.begin(PASS_MS, PASS_MS / 120);
+    assert.ok(margin.passes * PASS_MS >= 240);
+  });
+
+  it("is shorter while passes are longer than callers bear", () => {
+    const margin = new HoldMargin();
+    margin.begin(PASS_MS, 1.2);
+    const urgent = margin.passes;
+    margin.begin(PASS_MS, 0.9);
+    assert.ok(urgent < margin.passes);
+  });
+
   it("remembers one that took long for some switches", () => {
     const margin = new HoldMargin();
     margin.noteTook(400);
