Read the settings once for versions that come together

Cause, from a small twin with the outcome of each order in the log: while operators wrote a version each 0.2 s, orders of the decider timed out, also new connections to an engine that was well (100 ms without a connection): the process beside rank 0 read all routes for each version. Deciders gather versions for two seconds now, and of versions that one answer of the store brings only the newest that can be read is taken.

--- a/src/direct/direct_entry_driver.ts
+++ b/src/direct/direct_entry_driver.ts
@@ -186,7 +186,7 @@
           now: performance.now(),
           requests,
         }),
-      onSettings: (text) => this.#settings.offer(text, "entry"),
+      onSettings: (text) => void this.#settings.offer(text, "entry"),
       onSettingsChecked: (checkedAt) => this.#settings.noteChecked(checkedAt),
       onDirectory: (directory) => this.#directory.offer(directory),
       onProcesses: ({ processes, revision }) =>
--- a/src/direct/rank_driver.ts
+++ b/src/direct/rank_driver.ts
@@ -48,6 +48,13 @@
 /** The same beside the holder, which looks whether its hold is left behind. */
 const RESCUER_LOOK_MS = 100;
 
+/**
+ * Milliseconds in which new versions of the settings are gathered. A decider needs what
+ * they say of its group, which hardly changes; reading all routes again for each version
+ * keeps it from switches that its group waits for.
+ */
+const SETTINGS_GATHER_MS = 2000;
+
 const BYTES_PER_MEGABIT = 125_000;
 
 /** What a {@link RankDriver} works with. */
@@ -117,6 +124,7 @@
       store,
       format,
       log,
+      gatherMs: SETTINGS_GATHER_MS,
       // They are read when a map is planned.
       onSettings: () => undefined,
     });
--- a/src/direct/settings_follower.ts
+++ b/src/direct/settings_follower.ts
@@ -33,6 +33,8 @@
   readonly log: EventLog;
   /** Milliseconds for which the store may hold a watch. */
   readonly watchWaitMs?: number;
+  /** Milliseconds in which newer versions are gathered; undefined: each is wanted at once. */
+  readonly gatherMs?: number;
   /** Called for each newer version, in order. */
   readonly onSettings: (settings: OperatorSettings) => void;
 }
@@ -53,6 +55,7 @@
       prefix: format.settingsKey,
       waitMs: options.watchWaitMs ?? WATCH_WAIT_MS,
       retryPauseMs: RETRY_PAUSE_MS,
+      gatherMs: options.gatherMs,
       readsFirst: true,
       readsWhenAlone: true,
       reachability: new Reachability("settings", log),
@@ -98,9 +101,9 @@
 
   /**
    * Takes in settings from the store or from another process; older ones and
-   * those that cannot be read change nothing.
+   * those that cannot be read change nothing. Returns whether they could be read.
    */
-  offer(text: string, source: string): void {
+  offer(text: string, source: string): boolean {
     const { format, log, onSettings } = this.#options;
     const read = format.readSettings(text);
     if (read.isErr()) {
@@ -108,11 +111,11 @@
         source,
         findings: read.error.join("; "),
       });
-      return;
+      return false;
     }
     const settings = read.value;
     const inForce = this.#inUse?.settings.version;
-    if (inForce !== undefined && settings.version <= inForce) return;
+    if (inForce !== undefined && settings.version <= inForce) return true;
     this.#inUse = { settings, text };
     log.write("SETTINGS_IN_FORCE", {
       revision: settings.version,
@@ -120,12 +123,15 @@
       source,
     });
     onSettings(settings);
+    return true;
   }
 
+  /** Of versions that are told together only the newest that can be read counts. */
   #offerItems(items: readonly StoreItem[]): void {
     const { settingsKey } = this.#options.format;
-    for (const item of items) {
-      if (item.key === settingsKey) this.offer(item.value, "store");
+    const versions = items.filter(({ key }) => key === settingsKey);
+    for (const { value } of versions.toReversed()) {
+      if (this.offer(value, "store")) return;
     }
   }
 }
--- /dev/null
+++ b/src/direct/settings_follower_test.ts
@@ -0,0 +1,125 @@
+import assert from "node:assert/strict";
+import { describe, it } from "node:test";
+import { setImmediate } from "node:timers/promises";
+import { Err, Ok, type Result } from "ts-results-es";
+import { EventLog } from "../events/event_log.ts";
+import {
+  type OperatorSettings,
+  StoreFormat,
+} from "../external/operator_settings.ts";
+import {
+  type StoreItem,
+  type StoreLease,
+  type StoreListing,
+  type StoreWatchOutcome,
+  WatchedStore,
+} from "../external/watched_store.ts";
+import { SettingsFollower } from "./settings_follower.ts";
+
+const SETTINGS_KEY = "settings";
+
+/** Versions are written as numbers. */
+class NumberFormat extends StoreFormat {
+  override readonly settingsKey = SETTINGS_KEY;
+  override readonly backEndPrefix = "servers/";
+  reads = 0;
+
+  override readSettings(
+    text: string,
+  ): Result<OperatorSettings, readonly string[]> {
+    this.reads++;
+    const version = Number(text);
+    if (Number.isNaN(version)) return Err(["no number"]);
+    return Ok({
+      version,
+      documents: new Map(),
+      idleLimitMs: 1000,
+      pools: new Set(),
+      groups: new Map(),
+    });
+  }
+
+  override tryReadBackEnd(): undefined {
+    return undefined;
+  }
+}
+
+/** Tells one batch of changes, and then nothing more. */
+class BatchStore extends WatchedStore {
+  readonly #written: readonly StoreItem[];
+  #isTold = false;
+
+  constructor(texts: readonly string[]) {
+    super();
+    this.#written = texts.map((value, index) => ({
+      key: SETTINGS_KEY,
+      value,
+      revision: index + 2,
+      createdRevision: 1,
+    }));
+  }
+
+  override list(): Promise<StoreListing> {
+    return Promise.resolve({ items: [], revision: 1 });
+  }
+
+  override watch(): Promise<StoreWatchOutcome> {
+    if (this.#isTold) {
+      return new Promise(() => {/* Nothing changes any more. */});
+    }
+    this.#isTold = true;
+    const revision = this.#written.length + 1;
+    const written = this.#written;
+    return Promise.resolve({ kind: "changed", written, removed: [], revision });
+  }
+
+  override register(): Promise<StoreLease> {
+    return Promise.reject(new Error("not here"));
+  }
+
+  override renew(): Promise<boolean> {
+    return Promise.resolve(false);
+  }
+
+  override release(): Promise<void> {
+    return Promise.resolve();
+  }
+}
+
+interface Followed {
+  /** Versions that were read at all. */
+  readonly reads: number;
+  readonly inForce: number | undefined;
+}
+
+/** Follows a store that tells these versions in one answer. */
+async function follow(texts: readonly string[]): Promise<Followed> {
+  const format = new NumberFormat();
+  const follower = new SettingsFollower({
+    store: new BatchStore(texts),
+    format,
+    log: new EventLog({ role: "rank", processName: "test" }),
+    gatherMs: 2000,
+    onSettings: () => undefined,
+  });
+  follower.start();
+  for (let turns = 0; turns < 10; turns++) await setImmediate();
+  follower.stop();
+  return { reads: format.reads, inForce: follower.inUse?.settings.version };
+}
+
+/**
+ * The pattern: operators write dozens of versions within seconds, each with all routes. A
+ * process that reads each of them has no time for what others wait for.
+ */
+describe("settings that change many times within seconds", () => {
+  it("are read once for all versions that are told together", async () => {
+    const texts = Array.from({ length: 30 }, (_, index) => String(index + 1));
+    assert.deepEqual(await follow(texts), { reads: 1, inForce: 30 });
+  });
+
+  it("are in force in their newest version that can be read", async () => {
+    const followed = await follow(["1", "2", "unreadable"]);
+    assert.deepEqual(followed, { reads: 2, inForce: 2 });
+  });
+});
