Ask a store that refuses calls ever later

In one span of 20 s of the small twin 12 entries made 304 calls, of which 265 failed. The pause doubles up to four times its first length, for processes that know something already; one that knows nothing yet asks as before.

--- a/src/direct/store_watch.ts
+++ b/src/direct/store_watch.ts
@@ -20,6 +20,9 @@
  */
 const SETTLE_MS = 1000;
 
+/** Failed calls in a row after which the pause before the next one grows no more. */
+const MOST_PAUSE_DOUBLINGS = 2;
+
 /** Options of a {@link StoreWatch}. */
 export interface StoreWatchOptions {
   readonly store: WatchedStore;
@@ -50,6 +53,8 @@
   #isStarted = false;
   #isStopped = false;
   #isLed = false;
+  /** Calls in a row that failed. */
+  #failures = 0;
   /** Ends the wait of one that another process leads. */
   #wake: (() => void) | undefined;
 
@@ -123,22 +128,29 @@
 
   /** Whether what is known is current, so that a watch can follow. */
   async #tryRound(isCurrent: boolean): Promise<boolean> {
-    const { reachability, retryPauseMs } = this.#options;
+    const { reachability } = this.#options;
     this.#round = new AbortController();
     const startedAt = performance.now();
     try {
       const isNowCurrent = isCurrent ? await this.#watch() : await this.#list();
       this.#checkedAt = startedAt;
+      this.#failures = 0;
       reachability.noteAnswer(performance.now());
       return isNowCurrent;
     } catch (error) {
       if (this.#isStopped || this.#isLed) return false;
       reachability.noteFailure(performance.now(), error);
-      await sleep(retryPauseMs, undefined, { ref: false });
+      await sleep(this.#nextRetryPauseMs(), undefined, { ref: false });
       return false;
     }
   }
 
+  /** Who knows nothing yet serves nobody until the store answers, and asks at once. */
+  #nextRetryPauseMs(): number {
+    const failures = this.#revision > 0 ? ++this.#failures : 1;
+    return getRetryPauseMs(this.#options.retryPauseMs, failures);
+  }
+
   async #list(): Promise<boolean> {
     const { store, prefix, onListed } = this.#options;
     const listing = await store.list(prefix);
@@ -172,3 +184,14 @@
       );
   }
 }
+
+/**
+ * Milliseconds until the next call after so many in a row that failed. A store that is
+ * away or busy gets fewer calls from each process of a large fleet, and each of them
+ * still hears of its return in time for what is written next.
+ *
+ * @internal
+ */
+export function getRetryPauseMs(firstMs: number, failures: number): number {
+  return firstMs * 2 ** Math.min(failures - 1, MOST_PAUSE_DOUBLINGS);
+}
--- a/src/direct/store_watch_test.ts
+++ b/src/direct/store_watch_test.ts
@@ -10,7 +10,7 @@
   WatchedStore,
 } from "../external/watched_store.ts";
 import { Reachability } from "./reachability.ts";
-import { StoreWatch } from "./store_watch.ts";
+import { getRetryPauseMs, StoreWatch } from "./store_watch.ts";
 
 /** Milliseconds in which a list of this store is read. */
 const READ_MS = 50;
@@ -109,3 +109,27 @@
     assert.equal(store.watches, 1);
   });
 });
+
+/**
+ * The pattern: the store is busy for some seconds, and every process of a fleet asks it
+ * again and again. Each refused call is work for the store, too.
+ */
+describe("calls to a store that refuses them", () => {
+  const FIRST_PAUSE_MS = 400;
+
+  it("are few, and yet in time for its return", () => {
+    let calls = 0;
+    let longestMs = 0;
+    for (let now = 0; now < 8000; calls++) {
+      const pauseMs = getRetryPauseMs(FIRST_PAUSE_MS, calls + 1);
+      longestMs = Math.max(longestMs, pauseMs);
+      now += pauseMs;
+    }
+    assert.ok(calls <= 8);
+    assert.ok(longestMs <= 1600);
+  });
+
+  it("follow soon after the first that failed", () => {
+    assert.equal(getRetryPauseMs(FIRST_PAUSE_MS, 1), FIRST_PAUSE_MS);
+  });
+});
