--- a/src/direct/peers/reader_turns.ts
+++ b/src/direct/peers/reader_turns.ts
@@ -4,8 +4,7 @@
  *
  * One entry reads for the whole fleet: each asks the first of its failure domain, and
  * these ask the first of all. So calls to the store follow changes and time, not the
- * number of entries: 99 entries that each listed the back ends made 70 calls a second,
- * one makes less than one.
+ * number of entries.
  *
  * What an entry knows is as old as its reader's knowledge was when it answered, plus the
  * time since the question left: a bound that needs no clock in common, and that holds
--- a/src/direct/process_registry.ts
+++ b/src/direct/process_registry.ts
@@ -22,9 +22,8 @@
 const TIME_TO_LIVE_MS = 25_000;
 /**
  * Milliseconds between two renewals: two may be lost before the entry lapses. Each process
- * makes them, so they are most of the calls of a large fleet: 291 processes made 116 a
- * second with 2.5 s. A process that is gone does no harm while it is listed: who dials it
- * hears nothing.
+ * makes them, so they are most of the calls of a large fleet. A process that is gone does
+ * no harm while it is listed: who dials it hears nothing.
  */
 const RENEW_INTERVAL_MS = 8000;
 /** The same after a renewal that failed: the entry may have lapsed with the store away. */
@@ -34,9 +33,8 @@
 /** Pause after a call that failed, in milliseconds. */
 const RETRY_PAUSE_MS = 700;
 /**
- * Milliseconds in which changes are gathered before the next call. When all
- * processes start, each would wake all others: 111 of them made some 2,000 calls
- * within two seconds.
+ * Milliseconds in which changes are gathered before the next call. When all processes
+ * start, each would wake all others.
  */
 const GATHER_MS = 500;
 
--- a/src/external/whole_call.ts
+++ b/src/external/whole_call.ts
@@ -37,8 +37,7 @@
 
 /**
  * Calls a back end and awaits its whole answer. Cheaper than the client library's own
- * promises, whose streams and signals take as much processor time as the call itself:
- * 0.07 ms in place of 0.13 for an answer of some hundred bytes, once compiled.
+ * promises, whose streams and signals take as much processor time as the call itself.
  *
  * @example
  * ```ts
--- a/src/group/formed/copies_per_rank.ts
+++ b/src/group/formed/copies_per_rank.ts
@@ -17,16 +17,12 @@
 /**
  * Milliseconds that copies may take for one map: those at one rank are loaded one after
  * the other, and all are planned one after the other. Popularity changes within seconds:
- * few copies that are soon in force beat many that come too late. With copies of 76 ms and
- * counts of 24 ranks played again, the most loaded rank had 2.2 times the mean with 160
- * ms, 2.4 with 400.
+ * few copies that are soon in force beat many that come too late.
  */
 const COPYING_MS_PER_MAP = 160;
 /**
- * Milliseconds to plan one copy on a machine with 0.4 of a core: 0.4 of a whole one. It
- * binds where groups are large: with 64 ranks and copies of 38 ms, two copies a rank in
- * place of four leave the most loaded rank above 2.5 times the mean for 0.38 of the time
- * in place of 0.48 (model of popularity that changes each 2.1 s, 4 layers).
+ * Milliseconds to plan one copy on a machine with less than half of a core. It binds where
+ * groups are large.
  */
 const PLANNING_MS_PER_COPY = 1;
 /** Experts that a rank loads for one map when passes take long, at most. */
--- a/src/group/formed/popularity.ts
+++ b/src/group/formed/popularity.ts
@@ -17,10 +17,8 @@
 const COMPARED_CHOICES = 20;
 /**
  * Likeness, the cosine of the angle between choices by expert, below which popularity is
- * taken for changed, and what was counted before for worthless. Counted in a group of 24
- * ranks with 16 layers, it was 0.97 to 1 between changes and 0.5 to 0.87 as one came.
- * With the old choices forgotten at once the most loaded rank had over 2.5 times the mean
- * for 0.24 of the time in place of 0.33, from counts of 8 s played again.
+ * taken for changed, and what was counted before for worthless. Counts of an unchanged
+ * popularity differ by chance alone.
  */
 const LEAST_LIKENESS = 0.9;
 
--- a/src/group/formed/rank_questions.ts
+++ b/src/group/formed/rank_questions.ts
@@ -14,9 +14,8 @@
 /** Milliseconds between two questions for counts to a rank. */
 const COUNT_INTERVAL_MS = 200;
 /**
- * Counted ranks are asked in turn by halves: what one half counts in 100 ms shows that
- * popularity changed. Counts of 24 ranks played again: the most loaded rank had 2.0 times
- * the mean with counts each 100 ms, 2.1 with 200.
+ * Counted ranks are asked in turn by halves: what one half counts shows that popularity
+ * changed, half an interval sooner.
  */
 const TURNS = 2;
 /** Milliseconds between two questions for the state of a rank that is not counted. */
--- a/src/policy/late_admission.ts
+++ b/src/policy/late_admission.ts
@@ -24,10 +24,8 @@
 }
 
 /**
- * Part of the pause that callers bear up to which passes are short: 72 of 120 ms, where a
- * usual pass takes 50 and one with all places taken 140. Chosen between the two; on a day
- * with a lost group 65 of 91 answers of new requests were in time two seconds after its
- * opening, 37 when all who waited were sent at once.
+ * Part of the pause that callers bear up to which passes are short. A usual pass takes less
+ * than half of it, one with all places taken more than all of it.
  */
 const SHORT_PASS_PART = 0.6;
 /** Late requests that an entry sends between two words on short passes. */
--- a/src/policy/placement/incremental_planner.ts
+++ b/src/policy/placement/incremental_planner.ts
@@ -45,22 +45,18 @@
 
 /**
  * Part by which one copy makes all passes slower while it is made: 0.15 however many
- * ranks copy, so a copy has a part of it, as three or more ranks copy side by side. Counts
- * of 24 ranks with 16 layers, played again: the most loaded rank came down to 1.36 times
- * the mean in place of 1.67 with 0.15, for 2.4 times the copies.
+ * ranks copy, so a copy has a part of it, as three or more ranks copy side by side.
  */
 const COPY_SLOWDOWN = 0.05;
 /**
- * Milliseconds for which a copy is of use: popularity was measured to change every
- * 2 to 4 s, and a copy is in force after a part of that.
+ * Milliseconds for which a copy is of use: popularity changes every few seconds, and a copy
+ * is in force after a part of that.
  */
 const USEFUL_MS = 2500;
 /**
  * Part of a pass that one copy must save while passes take no time at all, over the part
  * of all experts that it moves; the longer passes take against the pause that callers
- * bear, the less. Swept over 2.5, 5, 10 and 20 with 4 layers of 64 experts: 455, 299, 184
- * and 121 GB copied on a calm day of 589, the most loaded rank at 1.55, 1.56, 1.71 and
- * 1.85 times the mean, as many answers in time but at 20 (0.995, 0.993).
+ * bear, the less.
  */
 const EASY_GAIN = 10;
 /**
@@ -82,8 +78,7 @@
 const RANKS_CONSIDERED = 2;
 /**
  * Least loaded ranks of a layer that are considered for a copy: the best one is among
- * them. With 64 ranks and 12 layers of 256 experts a first plan takes 50 ms in place of
- * 140 and the next one 26 in place of 145, with the same cost after it.
+ * them, and plans for large groups take a third of the time.
  */
 const RECEIVERS_CONSIDERED = 16;
 /** Replicas at a full rank that are considered for being dropped. */
--- a/src/policy/placement/rebalancer.ts
+++ b/src/policy/placement/rebalancer.ts
@@ -26,7 +26,7 @@
   readonly longestPlan: number;
 }
 
-/** Presets of the two users; docs/DESIGN.md shows the sweeps. */
+/** Presets for groups that suffer from skew, and for those that pay for each move. */
 export const REBALANCE_PRESETS = {
   skew: { pricePerMove: 0.003, smallestGain: 0.02, longestPlan: 24 },
   cost: { pricePerMove: 0.012, smallestGain: 0.03, longestPlan: 24 },
--- a/src/policy/target_choice.ts
+++ b/src/policy/target_choice.ts
@@ -84,7 +84,7 @@
   readonly stuckAfterMs: number;
 }
 
-/** Chosen by sweeps over a model of the pool; docs/DESIGN.md shows them. */
+/** docs/DESIGN.md shows what they trade against each other. */
 export const SCORED_CHOICE_DEFAULTS: ScoredChoiceOptions = {
   drawn: 2,
   domainPenalty: 0.25,
