--- a/src/direct/rank_driver.ts
+++ b/src/direct/rank_driver.ts
@@ -49,11 +49,11 @@
 const RESCUER_LOOK_MS = 100;
 
 /**
- * Milliseconds in which new versions of the settings are gathered. A decider needs what
- * they say of its group, which hardly changes; reading all routes again for each version
- * keeps it from switches that its group waits for.
+ * Milliseconds until a decider reads the settings again. It needs what they say of its
+ * group, which hardly changes. A watch brings each version with all routes, and some of
+ * them fill the link of a small machine while the group waits for an order.
  */
-const SETTINGS_GATHER_MS = 2000;
+const SETTINGS_REREAD_MS = 10_000;
 
 const BYTES_PER_MEGABIT = 125_000;
 
@@ -124,7 +124,7 @@
       store,
       format,
       log,
-      gatherMs: SETTINGS_GATHER_MS,
+      rereadMs: SETTINGS_REREAD_MS,
       // They are read when a map is planned.
       onSettings: () => undefined,
     });
--- a/src/direct/settings_follower.ts
+++ b/src/direct/settings_follower.ts
@@ -33,8 +33,8 @@
   readonly log: EventLog;
   /** Milliseconds for which the store may hold a watch. */
   readonly watchWaitMs?: number;
-  /** Milliseconds in which newer versions are gathered; undefined: each is wanted at once. */
-  readonly gatherMs?: number;
+  /** Milliseconds until they are read again; undefined: each version is wanted at once. */
+  readonly rereadMs?: number;
   /** Called for each newer version, in order. */
   readonly onSettings: (settings: OperatorSettings) => void;
 }
@@ -55,7 +55,7 @@
       prefix: format.settingsKey,
       waitMs: options.watchWaitMs ?? WATCH_WAIT_MS,
       retryPauseMs: RETRY_PAUSE_MS,
-      gatherMs: options.gatherMs,
+      rereadMs: options.rereadMs,
       readsFirst: true,
       readsWhenAlone: true,
       reachability: new Reachability("settings", log),
--- a/src/direct/store_watch.ts
+++ b/src/direct/store_watch.ts
@@ -33,6 +33,8 @@
   readonly retryPauseMs: number;
   /** Milliseconds in which changes are gathered before the next call. */
   readonly gatherMs?: number;
+  /** Milliseconds until all keys are read again; undefined: changes are watched. */
+  readonly rereadMs?: number;
   /** Whether all keys are read at once at the start, whoever leads. */
   readonly readsFirst?: boolean;
   /** Whether they are read at once when no other process leads any more. */
@@ -161,7 +163,12 @@
 
   /** False when the store's history has a gap and all must be read again. */
   async #watch(): Promise<boolean> {
-    const { store, prefix, waitMs, gatherMs, onChanged } = this.#options;
+    const { store, prefix, waitMs, gatherMs, rereadMs, onChanged } =
+      this.#options;
+    if (rereadMs !== undefined) {
+      await this.#pause(rereadMs);
+      return false;
+    }
     const outcome = await store.watch({
       prefix,
       afterRevision: this.#revision,
