--- a/src/entry/rank_groups.ts
+++ b/src/entry/rank_groups.ts
@@ -13,7 +13,7 @@
   readonly #byName = new Map<string, GroupBelief>();
   /** Names of groups by the host and port of their ranks' engines. */
   readonly #nameByAddress = new Map<string, string>();
-  /** Hosts and ports of the ranks that a group had as it was last told to run, by its name. */
+  /** Hosts and ports of the ranks that each group had as it last ran, by its name. */
   readonly #ranksByName = new Map<string, readonly string[]>();
   /** Hosts and ports at which a back end is listed as serving. */
   #serving: ReadonlySet<string> = new Set();
@@ -39,9 +39,11 @@
   noteLoad(message: GroupLoad, now: number): boolean {
     const { group, loads, passMs, isOpen, ageMs } = message;
     const ranks = loads.map(({ engineAddress }) => engineAddress);
+    for (const address of ranks) this.#nameByAddress.set(address, group);
     if (isOpen) this.#ranksByName.set(group, ranks);
-    this.setRanks(ranks.map((engineAddress) => ({ engineAddress, group })));
-    this.#get(group).lateAdmission.note({ passMs, at: now });
+    const belief = this.#get(group);
+    this.#judge(belief);
+    belief.lateAdmission.note({ passMs, at: now });
     return this.see(group, { isOpen, seenAt: now - ageMs });
   }
 
--- a/src/group/formed/decider.ts
+++ b/src/group/formed/decider.ts
@@ -159,7 +159,7 @@
 
   /**
    * An engine tells other machines its state as it was a while ago, and the process
-   * beside it as it is. A hold that has ended meanwhile is none of today.
+   * beside it as it is. What an older state holds may have ended since.
    */
   #isOvertaken(rank: number, state: RankState): boolean {
     return state.pass < (this.#lastPassOf.get(rank) ?? 0);
