--- a/src/target/key_ownership_test.ts
+++ b/src/target/key_ownership_test.ts
@@ -50,7 +50,7 @@
     world.settle();
     const second = world.submit(1, { key: "k" });
     world.settle();
-    assert.equal(world.runsByKey.get("k"), 1);
+    assert.equal(world.callers.runsByKey.get("k"), 1);
     assert.equal(second.outcome?.body, first.outcome?.body);
   });
 
@@ -67,7 +67,7 @@
   it("tells at once that a key is in progress", () => {
     const world = createWorld();
     world.submit(0, { key: "k" });
-    while (world.runsByKey.get("k") !== 1) world.deliver(0);
+    while (world.callers.runsByKey.get("k") !== 1) world.deliver(0);
     const second = world.submit(1, { key: "k" });
     world.deliverAll();
     assert.equal(reasonOf(second), "KEY_IN_PROGRESS");
@@ -86,7 +86,7 @@
     world.restart(OWNER);
     const again = world.submit(0, { key });
     world.settle();
-    assert.equal(world.runsByKey.get(key), 1);
+    assert.equal(world.callers.runsByKey.get(key), 1);
     assert.equal(reasonOf(again), "NOT_OWNER");
   });
 
@@ -107,7 +107,7 @@
     assert.equal(reasonOf(again), "KEY_HISTORY_UNKNOWN");
     assert.equal(reasonOf(unordered), "KEY_HISTORY_UNKNOWN");
     assert.equal(reasonOf(fresh), "answered");
-    assert.equal(world.runsByKey.get(old), 1);
+    assert.equal(world.callers.runsByKey.get(old), 1);
   });
 
   it("runs no key at an owner that wakes after its slots were taken", () => {
@@ -191,7 +191,7 @@
     const unused = world.submit(1, { key: createSlotMate(world, old) });
     world.settle();
     assert.equal(again.outcome?.body, first.outcome?.body);
-    assert.equal(world.runsByKey.get(old), 1);
+    assert.equal(world.callers.runsByKey.get(old), 1);
     assert.equal(reasonOf(unused), "answered");
   });
 
@@ -205,7 +205,7 @@
     const again = world.submit(1, { key });
     world.settle();
     assert.equal(reasonOf(again), "KEY_OUTCOME_UNKNOWN");
-    assert.equal(world.runsByKey.get(key), 1);
+    assert.equal(world.callers.runsByKey.get(key), 1);
   });
 
   it("hands over no more history than it has", () => {
@@ -227,7 +227,7 @@
     const again = world.submit(0, { key });
     world.settle();
     assert.equal(reasonOf(again), "KEY_HISTORY_UNKNOWN");
-    assert.equal(world.runsByKey.get(key), 1);
+    assert.equal(world.callers.runsByKey.get(key), 1);
   });
 
   it("forgets what was handed over once the slot has moved again", () => {
@@ -243,14 +243,14 @@
     world.settle();
     const first = world.submit(0, { key });
     world.settle();
-    assert.equal(world.runsByKey.get(key) ?? 0, 0, reasonOf(first));
+    assert.equal(world.callers.runsByKey.get(key) ?? 0, 0, reasonOf(first));
     const fresh = createUuid({
       msecs: WORLD_EPOCH_MS + world.now + 2 * MINUTE_MS,
     });
     const late = findSlotMateOf(world, key, fresh);
     world.submit(0, { key: late });
     world.settle();
-    assert.equal(world.runsByKey.get(late), 1);
+    assert.equal(world.callers.runsByKey.get(late), 1);
     world.kill(OWNER);
     world.listGone(OWNER);
     world.wake(OTHER);
@@ -261,14 +261,14 @@
     const again = world.submit(1, { key: late });
     world.settle();
     assert.equal(reasonOf(again), "KEY_HISTORY_UNKNOWN");
-    assert.equal(world.runsByKey.get(late), 1);
+    assert.equal(world.callers.runsByKey.get(late), 1);
   });
 
   it("takes no keys over from one who may still run some", () => {
     const world = createWorld();
     const old = createOwnedKey(world, "old");
     world.submit(0, { key: old });
-    while (world.runsByKey.get(old) !== 1) world.deliver(0);
+    while (world.callers.runsByKey.get(old) !== 1) world.deliver(0);
     world.drain(OWNER);
     world.release(OWNER);
     assert.equal(world.ownerOf(old), OWNER, "It has not drained yet");
--- a/src/target/request_schedules_test.ts
+++ b/src/target/request_schedules_test.ts
@@ -153,7 +153,7 @@
       world.submit(choice % ENTRIES, { key: `key-${choice % KEYS}` });
       return;
     case "abandon": {
-      const submission = world.submissions.at(-1 - choice % 5);
+      const submission = world.callers.submissions.at(-1 - choice % 5);
       if (submission !== undefined) world.abandon(submission);
       return;
     }
@@ -225,9 +225,9 @@
             for (let target = 0; target < TARGETS; target++) world.wake(target);
             world.settle();
             world.checkInvariants();
-            count(world.submissions, counts);
+            count(world.callers.submissions, counts);
             count(
-              world.submissions.filter((one) => one.key !== undefined),
+              world.callers.submissions.filter((one) => one.key !== undefined),
               keyed,
             );
           },
--- a/src/testing/request_world.ts
+++ b/src/testing/request_world.ts
@@ -10,7 +10,7 @@
 import { RandomSource } from "../core/random_source.ts";
 import { EntryReducer } from "../entry/entry_reducer.ts";
 import type { EntryEffect, EntryEvent } from "../entry/types.ts";
-import type { LedgerSlotMessage, Message } from "../messages/types.ts";
+import type { LedgerSlotMessage } from "../messages/types.ts";
 import {
   createOwnerTable,
   ownedSlotsOf,
@@ -25,11 +25,13 @@
 import { BackEndRuns } from "./back_end_runs.ts";
 import { createRoutes } from "./fixtures.ts";
 import { RunLog } from "./run_log.ts";
+import type { Submission } from "./submissions.ts";
+import { WorldCallers } from "./world_callers.ts";
 import {
-  type CallerOutcome,
-  checkSubmission,
-  type Submission,
-} from "./submissions.ts";
+  type Connection,
+  isBusy,
+  WorldConnections,
+} from "./world_connections.ts";
 
 /** Wall-clock milliseconds at which every world begins. */
 export const WORLD_EPOCH_MS = Date.UTC(2026, 11, 2);
@@ -42,16 +44,6 @@
 const SERVICE = "/organisations/andamaq/services/confirm";
 const STEP_MS = 1000;
 
-interface Connection {
-  readonly id: number;
-  readonly entry: number;
-  readonly target: number;
-  readonly toTarget: Message[];
-  readonly toEntry: Message[];
-  /** Nothing gets through, but neither side knows yet. */
-  isStalled: boolean;
-}
-
 interface TargetProcess {
   reducer: TargetReducer;
   incarnation: number;
@@ -80,19 +72,15 @@
 
 /** Entries, targets, back ends and callers, in virtual time. */
 export class RequestWorld {
-  readonly submissions: Submission[] = [];
-  readonly runsByKey = new Map<string, number>();
+  readonly callers = new WorldCallers();
   isKeyValueDown = false;
-  retries = 0;
-  cutAnswers = 0;
   #now = 1000;
   #table: OwnerTable = createOwnerTable(WORLD_EPOCH_MS);
-  #nextConnection = 1;
   readonly #runLog = new RunLog();
   #planned: { readonly time: number; readonly run: () => void }[] = [];
   readonly #entries: EntryReducer[] = [];
   readonly #targets: TargetProcess[] = [];
-  #connections: Connection[] = [];
+  readonly #connections = new WorldConnections();
   readonly #options: RequestWorldOptions;
 
   /** All processes are up and connected, and every slot has an owner. */
@@ -136,17 +124,7 @@
       readonly deadlineMs?: number;
     },
   ): Submission {
-    const submission: Submission = {
-      id: this.submissions.length + 1,
-      entry,
-      method: request.method ?? "POST",
-      key: request.key,
-      body: request.body ?? `order ${request.key ?? ""}`,
-      streamed: "",
-      isStreamEnded: false,
-      runs: 0,
-    };
-    this.submissions.push(submission);
+    const submission = this.callers.add({ entry, ...request });
     this.#toEntry(entry, {
       kind: "request_arrived",
       now: this.#now,
@@ -175,9 +153,8 @@
 
   /** Delivers the next message of a connection, picked by number. */
   deliver(choice: number): void {
-    const open = this.#connections.filter((one) =>
-      !one.isStalled && !this.#target(one.target).isPaused &&
-      (one.toTarget.length > 0 || one.toEntry.length > 0)
+    const open = this.#connections.all().filter((one) =>
+      this.#isOpen(one) && isBusy(one)
     );
     const connection = open[choice % Math.max(1, open.length)];
     if (connection === undefined) return;
@@ -189,9 +166,8 @@
 
   /** Delivers every message, but lets no run get on. */
   deliverAll(): void {
-    const isOpen = (one: Connection) =>
-      !one.isStalled && !this.#target(one.target).isPaused;
-    for (const connection of this.#connections.filter(isOpen)) {
+    const open = this.#connections.all().filter((one) => this.#isOpen(one));
+    for (const connection of open) {
       while (connection.toTarget.length > 0) this.#deliverToTarget(connection);
       while (connection.toEntry.length > 0) this.#deliverToEntry(connection);
     }
@@ -199,11 +175,8 @@
 
   /** Nothing gets through between these two for now. */
   stallBetween(entry: number, target: number): void {
-    for (const connection of this.#connections) {
-      const isMeant = connection.entry === entry &&
-        connection.target === target;
-      if (isMeant) connection.isStalled = true;
-    }
+    const connection = this.#connections.tryBetween(entry, target);
+    if (connection !== undefined) connection.isStalled = true;
   }
 
   /** The slot of a key of this world's service. */
@@ -262,21 +235,19 @@
 
   /** The connection is lost; both sides notice. */
   disconnect(choice: number): void {
-    const open = this.#connections;
-    const connection = open[choice % Math.max(1, open.length)];
+    const connection = this.#connections.tryPick(choice);
     if (connection !== undefined) this.#disconnect(connection);
   }
 
   /** Nothing gets through for now. */
   stall(choice: number): void {
-    const open = this.#connections;
-    const connection = open[choice % Math.max(1, open.length)];
+    const connection = this.#connections.tryPick(choice);
     if (connection !== undefined) connection.isStalled = true;
   }
 
   /** Everything that was stalled gets through again. */
   unstallAll(): void {
-    for (const connection of this.#connections) connection.isStalled = false;
+    this.#connections.unstallAll();
   }
 
   /** Connections are made where there are none. */
@@ -295,8 +266,8 @@
     process.isUp = false;
     process.isPaused = false;
     process.runs.clear();
-    for (const connection of [...this.#connections]) {
-      if (connection.target === target) this.#disconnect(connection);
+    for (const connection of this.#connections.ofTarget(target)) {
+      this.#disconnect(connection);
     }
   }
 
@@ -440,10 +411,7 @@
 
   /** The next message from a target to an entry is lost. */
   dropNext(entry: number, target: number): void {
-    const connection = this.#connections.find((one) =>
-      one.entry === entry && one.target === target
-    );
-    connection?.toEntry.shift();
+    this.#connections.tryBetween(entry, target)?.toEntry.shift();
   }
 
   /** The target learns from the list or the settings whether it is leaving. */
@@ -491,17 +459,15 @@
   /** Delivers everything and lets every run end. */
   settle(): void {
     for (let round = 0; round < 10_000; round++) {
-      const isQuiet = this.#connections.every((one) =>
-        one.isStalled || this.#target(one.target).isPaused ||
-        (one.toTarget.length === 0 && one.toEntry.length === 0)
+      const isQuiet = this.#connections.all().every((one) =>
+        !this.#isOpen(one) || !isBusy(one)
       );
       const isIdle = this.#targets.every((one) =>
         one.isPaused || one.runs.size === 0
       );
       if (isQuiet && isIdle) return;
-      for (const connection of [...this.#connections]) {
-        if (connection.isStalled) continue;
-        if (this.#target(connection.target).isPaused) continue;
+      for (const connection of this.#connections.all()) {
+        if (!this.#isOpen(connection)) continue;
         this.#deliverToTarget(connection);
         this.#deliverToEntry(connection);
       }
@@ -514,10 +480,7 @@
 
   /** What must hold at every moment. */
   checkInvariants(): void {
-    for (const [key, runs] of this.runsByKey) {
-      assert.ok(runs <= 1, `Key ${key} ran ${runs} times`);
-    }
-    for (const submission of this.submissions) checkSubmission(submission);
+    this.callers.check();
   }
 
   #createTarget(incarnation: number): TargetProcess {
@@ -544,6 +507,11 @@
     };
   }
 
+  /** Whether messages get through. */
+  #isOpen({ isStalled, target }: Connection): boolean {
+    return !isStalled && !this.#target(target).isPaused;
+  }
+
   #target(target: number): TargetProcess {
     return this.#targets[target] as TargetProcess;
   }
@@ -557,19 +525,10 @@
   #connect(entry: number, target: number): void {
     const process = this.#target(target);
     if (!process.isUp || process.isPaused) return;
-    const isConnected = this.#connections.some((one) =>
-      one.entry === entry && one.target === target
-    );
+    const isConnected =
+      this.#connections.tryBetween(entry, target) !== undefined;
     if (isConnected) return;
-    const connection: Connection = {
-      id: this.#nextConnection++,
-      entry,
-      target,
-      toTarget: [],
-      toEntry: [],
-      isStalled: false,
-    };
-    this.#connections.push(connection);
+    const connection = this.#connections.add(entry, target);
     this.#toEntry(entry, {
       kind: "target_connected",
       now: this.#now,
@@ -589,7 +548,7 @@
   }
 
   #disconnect(connection: Connection): void {
-    this.#connections = this.#connections.filter((one) => one !== connection);
+    this.#connections.remove(connection);
     const process = this.#target(connection.target);
     if (process.isUp && !process.isPaused) {
       this.#toTarget(connection.target, {
@@ -636,66 +595,12 @@
   }
 
   #performEntry(entry: number, effect: EntryEffect): void {
-    switch (effect.kind) {
-      case "send": {
-        const connection = this.#connections.find((one) =>
-          one.entry === entry && nameOf(one.target) === effect.targetName
-        );
-        connection?.toTarget.push(effect.message);
-        return;
-      }
-      case "start_answer":
-        return;
-      case "continue_answer":
-        this.#submission(effect.requestId).streamed += Buffer.from(
-          effect.bytes,
-        ).toString();
-        return;
-      case "finish_answer": {
-        const submission = this.#submission(effect.requestId);
-        return this.#told(submission, {
-          status: 200,
-          body: submission.streamed,
-          isCut: false,
-        });
-      }
-      case "whole_answer":
-        return this.#told(this.#submission(effect.requestId), {
-          status: effect.status,
-          body: Buffer.concat(effect.body).toString(),
-          isCut: false,
-        });
-      case "cut_answer":
-        this.cutAnswers++;
-        return this.#told(this.#submission(effect.requestId), {
-          status: 200,
-          isCut: true,
-        });
-      case "refuse_request":
-        return this.#told(this.#submission(effect.requestId), {
-          status: effect.problem.status,
-          problem: effect.problem,
-          isCut: false,
-        });
-      case "count_retry":
-        this.retries++;
-        return;
-      default:
-        return;
-    }
-  }
-
-  #told(submission: Submission, outcome: CallerOutcome): void {
-    assert.equal(submission.outcome, undefined, "A caller is told once");
-    submission.outcome = outcome;
-    const { key } = submission;
-    if (key === undefined || outcome.problem?.outcome !== "not-run") return;
-    const runs = this.runsByKey.get(key) ?? 0;
-    assert.equal(runs, 0, `Key ${key} has run and is said not to have`);
-  }
-
-  #submission(id: number): Submission {
-    return this.submissions[id - 1] as Submission;
+    if (effect.kind !== "send") return this.callers.note(effect);
+    this.#connections.all()
+      .find((one) =>
+        one.entry === entry && nameOf(one.target) === effect.targetName
+      )
+      ?.toTarget.push(effect.message);
   }
 
   #toTarget(target: number, event: TargetEvent): void {
@@ -709,29 +614,23 @@
     const process = this.#target(target);
     switch (effect.kind) {
       case "reply":
-        this.#connections.find((one) => one.id === effect.linkId)
-          ?.toEntry.push(effect.message);
+        this.#connections.tryGet(effect.linkId)?.toEntry.push(effect.message);
         return;
       case "broadcast":
-        for (const connection of this.#connections) {
-          if (connection.target !== target) continue;
+        for (const connection of this.#connections.ofTarget(target)) {
           connection.toEntry.push(effect.message);
         }
         return;
       case "start_back_end": {
         const header = effect.request.headers
           .find(([name]) => name === "x-submission");
-        const submission = this.#submission(Number(header?.[1]));
-        submission.runs++;
+        const submission = this.callers.get(Number(header?.[1]));
+        this.callers.countRun(submission);
         this.#runLog.note({
           target,
           entry: submission.entry,
           at: this.#now,
         });
-        if (submission.key !== undefined) {
-          const runs = this.runsByKey.get(submission.key) ?? 0;
-          this.runsByKey.set(submission.key, runs + 1);
-        }
         process.runs.start(effect.runId, submission);
         return;
       }
--- /dev/null
+++ b/src/testing/world_callers.ts
@@ -0,0 +1,118 @@
+/**
+ * The callers of a world under faults: what each sent, how often it ran and what it was
+ * told, and what must hold of that at every moment.
+ *
+ * @module
+ */
+import assert from "node:assert/strict";
+import { Buffer } from "node:buffer";
+import type { EntryEffect } from "../entry/types.ts";
+import {
+  type CallerOutcome,
+  checkSubmission,
+  type Submission,
+} from "./submissions.ts";
+
+/** What a caller sends, and through which entry. */
+export interface NewSubmission {
+  readonly entry: number;
+  readonly method?: string;
+  readonly key?: string;
+  readonly body?: string;
+}
+
+/** The callers of a world. */
+export class WorldCallers {
+  readonly submissions: Submission[] = [];
+  /** Times that a key's request began to run. */
+  readonly runsByKey = new Map<string, number>();
+  /** Retries that entries made. */
+  retries = 0;
+  /** Answers that entries cut. */
+  cutAnswers = 0;
+
+  /** A caller sends a request. */
+  add({ entry, method, key, body }: NewSubmission): Submission {
+    const submission: Submission = {
+      id: this.submissions.length + 1,
+      entry,
+      method: method ?? "POST",
+      key,
+      body: body ?? `order ${key ?? ""}`,
+      streamed: "",
+      isStreamEnded: false,
+      runs: 0,
+    };
+    this.submissions.push(submission);
+    return submission;
+  }
+
+  /** The submission with a number. */
+  get(id: number): Submission {
+    return this.submissions[id - 1] as Submission;
+  }
+
+  /** A back end began to run it. */
+  countRun(submission: Submission): void {
+    submission.runs++;
+    const { key } = submission;
+    if (key === undefined) return;
+    this.runsByKey.set(key, (this.runsByKey.get(key) ?? 0) + 1);
+  }
+
+  /** Takes in what an entry does towards callers. */
+  note(effect: EntryEffect): void {
+    switch (effect.kind) {
+      case "continue_answer":
+        this.get(effect.requestId).streamed += Buffer.from(effect.bytes)
+          .toString();
+        return;
+      case "finish_answer": {
+        const { streamed } = this.get(effect.requestId);
+        return this.#told(effect.requestId, {
+          status: 200,
+          body: streamed,
+          isCut: false,
+        });
+      }
+      case "whole_answer":
+        return this.#told(effect.requestId, {
+          status: effect.status,
+          body: Buffer.concat(effect.body).toString(),
+          isCut: false,
+        });
+      case "cut_answer":
+        this.cutAnswers++;
+        return this.#told(effect.requestId, { status: 200, isCut: true });
+      case "refuse_request":
+        return this.#told(effect.requestId, {
+          status: effect.problem.status,
+          problem: effect.problem,
+          isCut: false,
+        });
+      case "count_retry":
+        this.retries++;
+        return;
+      default:
+        return;
+    }
+  }
+
+  /** What must hold at every moment. */
+  check(): void {
+    for (const [key, runs] of this.runsByKey) {
+      assert.ok(runs <= 1, `Key ${key} ran ${runs} times`);
+    }
+    for (const submission of this.submissions) checkSubmission(submission);
+  }
+
+  #told(id: number, outcome: CallerOutcome): void {
+    const submission = this.get(id);
+    assert.equal(submission.outcome, undefined, "A caller is told once");
+    submission.outcome = outcome;
+    const { key } = submission;
+    if (key === undefined || outcome.problem?.outcome !== "not-run") return;
+    const runs = this.runsByKey.get(key) ?? 0;
+    assert.equal(runs, 0, `Key ${key} has run and is said not to have`);
+  }
+}
