--- a/src/entry/target_selection.ts
+++ b/src/entry/target_selection.ts
@@ -226,13 +226,17 @@
 /** Requests that are late already leave room for those that are not. */
 function mayBeSent(
   inFlight: InFlightRequest,
-  { group }: TargetRecord,
+  target: TargetRecord,
   now: number,
 ): boolean {
+  const { group } = target;
   if (group === undefined || !inFlight.isLateAt(now)) return true;
   const { pauseObjectiveMs } = inFlight.route.service;
-  const waitedMs = now - inFlight.arrivedAt;
-  return group.lateAdmission.isOpen(pauseObjectiveMs, { now, waitedMs });
+  return group.lateAdmission.isOpen(pauseObjectiveMs, {
+    now,
+    waitedMs: now - inFlight.arrivedAt,
+    hasFreePlace: estimateLoad(target) < 1,
+  });
 }
 
 /** Only a load that was told lately can refuse a request. */
--- a/src/policy/late_admission.ts
+++ b/src/policy/late_admission.ts
@@ -32,6 +32,8 @@
   readonly now: number;
   /** Milliseconds since it came to this entry. */
   readonly waitedMs: number;
+  /** Whether the target would begin with it at once. */
+  readonly hasFreePlace: boolean;
 }
 
 /**
@@ -69,12 +71,12 @@
    * ```ts
    * const admission = new LateAdmission();
    * admission.note({ passMs: 50, at: 0 });
-   * admission.isOpen(120, { now: 10, waitedMs: 0 }); // true
+   * admission.isOpen(120, { now: 10, waitedMs: 0, hasFreePlace: true }); // true
    * ```
    */
   isOpen(pauseObjectiveMs: number | undefined, late: LateRequest): boolean {
-    const { now, waitedMs } = late;
-    if (waitedMs >= LONGEST_HELD_MS) return true;
+    const { now, waitedMs, hasFreePlace } = late;
+    if (waitedMs >= LONGEST_HELD_MS && hasFreePlace) return true;
     const word = this.#word;
     if (word === undefined || now - word.at > WORD_LIMIT_MS) return true;
     if (pauseObjectiveMs === undefined) return true;
--- a/src/policy/late_admission_test.ts
+++ b/src/policy/late_admission_test.ts
@@ -18,7 +18,11 @@
 
 /** Whether one that has just come may be sent. */
 function isOpenAt(admission: LateAdmission, now: number): boolean {
-  return admission.isOpen(PAUSE_OBJECTIVE_MS, { now, waitedMs: 0 });
+  return admission.isOpen(PAUSE_OBJECTIVE_MS, {
+    now,
+    waitedMs: 0,
+    hasFreePlace: true,
+  });
 }
 
 /** Longest pass within three seconds from the opening of a lost group. */
@@ -86,8 +90,15 @@
   it("are let in before their callers leave, though passes are long", () => {
     const admission = new LateAdmission();
     admission.note({ passMs: 100, at: 0 });
-    const late = (waitedMs: number) => ({ now: 100, waitedMs });
-    assert.equal(admission.isOpen(PAUSE_OBJECTIVE_MS, late(1000)), false);
-    assert.equal(admission.isOpen(PAUSE_OBJECTIVE_MS, late(1400)), true);
+    const isOpenAfter = (waitedMs: number, hasFreePlace: boolean) =>
+      admission.isOpen(PAUSE_OBJECTIVE_MS, {
+        now: 100,
+        waitedMs,
+        hasFreePlace,
+      });
+    assert.equal(isOpenAfter(1000, true), false);
+    assert.equal(isOpenAfter(1400, true), true);
+    // Its caller would leave before the place is free.
+    assert.equal(isOpenAfter(1400, false), false);
   });
 });
