--- a/src/policy/late_admission.ts
+++ b/src/policy/late_admission.ts
@@ -13,9 +13,10 @@
  * pause. Each entry acts by itself on the same word, and what all entries together let
  * in between two words moves the time of a pass by less than what is kept free.
  *
- * None is held back until its caller leaves: one that has waited for long goes where there
- * is a place. A caller that gets nothing is worse off than some that get theirs late, and
- * who waits has arrived over time, so they go in over time, too.
+ * None is held back until its caller leaves while passes are still shorter than that pause:
+ * one that has waited for long goes where there is a place. A caller that gets nothing is
+ * worse off than some that get theirs late, and who waits has arrived over time, so they
+ * go in over time, too.
  *
  * @module
  */
@@ -75,11 +76,11 @@
    * ```
    */
   isOpen(pauseObjectiveMs: number | undefined, late: LateRequest): boolean {
-    const { now, waitedMs, hasFreePlace } = late;
-    if (waitedMs >= LONGEST_HELD_MS && hasFreePlace) return true;
+    const { now } = late;
     const word = this.#word;
     if (word === undefined || now - word.at > WORD_LIMIT_MS) return true;
     if (pauseObjectiveMs === undefined) return true;
+    if (isLastChance(late, word, pauseObjectiveMs)) return true;
     return this.#let < mostPerWord(word, pauseObjectiveMs);
   }
 
@@ -89,6 +90,19 @@
   }
 }
 
+/**
+ * Whether it is served now or not at all, and can be. Where passes take longer than callers
+ * bear, there are too many requests for the group, and one more has others end unserved.
+ */
+function isLastChance(
+  { waitedMs, hasFreePlace }: LateRequest,
+  { passMs = 0 }: PassWord,
+  pauseObjectiveMs: number,
+): boolean {
+  return waitedMs >= LONGEST_HELD_MS && hasFreePlace &&
+    passMs <= pauseObjectiveMs;
+}
+
 function mostPerWord({ passMs }: PassWord, pauseObjectiveMs: number): number {
   if (passMs === undefined) return MOST_PER_FIRST_WORD;
   return passMs <= SHORT_PASS_PART * pauseObjectiveMs ? MOST_PER_WORD : 0;
--- a/src/policy/late_admission_test.ts
+++ b/src/policy/late_admission_test.ts
@@ -101,4 +101,16 @@
     // Its caller would leave before the place is free.
     assert.equal(isOpenAfter(1400, false), false);
   });
+
+  /**
+   * The pattern: a decider stands still while popularity changes, passes are too long for
+   * seconds, and each request that is added has others meet the end of their callers'
+   * patience.
+   */
+  it("are not let in besides where passes are longer than callers bear", () => {
+    const admission = new LateAdmission();
+    admission.note({ passMs: 150, at: 0 });
+    const late = { now: 100, waitedMs: 1400, hasFreePlace: true };
+    assert.equal(admission.isOpen(PAUSE_OBJECTIVE_MS, late), false);
+  });
 });
