--- a/src/direct/settings_follower_test.ts
+++ b/src/direct/settings_follower_test.ts
@@ -9,11 +9,10 @@
 } from "../external/operator_settings.ts";
 import {
   type StoreItem,
-  type StoreLease,
   type StoreListing,
   type StoreWatchOutcome,
-  WatchedStore,
 } from "../external/watched_store.ts";
+import { UnregisteredStore } from "../testing/unregistered_store.ts";
 import { SettingsFollower } from "./settings_follower.ts";
 
 const SETTINGS_KEY = "settings";
@@ -45,7 +44,7 @@
 }
 
 /** Lists a first version, tells one batch of changes, and then nothing more. */
-class BatchStore extends WatchedStore {
+class BatchStore extends UnregisteredStore {
   watches = 0;
   readonly #written: readonly StoreItem[];
   #isTold = false;
@@ -80,18 +79,6 @@
     const written = this.#written;
     return Promise.resolve({ kind: "changed", written, removed: [], revision });
   }
-
-  override register(): Promise<StoreLease> {
-    return Promise.reject(new Error("not here"));
-  }
-
-  override renew(): Promise<boolean> {
-    return Promise.resolve(false);
-  }
-
-  override release(): Promise<void> {
-    return Promise.resolve();
-  }
 }
 
 interface Followed {
--- a/src/direct/store_watch_test.ts
+++ b/src/direct/store_watch_test.ts
@@ -3,12 +3,12 @@
 import { setTimeout as sleep } from "node:timers/promises";
 import { EventLog } from "../events/event_log.ts";
 import {
-  type StoreLease,
   type StoreListing,
   type StoreWatchOptions,
   type StoreWatchOutcome,
   WatchedStore,
 } from "../external/watched_store.ts";
+import { UnregisteredStore } from "../testing/unregistered_store.ts";
 import { Reachability } from "./reachability.ts";
 import { getRetryPauseMs, StoreWatch } from "./store_watch.ts";
 
@@ -23,7 +23,7 @@
 }
 
 /** Lists nothing, and holds each watch until it is broken off. */
-class HoldingStore extends WatchedStore {
+class HoldingStore extends UnregisteredStore {
   lists = 0;
   watches = 0;
 
@@ -38,18 +38,6 @@
       signal.addEventListener("abort", () => reject(new Error("broken off")));
     });
   }
-
-  override register(): Promise<StoreLease> {
-    return Promise.reject(new Error("not here"));
-  }
-
-  override renew(): Promise<boolean> {
-    return Promise.resolve(false);
-  }
-
-  override release(): Promise<void> {
-    return Promise.resolve();
-  }
 }
 
 function createWatch(store: WatchedStore, readsAtOnce: boolean): StoreWatch {
