Derive whether a group is whole where it is asked

It was kept beside each belief and judged anew with each list and load. Behaviour is the same; whether a request is stalled draws no target by the way any more.

--- a/src/entry/group_belief.ts
+++ b/src/entry/group_belief.ts
@@ -29,8 +29,6 @@
   readonly name: string;
   /** Lets in requests that are late already. */
   readonly lateAdmission = new LateAdmission();
-  /** Whether each of its ranks is listed as serving, as far as is known. */
-  isWhole = true;
   #isOpen = true;
   #seenAt = Number.NEGATIVE_INFINITY;
 
--- a/src/entry/rank_groups.ts
+++ b/src/entry/rank_groups.ts
@@ -26,13 +26,27 @@
     for (const { engineAddress, group } of ranks) {
       this.#nameByAddress.set(engineAddress, group);
     }
-    this.#judgeAll();
   }
 
   /** The back ends were listed; these addresses have one that serves. */
   setServing(addresses: ReadonlySet<string>): void {
     this.#serving = addresses;
-    this.#judgeAll();
+  }
+
+  /**
+   * Whether each rank of a group is listed as serving, as far as is known. A group runs
+   * only with all its ranks.
+   */
+  isWhole(name: string): boolean {
+    return this.#ranksOf(name).every((address) => this.#serving.has(address));
+  }
+
+  #ranksOf(name: string): readonly string[] {
+    const asItLastRan = this.#ranksByName.get(name);
+    if (asItLastRan !== undefined) return asItLastRan;
+    return [...this.#nameByAddress.keys()].filter((address) =>
+      this.#nameByAddress.get(address) === name
+    );
   }
 
   /** A decider told of its group; returns whether that changed a belief. */
@@ -41,9 +55,7 @@
     const ranks = loads.map(({ engineAddress }) => engineAddress);
     for (const address of ranks) this.#nameByAddress.set(address, group);
     if (isOpen) this.#ranksByName.set(group, ranks);
-    const belief = this.#get(group);
-    this.#judge(belief);
-    belief.lateAdmission.note({ passMs, at: now });
+    this.#get(group).lateAdmission.note({ passMs, at: now });
     return this.see(group, { isOpen, seenAt: now - ageMs });
   }
 
@@ -58,25 +70,11 @@
     return name === undefined ? undefined : this.#get(name);
   }
 
-  #judgeAll(): void {
-    for (const group of this.#byName.values()) this.#judge(group);
-  }
-
-  /** A group runs only with all its ranks, so one that is not listed keeps it from it. */
-  #judge(group: GroupBelief): void {
-    const ranks = this.#ranksByName.get(group.name) ??
-      [...this.#nameByAddress.keys()].filter((address) =>
-        this.#nameByAddress.get(address) === group.name
-      );
-    group.isWhole = ranks.every((address) => this.#serving.has(address));
-  }
-
   #get(name: string): GroupBelief {
     let group = this.#byName.get(name);
     if (group === undefined) {
       group = new GroupBelief(name);
       this.#byName.set(name, group);
-      this.#judge(group);
     }
     return group;
   }
--- a/src/entry/target_selection.ts
+++ b/src/entry/target_selection.ts
@@ -86,14 +86,10 @@
     if (inFlight.request.idempotencyKey !== undefined) {
       return this.#selectOwner(inFlight);
     }
-    const serving = this.registry.servingOf(inFlight.pool)
-      .filter((target) => !inFlight.hasTried(target.name));
+    const serving = this.#untriedOf(inFlight);
     if (serving.length === 0) return Err("NO_TARGET");
     const open = serving.filter((target) => !target.isGroupClosed(now));
-    if (open.length === 0) {
-      const mayRunSoon = serving.some(({ group }) => group?.isWhole);
-      return Err(mayRunSoon ? "GROUP_STALLED" : "GROUP_CLOSED");
-    }
+    if (open.length === 0) return Err(this.#closedReasonOf(serving));
     const free = open.filter((target) =>
       !isFull(target, now) && mayBeSent(inFlight, target, now)
     );
@@ -112,8 +108,26 @@
 
   /** Whether all that could serve it stand still, though none is known to be lost. */
   isStalled(inFlight: InFlightRequest, now: number): boolean {
-    const selected = this.select(inFlight, now);
-    return selected.isErr() && selected.error === "GROUP_STALLED";
+    const serving = this.#untriedOf(inFlight);
+    return serving.length > 0 &&
+      serving.every((target) => target.isGroupClosed(now)) &&
+      this.#closedReasonOf(serving) === "GROUP_STALLED";
+  }
+
+  #untriedOf(inFlight: InFlightRequest): readonly TargetRecord[] {
+    return this.registry.servingOf(inFlight.pool)
+      .filter(({ name }) => !inFlight.hasTried(name));
+  }
+
+  /** Why targets cannot be sent a request whose groups are all known not to run. */
+  #closedReasonOf(
+    closed: readonly TargetRecord[],
+  ): "GROUP_CLOSED" | "GROUP_STALLED" {
+    const groups = new Set(closed.flatMap(({ group }) => group?.name ?? []));
+    const mayRunSoon = [...groups].some((name) =>
+      this.registry.groups.isWhole(name)
+    );
+    return mayRunSoon ? "GROUP_STALLED" : "GROUP_CLOSED";
   }
 
   /** So many entries send requests, this one included. */
@@ -176,8 +190,8 @@
 
   /** Whether some target that was not tried serves the request's pool. */
   hasOther(inFlight: InFlightRequest, now: number): boolean {
-    return this.registry.servingOf(inFlight.pool).some((target) =>
-      !inFlight.hasTried(target.name) && !target.isGroupClosed(now)
+    return this.#untriedOf(inFlight).some((target) =>
+      !target.isGroupClosed(now)
     );
   }
 
