Hear of the limits that servers name, log them, and tell other entries

The logs could not tell which answers bore a limit nor when each entry was told: 2810 TARGET_LIMITED has the target, what it takes, whether an answer or another entry said so, and how old that is; 2811 has a limit that is no number.

Entries already told each other of requests that crash servers. That mechanism has two contents now: MemoryTeller tells one memory to one entry, EntryMemories brings both together. An entry of an earlier version that says nothing of memories is still understood.

Which limit holds where entries differ: each change counts up a version, of two of one version the lower limit holds, and an end is believed only of a request that was sent after the limit was heard, since the head of an answer may be older than the need.

--- a/src/direct/direct_entry_driver.ts
+++ b/src/direct/direct_entry_driver.ts
@@ -29,6 +29,7 @@
 import { type Directory, DirectoryFollower } from "./directory_follower.ts";
 import { DirectTargetPool } from "./direct_target_pool.ts";
 import { GroupLoadFollower } from "./group_load_follower.ts";
+import { EntryMemories } from "./peers/entry_memories.ts";
 import { EntryPeers } from "./peers/entry_peers.ts";
 import type { ListedProcess } from "./listed_process.ts";
 import { ProcessRegistry } from "./process_registry.ts";
@@ -109,7 +110,7 @@
       metrics: this.#metrics,
       log,
       onPaused: () => this.#catchUp(),
-      onCrashes: () => this.#peers.crashesChanged(),
+      onMemoriesChanged: () => this.#peers.memoriesChanged(),
     });
     this.#targets = new DirectTargetPool({
       createBackEnd: options.createBackEnd,
@@ -179,13 +180,22 @@
           processes: this.#registry.processes,
         },
       }),
-      crashes: this.#reducer.crashes,
-      onCrashes: (requests) =>
-        this.#server.dispatch({
-          kind: "crashes_told",
-          now: performance.now(),
-          requests,
-        }),
+      memories: new EntryMemories({
+        crashes: this.#reducer.crashes,
+        limits: this.#reducer.limits,
+        onCrashes: (requests) =>
+          this.#server.dispatch({
+            kind: "crashes_told",
+            now: performance.now(),
+            requests,
+          }),
+        onLimits: (limits) =>
+          this.#server.dispatch({
+            kind: "limits_told",
+            now: performance.now(),
+            limits,
+          }),
+      }),
       onSettings: (text) => void this.#settings.offer(text, "entry"),
       onSettingsChecked: (checkedAt) => this.#settings.noteChecked(checkedAt),
       onDirectory: (directory) => this.#directory.offer(directory),
--- a/src/direct/direct_target.ts
+++ b/src/direct/direct_target.ts
@@ -19,6 +19,7 @@
   AttemptMessage,
   CancelMessage,
   Header,
+  RateLimitWord,
   SubmitMessage,
 } from "../messages/types.ts";
 import { getReasonOf } from "../refusals/back_end_failures.ts";
@@ -84,6 +85,7 @@
   #load: BackEndLoad = { running: 0, queued: 0 };
   /** Nothing is kept of a connection that gave no answer. */
   #keptMs = 0;
+  #rateLimit: RateLimitWord | undefined;
   #isOver = false;
 
   constructor(submit: SubmitMessage, options: DirectAttemptOptions) {
@@ -106,6 +108,7 @@
     };
     this.#call = backEnd.start(request, {
       onLoad: (load) => this.#load = load,
+      onRateLimit: (word) => this.#rateLimit = word,
       onKept: (milliseconds) => this.#keptMs = milliseconds,
       onHead: (status, answerHeaders, framing) =>
         this.#onHead(status, answerHeaders, framing),
@@ -132,6 +135,7 @@
       status,
       headers,
       endsWithConnection: framing?.endsWithConnection,
+      rateLimit: this.#rateLimit,
     });
   }
 
@@ -167,6 +171,7 @@
       keptMs: isNotRun(failure) ? this.#keptMs : 0,
       outcome: submission,
       submission,
+      rateLimit: this.#rateLimit,
     });
   }
 
--- a/src/direct/peers/entry_peers.ts
+++ b/src/direct/peers/entry_peers.ts
@@ -6,19 +6,16 @@
  */
 import { performance } from "node:perf_hooks";
 import type { RandomSource } from "../../core/random_source.ts";
-import type { CrashMemory } from "../../entry/crash_watch.ts";
 import type { EventLog } from "../../events/event_log.ts";
 import type { LinkIdentity } from "../../links/link_server.ts";
-import type { CrashedRequest } from "../../policy/crash_history.ts";
 import type { Directory } from "../directory_follower.ts";
-import { readCrashNews } from "./crash_news.ts";
+import type { EntryMemories } from "./entry_memories.ts";
 import { type ListedEntry, listReaderCandidates } from "./peer_choice.ts";
 import { PeerFollower } from "./peer_follower.ts";
 import { PeerServer, type StoreKnowledge } from "./peer_server.ts";
 import { ReaderFollower } from "./reader_follower.ts";
 import { ReaderTurns } from "./reader_turns.ts";
 import type {
-  CrashedRequestNews,
   DirectoryNews,
   KnownNews,
   ProcessNews,
@@ -45,10 +42,7 @@
   readonly log: EventLog;
   /** What this entry heard from the store. */
   readonly getKnowledge: () => StoreKnowledge;
-  /** What this entry remembers of targets that ended under requests. */
-  readonly crashes: CrashMemory;
-  /** Another entry told what it remembers of them. */
-  readonly onCrashes: (requests: readonly CrashedRequest[]) => void;
+  readonly memories: EntryMemories;
   readonly onSettings: (text: string) => void;
   /** A reader's settings were the newest at a time in milliseconds. */
   readonly onSettingsChecked: (checkedAt: number) => void;
@@ -76,15 +70,14 @@
   /** Neither listens nor asks yet. */
   constructor(options: EntryPeersOptions) {
     this.#options = options;
-    const { identity, self, seedAddresses, random, log, crashes } = options;
+    const { identity, self, seedAddresses, random, log, memories } = options;
     const getKnown = () => this.#known();
     this.#turns = new ReaderTurns(options.leavingLimitMs);
     this.#server = new PeerServer({
       identity,
       log,
       getKnowledge: options.getKnowledge,
-      crashes,
-      onCrashes: (requests) => this.#takeCrashes(requests),
+      memories,
     });
     this.#asked = new PeerFollower({
       identity,
@@ -92,13 +85,13 @@
       seedAddresses,
       random,
       getKnown,
-      crashes,
+      memories,
       onNews: (news, askedAt) => this.#take(news, askedAt),
     });
     this.#reader = new ReaderFollower({
       identity,
       getKnown,
-      crashes,
+      memories,
       onNews: (news, { address, askedAt }) => {
         this.#take(news, askedAt);
         if (askedAt === undefined) return;
@@ -162,8 +155,8 @@
   }
 
   /**
-   * What entries remember of crashes is in no store. While this one asks no reader, it asks
-   * others, or it would neither tell nor hear of a request that ends targets.
+   * What entries remember is in no store. While this one asks no reader, it asks others, or
+   * it would neither tell nor hear of a request that ends targets.
    */
   get #isAlone(): boolean {
     return this.#candidateCount > 0 && !this.#turns.isLed;
@@ -184,8 +177,8 @@
     this.#server.tellFollowers();
   }
 
-  /** What is remembered of crashes has changed: all are to hear it before the next one. */
-  crashesChanged(): void {
+  /** What is remembered has changed: all are to hear it before it matters again. */
+  memoriesChanged(): void {
     this.#server.tellFollowers();
     this.#reader.askAgain();
   }
@@ -249,10 +242,10 @@
     news: StoreNewsMessage,
     askedAt: number | undefined,
   ): void {
-    const { settingsText, settingsAgeMs, directory, processes, crashes } = news;
+    const { settingsText, settingsAgeMs, directory, processes } = news;
     const { onSettings, onSettingsChecked, onDirectory, onProcesses } =
       this.#options;
-    if (crashes?.requests !== undefined) this.#takeCrashes(crashes.requests);
+    this.#options.memories.take(news.memories, performance.now());
     if (settingsText !== undefined) onSettings(settingsText);
     if (askedAt !== undefined && settingsAgeMs !== undefined) {
       onSettingsChecked(askedAt - settingsAgeMs);
@@ -263,10 +256,6 @@
     this.#server.tellFollowers();
   }
 
-  #takeCrashes(requests: readonly CrashedRequestNews[]): void {
-    this.#options.onCrashes(readCrashNews(requests, performance.now()));
-  }
-
   /** A list on this process's clock: as old as it was there, since it was asked for. */
   #tryDirectoryOf(
     { revision, ageMs, content, instances }: DirectoryNews,
--- a/src/direct/peers/peer_client.ts
+++ b/src/direct/peers/peer_client.ts
@@ -4,11 +4,15 @@
  * @module
  */
 import { performance } from "node:perf_hooks";
-import type { CrashMemory } from "../../entry/crash_watch.ts";
 import type { Link } from "../../links/link.ts";
 import { LinkClient } from "../../links/link_client.ts";
 import type { LinkIdentity } from "../../links/link_server.ts";
-import { CrashTeller, NOTHING_REMEMBERED } from "./crash_news.ts";
+import {
+  type EntryMemories,
+  getContents,
+  type MemoriesTeller,
+  NO_MEMORIES,
+} from "./entry_memories.ts";
 import type { KnownNews, StoreNewsMessage } from "./types.ts";
 
 /** Options of a {@link PeerClient}. */
@@ -18,8 +22,7 @@
   readonly address: string;
   /** What this entry has already. */
   readonly getKnown: () => KnownNews;
-  /** What this entry remembers of targets that ended under requests. */
-  readonly crashes: CrashMemory;
+  readonly memories: EntryMemories;
   /** Whether news is to follow each question. */
   readonly isFollowing: boolean;
   /**
@@ -37,17 +40,17 @@
   #link: Link | undefined;
   #queryId = 0;
   #askedAt = 0;
-  /** What the other entry said last that it remembers of crashes, in short. */
-  #toldCrashes = NOTHING_REMEMBERED;
-  #teller: CrashTeller;
+  /** What the other entry said last that it remembers, in short. */
+  #toldContents = NO_MEMORIES;
+  #teller: MemoriesTeller;
   /** A question that waits for the connection. */
   #isWaiting = false;
 
   /** Dials at once. */
   constructor(options: PeerClientOptions) {
     this.#options = options;
-    const { address, identity, crashes } = options;
-    this.#teller = new CrashTeller(crashes);
+    const { address, identity, memories } = options;
+    this.#teller = memories.createTeller();
     this.#client = new LinkClient({
       address,
       role: "entry",
@@ -79,7 +82,7 @@
       ...getKnown(),
       queryId: ++this.#queryId,
       isFollowing,
-      crashes: this.#teller.tryTell(this.#toldCrashes, this.#askedAt),
+      memories: this.#teller.tell(this.#toldContents, this.#askedAt),
     });
   }
 
@@ -90,13 +93,13 @@
 
   #disconnected(): void {
     this.#link = undefined;
-    this.#toldCrashes = NOTHING_REMEMBERED;
-    this.#teller = new CrashTeller(this.#options.crashes);
+    this.#toldContents = NO_MEMORIES;
+    this.#teller = this.#options.memories.createTeller();
     this.#options.onDisconnected();
   }
 
   #receive(news: StoreNewsMessage): void {
-    this.#toldCrashes = news.crashes?.content ?? NOTHING_REMEMBERED;
+    this.#toldContents = getContents(news.memories);
     const isLatest = news.queryId === this.#queryId;
     this.#options.onNews(news, isLatest ? this.#askedAt : undefined);
   }
--- a/src/direct/peers/peer_follower.ts
+++ b/src/direct/peers/peer_follower.ts
@@ -5,8 +5,8 @@
  * @module
  */
 import type { RandomSource } from "../../core/random_source.ts";
-import type { CrashMemory } from "../../entry/crash_watch.ts";
 import type { LinkIdentity } from "../../links/link_server.ts";
+import type { EntryMemories } from "./entry_memories.ts";
 import { PeerClient } from "./peer_client.ts";
 import { choosePeers } from "./peer_choice.ts";
 import type { KnownNews, StoreNewsMessage } from "./types.ts";
@@ -27,8 +27,7 @@
   readonly random: RandomSource;
   /** What this entry has already. */
   readonly getKnown: () => KnownNews;
-  /** What this entry remembers of targets that ended under requests. */
-  readonly crashes: CrashMemory;
+  readonly memories: EntryMemories;
   /** `askedAt` is when the question that this answers was sent. */
   readonly onNews: (news: StoreNewsMessage, askedAt?: number) => void;
 }
@@ -97,12 +96,12 @@
   }
 
   #dial(address: string): void {
-    const { identity, getKnown, crashes } = this.#options;
+    const { identity, getKnown, memories } = this.#options;
     const client = new PeerClient({
       address,
       identity,
       getKnown,
-      crashes,
+      memories,
       isFollowing: false,
       onNews: (news, askedAt) => this.#receive(news, askedAt),
       // The client dials again, and the next draw may leave the address out.
--- a/src/direct/peers/peer_server.ts
+++ b/src/direct/peers/peer_server.ts
@@ -1,19 +1,23 @@
 /**
- * Tells other entries what this one heard from the store, and what it remembers of crashes.
+ * Tells other entries what this one heard from the store, and what it remembers.
  *
  * @module
  */
 import { performance } from "node:perf_hooks";
-import type { CrashMemory } from "../../entry/crash_watch.ts";
 import type { EventLog } from "../../events/event_log.ts";
 import type { Link } from "../../links/link.ts";
 import { type LinkIdentity, LinkServer } from "../../links/link_server.ts";
 import { HttpListener } from "../../process/http_listener.ts";
 import type { Directory } from "../directory_follower.ts";
 import type { SettingsInUse } from "../settings_follower.ts";
-import { CrashTeller, NOTHING_REMEMBERED } from "./crash_news.ts";
+import {
+  areSame,
+  type EntryMemories,
+  getContents,
+  type MemoriesTeller,
+  type MemoryContents,
+} from "./entry_memories.ts";
 import type {
-  CrashedRequestNews,
   KnownNews,
   ProcessNews,
   StoreNewsMessage,
@@ -39,18 +43,18 @@
   readonly identity: LinkIdentity;
   readonly log: EventLog;
   readonly getKnowledge: () => StoreKnowledge;
-  /** What this entry remembers of targets that ended under requests. */
-  readonly crashes: CrashMemory;
-  /** An entry that asks tells what it remembers of them. */
-  readonly onCrashes: (requests: readonly CrashedRequestNews[]) => void;
+  readonly memories: EntryMemories;
 }
 
+/** News of the store alone. */
+type StoreNews = Omit<StoreNewsMessage, "memories">;
+
 /** What one that follows has been told. */
 interface Follower {
   readonly known: KnownNews;
-  /** What it remembers of targets that ended under requests, in short. */
-  readonly crashes: string;
-  readonly teller: CrashTeller;
+  /** What it remembers, in short. */
+  readonly contents: MemoryContents;
+  readonly teller: MemoriesTeller;
 }
 
 /** Answers the queries of other entries. */
@@ -68,7 +72,7 @@
       welcome: { pool: "entries", concurrency: 0 },
       listener: {
         onPeer: (link) => {
-          const teller = new CrashTeller(options.crashes);
+          const teller = options.memories.createTeller();
           return {
             onMessage: (message) => {
               if (message.kind === "store_news_query") {
@@ -105,43 +109,40 @@
   /** Tells those who follow what is news to them. */
   tellFollowers(): void {
     const knowledge = this.#options.getKnowledge();
-    const { content } = this.#options.crashes;
-    for (const [link, { known, crashes, teller }] of this.#followers) {
+    const { contents: own } = this.#options.memories;
+    for (const [link, { known, contents, teller }] of this.#followers) {
       // One that does not read is better off with a list of its own.
       if (link.bufferedBytes > MOST_UNSENT_BYTES) continue;
-      if (!hasNews(knowledge, known) && crashes === content) continue;
+      if (!hasNews(knowledge, known) && areSame(contents, own)) continue;
       const now = performance.now();
       link.send({
         ...createNews(knowledge, known, now),
-        crashes: teller.tryTell(crashes, now),
+        memories: teller.tell(contents, now),
       });
       this.#follow(link, knownAfter(knowledge, known), teller);
     }
   }
 
-  #follow(link: Link, known: KnownNews, teller: CrashTeller): void {
-    const crashes = this.#options.crashes.content;
-    this.#followers.set(link, { known, crashes, teller });
+  #follow(link: Link, known: KnownNews, teller: MemoriesTeller): void {
+    const { contents } = this.#options.memories;
+    this.#followers.set(link, { known, contents, teller });
   }
 
   #answer(
     link: Link,
     query: StoreNewsQueryMessage,
-    teller: CrashTeller,
+    teller: MemoriesTeller,
   ): void {
-    const { getKnowledge, onCrashes } = this.#options;
-    if (query.crashes?.requests !== undefined) {
-      onCrashes(query.crashes.requests);
-    }
+    const { getKnowledge, memories } = this.#options;
+    memories.take(query.memories, performance.now());
     const knowledge = getKnowledge();
     if (query.isFollowing) {
       this.#follow(link, knownAfter(knowledge, query), teller);
     }
     const now = performance.now();
-    const other = query.crashes?.content ?? NOTHING_REMEMBERED;
     link.send({
       ...createNews(knowledge, query, now),
-      crashes: teller.tryTell(other, now),
+      memories: teller.tell(getContents(query.memories), now),
       queryId: query.queryId,
     });
   }
@@ -159,7 +160,7 @@
   knowledge: StoreKnowledge,
   known: KnownNews,
   now: number,
-): StoreNewsMessage {
+): StoreNews {
   const { isReading, settings, settingsCheckedAt, directory, processes } =
     knowledge;
   const isListNew = directory?.content !== known.directoryContent;
--- a/src/direct/peers/reader_follower.ts
+++ b/src/direct/peers/reader_follower.ts
@@ -3,8 +3,8 @@
  *
  * @module
  */
-import type { CrashMemory } from "../../entry/crash_watch.ts";
 import type { LinkIdentity } from "../../links/link_server.ts";
+import type { EntryMemories } from "./entry_memories.ts";
 import { PeerClient } from "./peer_client.ts";
 import type { KnownNews, StoreNewsMessage } from "./types.ts";
 
@@ -13,8 +13,7 @@
   readonly identity: LinkIdentity;
   /** What this entry has already. */
   readonly getKnown: () => KnownNews;
-  /** What this entry remembers of targets that ended under requests. */
-  readonly crashes: CrashMemory;
+  readonly memories: EntryMemories;
   /** `askedAt` is when the question that this answers was sent. */
   readonly onNews: (
     news: StoreNewsMessage,
@@ -54,13 +53,13 @@
 
   #dial(address: string): void {
     this.stop();
-    const { identity, getKnown, crashes, onNews, onLost } = this.#options;
+    const { identity, getKnown, memories, onNews, onLost } = this.#options;
     this.#address = address;
     this.#client = new PeerClient({
       address,
       identity,
       getKnown,
-      crashes,
+      memories,
       isFollowing: true,
       onNews: (news, askedAt) => onNews(news, { address, askedAt }),
       onDisconnected: () => onLost(address),
--- a/src/direct/peers/schema.ts
+++ b/src/direct/peers/schema.ts
@@ -21,17 +21,32 @@
 
 const AGE_MS = z.number().nonnegative();
 
-const CRASHES_SCHEMA = z.object({
-  content: z.string(),
-  requests: z.array(z.object({
-    request: z.string().min(1),
-    crashes: z.array(z.object({
-      target: z.string().min(1),
-      aliveAgeMs: AGE_MS,
-      endedAgeMs: AGE_MS,
-    })),
-    servedAgeMs: AGE_MS.optional(),
-  })).optional(),
+const CRASHED_REQUEST_SCHEMA = z.object({
+  request: z.string().min(1),
+  crashes: z.array(z.object({
+    target: z.string().min(1),
+    aliveAgeMs: AGE_MS,
+    endedAgeMs: AGE_MS,
+  })),
+  servedAgeMs: AGE_MS.optional(),
+});
+
+const TARGET_LIMIT_SCHEMA = z.object({
+  target: z.string().min(1),
+  perSecond: z.number().nonnegative().optional(),
+  version: COUNT,
+  ageMs: AGE_MS,
+});
+
+const MEMORIES_SCHEMA = z.object({
+  crashes: z.object({
+    content: z.string(),
+    items: z.array(CRASHED_REQUEST_SCHEMA).optional(),
+  }).optional(),
+  limits: z.object({
+    content: z.string(),
+    items: z.array(TARGET_LIMIT_SCHEMA).optional(),
+  }).optional(),
 });
 
 /** Shapes of all messages between entries. */
@@ -43,7 +58,7 @@
     directoryContent: z.string().optional(),
     processesRevision: COUNT.optional(),
     isFollowing: z.boolean(),
-    crashes: CRASHES_SCHEMA.optional(),
+    memories: MEMORIES_SCHEMA.default({}),
   }),
   z.object({
     kind: z.literal("store_news"),
@@ -61,6 +76,6 @@
       revision: COUNT,
       processes: z.array(PROCESS_SCHEMA),
     }).optional(),
-    crashes: CRASHES_SCHEMA.optional(),
+    memories: MEMORIES_SCHEMA.default({}),
   }),
 ] as const;
--- a/src/direct/peers/types.ts
+++ b/src/direct/peers/types.ts
@@ -1,6 +1,6 @@
 /**
- * What entries tell each other: of the platform's store, which one reads for many, and of
- * requests under which targets ended.
+ * What entries tell each other: of the platform's store, which one reads for many, of
+ * requests under which targets ended, and of the limits that targets name.
  *
  * @module
  */
@@ -25,12 +25,29 @@
   readonly servedAgeMs?: number;
 }
 
-/** What an entry remembers of requests under which targets ended. */
-export interface CrashMemoryNews {
-  /** In short: the same for the same crashes. */
+/** What another entry remembers of a target's limit. */
+export interface TargetLimitNews {
+  readonly target: string;
+  /** Requests a second from all entries; undefined: the limit has ended. */
+  readonly perSecond?: number;
+  /** Counts the changes of this target's limit. */
+  readonly version: number;
+  /** Milliseconds since the target said so last. */
+  readonly ageMs: number;
+}
+
+/** What an entry remembers of one matter. */
+export interface MemoryNews<Item> {
+  /** In short: the same for the same memory. */
   readonly content: string;
-  /** All of them; undefined where the other one was told that it has the same. */
-  readonly requests?: readonly CrashedRequestNews[];
+  /** All of it; undefined where the other one was told that it has the same. */
+  readonly items?: readonly Item[];
+}
+
+/** What an entry remembers that is in no store; a matter of which it remembers none is left out. */
+export interface MemoriesNews {
+  readonly crashes?: MemoryNews<CrashedRequestNews>;
+  readonly limits?: MemoryNews<TargetLimitNews>;
 }
 
 /** What an entry has already, so that only news is told. */
@@ -50,8 +67,7 @@
   readonly queryId: number;
   /** Whether news is to follow as it is heard. */
   readonly isFollowing: boolean;
-  /** Undefined where it remembers none. */
-  readonly crashes?: CrashMemoryNews;
+  readonly memories: MemoriesNews;
 }
 
 /** A list of back ends as another entry heard it. */
@@ -86,8 +102,7 @@
   readonly settingsAgeMs?: number;
   readonly directory?: DirectoryNews;
   readonly processes?: ProcessNews;
-  /** Undefined where the sender remembers none. */
-  readonly crashes?: CrashMemoryNews;
+  readonly memories: MemoriesNews;
 }
 
 /** Messages between entries that follow one store. */
--- a/src/entry/entry_reducer.ts
+++ b/src/entry/entry_reducer.ts
@@ -15,6 +15,7 @@
 import { PoolChoice } from "../policy/pool_choice.ts";
 import type { PoolRetryLimits } from "../policy/pool_retry_budgets.ts";
 import type { TargetChoice } from "../policy/target_choice.ts";
+import type { TargetLimits } from "../policy/target_limits.ts";
 import type { RefusalName } from "../refusals/catalogue.ts";
 import {
   createAnsweredNote,
@@ -49,6 +50,7 @@
   createForward,
 } from "./request_effects.ts";
 import { InFlightRequest } from "./in_flight_request.ts";
+import { LimitWatch } from "./limit_watch.ts";
 import { createSubmit } from "./submit_message.ts";
 import { ReturningCallers } from "./returning_callers.ts";
 import type { Route } from "./routing_table.ts";
@@ -105,6 +107,7 @@
   readonly #returning = new ReturningCallers();
   readonly #digestKey: string;
   readonly #crashes: CrashWatch;
+  readonly #limits = new LimitWatch();
   #isDraining = false;
   #saidDrained = false;
   #comparedAt = 0;
@@ -131,6 +134,11 @@
     return this.#crashes;
   }
 
+  /** What is remembered of the limits that targets name. */
+  get limits(): TargetLimits {
+    return this.#limits.limits;
+  }
+
   /** The targets that are known. */
   get registry(): TargetRegistry {
     return this.#selection.registry;
@@ -185,6 +193,9 @@
       case "crashes_told":
         this.#effects.push(...this.#crashes.noteTold(event));
         return;
+      case "limits_told":
+        this.#effects.push(...this.#limits.noteTold(event));
+        return;
       case "ranks_listed":
         return this.registry.setRanks(event.ranks);
       case "group_seen":
@@ -202,6 +213,8 @@
   }
 
   #instancesListed({ instances, now }: InstancesListed): void {
+    const listed = new Set(instances.map(({ id }) => id));
+    this.#limits.limits.setListed(listed, now);
     for (const target of this.#selection.setInstances(instances, now)) {
       this.#effects.push(createTargetEndedNote(target));
       this.#targetGone({ target, now });
@@ -348,6 +361,11 @@
       this.#effects.push({ kind: "count_stale_message" });
       return;
     }
+    this.#effects.push(...this.#limits.noteAnswer(message, {
+      target: target.name,
+      sentAt: inFlight.attemptStartedAt,
+      now,
+    }));
     if (message.kind === "refused") {
       return this.#attemptRefused(inFlight, message, { target, now });
     }
--- a/src/entry/request_server.ts
+++ b/src/entry/request_server.ts
@@ -45,8 +45,8 @@
   readonly log: EventLog;
   /** Called after the process stood still; requests wait for the result. */
   readonly onPaused: (gapMs: number) => Promise<void>;
-  /** Called when other entries are to hear of targets that ended under requests. */
-  readonly onCrashes?: () => void;
+  /** Called when other entries are to hear what this one remembers. */
+  readonly onMemoriesChanged?: () => void;
 }
 
 interface CallerArrival {
@@ -262,7 +262,8 @@
       case "count_pause":
         return this.#options.metrics.countPause(effect.milliseconds);
       case "crashes_changed":
-        return this.#options.onCrashes?.();
+      case "limits_changed":
+        return this.#options.onMemoriesChanged?.();
       case "log_decision":
         return this.#options.log.write(effect.name, effect.details);
       case "drained":
--- a/src/entry/types.ts
+++ b/src/entry/types.ts
@@ -13,6 +13,7 @@
 import type { VirtualMachine } from "../external/virtual_machine_list.ts";
 import type { GroupLoad, GroupSightMessage } from "../group/formed/types.ts";
 import type { CrashedRequest } from "../policy/crash_history.ts";
+import type { TargetLimit } from "../policy/target_limits.ts";
 import type { PoolRetryLimits } from "../policy/pool_retry_budgets.ts";
 import type { RefusalName } from "../refusals/catalogue.ts";
 import type { ProblemDetails } from "../refusals/types.ts";
@@ -175,6 +176,13 @@
   readonly requests: readonly CrashedRequest[];
 }
 
+/** Another entry told which limits targets name. */
+export interface LimitsTold {
+  readonly kind: "limits_told";
+  readonly now: number;
+  readonly limits: readonly TargetLimit[];
+}
+
 /** Time passed. */
 export interface EntryTick {
   readonly kind: "tick";
@@ -204,6 +212,7 @@
   | RanksListed
   | GroupSeen
   | CrashesTold
+  | LimitsTold
   | PoolRetriesLimited
   | EntryTick
   | EntryDrainRequested;
@@ -305,6 +314,11 @@
   readonly kind: "crashes_changed";
 }
 
+/** What is remembered of the limits that targets name has changed. */
+export interface LimitsChanged {
+  readonly kind: "limits_changed";
+}
+
 /** A decision that touches a request, for the log. */
 export interface LogDecision {
   readonly kind: "log_decision";
@@ -333,5 +347,6 @@
   | CountReturn
   | CountPause
   | CrashesChanged
+  | LimitsChanged
   | LogDecision
   | EntryDrained;
--- a/src/events/catalogue.ts
+++ b/src/events/catalogue.ts
@@ -354,6 +354,19 @@
     action:
       "Compare what the operator wrote last with the settings in force (2101).",
   },
+  TARGET_LIMITED: {
+    code: 2810,
+    level: "warn",
+    text: "A target named another limit on what all entries send it, or none",
+    action:
+      "See why the target is in need; `perSecond` is what it takes, none where the limit has ended.",
+  },
+  LIMIT_UNREADABLE: {
+    code: 2811,
+    level: "warn",
+    text: "A target named a limit that is no number, which changes nothing",
+    action: "See `text`, and mend what names it.",
+  },
   INTERNAL_FAULT: {
     code: 2901,
     level: "error",
--- a/src/external/back_end.ts
+++ b/src/external/back_end.ts
@@ -3,7 +3,7 @@
  *
  * @module
  */
-import type { Header, Priority } from "../messages/types.ts";
+import type { Header, Priority, RateLimitWord } from "../messages/types.ts";
 
 /** A request to a back end. */
 export interface BackEndRequest {
@@ -69,6 +69,8 @@
   onFailed(failure: BackEndFailure): void;
   /** Comes before `onHead` or `onFailed` when the back end told its load. */
   onLoad?(load: BackEndLoad): void;
+  /** Comes before `onHead` or `onFailed` when the back end itself answered. */
+  onRateLimit?(word: RateLimitWord): void;
   /**
    * Comes before `onHead`: milliseconds for which the connection can carry another call
    * once this one has ended; 0 if it ends with it.
--- a/src/messages/types.ts
+++ b/src/messages/types.ts
@@ -89,6 +89,14 @@
   readonly attempt: number;
 }
 
+/** What a back end says with an answer of the requests that it takes from all entries. */
+export type RateLimitWord =
+  /** It names no limit, so none holds. */
+  | { readonly kind: "none" }
+  | { readonly kind: "limit"; readonly perSecond: number }
+  /** It names something that is no limit, which changes nothing. */
+  | { readonly kind: "unreadable"; readonly text: string };
+
 /** Status and headers of an answer; its sequence number is always 0. */
 export interface AnswerHeadMessage {
   readonly kind: "answer_head";
@@ -99,6 +107,8 @@
   readonly headers: readonly Header[];
   /** Its end cannot be told from its sender's crash; see `AnswerFraming`. */
   readonly endsWithConnection?: boolean;
+  /** Of a back end that is called without a target process. */
+  readonly rateLimit?: RateLimitWord;
 }
 
 /** A piece of an answer's body. */
@@ -134,6 +144,8 @@
   readonly attempt: number;
   /** As in {@link AnswerEndMessage}. */
   readonly keptMs?: number;
+  /** As in {@link AnswerHeadMessage}; undefined where the back end said nothing. */
+  readonly rateLimit?: RateLimitWord;
   readonly reason: RefusalName;
   /** What is known of the key (without a key: of the submission). */
   readonly outcome: Outcome;
