Refuse first requests at once where a server names the rank that its group has lost

The name is kept until the rank is listed under another id or the group is seen to run. The first of the three new tests failed before (nothing was refused).

--- a/src/direct/direct_target.ts
+++ b/src/direct/direct_target.ts
@@ -85,6 +85,7 @@
   #load: BackEndLoad = { running: 0, queued: 0 };
   /** Nothing is kept of a connection that gave no answer. */
   #keptMs = 0;
+  #lostPeer: string | undefined;
   #rateLimit: RateLimitWord | undefined;
   #isOver = false;
 
@@ -108,6 +109,7 @@
     };
     this.#call = backEnd.start(request, {
       onLoad: (load) => this.#load = load,
+      onLostPeer: (id) => this.#lostPeer = id,
       onRateLimit: (word) => this.#rateLimit = word,
       onKept: (milliseconds) => this.#keptMs = milliseconds,
       onHead: (status, answerHeaders, framing) =>
@@ -171,6 +173,7 @@
       keptMs: isNotRun(failure) ? this.#keptMs : 0,
       outcome: submission,
       submission,
+      lostPeer: this.#lostPeer,
       rateLimit: this.#rateLimit,
     });
   }
--- a/src/entry/decision_notes.ts
+++ b/src/entry/decision_notes.ts
@@ -104,7 +104,7 @@
 
 /** What is believed of a group has changed. */
 export function createGroupNote(
-  sight: Pick<GroupSightMessage, "group" | "isOpen" | "ageMs">,
+  sight: GroupSighting,
   source: "decider" | "rank" | "attempt",
 ): LogDecision {
   return {
@@ -114,11 +114,17 @@
       group: sight.group,
       isOpen: sight.isOpen,
       ageMs: Math.round(sight.ageMs),
+      lostPeer: sight.lostPeer,
       source,
     },
   };
 }
 
+/** What a group was seen to be, and the rank that it has lost where one was named. */
+type GroupSighting = Pick<GroupSightMessage, "group" | "isOpen" | "ageMs"> & {
+  readonly lostPeer?: string;
+};
+
 /** A target is gone without a word that it leaves. */
 export function createTargetEndedNote(target: TargetRecord): LogDecision {
   return {
--- a/src/entry/direct_requests_test.ts
+++ b/src/entry/direct_requests_test.ts
@@ -385,6 +385,49 @@
     assert.equal(problemOf(fixture.tick(100))?.reason, "GROUP_CLOSED");
   });
 
+  // Guards against holding requests for a group of which a rank is known to be lost, before
+  // the platform's list says so.
+  it("refuse a first request at once where a server names the rank that is lost", () => {
+    const fixture = new DirectFixture(["one", "two"], STREAM_LINES);
+    fixture.listRanks(["one", "two"]);
+    const first = getSent(fixture.request({ deadlineMs: 8022 }));
+    const lostPeer = first.target === "one" ? "two" : "one";
+    const refused = createRefused(first.message, "GROUP_CLOSED");
+    const effects = fixture.receive(first.target, { ...refused, lostPeer });
+    assert.equal(problemOf(effects)?.reason, "GROUP_CLOSED");
+    const next = problemOf(fixture.request({ id: 2, deadlineMs: 8022 }));
+    assert.equal(next?.reason, "GROUP_CLOSED");
+  });
+
+  it("wait again once a rank that was named as lost has started anew", () => {
+    const fixture = new DirectFixture(["one", "two"], STREAM_LINES);
+    fixture.listRanks(["one", "two"]);
+    const first = getSent(fixture.request({ deadlineMs: 8022 }));
+    const lostPeer = first.target === "one" ? "two" : "one";
+    const refused = createRefused(first.message, "GROUP_CLOSED");
+    fixture.receive(first.target, { ...refused, lostPeer });
+    const address = `${lostPeer}:80`;
+    fixture.list([
+      createInstance(first.target),
+      createInstance("anew", { address }),
+    ]);
+    const next = fixture.request({ id: 2, deadlineMs: 8022 });
+    assert.equal(problemOf(next), undefined);
+  });
+
+  it("are served at once where the rank that was named as lost is seen to run", () => {
+    const fixture = new DirectFixture(["one", "two"], STREAM_LINES);
+    fixture.listRanks(["one", "two"]);
+    const first = getSent(fixture.request({ deadlineMs: 8022 }));
+    const lostPeer = first.target === "one" ? "two" : "one";
+    const refused = createRefused(first.message, "GROUP_CLOSED");
+    fixture.receive(first.target, { ...refused, lostPeer });
+    fixture.see(true, 700);
+    fixture.see(false, 900);
+    const next = fixture.request({ id: 2, deadlineMs: 8022 });
+    assert.equal(problemOf(next), undefined);
+  });
+
   it("serve a first request as soon as their group runs again", () => {
     const fixture = new DirectFixture(["one"], STREAM_LINES);
     fixture.tellLoad([createRow("one")], { isOpen: false });
--- a/src/entry/entry_reducer.ts
+++ b/src/entry/entry_reducer.ts
@@ -464,15 +464,25 @@
     const isReplaced = message.reason === "WRONG_INSTANCE" &&
       !at.target.isListedLeaving;
     if (isReplaced) this.#targetGone(at);
-    if (message.reason === "GROUP_CLOSED") this.#groupFoundClosed(at);
+    if (message.reason === "GROUP_CLOSED") {
+      this.#groupFoundClosed(at, message.lostPeer);
+    }
     this.#attemptFailed(inFlight, message, at.now);
   }
 
-  /** A server said that another rank of its group is gone. */
-  #groupFoundClosed({ target, now }: AttemptPlace): void {
+  /** A server said that another rank of its group is gone, and perhaps which. */
+  #groupFoundClosed(
+    { target, now }: AttemptPlace,
+    lostPeer: string | undefined,
+  ): void {
     const { group } = target;
-    if (!group?.seeLostByServer(now)) return;
-    const sight = { group: group.name, isOpen: false, ageMs: 0 };
+    const hasChanged = group?.seeLostByServer(now);
+    // A group that was seen to run since has all its ranks.
+    if (lostPeer !== undefined && group?.isClosed(now)) {
+      this.registry.groups.noteLost(lostPeer);
+    }
+    if (group === undefined || !hasChanged) return;
+    const sight = { group: group.name, isOpen: false, ageMs: 0, lostPeer };
     this.#effects.push(createGroupNote(sight, "attempt"));
   }
 
--- a/src/entry/rank_groups.ts
+++ b/src/entry/rank_groups.ts
@@ -15,8 +15,10 @@
   readonly #nameByAddress = new Map<string, string>();
   /** Hosts and ports of the ranks that each group had as it last ran, by its name. */
   readonly #ranksByName = new Map<string, readonly string[]>();
-  /** Hosts and ports at which a back end is listed as serving. */
-  #serving: ReadonlySet<string> = new Set();
+  /** Back ends that are listed as serving, by host and port. */
+  #serving: ReadonlyMap<string, string> = new Map();
+  /** Back ends whose loss a rank of their group named; a group runs again without them. */
+  readonly #lost = new Set<string>();
 
   /**
    * The ranks of groups were listed. One that is missing stays: its entry may have lapsed
@@ -28,17 +30,29 @@
     }
   }
 
-  /** The back ends were listed; these addresses have one that serves. */
-  setServing(addresses: ReadonlySet<string>): void {
-    this.#serving = addresses;
+  /** The back ends were listed; these serve, by host and port. */
+  setServing(serving: ReadonlyMap<string, string>): void {
+    this.#serving = serving;
+    const listed = new Set(serving.values());
+    for (const id of this.#lost) {
+      if (!listed.has(id)) this.#lost.delete(id);
+    }
+  }
+
+  /** A rank named another one, by its id, whose loss keeps their group from its work. */
+  noteLost(id: string): void {
+    this.#lost.add(id);
   }
 
   /**
-   * Whether each rank of a group is listed as serving, as far as is known. A group runs
-   * only with all its ranks.
+   * Whether each rank of a group is listed as serving, and none was named as lost, as far
+   * as is known. A group runs only with all its ranks.
    */
   isWhole(name: string): boolean {
-    return this.#ranksOf(name).every((address) => this.#serving.has(address));
+    return this.#ranksOf(name).every((address) => {
+      const id = this.#serving.get(address);
+      return id !== undefined && !this.#lost.has(id);
+    });
   }
 
   #ranksOf(name: string): readonly string[] {
@@ -61,7 +75,16 @@
 
   /** A group was seen to run or not; returns whether that changed a belief. */
   see(name: string, sight: GroupSight): boolean {
-    return this.#get(name).see(sight);
+    const hasChanged = this.#get(name).see(sight);
+    if (hasChanged && sight.isOpen) this.#forgetLost(name);
+    return hasChanged;
+  }
+
+  /** A group that runs has lost none of its ranks. */
+  #forgetLost(name: string): void {
+    for (const address of this.#ranksOf(name)) {
+      this.#lost.delete(this.#serving.get(address) ?? "");
+    }
   }
 
   /** The group of the engine at an address, if it is known to have one. */
--- a/src/entry/target_registry.ts
+++ b/src/entry/target_registry.ts
@@ -111,7 +111,7 @@
       record.setListedLeaving(instance.state === "leaving");
     }
     this.#joinGroups();
-    this.groups.setServing(addressesOf(instances));
+    this.groups.setServing(servingByAddress(instances));
     for (const record of [...this.#byName.values()]) {
       if (listed.has(record.name)) continue;
       record.setListedLeaving(true);
@@ -213,12 +213,12 @@
   }
 }
 
-/** Hosts and ports at which an instance serves. */
-function addressesOf(
+/** Ids of the instances that serve, by host and port. */
+function servingByAddress(
   instances: readonly BackEndInstance[],
-): ReadonlySet<string> {
+): ReadonlyMap<string, string> {
   const serving = instances.filter(({ state }) => state === "serving");
-  return new Set(serving.map(({ address }) => address));
+  return new Map(serving.map(({ address, id }) => [address, id]));
 }
 
 function identityOf(instance: BackEndInstance): TargetIdentity {
--- a/src/external/back_end.ts
+++ b/src/external/back_end.ts
@@ -69,6 +69,8 @@
   onFailed(failure: BackEndFailure): void;
   /** Comes before `onHead` or `onFailed` when the back end told its load. */
   onLoad?(load: BackEndLoad): void;
+  /** Comes before `onFailed`: the back end whose loss kept this one from its work, by id. */
+  onLostPeer?(id: string): void;
   /** Comes before `onHead` or `onFailed` when the back end itself answered. */
   onRateLimit?(word: RateLimitWord): void;
   /**
--- a/src/messages/types.ts
+++ b/src/messages/types.ts
@@ -146,6 +146,8 @@
   readonly keptMs?: number;
   /** As in {@link AnswerHeadMessage}; undefined where the back end said nothing. */
   readonly rateLimit?: RateLimitWord;
+  /** The back end whose loss kept this one from its work, by id, where it said so. */
+  readonly lostPeer?: string;
   readonly reason: RefusalName;
   /** What is known of the key (without a key: of the submission). */
   readonly outcome: Outcome;
