--- a/src/testing/formed_group_faults.ts
+++ b/src/testing/formed_group_faults.ts
@@ -19,6 +19,10 @@
    * what arrives meanwhile being kept for it.
    */
   readonly deciderFreezes: number;
+  /** Mean milliseconds between two moments, any, at which it stands still; 0: never. */
+  readonly freezesEveryMs: number;
+  /** Moments at which it stands still, in milliseconds. */
+  readonly freezesAt: readonly number[];
   /** Whether only the order to hold a pass can be the last before it. */
   readonly freezesAfterHoldsOnly: boolean;
   /**
@@ -40,6 +44,8 @@
   lostMessages: 0,
   deciderLifeMs: 0,
   deciderFreezes: 0,
+  freezesEveryMs: 0,
+  freezesAt: [],
   freezesAfterHoldsOnly: false,
   rankFreezes: 0,
   forgottenOrders: 0,
--- a/src/testing/formed_group_world.ts
+++ b/src/testing/formed_group_world.ts
@@ -33,6 +33,16 @@
   readonly switches: number;
   /** Longest time for which a pass was held, in milliseconds. */
   readonly longestHoldMs: number;
+  /** The same without the time in which nobody could tell what the decider's rank will do. */
+  readonly longestAvoidableHoldMs: number;
+  /** Times that the decider's machine stood still. */
+  readonly freezes: number;
+  /** Those of them in which the group waited since nobody could tell. */
+  readonly undecidableFreezes: number;
+  /** What had left the decider's machine as it stood still first. */
+  readonly saidBefore: readonly string[];
+  /** Whether its rank was armed then. */
+  readonly wasArmed: boolean;
 }
 
 const RANKS = 4;
@@ -47,6 +57,7 @@
 const LATE_SPREAD_MS = 10_000;
 const DOWN_MS = 1500;
 const FREEZE_MS = 4000;
+const FIRST_FREEZE_MS = 1000;
 const LOOK_MS = 100;
 /** Milliseconds until an engine shows another machine what an order did. */
 const REMOTE_LOOK_MS = 240;
@@ -88,6 +99,15 @@
   #switches = 0;
   #heldSince: number | undefined;
   #longestHoldMs = 0;
+  #avoidableHoldMs = 0;
+  #longestAvoidableHoldMs = 0;
+  #freezes = 0;
+  /** Freezes of the decider's machine, by number, in which nobody could tell. */
+  readonly #undecidable = new Set<number>();
+  /** What has left the decider's machine. */
+  readonly #said: string[] = [];
+  #saidBefore: readonly string[] = [];
+  #wasArmed = false;
   #proposals = 0;
 
   /** The same seed gives the same run. */
@@ -104,6 +124,13 @@
     this.#every(PROPOSAL_MS, () => this.#propose());
     this.#every(LOOK_MS, () => this.#lookForHold());
     if (faults.deciderLifeMs > 0) this.#planDeciderEnd();
+    if (faults.freezesEveryMs > 0) {
+      // The first numbers of small seeds are much alike.
+      this.#queue.after(FIRST_FREEZE_MS, () => this.#planFreeze());
+    }
+    for (const at of faults.freezesAt) {
+      this.#queue.after(at, () => this.#freeze(0));
+    }
     if (faults.epochMs > 0) this.#every(faults.epochMs, () => this.#reform());
   }
 
@@ -115,6 +142,11 @@
       passes: this.#passes,
       switches: this.#switches,
       longestHoldMs: this.#longestHoldMs,
+      longestAvoidableHoldMs: this.#longestAvoidableHoldMs,
+      freezes: this.#freezes,
+      undecidableFreezes: this.#undecidable.size,
+      saidBefore: this.#saidBefore,
+      wasArmed: this.#wasArmed,
     };
   }
 
@@ -165,7 +197,7 @@
   #pass(): void {
     if (this.#isIdle) {
       // Nobody waits for a pass that is held meanwhile.
-      this.#heldSince = undefined;
+      this.#holdEnded();
       return;
     }
     const next = this.#engine(0).state.pass + 1;
@@ -173,9 +205,9 @@
       this.#heldSince ??= this.#now;
       const heldMs = this.#now - this.#heldSince;
       this.#longestHoldMs = Math.max(this.#longestHoldMs, heldMs);
-      return;
+      return this.#countHold();
     }
-    this.#heldSince = undefined;
+    this.#holdEnded();
     const before = this.#engine(0).active.version;
     for (const engine of this.#engines) engine.begin(next);
     this.#passes++;
@@ -186,6 +218,44 @@
     if (this.#engine(0).active.version !== before) this.#switches++;
   }
 
+  #countHold(): void {
+    if (this.#isUndecidable()) {
+      this.#undecidable.add(this.#freezes);
+      return;
+    }
+    this.#avoidableHoldMs += PASS_MS;
+    this.#longestAvoidableHoldMs = Math.max(
+      this.#longestAvoidableHoldMs,
+      this.#avoidableHoldMs,
+    );
+  }
+
+  #holdEnded(): void {
+    this.#heldSince = undefined;
+    this.#avoidableHoldMs = 0;
+  }
+
+  /**
+   * Whether the decider's machine stands still after the switch was decided, and no word
+   * has left it that its own rank is armed: it may be or not, and others see the same.
+   */
+  #isUndecidable(): boolean {
+    if (!this.#isFrozen(0)) return false;
+    const { heldPass, armed, epoch } = this.#engine(HOLDER).state;
+    const isDecided = heldPass !== undefined && armed?.pass === heldPass;
+    const told = this.#told?.state;
+    const isKnown = told?.epoch === epoch && told.armed?.pass === heldPass;
+    return isDecided && !isKnown;
+  }
+
+  #planFreeze(): void {
+    const { freezesEveryMs } = this.#faults;
+    this.#queue.after(this.#random.nextExponential(freezesEveryMs), () => {
+      this.#freeze(0);
+      this.#planFreeze();
+    });
+  }
+
   #propose(): void {
     const map: ExpertMap = {
       layers: [{
@@ -218,9 +288,17 @@
   }
 
   #freeze(rank: number): void {
+    if (rank === 0) this.#noteFreeze();
     this.#frozenUntil[rank] = this.#now + FREEZE_MS;
   }
 
+  #noteFreeze(): void {
+    this.#freezes++;
+    if (this.#freezes > 1) return;
+    this.#saidBefore = [...this.#said];
+    this.#wasArmed = this.#engine(0).state.armed !== undefined;
+  }
+
   #reduce(seat: Seat, event: DeciderEvent): void {
     if (this.#isFrozen(seat.rank)) {
       if (event.kind === "rank_reported") seat.kept.push(event);
@@ -237,6 +315,10 @@
     if (effect.kind === "send_query") return this.#ask(seat, effect.rank);
     if (effect.kind !== "send_order") return;
     const { rank, orderId, order, isRepeated } = effect;
+    // What goes to the rank's own engine does not leave the machine.
+    if (seat === this.#seat && rank !== 0) {
+      this.#said.push(`${this.#now} ${order.kind} ${rank}`);
+    }
     if (seat === this.#seat) this.#drawFreeze(effect);
     if (isRepeated && order.kind !== "prepare") {
       this.#giveRemotely(seat, effect);
@@ -316,6 +398,7 @@
     const { state, orderId } = report;
     if (this.#isFrozen(0) || orderId === undefined) return;
     if (state.armed === undefined) return;
+    this.#said.push(`${this.#now} armed ${state.armed.pass}`);
     this.#deliver(this.#seat, HOLDER, () => {
       this.#told = report;
     });
