--- a/src/testing/formed_group_world.ts
+++ b/src/testing/formed_group_world.ts
@@ -23,6 +23,7 @@
 import { EventQueue } from "./event_queue.ts";
 import type { FormedGroupFaults } from "./formed_group_faults.ts";
 import { FakeFormedEngine } from "./fake_formed_engine.ts";
+import { HoldRecord, isUndecidable } from "./hold_record.ts";
 
 /** What a run showed. */
 export interface FormedGroupResult {
@@ -97,10 +98,7 @@
   readonly #mixedPasses: number[] = [];
   #passes = 0;
   #switches = 0;
-  #heldSince: number | undefined;
-  #longestHoldMs = 0;
-  #avoidableHoldMs = 0;
-  #longestAvoidableHoldMs = 0;
+  readonly #holds = new HoldRecord();
   #freezes = 0;
   /** Freezes of the decider's machine, by number, in which nobody could tell. */
   readonly #undecidable = new Set<number>();
@@ -141,8 +139,8 @@
       mixedPasses: this.#mixedPasses,
       passes: this.#passes,
       switches: this.#switches,
-      longestHoldMs: this.#longestHoldMs,
-      longestAvoidableHoldMs: this.#longestAvoidableHoldMs,
+      longestHoldMs: this.#holds.longestMs,
+      longestAvoidableHoldMs: this.#holds.longestAvoidableMs,
       freezes: this.#freezes,
       undecidableFreezes: this.#undecidable.size,
       saidBefore: this.#saidBefore,
@@ -197,17 +195,13 @@
   #pass(): void {
     if (this.#isIdle) {
       // Nobody waits for a pass that is held meanwhile.
-      this.#holdEnded();
-      return;
+      return this.#holds.end();
     }
     const next = this.#engine(0).state.pass + 1;
     if (this.#engines.some((engine) => !engine.mayBegin(next))) {
-      this.#heldSince ??= this.#now;
-      const heldMs = this.#now - this.#heldSince;
-      this.#longestHoldMs = Math.max(this.#longestHoldMs, heldMs);
       return this.#countHold();
     }
-    this.#holdEnded();
+    this.#holds.end();
     const before = this.#engine(0).active.version;
     for (const engine of this.#engines) engine.begin(next);
     this.#passes++;
@@ -219,33 +213,17 @@
   }
 
   #countHold(): void {
-    if (this.#isUndecidable()) {
-      this.#undecidable.add(this.#freezes);
-      return;
-    }
-    this.#avoidableHoldMs += PASS_MS;
-    this.#longestAvoidableHoldMs = Math.max(
-      this.#longestAvoidableHoldMs,
-      this.#avoidableHoldMs,
-    );
-  }
-
-  #holdEnded(): void {
-    this.#heldSince = undefined;
-    this.#avoidableHoldMs = 0;
-  }
-
-  /**
-   * Whether the decider's machine stands still after the switch was decided, and no word
-   * has left it that its own rank is armed: it may be or not, and others see the same.
-   */
-  #isUndecidable(): boolean {
-    if (!this.#isFrozen(0)) return false;
-    const { heldPass, armed, epoch } = this.#engine(HOLDER).state;
-    const isDecided = heldPass !== undefined && armed?.pass === heldPass;
-    const told = this.#told?.state;
-    const isKnown = told?.epoch === epoch && told.armed?.pass === heldPass;
-    return isDecided && !isKnown;
+    const isStuck = isUndecidable({
+      isDeciderFrozen: this.#isFrozen(0),
+      holder: this.#engine(HOLDER).state,
+      told: this.#told?.state,
+    });
+    if (isStuck) this.#undecidable.add(this.#freezes);
+    this.#holds.observe({
+      now: this.#now,
+      lookMs: PASS_MS,
+      isUndecidable: isStuck,
+    });
   }
 
   #planFreeze(): void {
