--- a/src/entry/entry_reducer.ts
+++ b/src/entry/entry_reducer.ts
@@ -21,10 +21,8 @@
 import {
   createAnsweredNote,
   createAttemptFailedNote,
-  createGroupNote,
   createLeftNote,
   createSentNote,
-  createTargetEndedNote,
   createWaitsNote,
 } from "./decision_notes.ts";
 import { Admission } from "./admission.ts";
@@ -38,7 +36,6 @@
   createUnknown,
   createUnsent,
   type Failure,
-  isTargetsFault,
   SERVER_ERROR,
   SERVER_ERROR_STATUS,
   TARGET_SLOW,
@@ -57,6 +54,7 @@
 import type { Route } from "./routing_table.ts";
 import type { TargetRecord } from "./target_record.ts";
 import type { TargetRegistry } from "./target_registry.ts";
+import { type TargetMoment, TargetNews } from "./target_news.ts";
 import { type NoTargetReason, TargetSelection } from "./target_selection.ts";
 import { RetryPolicy } from "./retry_policy.ts";
 import { WaitingRequests } from "./waiting_requests.ts";
@@ -64,9 +62,7 @@
   CallerRequest,
   EntryEffect,
   EntryEvent,
-  GroupLoadTold,
   GroupSeen,
-  InstancesListed,
   RequestArrived,
   SettingsInForce,
   TargetMessageReceived,
@@ -86,12 +82,6 @@
   readonly poolRetries?: PoolRetryLimits;
 }
 
-/** Where a message of an attempt came from, and when. */
-interface AttemptPlace {
-  readonly target: TargetRecord;
-  readonly now: number;
-}
-
 /** Milliseconds between two comparisons of the targets of a pool. */
 const COMPARE_INTERVAL_MS = 500;
 
@@ -109,6 +99,7 @@
   readonly #digestKey: string;
   readonly #crashes: CrashWatch;
   readonly #limits = new LimitWatch();
+  readonly #news: TargetNews;
   #isDraining = false;
   #saidDrained = false;
   #comparedAt = 0;
@@ -124,6 +115,11 @@
     this.#crashes = new CrashWatch((name) =>
       this.registry.tryGet(name)?.answeredAt ?? 0
     );
+    this.#news = new TargetNews({
+      selection: this.#selection,
+      crashes: this.#crashes,
+      limits,
+    });
   }
 
   /** Requests on their way. */
@@ -188,7 +184,7 @@
       case "scripts_finished":
         return this.#scriptsFinished(event.requestId);
       case "instances_listed":
-        this.#instancesListed(event);
+        this.#effects.push(...this.#news.noteListed(event));
         return this.#submitWaiting(event.now);
       case "entries_listed":
         this.#selection.setEntries(event.entries, event.now);
@@ -197,7 +193,7 @@
         this.permits.noteOutcome(event.outcome, event.now);
         return this.#submitWaiting(event.now);
       case "group_load_told":
-        this.#groupLoadTold(event);
+        this.#effects.push(...this.#news.noteGroupLoad(event));
         this.#leaveStragglers(event.now);
         return this.#submitWaiting(event.now);
       case "crashes_told":
@@ -222,31 +218,11 @@
     }
   }
 
-  #instancesListed({ instances, now }: InstancesListed): void {
-    const listed = new Set(instances.map(({ id }) => id));
-    this.limits.setListed(listed, now);
-    this.permits.forgetUnlimited();
-    for (const target of this.#selection.setInstances(instances, now)) {
-      this.#effects.push(createTargetEndedNote(target));
-      this.#targetGone({ target, now });
-    }
-  }
-
-  #targetGone({ target, now }: AttemptPlace): void {
-    this.#effects.push(...this.#crashes.noteGone(target.name, now));
-  }
-
-  #groupLoadTold({ load, now }: GroupLoadTold): void {
-    const hasChanged = this.registry.setGroupLoad(load, now);
-    if (hasChanged) this.#effects.push(createGroupNote(load, "decider"));
-  }
-
-  #groupSeen({ sight, now }: GroupSeen): void {
-    const { group, isOpen, ageMs } = sight;
-    const seenAt = now - ageMs;
-    if (!this.registry.groups.see(group, { isOpen, seenAt })) return;
-    this.#effects.push(createGroupNote(sight, "rank"));
-    if (isOpen) this.#submitWaiting(now);
+  #groupSeen(event: GroupSeen): void {
+    const news = this.#news.noteGroupSeen(event);
+    this.#effects.push(...news);
+    const hasOpened = news.length > 0 && event.sight.isOpen;
+    if (hasOpened) this.#submitWaiting(event.now);
   }
 
   #requestArrived({ request, now, readAt = now }: RequestArrived): void {
@@ -369,18 +345,7 @@
     if (isAttemptMessage(message)) {
       return this.#attemptMessage(message, target, now);
     }
-    switch (message.kind) {
-      case "report":
-        return target.setReportedLoad(message.queued + message.running, now);
-      case "leaving":
-        return target.setLeaving(true);
-      case "serving":
-        return target.setLeaving(false);
-      case "claims":
-        return this.registry.setClaims(target, message);
-      default:
-        return;
-    }
+    this.#news.noteWord(message, { target, now });
   }
 
   #attemptMessage(
@@ -424,7 +389,7 @@
   #continueAnswer(
     inFlight: InFlightRequest,
     bytes: Uint8Array,
-    at: AttemptPlace,
+    at: TargetMoment,
   ): void {
     inFlight.notePiece(at.now);
     const { effects, hasGap } = relayPiece(inFlight, bytes);
@@ -435,7 +400,7 @@
   #finishAnswer(
     inFlight: InFlightRequest,
     message: AnswerEndMessage,
-    at: AttemptPlace,
+    at: TargetMoment,
   ): void {
     const status = inFlight.head?.status ?? 0;
     const isServerError = status >= SERVER_ERROR_STATUS;
@@ -453,39 +418,12 @@
   #attemptRefused(
     inFlight: InFlightRequest,
     message: RefusedMessage,
-    at: AttemptPlace,
+    at: TargetMoment,
   ): void {
-    at.target.countAttempt(isTargetsFault(message.reason), at.now);
-    if (message.submission === "unknown") at.target.forgetConnections();
-    else at.target.noteConnection(message.keptMs, at.now);
-    const isLeaving = message.reason === "TARGET_LEAVING" ||
-      message.reason === "WRONG_INSTANCE";
-    if (isLeaving) at.target.setLeaving(true);
-    const isReplaced = message.reason === "WRONG_INSTANCE" &&
-      !at.target.isListedLeaving;
-    if (isReplaced) this.#targetGone(at);
-    if (message.reason === "GROUP_CLOSED") {
-      this.#groupFoundClosed(at, message.lostPeer);
-    }
+    this.#effects.push(...this.#news.noteRefused(message, at));
     this.#attemptFailed(inFlight, message, at.now);
   }
 
-  /** A server said that another rank of its group is gone, and perhaps which. */
-  #groupFoundClosed(
-    { target, now }: AttemptPlace,
-    lostPeer: string | undefined,
-  ): void {
-    const { group } = target;
-    const hasChanged = group?.seeLostByServer(now);
-    // A group that was seen to run since has all its ranks.
-    if (lostPeer !== undefined && group?.isClosed(now)) {
-      this.registry.groups.noteLost(lostPeer);
-    }
-    if (group === undefined || !hasChanged) return;
-    const sight = { group: group.name, isOpen: false, ageMs: 0, lostPeer };
-    this.#effects.push(createGroupNote(sight, "attempt"));
-  }
-
   #attemptBroken(
     inFlight: InFlightRequest,
     target: TargetRecord,
