--- a/src/entry/direct_requests_test.ts
+++ b/src/entry/direct_requests_test.ts
@@ -332,6 +332,17 @@
   });
 });
 
+/** An entry that was told by one rank of a group that the other one is lost. */
+function createFixtureWithLostRank() {
+  const fixture = new DirectFixture(["one", "two"], STREAM_LINES);
+  fixture.listRanks(["one", "two"]);
+  const { target, message } = getSent(fixture.request({ deadlineMs: 8022 }));
+  const lost = target === "one" ? "two" : "one";
+  const refused = createRefused(message, "GROUP_CLOSED");
+  const refusal = fixture.receive(target, { ...refused, lostPeer: lost });
+  return { fixture, refusal, lives: target, lost };
+}
+
 describe("pools that are full or lost", () => {
   it("refuse a first request after a fifth of its objective", () => {
     const fixture = new DirectFixture(["one"], STREAM_LINES);
@@ -388,27 +399,17 @@
   // Guards against holding requests for a group of which a rank is known to be lost, before
   // the platform's list says so.
   it("refuse a first request at once where a server names the rank that is lost", () => {
-    const fixture = new DirectFixture(["one", "two"], STREAM_LINES);
-    fixture.listRanks(["one", "two"]);
-    const first = getSent(fixture.request({ deadlineMs: 8022 }));
-    const lostPeer = first.target === "one" ? "two" : "one";
-    const refused = createRefused(first.message, "GROUP_CLOSED");
-    const effects = fixture.receive(first.target, { ...refused, lostPeer });
-    assert.equal(problemOf(effects)?.reason, "GROUP_CLOSED");
+    const { fixture, refusal } = createFixtureWithLostRank();
+    assert.equal(problemOf(refusal)?.reason, "GROUP_CLOSED");
     const next = problemOf(fixture.request({ id: 2, deadlineMs: 8022 }));
     assert.equal(next?.reason, "GROUP_CLOSED");
   });
 
   it("wait again once a rank that was named as lost has started anew", () => {
-    const fixture = new DirectFixture(["one", "two"], STREAM_LINES);
-    fixture.listRanks(["one", "two"]);
-    const first = getSent(fixture.request({ deadlineMs: 8022 }));
-    const lostPeer = first.target === "one" ? "two" : "one";
-    const refused = createRefused(first.message, "GROUP_CLOSED");
-    fixture.receive(first.target, { ...refused, lostPeer });
-    const address = `${lostPeer}:80`;
+    const { fixture, lives, lost } = createFixtureWithLostRank();
+    const address = `${lost}:80`;
     fixture.list([
-      createInstance(first.target),
+      createInstance(lives),
       createInstance("anew", { address }),
     ]);
     const next = fixture.request({ id: 2, deadlineMs: 8022 });
@@ -416,12 +417,7 @@
   });
 
   it("are served at once where the rank that was named as lost is seen to run", () => {
-    const fixture = new DirectFixture(["one", "two"], STREAM_LINES);
-    fixture.listRanks(["one", "two"]);
-    const first = getSent(fixture.request({ deadlineMs: 8022 }));
-    const lostPeer = first.target === "one" ? "two" : "one";
-    const refused = createRefused(first.message, "GROUP_CLOSED");
-    fixture.receive(first.target, { ...refused, lostPeer });
+    const { fixture } = createFixtureWithLostRank();
     fixture.see(true, 700);
     fixture.see(false, 900);
     const next = fixture.request({ id: 2, deadlineMs: 8022 });
--- a/src/entry/limited_targets_test.ts
+++ b/src/entry/limited_targets_test.ts
@@ -181,6 +181,17 @@
   readonly troubles: readonly EntryTrouble[];
 }
 
+/** The same trouble of all entries, one after the other. */
+function inTurn(
+  trouble: Pick<EntryTrouble, "forMs" | "kind">,
+): readonly EntryTrouble[] {
+  return Array.from({ length: 9 }, (_, entry) => ({
+    ...trouble,
+    at: 3000 + 2000 * entry,
+    entry,
+  }));
+}
+
 const TROUBLES: readonly TroubleRow[] = [
   {
     name: "the entry that gives permits restarts",
@@ -196,21 +207,11 @@
   },
   {
     name: "all entries restart in turn",
-    troubles: Array.from({ length: 9 }, (_, entry) => ({
-      at: 3000 + 2000 * entry,
-      forMs: 1500,
-      kind: "restart" as const,
-      entry,
-    })),
+    troubles: inTurn({ forMs: 1500, kind: "restart" }),
   },
   {
     name: "entries leave and come in turn",
-    troubles: Array.from({ length: 9 }, (_, entry) => ({
-      at: 3000 + 2000 * entry,
-      forMs: 3000,
-      kind: "leave" as const,
-      entry,
-    })),
+    troubles: inTurn({ forMs: 3000, kind: "leave" }),
   },
   {
     name: "half of the entries start anew at once",
