Refuse at once what only unreachable failure domains could serve

What callers saw: while a failure domain was cut off, its entries went on sending to targets on the other side. Neither the list nor the groups tell an entry that it is cut off.

Change: after connections to three targets of a failure domain have failed without a word of any target there, the domain gets probes only, each 250 ms where nothing else could serve and each 2 s beside others. What only targets there could serve is refused at once with TARGETS_UNREACHABLE and the time of an outage; a caller that returned waits as for a lost group, also after a probe of its own has failed.

Ruled out: taking the entries out of rotation, since those of other domains are full at that time.

--- a/src/entry/decision_notes.ts
+++ b/src/entry/decision_notes.ts
@@ -139,6 +139,18 @@
   };
 }
 
+/** A failure domain cannot be reached any more, or is reached again. */
+export function createReachNote(
+  { failureDomain, name }: TargetRecord,
+  isReached: boolean,
+): LogDecision {
+  return {
+    kind: "log_decision",
+    name: isReached ? "DOMAIN_REACHED" : "DOMAIN_UNREACHABLE",
+    details: { failureDomain, target: name },
+  };
+}
+
 /** A target has ended under a request. */
 export function createCrashNote(crash: NotedCrash): LogDecision {
   const { digest, target, organisation, path, sentAt, endedAt } = crash;
--- a/src/entry/entry_reducer.ts
+++ b/src/entry/entry_reducer.ts
@@ -375,6 +375,7 @@
     switch (message.kind) {
       case "answer_head":
         target.countFirstByte(message.requestId, now);
+        this.#effects.push(...this.#news.noteReached(target));
         this.#effects.push(...relayHead(inFlight));
         return;
       case "answer_data":
@@ -465,17 +466,15 @@
     this.#effects.push(...this.#crashes.noteLost(inFlight, end));
   }
 
-  /** Lets it wait for a lost group, as if it had not been sent there. */
+  /** Lets it wait for what was lost, as if it had not been sent there. */
   #tryWaitAgain(
     inFlight: InFlightRequest,
     failure: Failure,
     now: number,
   ): boolean {
-    if (failure.reason !== "GROUP_CLOSED") return false;
     if (inFlight.isStreaming) return false;
-    const reason = this.#selection.isStalled(inFlight, now)
-      ? "GROUP_STALLED"
-      : failure.reason;
+    const reason = this.#selection.tryLossOf(inFlight, failure.reason, now);
+    if (reason === undefined) return false;
     if (!this.#waiting.tryAdd(inFlight, reason, now)) return false;
     if (this.#retries.tryTake(inFlight, failure, now)) {
       this.#effects.push(createWaitsNote(inFlight, { reason, now }));
--- a/src/entry/return_facts.ts
+++ b/src/entry/return_facts.ts
@@ -17,6 +17,7 @@
   NO_TARGET: "absence",
   GROUP_CLOSED: "outage",
   GROUP_STALLED: "stall",
+  TARGETS_UNREACHABLE: "outage",
   BACK_END_UNREACHABLE: "outage",
   WRONG_INSTANCE: "outage",
   NO_KEY_OWNER: "owner_away",
--- a/src/entry/target_news.ts
+++ b/src/entry/target_news.ts
@@ -7,7 +7,11 @@
 import type { Message, RefusedMessage } from "../messages/types.ts";
 import type { TargetLimits } from "../policy/target_limits.ts";
 import type { CrashWatch } from "./crash_watch.ts";
-import { createGroupNote, createTargetEndedNote } from "./decision_notes.ts";
+import {
+  createGroupNote,
+  createReachNote,
+  createTargetEndedNote,
+} from "./decision_notes.ts";
 import { isTargetsFault } from "./failures.ts";
 import type { TargetRecord } from "./target_record.ts";
 import type { TargetRegistry } from "./target_registry.ts";
@@ -82,8 +86,40 @@
     }
   }
 
+  /** A target began to answer an attempt. */
+  noteReached(target: TargetRecord): readonly EntryEffect[] {
+    const { reachability } = this.#options.selection;
+    return reachability.noteReached(target)
+      ? [createReachNote(target, true)]
+      : [];
+  }
+
   /** A target gave an attempt no answer, and perhaps said why. */
   noteRefused(
+    message: RefusedMessage,
+    at: TargetMoment,
+  ): readonly EntryEffect[] {
+    return [
+      ...this.#noteContact(message, at),
+      ...this.#noteRefusal(message, at),
+    ];
+  }
+
+  /** Whether the target could be connected to; other failures say nothing of that. */
+  #noteContact(
+    { reason, submission }: RefusedMessage,
+    { target, now }: TargetMoment,
+  ): readonly EntryEffect[] {
+    if (reason === "BACK_END_UNREACHABLE") {
+      const { reachability } = this.#options.selection;
+      return reachability.noteFailed(target, now)
+        ? [createReachNote(target, false)]
+        : [];
+    }
+    return submission === "not-run" ? this.noteReached(target) : [];
+  }
+
+  #noteRefusal(
     { reason, submission, keptMs, lostPeer }: RefusedMessage,
     at: TargetMoment,
   ): readonly EntryEffect[] {
--- a/src/entry/target_selection.ts
+++ b/src/entry/target_selection.ts
@@ -8,6 +8,7 @@
 import type { RandomSource } from "../core/random_source.ts";
 import type { BackEndInstance } from "../external/back_end_directory.ts";
 import { getBlindLimit } from "../policy/blind_limit.ts";
+import { DomainReachability } from "../policy/domain_reachability.ts";
 import { PrefixIndex } from "../policy/prefix_index.ts";
 import {
   estimateLoad,
@@ -21,6 +22,7 @@
 } from "../policy/send_permits.ts";
 import type { TargetLimits } from "../policy/target_limits.ts";
 import { chooseSubset } from "../policy/target_subset.ts";
+import type { RefusalName } from "../refusals/catalogue.ts";
 import type { InFlightRequest } from "./in_flight_request.ts";
 import type { TargetRecord } from "./target_record.ts";
 import { TargetRegistry } from "./target_registry.ts";
@@ -31,6 +33,7 @@
   | "NO_KEY_OWNER"
   | "GROUP_CLOSED"
   | "GROUP_STALLED"
+  | "TARGETS_UNREACHABLE"
   | "POOL_FULL"
   | "TARGETS_LIMITED";
 
@@ -71,6 +74,8 @@
   readonly registry = new TargetRegistry();
   /** Who may send to targets that have named limits. */
   readonly permits: SendPermits;
+  /** Which failure domains this entry cannot reach. */
+  readonly reachability = new DomainReachability();
   readonly #failureDomain: string;
   readonly #entryName: string;
   /** Names of the targets in view. */
@@ -104,7 +109,9 @@
     if (serving.length === 0) return Err("NO_TARGET");
     const open = serving.filter((target) => !target.isGroupClosed(now));
     if (open.length === 0) return Err(this.#closedReasonOf(serving));
-    const free = open.filter((target) =>
+    const reachable = this.reachability.filter(open, now);
+    if (reachable.length === 0) return Err("TARGETS_UNREACHABLE");
+    const free = reachable.filter((target) =>
       !isFull(target, now) && mayBeSent(inFlight, target, now)
     );
     if (free.length === 0) return Err("POOL_FULL");
@@ -126,8 +133,22 @@
     return target === undefined ? Err("NO_TARGET") : Ok(target);
   }
 
+  /**
+   * What keeps a request from being served whose attempt was refused; undefined where that
+   * says nothing of other targets.
+   */
+  tryLossOf(
+    inFlight: InFlightRequest,
+    refusal: RefusalName,
+    now: number,
+  ): NoTargetReason | undefined {
+    if (refusal === "BACK_END_UNREACHABLE") return "TARGETS_UNREACHABLE";
+    if (refusal !== "GROUP_CLOSED") return undefined;
+    return this.#isStalled(inFlight, now) ? "GROUP_STALLED" : refusal;
+  }
+
   /** Whether all that could serve it stand still, though none is known to be lost. */
-  isStalled(inFlight: InFlightRequest, now: number): boolean {
+  #isStalled(inFlight: InFlightRequest, now: number): boolean {
     const serving = this.#untriedOf(inFlight);
     return serving.length > 0 &&
       serving.every((target) => target.isGroupClosed(now)) &&
@@ -236,9 +257,9 @@
 
   /** Whether some target that was not tried serves the request's pool. */
   hasOther(inFlight: InFlightRequest, now: number): boolean {
-    return this.#untriedOf(inFlight).some((target) =>
-      !target.isGroupClosed(now)
-    );
+    const open = this.#untriedOf(inFlight)
+      .filter((target) => !target.isGroupClosed(now));
+    return this.reachability.filter(open, now).length > 0;
   }
 
   /** A target was sent a request, and has its prompt from now on. */
@@ -247,6 +268,7 @@
     this.#prefixes.remember(blocks, target.name);
     if (inFlight.isLateAt(now)) target.group?.lateAdmission.count();
     this.permits.noteSent(target.name, now);
+    this.reachability.noteSent(target, now);
   }
 
   /** A target was lost, and with it the prompts that it had. */
--- /dev/null
+++ b/src/entry/unreachable_domains_test.ts
@@ -0,0 +1,164 @@
+/**
+ * The load that these tests tell of: callers reach an entry whose failure domain is cut off
+ * from the targets that could serve them. Each attempt took the time limit of a connection,
+ * was made a second time, and again when its caller returned.
+ */
+import assert from "node:assert/strict";
+import { beforeEach, describe, it } from "node:test";
+import { RandomSource } from "../core/random_source.ts";
+import type { SubmitMessage } from "../messages/types.ts";
+import {
+  createCallerRequest,
+  createEmptyAnswer,
+  createInstance,
+  createRefused,
+  createRoutes,
+} from "../testing/fixtures.ts";
+import { EntryReducer } from "./entry_reducer.ts";
+import type { CallerRequest, EntryEffect } from "./types.ts";
+
+/** A deadline that tells that its caller was refused before. */
+const RETURNED_DEADLINE_MS = 5000;
+
+interface Sent {
+  readonly target: string;
+  readonly message: SubmitMessage;
+}
+
+function sentOf(effects: readonly EntryEffect[]): readonly Sent[] {
+  return effects.flatMap((effect) =>
+    effect.kind === "send" && effect.message.kind === "submit"
+      ? [{ target: effect.targetName, message: effect.message }]
+      : []
+  );
+}
+
+function refusalOf(effects: readonly EntryEffect[]): string | undefined {
+  return effects.flatMap((effect) =>
+    effect.kind === "refuse_request" ? [effect.problem.reason] : []
+  )[0];
+}
+
+class CutOffEntry {
+  readonly #entry = new EntryReducer({
+    failureDomain: "near",
+    random: new RandomSource(1),
+  });
+
+  constructor(failureDomains: readonly string[]) {
+    this.#entry.reduce({
+      kind: "settings_in_force",
+      now: 0,
+      routes: createRoutes({
+        service: [
+          "retryShare: 1",
+          "mostAttempts: 2",
+          "defaultDeadlineMs: 8000",
+          "longestDeadlineMs: 8000",
+          "objectiveMs: 400",
+        ],
+      }),
+    });
+    this.#entry.reduce({
+      kind: "instances_listed",
+      now: 0,
+      instances: failureDomains.map((failureDomain, number) =>
+        createInstance(`${failureDomain}-${number}`, { failureDomain })
+      ),
+    });
+  }
+
+  request(
+    id: number,
+    now: number,
+    changes: Partial<CallerRequest> = {},
+  ): readonly EntryEffect[] {
+    const request = createCallerRequest({ id, deadlineMs: 8000, ...changes });
+    return this.#entry.reduce({ kind: "request_arrived", now, request });
+  }
+
+  fail({ target, message }: Sent, now: number): readonly EntryEffect[] {
+    return this.#entry.reduce({
+      kind: "message_received",
+      now,
+      targetName: target,
+      message: createRefused(message, "BACK_END_UNREACHABLE"),
+    });
+  }
+
+  answer({ target, message }: Sent, now: number): readonly EntryEffect[] {
+    return createEmptyAnswer(message).flatMap((part) =>
+      this.#entry.reduce({
+        kind: "message_received",
+        now,
+        targetName: target,
+        message: part,
+      })
+    );
+  }
+
+  tick(now: number): readonly EntryEffect[] {
+    return this.#entry.reduce({ kind: "tick", now });
+  }
+
+  /** Two requests and their retries whose connections all fail. */
+  cutOff(): void {
+    for (const id of [1, 2]) {
+      const [first] = sentOf(this.request(id, 0));
+      assert.ok(first !== undefined);
+      const [second] = sentOf(this.fail(first, 400));
+      if (second !== undefined) this.fail(second, 800);
+    }
+  }
+}
+
+describe("an entry whose targets are all cut off from it", () => {
+  let entry: CutOffEntry;
+
+  beforeEach(() => {
+    entry = new CutOffEntry(["far", "far", "far", "far", "far"]);
+    entry.cutOff();
+    const [probe] = sentOf(entry.request(3, 810));
+    assert.ok(probe !== undefined, "One request probes");
+  });
+
+  it("refuses first requests at once, so that they can return in time", () => {
+    const effects = entry.request(4, 820);
+    assert.deepEqual(sentOf(effects), []);
+    assert.equal(refusalOf(effects), "TARGETS_UNREACHABLE");
+  });
+
+  it("keeps requests that returned until one of them finds a target again", () => {
+    const deadlineMs = RETURNED_DEADLINE_MS;
+    const waiting = entry.request(4, 820, { deadlineMs });
+    assert.equal(refusalOf(waiting), undefined);
+    const [probe] = sentOf(entry.tick(1100));
+    assert.equal(probe?.message.requestId, 4);
+    entry.answer(probe as Sent, 1110);
+    assert.equal(sentOf(entry.request(5, 1120)).length, 1);
+  });
+
+  it("lets a request that returned wait on after its probe has failed", () => {
+    const deadlineMs = RETURNED_DEADLINE_MS;
+    entry.request(4, 820, { deadlineMs });
+    const [probe] = sentOf(entry.tick(1100));
+    const effects = entry.fail(probe as Sent, 1500);
+    assert.equal(refusalOf(effects), undefined);
+  });
+});
+
+describe("an entry some of whose targets are cut off from it", () => {
+  it("sends requests to the failure domain that it reaches", () => {
+    const entry = new CutOffEntry(["far", "far", "far", "near"]);
+    for (let id = 1; id <= 12; id++) {
+      for (const sent of sentOf(entry.request(id, 0))) {
+        if (sent.target.startsWith("far")) entry.fail(sent, 10);
+      }
+    }
+    for (let id = 20; id <= 30; id++) {
+      const targets = sentOf(entry.request(id, 50)).map(({ target }) => target);
+      const far = targets.filter((target) => target.startsWith("far"));
+      assert.ok(far.length === 0 || id === 20, `${targets}`);
+    }
+  });
+});
--- a/src/entry/waiting_requests.ts
+++ b/src/entry/waiting_requests.ts
@@ -10,6 +10,12 @@
 
 /** Requests that wait at one entry, at most. */
 const MOST_WAITING = 256;
+/** Reasons that say that something is gone which the request needs. */
+const KNOWN_LOSSES: ReadonlySet<NoTargetReason> = new Set([
+  "GROUP_CLOSED",
+  "TARGETS_UNREACHABLE",
+]);
+
 interface Waiting {
   readonly inFlight: InFlightRequest;
   until: number;
@@ -67,7 +73,7 @@
     const waiting = this.#waiting.get(requestId);
     if (waiting === undefined) return;
     waiting.reason = reason;
-    if (reason !== "GROUP_CLOSED") return;
+    if (!KNOWN_LOSSES.has(reason)) return;
     const until = getWaitEnd(waiting.inFlight, reason);
     waiting.until = Math.min(waiting.until, until);
   }
--- a/src/events/catalogue.ts
+++ b/src/events/catalogue.ts
@@ -367,6 +367,20 @@
     text: "A target named a limit that is no number, which changes nothing",
     action: "See `text`, and mend what names it.",
   },
+  DOMAIN_UNREACHABLE: {
+    code: 2861,
+    level: "warn",
+    text:
+      "Connections to several targets of a failure domain failed; it gets probes only",
+    action:
+      "See to the network between this machine's failure domain and the one named. Requests that only targets there could serve are refused with TARGETS_UNREACHABLE.",
+  },
+  DOMAIN_REACHED: {
+    code: 2862,
+    level: "info",
+    text: "A target of a failure domain that was not reached has answered",
+    action: NOTHING,
+  },
   INTERNAL_FAULT: {
     code: 2901,
     level: "error",
--- /dev/null
+++ b/src/policy/domain_reachability_test.ts
@@ -0,0 +1,93 @@
+/**
+ * The load that these tests tell of: a failure domain is cut off for some seconds while
+ * callers go on at its entries, whose targets are mostly on the other side.
+ */
+import assert from "node:assert/strict";
+import { describe, it } from "node:test";
+import { DomainReachability, type TargetPlace } from "./domain_reachability.ts";
+
+function createTargets(
+  failureDomain: string,
+  count: number,
+): readonly TargetPlace[] {
+  return Array.from({ length: count }, (_, number) => ({
+    name: `${failureDomain}-${number}`,
+    failureDomain,
+  }));
+}
+
+const FAR = createTargets("far", 4);
+const NEAR = createTargets("near", 2);
+
+/** Connections to some targets of the far domain fail, 100 ms apart. */
+function createCutOff(failures: number): DomainReachability {
+  const reachability = new DomainReachability();
+  FAR.slice(0, failures).forEach((target, number) =>
+    reachability.noteFailed(target, number * 100)
+  );
+  return reachability;
+}
+
+describe("a failure domain whose targets cannot be connected to", () => {
+  it("is sent probes only, so that callers do not wait for connections in vain", () => {
+    const reachability = createCutOff(3);
+    assert.deepEqual(reachability.unreachable, ["far"]);
+    assert.equal(reachability.filter(FAR, 300).length, 4);
+    reachability.noteSent(FAR[0] as TargetPlace, 300);
+    assert.equal(reachability.filter(FAR, 310).length, 0);
+    assert.equal(reachability.filter(FAR, 600).length, 4);
+  });
+
+  it("is probed seldom while targets elsewhere serve", () => {
+    const reachability = createCutOff(3);
+    reachability.noteSent(FAR[0] as TargetPlace, 300);
+    const targets = [...FAR, ...NEAR];
+    assert.deepEqual(reachability.filter(targets, 1000), NEAR);
+    assert.equal(reachability.filter(targets, 2400).length, 6);
+  });
+
+  it("is used as before once one of its targets answers", () => {
+    const reachability = createCutOff(3);
+    reachability.noteSent(FAR[0] as TargetPlace, 300);
+    assert.equal(reachability.noteReached(FAR[1] as TargetPlace), true);
+    assert.equal(reachability.filter(FAR, 310).length, 4);
+  });
+});
+
+describe("a failure domain some of whose targets have crashed", () => {
+  it("stays reachable with two failed targets", () => {
+    const reachability = createCutOff(2);
+    assert.deepEqual(reachability.unreachable, []);
+  });
+
+  it("stays reachable when one target fails again and again", () => {
+    const reachability = new DomainReachability();
+    for (let at = 0; at < 1000; at += 100) {
+      reachability.noteFailed(FAR[0] as TargetPlace, at);
+    }
+    assert.deepEqual(reachability.unreachable, []);
+  });
+
+  it("stays reachable while others answer in between", () => {
+    const reachability = new DomainReachability();
+    for (const target of FAR) {
+      reachability.noteFailed(target, 0);
+      reachability.noteReached(target);
+    }
+    assert.deepEqual(reachability.unreachable, []);
+  });
+
+  it("stays reachable when targets fail seconds apart", () => {
+    const reachability = new DomainReachability();
+    FAR.forEach((target, number) =>
+      reachability.noteFailed(target, number * 2000)
+    );
+    assert.deepEqual(reachability.unreachable, []);
+  });
+
+  it("says once that it became unreachable", () => {
+    const reachability = createCutOff(2);
+    assert.equal(reachability.noteFailed(FAR[2] as TargetPlace, 200), true);
+    assert.equal(reachability.noteFailed(FAR[3] as TargetPlace, 300), false);
+  });
+});
--- a/src/refusals/catalogue.ts
+++ b/src/refusals/catalogue.ts
@@ -224,6 +224,13 @@
     title: "All targets of this service are in need and take few requests now",
     retryAfterSeconds: 1,
   },
+  TARGETS_UNREACHABLE: {
+    code: 5039,
+    status: 503,
+    title:
+      "The targets of this service are in failure domains that cannot be reached",
+    retryAfterSeconds: 2,
+  },
   GROUP_STALLED: {
     code: 5033,
     status: 503,
