Target driver: the back end's calls, claims and pages in files of their own

Change: back_end_calls.ts starts and cancels calls, start_claims.ts sets up the claims and the fetch of histories, target_pages.ts makes the pages. The driver keeps the links, the settings and the reducer.

Type check, lint and the tests of the target and of processes pass.

--- /dev/null
+++ b/src/target/start_claims.ts
@@ -0,0 +1,75 @@
+/**
+ * Starts to claim key slots for a target, and to fetch the history of those it took.
+ *
+ * @module
+ */
+import { performance } from "node:perf_hooks";
+import type { EventLog } from "../events/event_log.ts";
+import type { KeyValueService } from "../external/key_value_service.ts";
+import type { VirtualMachineList } from "../external/virtual_machine_list.ts";
+import type { TargetProcessSettings } from "../process/process_settings.ts";
+import { ClaimKeeper, type ClaimKeeperOptions } from "./claim_keeper.ts";
+import { HistoryFetcher } from "./history_fetcher.ts";
+import type { TargetEvent } from "./types.ts";
+
+/** What claims are made with. */
+export interface StartClaimsOptions {
+  readonly settings: TargetProcessSettings;
+  readonly incarnation: string;
+  readonly keyValueService?: KeyValueService;
+  readonly machineList?: VirtualMachineList;
+  readonly log: EventLog;
+  readonly onEvent: (event: TargetEvent) => void;
+}
+
+/**
+ * Starts to claim key slots; a target that owns no keys claims none.
+ *
+ * @example
+ * ```ts
+ * const claims = startClaims({ ...options, onEvent: dispatch });
+ * claims?.setMachines(machines);
+ * ```
+ */
+export function startClaims(
+  options: StartClaimsOptions,
+): ClaimKeeper | undefined {
+  const { settings, keyValueService, incarnation, onEvent } = options;
+  if (keyValueService === undefined || !settings.ownsKeys) return undefined;
+  const fetcher = new HistoryFetcher({
+    identity: { ...settings, incarnation },
+    onHistory: (history) =>
+      onEvent({ kind: "history_received", now: performance.now(), history }),
+  });
+  return new ClaimKeeper({
+    service: keyValueService,
+    pool: settings.pool,
+    address: settings.address,
+    targetName: settings.name,
+    incarnation,
+    hasMachineList: options.machineList !== undefined,
+    goneGraceMs: settings.goneGraceMs,
+    monotonicNow: () => performance.now(),
+    onTaken: (slots) => fetcher.fetch(slots),
+    onConfirmed: createConfirmation(options),
+  });
+}
+
+/** Logs claims once for each version, and passes every confirmation on. */
+function createConfirmation(
+  { log, onEvent }: StartClaimsOptions,
+): ClaimKeeperOptions["onConfirmed"] {
+  let version = 0;
+  return (claims, askedAt) => {
+    if (claims.version !== version) {
+      version = claims.version;
+      log.write("SLOTS_CLAIMED", { version, slots: claims.slots.length });
+    }
+    onEvent({
+      kind: "claims_confirmed",
+      now: performance.now(),
+      claims,
+      askedAt,
+    });
+  };
+}
--- a/src/target/target_driver.ts
+++ b/src/target/target_driver.ts
@@ -4,9 +4,7 @@
  * @module
  */
 import { performance } from "node:perf_hooks";
-import { Hono } from "hono";
 import { assertNever } from "../core/debug.ts";
-import { forwardedHeadersOf } from "../core/http_headers.ts";
 import type { EventLog } from "../events/event_log.ts";
 import { GroupPart } from "../group/group_part.ts";
 import type { Link } from "../links/link.ts";
@@ -18,7 +16,7 @@
   isSettingsMessage,
   type Message,
 } from "../messages/types.ts";
-import type { BackEnd, BackEndCall } from "../external/back_end.ts";
+import type { BackEnd } from "../external/back_end.ts";
 import type { KeyValueService } from "../external/key_value_service.ts";
 import type { RankEngine } from "../external/rank_engine.ts";
 import { MachineListReader } from "../external/machine_list_reader.ts";
@@ -37,10 +35,12 @@
 import { SettingsKeeper } from "../settings/settings_keeper.ts";
 import type { GroupDocument } from "../settings/types.ts";
 import type { SettingsSnapshot } from "../settings/snapshot.ts";
-import { ClaimKeeper } from "./claim_keeper.ts";
-import { HistoryFetcher } from "./history_fetcher.ts";
+import { BackEndCalls } from "./back_end_calls.ts";
+import type { ClaimKeeper } from "./claim_keeper.ts";
+import { startClaims } from "./start_claims.ts";
+import { createTargetPages } from "./target_pages.ts";
 import { TargetReducer } from "./target_reducer.ts";
-import type { StartBackEnd, TargetEffect, TargetEvent } from "./types.ts";
+import type { TargetEffect, TargetEvent } from "./types.ts";
 
 /** Also how late gathered tokens may be sent. */
 const TICK_MS = 10;
@@ -63,7 +63,7 @@
   readonly #options: TargetDriverOptions;
   readonly #reducer: TargetReducer;
   readonly #links = new Map<number, Link>();
-  readonly #calls = new Map<number, BackEndCall>();
+  readonly #calls: BackEndCalls;
   readonly #metrics: Metrics;
   readonly #listener: HttpListener;
   readonly #keeper: SettingsKeeper;
@@ -102,7 +102,15 @@
       settingsRevision: this.#keeper.revision,
       olderOffers: this.#keeper.olderOffers,
     }), options.log);
-    this.#listener = createHonoListener(this.#createApplication());
+    this.#calls = new BackEndCalls({
+      backEnd: options.backEnd,
+      metrics: this.#metrics,
+      onEvent: (event) => this.#dispatch(event),
+    });
+    this.#listener = createHonoListener(createTargetPages({
+      isLeaving: () => this.#reducer.isLeaving,
+      metrics: this.#metrics,
+    }));
     new LinkServer(this.#listener.server, {
       identity: { ...options.settings, incarnation: options.incarnation },
       welcome: {
@@ -131,7 +139,10 @@
         kind: "tick",
         now: performance.now(),
       }), TICK_MS);
-    this.#startClaims();
+    this.#claims = startClaims({
+      ...this.#options,
+      onEvent: (event) => this.#dispatch(event),
+    });
     this.#startGroup();
     if (machineList !== undefined) {
       this.#machines = new MachineListReader({
@@ -240,44 +251,6 @@
     return document?.kind === "group" ? document : undefined;
   }
 
-  #startClaims(): void {
-    const { settings, keyValueService, incarnation, log } = this.#options;
-    if (keyValueService === undefined || !settings.ownsKeys) return;
-    let version = 0;
-    const fetcher = new HistoryFetcher({
-      identity: { ...settings, incarnation },
-      onHistory: (history) =>
-        this.#dispatch({
-          kind: "history_received",
-          now: performance.now(),
-          history,
-        }),
-    });
-    this.#claims = new ClaimKeeper({
-      service: keyValueService,
-      pool: settings.pool,
-      address: settings.address,
-      targetName: settings.name,
-      incarnation,
-      hasMachineList: this.#options.machineList !== undefined,
-      goneGraceMs: settings.goneGraceMs,
-      monotonicNow: () => performance.now(),
-      onTaken: (slots) => fetcher.fetch(slots),
-      onConfirmed: (claims, askedAt) => {
-        if (claims.version !== version) {
-          version = claims.version;
-          log.write("SLOTS_CLAIMED", { version, slots: claims.slots.length });
-        }
-        this.#dispatch({
-          kind: "claims_confirmed",
-          now: performance.now(),
-          claims,
-          askedAt,
-        });
-      },
-    });
-  }
-
   #onMessage(linkId: number, message: Message): void {
     const link = this.#links.get(linkId);
     if (link === undefined) return;
@@ -360,10 +333,9 @@
         for (const link of this.#links.values()) link.send(effect.message);
         return;
       case "start_back_end":
-        return this.#startBackEnd(effect);
+        return this.#calls.start(effect);
       case "cancel_back_end":
-        this.#calls.get(effect.runId)?.cancel();
-        return;
+        return this.#calls.cancel(effect.runId);
       case "confirm_claims":
         this.#options.log.write("PAUSED");
         this.#claims?.confirm();
@@ -377,50 +349,6 @@
     }
   }
 
-  #startBackEnd(effect: StartBackEnd): void {
-    const { runId, request } = effect;
-    const startedAt = performance.now();
-    this.#metrics.countRequest();
-    const call = this.#options.backEnd.start({
-      method: request.method,
-      path: request.path,
-      headers: forwardedHeadersOf(request.headers),
-      body: request.body,
-      limitMs: request.remainingMs,
-    }, {
-      onHead: (status, headers) =>
-        this.#dispatch({
-          kind: "back_end_head",
-          now: performance.now(),
-          runId,
-          status,
-          headers,
-        }),
-      onData: (bytes) =>
-        this.#dispatch({
-          kind: "back_end_data",
-          now: performance.now(),
-          runId,
-          bytes,
-        }),
-      onEnd: () => {
-        this.#calls.delete(runId);
-        this.#metrics.countAnswer(performance.now() - startedAt);
-        this.#dispatch({ kind: "back_end_end", now: performance.now(), runId });
-      },
-      onFailed: (failure) => {
-        this.#calls.delete(runId);
-        this.#dispatch({
-          kind: "back_end_failed",
-          now: performance.now(),
-          runId,
-          failure,
-        });
-      },
-    });
-    this.#calls.set(runId, call);
-  }
-
   async #finishDrain(): Promise<void> {
     const released = await this.#claims?.release() ?? 0;
     for (const link of this.#links.values()) link.flush();
@@ -430,21 +358,4 @@
     this.#slotsToHandOver = released;
     setTimeout(() => this.#onDrained?.(), HAND_OVER_LIMIT_MS);
   }
-
-  #createApplication(): Hono {
-    const app = new Hono();
-    app.get("/healthz", (context) => context.text("ok\n"));
-    app.get(
-      "/readyz",
-      (context) =>
-        this.#reducer.isLeaving
-          ? context.text("leaving\n", 503)
-          : context.text("ready\n"),
-    );
-    app.get(
-      "/metrics",
-      async (context) => context.text(await this.#metrics.page()),
-    );
-    return app;
-  }
 }
