Coordinator: effects and recovery in files of their own

Change: coordinator_effects.ts signs and collects messages and notes, coordinator_recovery.ts reads what the engines of all ranks say together, the options stand with the events and phases in coordinator_types.ts. The coordinator keeps the phases.

Type check, lint and the tests of src/group pass.

--- a/src/group/coordinator.ts
+++ b/src/group/coordinator.ts
@@ -10,12 +10,11 @@
  * @module
  */
 import { assertNever, Debug } from "../core/debug.ts";
+import { CoordinatorEffects } from "./coordinator_effects.ts";
+import { recoverGroup } from "./coordinator_recovery.ts";
 import type {
-  Activation,
   BoundMessage,
-  CoordinatorMessage,
   Decider,
-  EngineState,
   ExpertMap,
   PreparedMessage,
   StagedMessage,
@@ -26,6 +25,7 @@
   CoordinatorEffect,
   CoordinatorEvent,
   Decision,
+  GroupCoordinatorOptions,
   MemberSaid,
   Phase,
   Preparing,
@@ -44,31 +44,10 @@
  */
 const VERSIONS_PER_EPOCH = 2 ** 20;
 
-/** Options of a {@link GroupCoordinator}. */
-export interface GroupCoordinatorOptions {
-  readonly ranks: number;
-  /** Incarnation of this process. */
-  readonly decider: string;
-  /** Map for a group that has none yet. */
-  readonly firstMap: ExpertMap;
-  /**
-   * Epoch to begin with; later starts should give a higher one (seconds of the
-   * wall clock do). Nothing depends on it but that runs and versions keep
-   * distinct numbers after all engines of a group were replaced at once.
-   */
-  readonly firstEpoch: number;
-  /**
-   * Steps between the furthest rank and the step of a switch; doubled each time
-   * that the group proves faster than the messages.
-   */
-  readonly marginSteps?: number;
-}
-
 /** Rank 0's decider. */
 export class GroupCoordinator {
   readonly #ranks: number;
   readonly #decider: string;
-  #epoch: number;
   #phase: Phase = { kind: "binding", engines: new Map() };
   #map: ExpertMap;
   /** Number of the lock-step run. */
@@ -80,13 +59,17 @@
   readonly #owed = new Set<number>();
   #marginSteps: number;
   #sentAt = Number.NEGATIVE_INFINITY;
-  #effects: CoordinatorEffect[] = [];
+  readonly #effects: CoordinatorEffects;
 
   /** Begins without memory: the first tick binds every rank. */
   constructor(options: GroupCoordinatorOptions) {
     this.#ranks = options.ranks;
     this.#decider = options.decider;
-    this.#epoch = options.firstEpoch;
+    this.#effects = new CoordinatorEffects({
+      ranks: options.ranks,
+      decider: options.decider,
+      epoch: options.firstEpoch,
+    });
     this.#marginSteps = options.marginSteps ?? FIRST_MARGIN_STEPS;
     this.#map = options.firstMap;
   }
@@ -103,7 +86,7 @@
 
   /** The decider's number among those of its group. */
   get epoch(): number {
-    return this.#epoch;
+    return this.#effects.epoch;
   }
 
   /**
@@ -115,13 +98,13 @@
    * ```
    */
   reduce(event: CoordinatorEvent): readonly CoordinatorEffect[] {
-    this.#effects = [];
+    this.#effects.clear();
     switch (event.kind) {
       case "member_said":
         this.#memberSaid(event);
         break;
       case "member_connected":
-        this.#say(event.rank, this.#bindMessage());
+        this.#effects.bind(event.rank);
         break;
       case "map_proposed":
         this.#proposed(event.map, event.now);
@@ -132,13 +115,13 @@
       default:
         assertNever(event);
     }
-    return this.#effects;
+    return this.#effects.all;
   }
 
   #memberSaid(event: MemberSaid): void {
     const { message, rank, now } = event;
     if (message.kind === "outdated") return this.#outdated(message, rank);
-    if (message.epoch !== this.#epoch) return;
+    if (message.epoch !== this.#effects.epoch) return;
     switch (message.kind) {
       case "bound":
         return this.#bound(message, rank, now);
@@ -164,19 +147,21 @@
    */
   #outdated(followed: Decider, rank: number): void {
     const { epoch, decider } = followed;
-    if (epoch < this.#epoch) return this.#say(rank, this.#bindMessage());
+    if (epoch < this.#effects.epoch) {
+      return this.#effects.bind(rank);
+    }
     if (decider === this.#decider) return;
-    this.#epoch = epoch;
+    this.#effects.epoch = epoch;
     this.#startBinding();
   }
 
   /** A new number makes every message sent so far, either way, worthless. */
   #startBinding(): void {
-    this.#epoch++;
+    this.#effects.epoch++;
     this.#phase = { kind: "binding", engines: new Map() };
     this.#owed.clear();
     this.#last = undefined;
-    this.#sayToAll(this.#bindMessage());
+    this.#effects.forEachRank((rank) => this.#effects.bind(rank));
   }
 
   #bound(message: BoundMessage, rank: number, now: number): void {
@@ -209,7 +194,7 @@
     const isInRun = message.engine.incarnation === this.#incarnation;
     if (phase.assemble === undefined && !isInRun) return this.#startBinding();
     phase.steps.delete(rank);
-    this.#say(rank, this.#stageMessage(phase));
+    this.#effects.stage(rank, phase);
   }
 
   #boundWhilePreparing(
@@ -219,49 +204,38 @@
   ): void {
     const isStaged = message.engine.stagedVersion === phase.version;
     if (!isStaged) return this.#startBinding();
-    this.#say(rank, this.#prepareMessage(phase));
+    this.#effects.prepare(rank, phase);
   }
 
   /** Every rank is bound: what was decided before can be known now. */
   #recover(phase: Binding, now: number): void {
-    const engines = [...phase.engines.values()];
-    this.#version = Math.max(...engines.map(highestVersionOf));
+    const group = recoverGroup([...phase.engines.values()]);
+    const { committed, stagedVersion } = group;
+    this.#version = group.version;
     const versionEpoch = Math.floor(this.#version / VERSIONS_PER_EPOCH);
-    if (versionEpoch >= this.#epoch) {
-      this.#epoch = versionEpoch;
+    if (versionEpoch >= this.#effects.epoch) {
+      this.#effects.epoch = versionEpoch;
       return this.#startBinding();
     }
-    this.#incarnation = Math.max(...engines.map((one) => one.incarnation));
-    const isOneRun = engines.every((one) =>
-      one.incarnation === this.#incarnation
-    );
-    const committed = newestActivation(engines);
-    this.#learnMap(engines, committed?.version);
-    if (!isOneRun || committed === undefined) return this.#assemble(now);
+    this.#incarnation = group.incarnation;
+    if (group.map !== undefined) this.#map = group.map;
+    if (!group.isOneRun || committed === undefined) return this.#assemble(now);
     this.#phase = { kind: "idle" };
-    const staged = Math.max(0, ...engines.map((one) => one.stagedVersion ?? 0));
-    if (staged > committed.version) return this.#decide(staged, undefined);
+    if (stagedVersion > committed.version) {
+      return this.#decide(stagedVersion, undefined);
+    }
     this.#decide(committed.version, committed.step);
   }
 
-  #learnMap(
-    engines: readonly EngineState[],
-    version: number | undefined,
-  ): void {
-    const known = engines.flatMap((one) => one.maps)
-      .find((one) => one.version === version);
-    if (known !== undefined) this.#map = known.map;
-  }
-
   /** A group with a new engine among its ranks begins a new run. */
   #assemble(now: number): void {
-    this.#incarnation = Math.max(this.#incarnation + 1, this.#epoch);
+    this.#incarnation = Math.max(this.#incarnation + 1, this.#effects.epoch);
     this.#startStaging(this.#map, { assemble: this.#incarnation, now });
   }
 
   #proposed(map: ExpertMap, now: number): void {
     if (!this.isIdle) {
-      this.#effects.push({ kind: "proposal_dropped" });
+      this.#effects.add({ kind: "proposal_dropped" });
       return;
     }
     this.#startStaging(map, { assemble: undefined, now });
@@ -273,7 +247,7 @@
   ): void {
     this.#version = Math.max(
       this.#version + 1,
-      this.#epoch * VERSIONS_PER_EPOCH,
+      this.#effects.epoch * VERSIONS_PER_EPOCH,
     );
     const phase: Staging = {
       kind: "staging",
@@ -285,7 +259,7 @@
     };
     this.#phase = phase;
     this.#sentAt = options.now;
-    this.#sayToAll(this.#stageMessage(phase));
+    this.#effects.forEachRank((rank) => this.#effects.stage(rank, phase));
   }
 
   #staged(message: StagedMessage, rank: number, now: number): void {
@@ -316,7 +290,7 @@
     };
     this.#phase = next;
     this.#sentAt = now;
-    this.#sayToAll(this.#prepareMessage(next));
+    this.#effects.forEachRank((rank) => this.#effects.prepare(rank, next));
   }
 
   #prepared(message: PreparedMessage, rank: number): void {
@@ -351,7 +325,7 @@
       this.#owed.add(rank);
       this.#sayDecision(rank);
     }
-    this.#effects.push({
+    this.#effects.add({
       kind: "switch_decided",
       version,
       isCommitted: step !== undefined,
@@ -363,7 +337,7 @@
     const phase = this.#phase;
     if (phase.kind === "binding") return;
     if (phase.kind !== "idle" && phase.version === version) return;
-    this.#say(rank, { kind: "abort", ...this.#signature(), version });
+    this.#effects.abort(rank, version);
   }
 
   #tick(now: number): void {
@@ -372,8 +346,10 @@
     const phase = this.#phase;
     switch (phase.kind) {
       case "binding":
-        return this.#forEachRank((rank) => {
-          if (!phase.engines.has(rank)) this.#say(rank, this.#bindMessage());
+        return this.#effects.forEachRank((rank) => {
+          if (!phase.engines.has(rank)) {
+            this.#effects.bind(rank);
+          }
         });
       case "idle":
         return this.#owed.forEach((rank) => this.#sayDecision(rank));
@@ -392,70 +368,18 @@
       this.#phase = { kind: "idle" };
       return this.#decide(phase.version, undefined);
     }
-    this.#forEachRank((rank) => {
+    this.#effects.forEachRank((rank) => {
       if (phase.kind === "preparing") {
         if (phase.prepared.has(rank)) return;
-        this.#say(rank, this.#prepareMessage(phase));
+        this.#effects.prepare(rank, phase);
       } else if (!phase.steps.has(rank)) {
-        this.#say(rank, this.#stageMessage(phase));
+        this.#effects.stage(rank, phase);
       }
     });
   }
 
-  #stageMessage(phase: Staging): CoordinatorMessage {
-    const { version, map, assemble } = phase;
-    return { kind: "stage", ...this.#signature(), version, map, assemble };
-  }
-
-  #prepareMessage(phase: Preparing): CoordinatorMessage {
-    const { version, step } = phase;
-    return { kind: "prepare", ...this.#signature(), version, step };
-  }
-
   #sayDecision(rank: number): void {
-    const { version, step } = Debug.getDefined(this.#last, "Decided before");
-    const place = { ...this.#signature(), version };
-    this.#say(
-      rank,
-      step === undefined
-        ? { kind: "abort", ...place }
-        : { kind: "commit", ...place, step },
-    );
-  }
-
-  #bindMessage(): CoordinatorMessage {
-    return { kind: "bind", ...this.#signature() };
-  }
-
-  #signature(): Decider {
-    return { epoch: this.#epoch, decider: this.#decider };
-  }
-
-  #sayToAll(message: CoordinatorMessage): void {
-    this.#forEachRank((rank) => this.#say(rank, message));
+    const decision = Debug.getDefined(this.#last, "Decided before");
+    this.#effects.decision(rank, decision);
   }
-
-  #forEachRank(callback: (rank: number) => void): void {
-    for (let rank = 0; rank < this.#ranks; rank++) callback(rank);
-  }
-
-  #say(rank: number, message: CoordinatorMessage): void {
-    this.#effects.push({ kind: "say", rank, message });
-  }
-}
-
-function highestVersionOf(engine: EngineState): number {
-  return Math.max(
-    engine.activeVersion,
-    engine.stagedVersion ?? 0,
-    engine.activation?.version ?? 0,
-  );
-}
-
-function newestActivation(
-  engines: readonly EngineState[],
-): Activation | undefined {
-  return engines
-    .flatMap((one) => one.activation === undefined ? [] : [one.activation])
-    .sort((left, right) => right.version - left.version)[0];
 }
--- a/src/group/coordinator_types.ts
+++ b/src/group/coordinator_types.ts
@@ -10,6 +10,26 @@
   MemberMessage,
 } from "./types.ts";
 
+/** Options of the decider of rank 0. */
+export interface GroupCoordinatorOptions {
+  readonly ranks: number;
+  /** Incarnation of this process. */
+  readonly decider: string;
+  /** Map for a group that has none yet. */
+  readonly firstMap: ExpertMap;
+  /**
+   * Epoch to begin with; later starts should give a higher one (seconds of the
+   * wall clock do). Nothing depends on it but that runs and versions keep
+   * distinct numbers after all engines of a group were replaced at once.
+   */
+  readonly firstEpoch: number;
+  /**
+   * Steps between the furthest rank and the step of a switch; doubled each time
+   * that the group proves faster than the messages.
+   */
+  readonly marginSteps?: number;
+}
+
 /** A message of a rank arrived. */
 export interface MemberSaid {
   readonly kind: "member_said";
