Decider of formed groups: effects, gathering and judging of reports by themselves

Change: decider_effects.ts collects effects, gathered_ranks.ts puts together what ranks hold, judge_report.ts says what an order that was not carried out and a held pass mean in each phase. The decider keeps the phases and uses SwitchAtPass of decider_types.ts.

Type check, lint and the tests of src/group/formed pass.

--- a/src/group/formed/decider.ts
+++ b/src/group/formed/decider.ts
@@ -18,7 +18,7 @@
 import { assertNever } from "../../core/debug.ts";
 import type { RandomSource } from "../../core/random_source.ts";
 import type { ExpertMap } from "../types.ts";
-import { assembleMap } from "./assemble_map.ts";
+import { DeciderEffects } from "./decider_effects.ts";
 import type {
   DeciderEffect,
   DeciderEvent,
@@ -27,11 +27,14 @@
   MapProposed,
   RankReported,
   Releasing,
+  SwitchAtPass,
 } from "./decider_types.ts";
+import { noteGathered, trySettle } from "./gathered_ranks.ts";
 import { readHeldPass } from "./held_pass.ts";
 import { HoldMargin } from "./hold_margin.ts";
+import { hasStrayHold, judgeRejection } from "./judge_report.ts";
 import { MapVersions } from "./map_versions.ts";
-import { type OpenOrder, OpenOrders } from "./open_orders.ts";
+import { OpenOrders } from "./open_orders.ts";
 import { PassTimes } from "./pass_times.ts";
 import { getHolderRank, type RankOrder, type RankState } from "./types.ts";
 
@@ -52,13 +55,6 @@
   readonly firstOrderId: number;
 }
 
-/** A switch whose pass is known. */
-interface PlannedSwitch {
-  readonly version: number;
-  readonly pass: number;
-  readonly map: ExpertMap | undefined;
-}
-
 /** Decides the expert map of a formed group. */
 export class FormedGroupDecider {
   readonly #ranks: number;
@@ -77,7 +73,7 @@
   #heldAt: number | undefined;
   readonly #orders: OpenOrders;
   #askedAt = Number.NEGATIVE_INFINITY;
-  #effects: DeciderEffect[] = [];
+  readonly #effects = new DeciderEffects();
 
   /** Knows nothing of the other ranks yet: the first tick asks them. */
   constructor(options: FormedGroupDeciderOptions) {
@@ -115,7 +111,7 @@
    * ```
    */
   reduce(event: DeciderEvent): readonly DeciderEffect[] {
-    this.#effects = [];
+    this.#effects.clear();
     switch (event.kind) {
       case "rank_reported":
         this.#reported(event);
@@ -129,7 +125,7 @@
       default:
         assertNever(event);
     }
-    return this.#effects;
+    return this.#effects.all;
   }
 
   #reported(event: RankReported): void {
@@ -150,7 +146,7 @@
     this.#versions.note(state);
     const open = this.#orders.tryGet(rank);
     this.#orders.closeIfDone(rank, state);
-    if (this.#hasStrayHold(state)) return this.#startOver(event);
+    if (hasStrayHold(this.#phase, state)) return this.#startOver(event);
     const isRejected = this.#orders.tryGet(rank) !== undefined &&
       report.orderId === open?.id && report.isDone === false;
     if (isRejected) return this.#rejected(event);
@@ -212,7 +208,8 @@
   }
 
   /** A held pass is dealt with first; without one, every rank is to be known. */
-  #gathered(phase: Gathering, { rank, report, now }: RankReported): void {
+  #gathered(phase: Gathering, event: RankReported): void {
+    const { rank, report, now } = event;
     if (rank === this.#holder) {
       const held = readHeldPass(report.state);
       switch (held.kind) {
@@ -233,43 +230,9 @@
           assertNever(held);
       }
     }
-    const before = phase.states.get(rank);
-    const hasSwitched = before !== undefined &&
-      before.activeVersion !== report.state.activeVersion;
-    if (hasSwitched) phase.experts.delete(rank);
-    phase.states.set(rank, report.state);
-    if (report.experts !== undefined) phase.experts.set(rank, report.experts);
-    this.#settleIfWhole(phase, now);
-  }
-
-  #settleIfWhole(phase: Gathering, now: number): void {
-    const isWhole = phase.states.size === this.#ranks &&
-      phase.experts.size === this.#ranks;
-    if (!isWhole) return;
-    const states = [...phase.states.values()];
-    const versions = new Set(states.map((state) => state.activeVersion));
-    const isSettled = versions.size === 1 &&
-      states.every((state) => state.armed === undefined);
-    if (isSettled) {
-      const map = assembleMap(phase.experts);
-      return this.#enter({ kind: "settled", map }, now);
-    }
-    this.#forgetOutdated(phase);
-  }
-
-  /**
-   * The ranks were seen at different times: those that had yet to switch are asked again.
-   * With all of them asked again at once, a large group was never whole.
-   */
-  #forgetOutdated({ states, experts }: Gathering): void {
-    const newest = Math.max(
-      ...[...states.values()].map(({ activeVersion }) => activeVersion),
-    );
-    for (const [rank, { activeVersion, armed }] of states) {
-      if (activeVersion === newest && armed === undefined) continue;
-      states.delete(rank);
-      experts.delete(rank);
-    }
+    noteGathered(phase, event);
+    const map = trySettle(phase, this.#ranks);
+    if (map !== undefined) this.#enter({ kind: "settled", map }, now);
   }
 
   #proposed({ map, passPart, now }: MapProposed): void {
@@ -289,7 +252,7 @@
    * is never held for another switch, which a late order to let it go could harm.
    */
   #hold(
-    { version, map }: Pick<PlannedSwitch, "version" | "map">,
+    { version, map }: Pick<SwitchAtPass, "version" | "map">,
     now: number,
   ): void {
     const pass = this.#lastPass + this.#margin.passes;
@@ -298,12 +261,12 @@
     this.#order(this.#holder, { kind: "hold", ...this.#at(pass) }, now);
   }
 
-  #decide({ version, pass, map }: PlannedSwitch, now: number): void {
+  #decide({ version, pass, map }: SwitchAtPass, now: number): void {
     this.#enter({ kind: "deciding", version, pass, map }, now);
     this.#arm(this.#holder, { version, pass, map }, now);
   }
 
-  #armOthers(planned: PlannedSwitch, now: number): void {
+  #armOthers(planned: SwitchAtPass, now: number): void {
     const { version, pass, map } = planned;
     this.#orders.clear();
     this.#enter({ kind: "arming", version, pass, map }, now);
@@ -313,12 +276,12 @@
     if (this.#orders.areDone) this.#armed(planned, now);
   }
 
-  #armed(planned: PlannedSwitch, now: number): void {
+  #armed(planned: SwitchAtPass, now: number): void {
     this.#margin.noteArmed(planned.pass - this.#lastPass);
     this.#release(planned, now);
   }
 
-  #arm(rank: number, { version, pass }: PlannedSwitch, now: number): void {
+  #arm(rank: number, { version, pass }: SwitchAtPass, now: number): void {
     this.#order(rank, { kind: "arm", ...this.#at(pass), version }, now);
   }
 
@@ -344,75 +307,35 @@
   }
 
   #switched(
-    { version, map }: Pick<PlannedSwitch, "version" | "map">,
+    { version, map }: Pick<SwitchAtPass, "version" | "map">,
     now: number,
   ): void {
-    this.#effects.push({ kind: "map_in_force", version });
+    this.#effects.putMapInForce(version);
     if (map === undefined) return this.#gather(now);
     this.#enter({ kind: "settled", map }, now);
   }
 
-  /** A hold that took effect after it was given up stops the group for nothing. */
-  #hasStrayHold(state: RankState): boolean {
-    if (state.heldPass === undefined) return false;
-    const phase = this.#phase;
-    switch (phase.kind) {
-      case "settled":
-      case "preparing":
-      case "switching":
-        return true;
-      case "holding":
-        return state.heldPass !== phase.pass;
-      case "gathering":
-      case "deciding":
-      case "arming":
-      case "fencing":
-      case "releasing":
-        return false;
-      default:
-        return assertNever(phase);
-    }
-  }
-
   #rejected(event: RankReported): void {
     const { rank, report: { state }, now } = event;
-    const phase = this.#phase;
-    switch (phase.kind) {
-      case "preparing":
-        // Nothing is armed, so what some ranks loaded does no harm.
+    const rejection = judgeRejection(this.#phase, state);
+    switch (rejection.kind) {
+      case "give_up_map":
         this.#orders.clear();
-        return this.#enter({ kind: "settled", map: phase.before }, now);
-      case "holding":
-        if (isFenced(state, phase.version)) return this.#startOver(event);
-        // The order was lost, and is given again by the next tick.
-        if (state.pass < phase.pass) return;
-        // The pass had begun: the switch moves further ahead.
+        return this.#enter({ kind: "settled", map: rejection.before }, now);
+      case "hold_later":
         this.#orders.clear();
         this.#margin.widen();
-        return this.#hold(phase, now);
-      case "deciding": {
-        const isOver = isFenced(state, phase.version) ||
-          state.pass >= phase.pass;
-        if (isOver) return this.#startOver(event);
-        return this.#orders.postpone(rank, now);
-      }
-      case "arming":
-      case "releasing":
-        // All ranks were armed for a pass that began: another process saw to it.
-        if (state.pass >= phase.pass) return this.#startOver(event);
-        // Other ranks are armed: it is asked for again until it is done.
+        return this.#hold(rejection, now);
+      case "start_over":
+        return this.#startOver(event);
+      case "postpone":
         return this.#orders.postpone(rank, now);
-      case "fencing": {
-        const isOver = state.pass >= phase.pass || state.armed !== undefined;
-        if (isOver) return this.#startOver(event);
+      case "fence_higher":
         return this.#fenceHigher(rank, now);
-      }
-      case "gathering":
-      case "settled":
-      case "switching":
+      case "ignore":
         return;
       default:
-        assertNever(phase);
+        assertNever(rejection);
     }
   }
 
@@ -425,7 +348,9 @@
   }
 
   #tick(now: number): void {
-    for (const open of this.#orders.takeDue(now)) this.#send(open, true);
+    for (const open of this.#orders.takeDue(now)) {
+      this.#effects.sendOrder(open, true);
+    }
     const { kind } = this.#phase;
     const isGathering = kind === "gathering";
     const lookMs = isGathering ? GATHERING_LOOK_MS : SWITCHING_LOOK_MS;
@@ -433,7 +358,7 @@
     if (!isLooking || now - this.#askedAt < lookMs) return;
     this.#askedAt = now;
     if (isGathering) return this.#askUnknown();
-    this.#effects.push({ kind: "send_query", rank: 0 });
+    this.#effects.sendQuery(0);
   }
 
   #gather(now: number): void {
@@ -452,43 +377,22 @@
     if (phase.kind !== "gathering") return;
     for (let rank = 0; rank < this.#ranks; rank++) {
       if (phase.experts.has(rank)) continue;
-      this.#effects.push({ kind: "send_query", rank });
+      this.#effects.sendQuery(rank);
     }
   }
 
   #enter(phase: DeciderPhase, now: number): void {
     this.#phase = phase;
-    this.#effects.push({
-      kind: "phase_entered",
-      phase: phase.kind,
-      epoch: this.#epoch,
-      version: "version" in phase ? phase.version : undefined,
-      pass: "pass" in phase ? phase.pass : undefined,
-      tookMs: now - this.#phaseEnteredAt,
-    });
+    const tookMs = now - this.#phaseEnteredAt;
+    this.#effects.enterPhase({ phase, epoch: this.#epoch, tookMs });
     this.#phaseEnteredAt = now;
   }
 
   #order(rank: number, order: RankOrder, now: number): void {
-    this.#send(this.#orders.open(rank, order, now), false);
-  }
-
-  #send({ rank, id, order }: OpenOrder, isRepeated: boolean): void {
-    this.#effects.push({
-      kind: "send_order",
-      rank,
-      orderId: id,
-      order,
-      isRepeated,
-    });
+    this.#effects.sendOrder(this.#orders.open(rank, order, now), false);
   }
 
   #at(pass: number) {
     return { epoch: this.#epoch, pass };
   }
 }
-
-/** The map that the rank had prepared was replaced: it cannot be armed any more. */
-function isFenced(state: RankState, version: number): boolean {
-  return state.armed === undefined && state.preparedVersion !== version;
-}
--- a/src/group/formed/decider_types.ts
+++ b/src/group/formed/decider_types.ts
@@ -99,7 +99,7 @@
 }
 
 /** A switch at a pass. */
-interface SwitchAtPass {
+export interface SwitchAtPass {
   readonly version: number;
   readonly pass: number;
   /** Undefined when an earlier decider planned it. */
