Formed group world: engines and orders in files of their own

Change: formed_group_engines.ts has the engines, their passes and the count of mixed ones; formed_group_orders.ts has the processes that give engines orders; the world keeps deciders, messages and faults.

Type check, lint and the tests that use the world pass.

--- /dev/null
+++ b/src/testing/formed_group_engines.ts
@@ -0,0 +1,110 @@
+/**
+ * The engines of a model of a formed group: their passes, the orders that they carry out
+ * at once or late, and what is checked of each pass.
+ *
+ * @module
+ */
+import type { RandomSource } from "../core/random_source.ts";
+import {
+  getHolderRank,
+  type RankOrderMessage,
+  type RankState,
+} from "../group/formed/types.ts";
+import type { ExpertMap } from "../group/types.ts";
+import type { EventQueue } from "./event_queue.ts";
+import { FakeFormedEngine } from "./fake_formed_engine.ts";
+
+/** Ranks of the group. */
+export const RANKS = 4;
+/** The rank whose engine holds passes. */
+export const HOLDER = getHolderRank(RANKS);
+/** Milliseconds that an engine takes to load a map. */
+export const LOAD_MS = 400;
+
+const LATE_MIN_MS = 2000;
+const LATE_SPREAD_MS = 10_000;
+
+/** The engines of a formed group. */
+export class FormedGroupEngines {
+  readonly #queue: EventQueue;
+  readonly #random: RandomSource;
+  readonly #engines = Array.from(
+    { length: RANKS },
+    (_, rank) => new FakeFormedEngine(rank, RANKS),
+  );
+  readonly #mixedPasses: number[] = [];
+  #passes = 0;
+  #switches = 0;
+
+  /** No pass has begun yet. */
+  constructor(queue: EventQueue, random: RandomSource) {
+    this.#queue = queue;
+    this.#random = random;
+  }
+
+  /** Passes that began with more than one map. */
+  get mixedPasses(): readonly number[] {
+    return this.#mixedPasses;
+  }
+
+  /** Passes that began. */
+  get passes(): number {
+    return this.#passes;
+  }
+
+  /** Maps that came into force. */
+  get switches(): number {
+    return this.#switches;
+  }
+
+  /** What an engine says of itself. */
+  stateOf(rank: number): RankState {
+    return this.#engine(rank).state;
+  }
+
+  /** The group is formed anew. */
+  reform(): void {
+    for (const engine of this.#engines) engine.reform();
+  }
+
+  /** Begins the next pass, unless an engine holds it. Returns whether it began. */
+  tryPass(): boolean {
+    const next = this.#engine(0).state.pass + 1;
+    if (this.#engines.some((engine) => !engine.mayBegin(next))) return false;
+    const before = this.#engine(0).active.version;
+    for (const engine of this.#engines) engine.begin(next);
+    this.#passes++;
+    const maps = new Set(
+      this.#engines.map((engine) => JSON.stringify(engine.active)),
+    );
+    if (maps.size > 1) this.#mixedPasses.push(next);
+    if (this.#engine(0).active.version !== before) this.#switches++;
+    return true;
+  }
+
+  /** The engine carries out an order 2 to 12 s later. */
+  applyLate(rank: number, message: RankOrderMessage): void {
+    const lateMs = LATE_MIN_MS + this.#random.nextBelow(LATE_SPREAD_MS);
+    this.#queue.after(lateMs, () => this.apply(rank, message));
+  }
+
+  /** An engine that is fenced prepares a map without a copy, so at once. */
+  apply(rank: number, { order }: RankOrderMessage): boolean {
+    const engine = this.#engine(rank);
+    if (order.kind === "fence") {
+      const map: ExpertMap = { layers: [] };
+      const isFenced = engine.carryOut({ ...order, kind: "prepare", map });
+      if (isFenced) engine.finishLoading(order.version);
+      return isFenced;
+    }
+    const isAccepted = engine.carryOut(order);
+    if (order.kind === "prepare" && isAccepted) {
+      this.#queue.after(LOAD_MS, () => engine.finishLoading(order.version));
+    }
+    return isAccepted;
+  }
+
+  #engine(rank: number): FakeFormedEngine {
+    return this.#engines[rank] as FakeFormedEngine;
+  }
+}
--- a/src/testing/formed_group_world.ts
+++ b/src/testing/formed_group_world.ts
@@ -14,17 +14,29 @@
 } from "../group/formed/decider_types.ts";
 import { HeldPassWatch } from "../group/formed/held_pass_watch.ts";
 import {
-  getHolderRank,
   isCarriedOut,
   type RankOrderMessage,
   type RankReportMessage,
 } from "../group/formed/types.ts";
 import type { ExpertMap } from "../group/types.ts";
 import { EventQueue } from "./event_queue.ts";
+import { FormedGroupEngines, HOLDER, RANKS } from "./formed_group_engines.ts";
+import { FormedGroupOrders } from "./formed_group_orders.ts";
 import type { FormedGroupFaults } from "./formed_group_faults.ts";
-import { FakeFormedEngine } from "./fake_formed_engine.ts";
 import { HoldRecord, isUndecidable } from "./hold_record.ts";
 
+const PASS_MS = 40;
+const TICK_MS = 20;
+const PROPOSAL_MS = 150;
+const IDLE_PERIOD_MS = 10_000;
+const DOWN_MS = 1500;
+const FREEZE_MS = 4000;
+const FIRST_FREEZE_MS = 1000;
+const LOOK_MS = 100;
+/** Milliseconds until an engine shows another machine what an order did. */
+const REMOTE_LOOK_MS = 240;
+const ORDER_IDS_OF_SEAT = 2 ** 32;
+
 /** What a run showed. */
 export interface FormedGroupResult {
   /** Passes that began with more than one map. */
@@ -46,24 +58,6 @@
   readonly wasArmed: boolean;
 }
 
-const RANKS = 4;
-const HOLDER = getHolderRank(RANKS);
-const PASS_MS = 40;
-const TICK_MS = 20;
-const PROPOSAL_MS = 150;
-const LOAD_MS = 400;
-const ORDER_LIMIT_MS = 40;
-const IDLE_PERIOD_MS = 10_000;
-const LATE_MIN_MS = 2000;
-const LATE_SPREAD_MS = 10_000;
-const DOWN_MS = 1500;
-const FREEZE_MS = 4000;
-const FIRST_FREEZE_MS = 1000;
-const LOOK_MS = 100;
-/** Milliseconds until an engine shows another machine what an order did. */
-const REMOTE_LOOK_MS = 240;
-const ORDER_IDS_OF_SEAT = 2 ** 32;
-
 /** A process that decides, or ends what was decided, beside a rank. */
 interface Seat {
   readonly rank: number;
@@ -83,10 +77,8 @@
   readonly #queue = new EventQueue();
   readonly #random: RandomSource;
   readonly #faults: FormedGroupFaults;
-  readonly #engines = Array.from(
-    { length: RANKS },
-    (_, rank) => new FakeFormedEngine(rank, RANKS),
-  );
+  readonly #engines: FormedGroupEngines;
+  readonly #orders: FormedGroupOrders;
   readonly #seat = createSeat(0);
   readonly #rescueSeat = createSeat(HOLDER);
   readonly #watch = new HeldPassWatch();
@@ -94,10 +86,6 @@
   #told: RankReportMessage | undefined;
   /** Until when each machine stands still. */
   readonly #frozenUntil = new Array<number>(RANKS).fill(0);
-  readonly #orders = new Map<number, RankOrderMessage>();
-  readonly #mixedPasses: number[] = [];
-  #passes = 0;
-  #switches = 0;
   readonly #holds = new HoldRecord();
   #freezes = 0;
   /** Freezes of the decider's machine, by number, in which nobody could tell. */
@@ -112,6 +100,13 @@
   constructor(seed: number, faults: FormedGroupFaults) {
     this.#random = new RandomSource(seed);
     this.#faults = faults;
+    this.#engines = new FormedGroupEngines(this.#queue, this.#random);
+    this.#orders = new FormedGroupOrders({
+      queue: this.#queue,
+      random: this.#random,
+      faults,
+      engines: this.#engines,
+    });
     this.#startDecider(this.#seat);
     this.#every(PASS_MS, () => this.#pass());
     this.#every(TICK_MS, () => {
@@ -129,16 +124,18 @@
     for (const at of faults.freezesAt) {
       this.#queue.after(at, () => this.#freeze(0));
     }
-    if (faults.epochMs > 0) this.#every(faults.epochMs, () => this.#reform());
+    if (faults.epochMs > 0) {
+      this.#every(faults.epochMs, () => this.#engines.reform());
+    }
   }
 
   /** Runs to a virtual time in milliseconds. */
   run(untilMs: number): FormedGroupResult {
     this.#queue.runUntil(untilMs);
     return {
-      mixedPasses: this.#mixedPasses,
-      passes: this.#passes,
-      switches: this.#switches,
+      mixedPasses: this.#engines.mixedPasses,
+      passes: this.#engines.passes,
+      switches: this.#engines.switches,
       longestHoldMs: this.#holds.longestMs,
       longestAvoidableHoldMs: this.#holds.longestAvoidableMs,
       freezes: this.#freezes,
@@ -166,7 +163,7 @@
   #startDecider(seat: Seat): void {
     seat.number++;
     seat.decider = new FormedGroupDecider({
-      state: this.#engine(seat.rank).state,
+      state: this.#engines.stateOf(seat.rank),
       random: this.#random,
       now: this.#now,
       firstOrderId: seat.rank * ORDER_IDS_OF_SEAT + seat.number * 2 ** 20,
@@ -188,34 +185,16 @@
     });
   }
 
-  #reform(): void {
-    for (const engine of this.#engines) engine.reform();
-  }
-
   #pass(): void {
-    if (this.#isIdle) {
-      // Nobody waits for a pass that is held meanwhile.
-      return this.#holds.end();
-    }
-    const next = this.#engine(0).state.pass + 1;
-    if (this.#engines.some((engine) => !engine.mayBegin(next))) {
-      return this.#countHold();
-    }
-    this.#holds.end();
-    const before = this.#engine(0).active.version;
-    for (const engine of this.#engines) engine.begin(next);
-    this.#passes++;
-    const maps = new Set(
-      this.#engines.map((engine) => JSON.stringify(engine.active)),
-    );
-    if (maps.size > 1) this.#mixedPasses.push(next);
-    if (this.#engine(0).active.version !== before) this.#switches++;
+    // Nobody waits for a pass that is held while there is no work.
+    if (this.#isIdle || this.#engines.tryPass()) return this.#holds.end();
+    this.#countHold();
   }
 
   #countHold(): void {
     const isStuck = isUndecidable({
       isDeciderFrozen: this.#isFrozen(0),
-      holder: this.#engine(HOLDER).state,
+      holder: this.#engines.stateOf(HOLDER),
       told: this.#told?.state,
     });
     if (isStuck) this.#undecidable.add(this.#freezes);
@@ -248,7 +227,7 @@
   #lookForHold(): void {
     if (this.#isFrozen(HOLDER)) return;
     const seat = this.#rescueSeat;
-    const { state } = this.#engine(HOLDER);
+    const state = this.#engines.stateOf(HOLDER);
     const awaitedMs = this.#watch.observe(state, this.#now);
     if (state.heldPass === undefined) return this.#endDecider(seat);
     if (awaitedMs === undefined) return;
@@ -274,7 +253,7 @@
     this.#freezes++;
     if (this.#freezes > 1) return;
     this.#saidBefore = [...this.#said];
-    this.#wasArmed = this.#engine(0).state.armed !== undefined;
+    this.#wasArmed = this.#engines.stateOf(0).armed !== undefined;
   }
 
   #reduce(seat: Seat, event: DeciderEvent): void {
@@ -314,7 +293,7 @@
     this.#deliver(seat, rank, () =>
       this.#report(seat, rank, {
         kind: "rank_report",
-        state: this.#engine(rank).state,
+        state: this.#engines.stateOf(rank),
         experts: [[rank]],
       }));
   }
@@ -336,12 +315,12 @@
     const message: RankOrderMessage = { kind: "rank_order", orderId, order };
     const draw = this.#random.nextFraction();
     if (draw < this.#faults.lateOrders) {
-      this.#applyLate(rank, message);
+      this.#engines.applyLate(rank, message);
     } else {
-      this.#apply(rank, message);
+      this.#engines.apply(rank, message);
     }
     this.#queue.after(REMOTE_LOOK_MS, () => {
-      const { state } = this.#engine(rank);
+      const state = this.#engines.stateOf(rank);
       const isDone = isCarriedOut(order, state);
       this.#report(seat, rank, { kind: "rank_report", state, orderId, isDone });
     });
@@ -362,6 +341,14 @@
     });
   }
 
+  #carryOut(seat: Seat, rank: number, message: RankOrderMessage): void {
+    this.#orders.carryOut(
+      (report) => this.#report(seat, rank, report),
+      rank,
+      message,
+    );
+  }
+
   #report(seat: Seat, rank: number, report: RankReportMessage): void {
     const { number } = seat;
     if (this.#random.nextFraction() < this.#faults.lostMessages) return;
@@ -381,85 +368,4 @@
       this.#told = report;
     });
   }
-
-  /** The rank's process gives an order, and gives it again unless answered. */
-  #carryOut(seat: Seat, rank: number, message: RankOrderMessage): void {
-    if (this.#orders.get(rank)?.orderId === message.orderId) return;
-    if (this.#random.nextFraction() < this.#faults.forgottenOrders) {
-      this.#orders.delete(rank);
-      return;
-    }
-    this.#orders.set(rank, message);
-    this.#give(seat, rank, message);
-  }
-
-  #give(seat: Seat, rank: number, message: RankOrderMessage): void {
-    if (this.#orders.get(rank) !== message) return;
-    const engine = this.#engine(rank);
-    const { order } = message;
-    const draw = this.#random.nextFraction();
-    const { lateOrders, lostAnswers } = this.#faults;
-    if (draw < lateOrders) {
-      this.#applyLate(rank, message);
-      return this.#queue.after(
-        ORDER_LIMIT_MS,
-        () => this.#settle(seat, rank, message, "unanswered"),
-      );
-    }
-    const isAccepted = this.#apply(rank, message);
-    if (draw < lateOrders + lostAnswers) {
-      return this.#queue.after(
-        ORDER_LIMIT_MS,
-        () => this.#settle(seat, rank, message, "unanswered"),
-      );
-    }
-    const isLoading = order.kind === "prepare" && isAccepted &&
-      !isCarriedOut(order, engine.state);
-    this.#queue.after(
-      isLoading ? LOAD_MS + TICK_MS : 2,
-      () => this.#settle(seat, rank, message, "answered"),
-    );
-  }
-
-  #applyLate(rank: number, message: RankOrderMessage): void {
-    const lateMs = LATE_MIN_MS + this.#random.nextBelow(LATE_SPREAD_MS);
-    this.#queue.after(lateMs, () => this.#apply(rank, message));
-  }
-
-  /** An engine that is fenced prepares a map without a copy, so at once. */
-  #apply(rank: number, { order }: RankOrderMessage): boolean {
-    const engine = this.#engine(rank);
-    if (order.kind === "fence") {
-      const map: ExpertMap = { layers: [] };
-      const isFenced = engine.carryOut({ ...order, kind: "prepare", map });
-      if (isFenced) engine.finishLoading(order.version);
-      return isFenced;
-    }
-    const isAccepted = engine.carryOut(order);
-    if (order.kind === "prepare" && isAccepted) {
-      this.#queue.after(LOAD_MS, () => engine.finishLoading(order.version));
-    }
-    return isAccepted;
-  }
-
-  #settle(
-    seat: Seat,
-    rank: number,
-    message: RankOrderMessage,
-    outcome: "answered" | "unanswered",
-  ): void {
-    if (this.#orders.get(rank) !== message) return;
-    const { order, orderId } = message;
-    const { state } = this.#engine(rank);
-    const isDone = isCarriedOut(order, state);
-    const isSettled = isDone || outcome === "answered" ||
-      state.epoch !== order.epoch;
-    if (!isSettled) return this.#give(seat, rank, message);
-    this.#orders.delete(rank);
-    this.#report(seat, rank, { kind: "rank_report", state, orderId, isDone });
-  }
-
-  #engine(rank: number): FakeFormedEngine {
-    return this.#engines[rank] as FakeFormedEngine;
-  }
 }
