Entry: no import cycle between the watch of crashes and the notes of decisions

Cause: decision_notes.ts took the type NotedCrash from crash_watch.ts, which calls createCrashNote of decision_notes.ts.

Change: LostAttempt and NotedCrash stand in lost_attempt.ts, below both.

--- a/src/entry/crash_watch.ts
+++ b/src/entry/crash_watch.ts
@@ -11,6 +11,7 @@
 import { type CrashedRequest, CrashHistory } from "../policy/crash_history.ts";
 import { createCrashNote } from "./decision_notes.ts";
 import type { InFlightRequest } from "./in_flight_request.ts";
+import type { LostAttempt } from "./lost_attempt.ts";
 import type { CrashesChanged, CrashesTold, EntryEffect } from "./types.ts";
 
 /**
@@ -33,18 +34,6 @@
 
 const CRASHES_CHANGED: CrashesChanged = { kind: "crashes_changed" };
 
-/** An attempt that ended without an answer, and may have run. */
-export interface LostAttempt {
-  readonly digest: string;
-  readonly target: string;
-  readonly organisation: string;
-  readonly path: string;
-  readonly sentAt: number;
-  /** When the target was last known to live, in milliseconds. */
-  readonly aliveAt: number;
-  readonly endedAt: number;
-}
-
 /** How an attempt ended. */
 export interface AttemptEnd {
   readonly now: number;
@@ -52,12 +41,6 @@
   readonly isBroken: boolean;
 }
 
-/** A target that ended under a request. */
-export interface NotedCrash extends LostAttempt {
-  /** Milliseconds for which the request is refused now; 0: it may run. */
-  readonly refusedMs: number;
-}
-
 /** What is remembered of targets that ended under requests. */
 export interface CrashMemory {
   /** In short: the same for the same crashes. */
--- a/src/entry/decision_notes.ts
+++ b/src/entry/decision_notes.ts
@@ -8,8 +8,8 @@
 import type { TargetLimit } from "../policy/target_limits.ts";
 import type { RefusalName } from "../refusals/catalogue.ts";
 import type { Outcome } from "../refusals/types.ts";
-import type { NotedCrash } from "./crash_watch.ts";
 import type { InFlightRequest } from "./in_flight_request.ts";
+import type { NotedCrash } from "./lost_attempt.ts";
 import type { TargetRecord } from "./target_record.ts";
 import type { CallerRequest, LogDecision } from "./types.ts";
 
