Diagnostics: no import cycle between the catalogue and its types

Cause: catalogue.ts took DiagnosticMessage from types.ts, which takes DiagnosticName from the catalogue.

Change: the shape of a row stands in message.ts, below both.

--- a/src/diagnostics/catalogue.ts
+++ b/src/diagnostics/catalogue.ts
@@ -4,7 +4,7 @@
  *
  * @module
  */
-import type { DiagnosticMessage } from "./types.ts";
+import type { DiagnosticMessage } from "./message.ts";
 
 const MESSAGES = {
   YAML_SYNTAX: {
--- a/src/diagnostics/types.ts
+++ b/src/diagnostics/types.ts
@@ -5,17 +5,6 @@
  */
 import type { DiagnosticName } from "./catalogue.ts";
 
-/** How bad a finding is. Only errors keep a change from being accepted. */
-export type DiagnosticCategory = "error" | "warning";
-
-/** One row of the diagnostics catalogue. */
-export interface DiagnosticMessage {
-  readonly code: number;
-  readonly category: DiagnosticCategory;
-  /** Text with `{0}`, `{1}` for the arguments. */
-  readonly template: string;
-}
-
 /** One finding. */
 export interface Diagnostic {
   readonly name: DiagnosticName;
