Types that several folders share lie below all of them

Cause: core imported from messages, external from group and settings, policy from group and settings, group from settings and process, messages from group and external, refusals from external, links from settings.

Change: the types and schemas of groups, of formed groups and of settings documents, and the headers of requests, are in src/messages; RankLoad is among the former. back_end_failures.ts is in src/external, peer_body_source.ts in src/settings. GroupPart names what it needs of a rank in place of the process's settings. Other files change in their import lines only; no shape changes.

Result: of these folders only messages still imports upward, from src/direct/peers. Type check and lint pass.

--- a/bench/placement_bench.ts
+++ b/bench/placement_bench.ts
@@ -9,7 +9,7 @@
  * @module
  */
 import { RandomSource } from "../src/core/random_source.ts";
-import type { LayerPlacement } from "../src/group/types.ts";
+import type { LayerPlacement } from "../src/messages/group_types.ts";
 import {
   GreedyPacker,
   packGreedily,
--- a/src/direct/direct_target.ts
+++ b/src/direct/direct_target.ts
@@ -22,7 +22,7 @@
   RateLimitWord,
   SubmitMessage,
 } from "../messages/types.ts";
-import { getReasonOf } from "../refusals/back_end_failures.ts";
+import { getReasonOf } from "../external/back_end_failures.ts";
 
 /** Hears what becomes of attempts. */
 export type AttemptListener = (message: AttemptMessage) => void;
--- a/src/direct/entry_audience.ts
+++ b/src/direct/entry_audience.ts
@@ -4,7 +4,10 @@
  * @module
  */
 import { LoadWriter } from "../group/formed/load_columns.ts";
-import type { GroupLoad, GroupSightMessage } from "../group/formed/types.ts";
+import type {
+  GroupLoad,
+  GroupSightMessage,
+} from "../messages/formed_group_types.ts";
 import type { Message } from "../messages/types.ts";
 import { LinkPacer } from "../policy/link_pacer.ts";
 
--- a/src/direct/entry_audience_test.ts
+++ b/src/direct/entry_audience_test.ts
@@ -1,6 +1,6 @@
 import assert from "node:assert/strict";
 import { describe, it } from "node:test";
-import type { GroupLoad } from "../group/formed/types.ts";
+import type { GroupLoad } from "../messages/formed_group_types.ts";
 import { encodeFrame } from "../messages/codec.ts";
 import type { Message } from "../messages/types.ts";
 import { EntryAudience, type EntryLink } from "./entry_audience.ts";
--- a/src/direct/group_load_follower.ts
+++ b/src/direct/group_load_follower.ts
@@ -7,7 +7,10 @@
 import type { EventLog } from "../events/event_log.ts";
 import type { EventName } from "../events/catalogue.ts";
 import { LoadReader } from "../group/formed/load_columns.ts";
-import type { GroupLoad, GroupSightMessage } from "../group/formed/types.ts";
+import type {
+  GroupLoad,
+  GroupSightMessage,
+} from "../messages/formed_group_types.ts";
 import { LinkClient } from "../links/link_client.ts";
 import type { LinkIdentity } from "../links/link_server.ts";
 import { chooseSubset } from "../policy/target_subset.ts";
--- a/src/direct/rank_driver.ts
+++ b/src/direct/rank_driver.ts
@@ -19,7 +19,7 @@
   getHolderRank,
   type RankOrderMessage,
   type RankState,
-} from "../group/formed/types.ts";
+} from "../messages/formed_group_types.ts";
 import type { Link } from "../links/link.ts";
 import { type LinkIdentity, LinkServer } from "../links/link_server.ts";
 import type { Message } from "../messages/types.ts";
--- a/src/entry/administration.ts
+++ b/src/entry/administration.ts
@@ -19,7 +19,7 @@
 import { checkDocument, tryKindOfPath } from "../settings/check_document.ts";
 import { checkAgainstTree } from "../settings/check_tree.ts";
 import type { ChangeOutcome } from "../settings/settings_writer.ts";
-import type { SettingsDocument } from "../settings/types.ts";
+import type { SettingsDocument } from "../messages/settings_documents.ts";
 import type { EntrySettings } from "./entry_settings.ts";
 
 /** Path of the settings documents below the administration address. */
--- a/src/entry/caller_protocol.ts
+++ b/src/entry/caller_protocol.ts
@@ -5,7 +5,7 @@
  */
 import type { IncomingHttpHeaders } from "node:http";
 import { Err, Ok, type Result } from "ts-results-es";
-import { endToEndHeadersOf } from "../core/http_headers.ts";
+import { endToEndHeadersOf } from "../messages/http_headers.ts";
 import { MAX_KEY_LENGTH } from "../core/idempotency_key.ts";
 import type { Header, Priority } from "../messages/types.ts";
 import { prefixBlocksOf } from "../policy/prefix_index.ts";
--- a/src/entry/decision_notes.ts
+++ b/src/entry/decision_notes.ts
@@ -4,7 +4,7 @@
  *
  * @module
  */
-import type { GroupSightMessage } from "../group/formed/types.ts";
+import type { GroupSightMessage } from "../messages/formed_group_types.ts";
 import type { TargetLimit } from "../policy/target_limits.ts";
 import type { RefusalName } from "../refusals/catalogue.ts";
 import type { Outcome } from "../refusals/types.ts";
--- a/src/entry/direct_requests_test.ts
+++ b/src/entry/direct_requests_test.ts
@@ -3,7 +3,7 @@
 import { describe, it } from "node:test";
 import { RandomSource } from "../core/random_source.ts";
 import type { BackEndInstance } from "../external/back_end_directory.ts";
-import type { RankLoadRow } from "../group/formed/types.ts";
+import type { RankLoadRow } from "../messages/formed_group_types.ts";
 import type { Message, SubmitMessage } from "../messages/types.ts";
 import {
   createCallerRequest,
--- a/src/entry/entry_driver.ts
+++ b/src/entry/entry_driver.ts
@@ -7,7 +7,7 @@
 import { RandomSource } from "../core/random_source.ts";
 import type { EventLog } from "../events/event_log.ts";
 import type { Link } from "../links/link.ts";
-import { PeerBodySource } from "../links/peer_body_source.ts";
+import { PeerBodySource } from "../settings/peer_body_source.ts";
 import type { LinkFault } from "../messages/codec.ts";
 import {
   isSettingsMessage,
--- a/src/entry/entry_settings.ts
+++ b/src/entry/entry_settings.ts
@@ -5,7 +5,7 @@
  * @module
  */
 import type { EventLog } from "../events/event_log.ts";
-import type { PeerBodySource } from "../links/peer_body_source.ts";
+import type { PeerBodySource } from "../settings/peer_body_source.ts";
 import type { KeyValueService } from "../external/key_value_service.ts";
 import { BodyCache, KeyValueBodySource } from "../settings/body_source.ts";
 import { reachableFrom } from "../settings/reachable.ts";
--- a/src/entry/rank_groups.ts
+++ b/src/entry/rank_groups.ts
@@ -4,7 +4,7 @@
  *
  * @module
  */
-import type { GroupLoad } from "../group/formed/types.ts";
+import type { GroupLoad } from "../messages/formed_group_types.ts";
 import { GroupBelief, type GroupSight } from "./group_belief.ts";
 import type { ListedRank } from "./types.ts";
 
--- a/src/entry/routing_table.ts
+++ b/src/entry/routing_table.ts
@@ -8,7 +8,7 @@
   OrganisationDocument,
   ServiceDocument,
   SettingsDocument,
-} from "../settings/types.ts";
+} from "../messages/settings_documents.ts";
 
 /** A service with all that a request needs of it. */
 export interface Route {
--- a/src/entry/routing_table_test.ts
+++ b/src/entry/routing_table_test.ts
@@ -1,7 +1,7 @@
 import assert from "node:assert/strict";
 import { describe, it } from "node:test";
 import fc from "fast-check";
-import type { SettingsDocument } from "../settings/types.ts";
+import type { SettingsDocument } from "../messages/settings_documents.ts";
 import { createDocuments } from "../testing/fixtures.ts";
 import { RoutingTable } from "./routing_table.ts";
 
--- a/src/entry/scripts_forwarder.ts
+++ b/src/entry/scripts_forwarder.ts
@@ -4,7 +4,10 @@
  * @module
  */
 import { request as call } from "undici";
-import { endToEndHeadersOf, forwardedHeadersOf } from "../core/http_headers.ts";
+import {
+  endToEndHeadersOf,
+  forwardedHeadersOf,
+} from "../messages/http_headers.ts";
 import { createProblem } from "../refusals/problem.ts";
 import type { CallerConnection } from "./caller_connection.ts";
 import type { ForwardToScripts } from "./types.ts";
--- a/src/entry/target_registry.ts
+++ b/src/entry/target_registry.ts
@@ -6,7 +6,7 @@
 import type { ClaimsMessage } from "../messages/types.ts";
 import type { VirtualMachine } from "../external/virtual_machine_list.ts";
 import type { BackEndInstance } from "../external/back_end_directory.ts";
-import type { GroupLoad } from "../group/formed/types.ts";
+import type { GroupLoad } from "../messages/formed_group_types.ts";
 import { RankGroups } from "./rank_groups.ts";
 import { TargetRecord } from "./target_record.ts";
 import type { ListedRank, TargetIdentity } from "./types.ts";
--- a/src/entry/types.ts
+++ b/src/entry/types.ts
@@ -11,7 +11,10 @@
   SubmitMessage,
 } from "../messages/types.ts";
 import type { VirtualMachine } from "../external/virtual_machine_list.ts";
-import type { GroupLoad, GroupSightMessage } from "../group/formed/types.ts";
+import type {
+  GroupLoad,
+  GroupSightMessage,
+} from "../messages/formed_group_types.ts";
 import type { CrashedRequest } from "../policy/crash_history.ts";
 import type { PermitOutcome, PermitQuestion } from "../policy/send_permits.ts";
 import type { TargetLimit } from "../policy/target_limits.ts";
--- a/src/external/back_end_failures.ts
+++ b/src/external/back_end_failures.ts
@@ -3,8 +3,8 @@
  *
  * @module
  */
-import type { BackEndFailure } from "../external/back_end.ts";
-import type { RefusalName } from "./catalogue.ts";
+import type { BackEndFailure } from "./back_end.ts";
+import type { RefusalName } from "../refusals/catalogue.ts";
 
 const REASON_BY_FAILURE: Readonly<Record<BackEndFailure, RefusalName>> = {
   not_begun: "BACK_END_UNREACHABLE",
--- a/src/external/formed_engine.ts
+++ b/src/external/formed_engine.ts
@@ -9,7 +9,7 @@
   OrderOutcome,
   RankExperts,
   RankState,
-} from "../group/formed/types.ts";
+} from "../messages/formed_group_types.ts";
 
 /** Thrown when an engine does not answer. */
 export class FormedEngineUnavailableError extends Error {
--- a/src/external/http_back_end.ts
+++ b/src/external/http_back_end.ts
@@ -14,7 +14,7 @@
   type BackEndListener,
   type BackEndRequest,
 } from "./back_end.ts";
-import { endToEndHeadersOf } from "../core/http_headers.ts";
+import { endToEndHeadersOf } from "../messages/http_headers.ts";
 import {
   type AnswerHeaders,
   getUsableMs,
--- a/src/external/http_rank_engine.ts
+++ b/src/external/http_rank_engine.ts
@@ -5,13 +5,13 @@
  */
 import { request } from "undici";
 import * as z from "zod";
-import { ENGINE_STATE_SCHEMA } from "../group/schema.ts";
-import type { EngineOrder, EngineState } from "../group/types.ts";
-import {
-  EngineUnavailableError,
-  RankEngine,
-  type RankLoad,
-} from "./rank_engine.ts";
+import { ENGINE_STATE_SCHEMA } from "../messages/group_schema.ts";
+import type {
+  EngineOrder,
+  EngineState,
+  RankLoad,
+} from "../messages/group_types.ts";
+import { EngineUnavailableError, RankEngine } from "./rank_engine.ts";
 
 const CALL_LIMIT_MS = 2000;
 /** Loading a map takes as long as the weight store takes. */
--- a/src/external/operator_settings.ts
+++ b/src/external/operator_settings.ts
@@ -5,7 +5,7 @@
  */
 import type { Result } from "ts-results-es";
 import type { BackEndInstance } from "./back_end_directory.ts";
-import type { SettingsDocument } from "../settings/types.ts";
+import type { SettingsDocument } from "../messages/settings_documents.ts";
 
 /** Settings as operators wrote them, in this system's own documents. */
 export interface OperatorSettings {
--- a/src/external/rank_engine.ts
+++ b/src/external/rank_engine.ts
@@ -3,15 +3,11 @@
  *
  * @module
  */
-import type { EngineOrder, EngineState } from "../group/types.ts";
-
-/** What an engine counted since it was last asked. */
-export interface RankLoad {
-  /** Tokens a step that this rank computed for each expert of each layer. */
-  readonly tokens: readonly (readonly number[])[];
-  /** Time of this rank over what its tokens take at usual speed. */
-  readonly slowdown: number;
-}
+import type {
+  EngineOrder,
+  EngineState,
+  RankLoad,
+} from "../messages/group_types.ts";
 
 /** Thrown when an engine does not answer. */
 export class EngineUnavailableError extends Error {
--- a/src/group/coordinator.ts
+++ b/src/group/coordinator.ts
@@ -19,7 +19,7 @@
   PreparedMessage,
   StagedMessage,
   TooLateMessage,
-} from "./types.ts";
+} from "../messages/group_types.ts";
 import type {
   Binding,
   CoordinatorEffect,
--- a/src/group/coordinator_driver.ts
+++ b/src/group/coordinator_driver.ts
@@ -11,12 +11,12 @@
 import { LinkClient } from "../links/link_client.ts";
 import type { LinkIdentity } from "../links/link_server.ts";
 import type { Message } from "../messages/types.ts";
-import type { RankLoad } from "../external/rank_engine.ts";
+import type { RankLoad } from "../messages/group_types.ts";
 import {
   REBALANCE_PRESETS,
   Rebalancer,
 } from "../policy/placement/rebalancer.ts";
-import type { GroupDocument } from "../settings/types.ts";
+import type { GroupDocument } from "../messages/settings_documents.ts";
 import { GroupCoordinator } from "./coordinator.ts";
 import type {
   CoordinatorEffect,
--- a/src/group/coordinator_effects.ts
+++ b/src/group/coordinator_effects.ts
@@ -10,7 +10,7 @@
   Preparing,
   Staging,
 } from "./coordinator_types.ts";
-import type { CoordinatorMessage, Decider } from "./types.ts";
+import type { CoordinatorMessage, Decider } from "../messages/group_types.ts";
 
 /** Options of {@link CoordinatorEffects}. */
 export interface CoordinatorEffectsOptions extends Decider {
--- a/src/group/coordinator_recovery.ts
+++ b/src/group/coordinator_recovery.ts
@@ -3,7 +3,11 @@
  *
  * @module
  */
-import type { Activation, EngineState, ExpertMap } from "./types.ts";
+import type {
+  Activation,
+  EngineState,
+  ExpertMap,
+} from "../messages/group_types.ts";
 
 /** What the engines of a group say together. */
 export interface RecoveredGroup {
--- a/src/group/coordinator_types.ts
+++ b/src/group/coordinator_types.ts
@@ -8,7 +8,7 @@
   EngineState,
   ExpertMap,
   MemberMessage,
-} from "./types.ts";
+} from "../messages/group_types.ts";
 
 /** Options of the decider of rank 0. */
 export interface GroupCoordinatorOptions {
--- a/src/group/formed/assemble_map.ts
+++ b/src/group/formed/assemble_map.ts
@@ -3,8 +3,8 @@
  *
  * @module
  */
-import type { ExpertMap } from "../types.ts";
-import type { RankExperts } from "./types.ts";
+import type { ExpertMap } from "../../messages/group_types.ts";
+import type { RankExperts } from "../../messages/formed_group_types.ts";
 
 /**
  * The map of a group, from the experts of all its ranks.
--- a/src/group/formed/base_maps.ts
+++ b/src/group/formed/base_maps.ts
@@ -5,7 +5,7 @@
  * @module
  */
 import { LinkPacer } from "../../policy/link_pacer.ts";
-import type { ExpertMap } from "../types.ts";
+import type { ExpertMap } from "../../messages/group_types.ts";
 
 /** Part of the decider's link for maps that are told ahead. */
 const LINK_PART = 0.2;
--- a/src/group/formed/counts_memory.ts
+++ b/src/group/formed/counts_memory.ts
@@ -6,7 +6,10 @@
  *
  * @module
  */
-import type { CountsReport, ExpertCounts } from "./types.ts";
+import type {
+  CountsReport,
+  ExpertCounts,
+} from "../../messages/formed_group_types.ts";
 
 /** Remembers the counts that were told last. */
 export class CountsMemory {
--- a/src/group/formed/counts_memory_test.ts
+++ b/src/group/formed/counts_memory_test.ts
@@ -3,7 +3,10 @@
 import { encodeFrame } from "../../messages/codec.ts";
 import { CountsMemory } from "./counts_memory.ts";
 import { Popularity } from "./popularity.ts";
-import type { CountsReport, ExpertCounts } from "./types.ts";
+import type {
+  CountsReport,
+  ExpertCounts,
+} from "../../messages/formed_group_types.ts";
 
 function createCounts(total: number): ExpertCounts {
   return Array.from(
--- a/src/group/formed/decider.ts
+++ b/src/group/formed/decider.ts
@@ -17,7 +17,7 @@
  */
 import { assertNever } from "../../core/debug.ts";
 import type { RandomSource } from "../../core/random_source.ts";
-import type { ExpertMap } from "../types.ts";
+import type { ExpertMap } from "../../messages/group_types.ts";
 import { DeciderEffects } from "./decider_effects.ts";
 import type {
   DeciderEffect,
@@ -36,7 +36,11 @@
 import { MapVersions } from "./map_versions.ts";
 import { OpenOrders } from "./open_orders.ts";
 import { PassTimes } from "./pass_times.ts";
-import { getHolderRank, type RankOrder, type RankState } from "./types.ts";
+import {
+  getHolderRank,
+  type RankOrder,
+  type RankState,
+} from "../../messages/formed_group_types.ts";
 
 /** Milliseconds between two questions to ranks of which it is unknown what they hold. */
 const GATHERING_LOOK_MS = 250;
--- a/src/group/formed/decider_driver.ts
+++ b/src/group/formed/decider_driver.ts
@@ -32,7 +32,7 @@
   type GroupLoad,
   type RankReportMessage,
   type RankState,
-} from "./types.ts";
+} from "../../messages/formed_group_types.ts";
 
 const TICK_MS = 25;
 /**
--- a/src/group/formed/decider_test.ts
+++ b/src/group/formed/decider_test.ts
@@ -4,7 +4,10 @@
 import { createRankState } from "../../testing/rank_state.ts";
 import { FormedGroupDecider } from "./decider.ts";
 import type { DeciderEffect, SendOrder } from "./decider_types.ts";
-import { isCarriedOut, type RankState } from "./types.ts";
+import {
+  isCarriedOut,
+  type RankState,
+} from "../../messages/formed_group_types.ts";
 
 const RANKS = 3;
 
--- a/src/group/formed/decider_types.ts
+++ b/src/group/formed/decider_types.ts
@@ -3,13 +3,13 @@
  *
  * @module
  */
-import type { ExpertMap } from "../types.ts";
+import type { ExpertMap } from "../../messages/group_types.ts";
 import type {
   RankExperts,
   RankOrder,
   RankReportMessage,
   RankState,
-} from "./types.ts";
+} from "../../messages/formed_group_types.ts";
 
 /** A rank's process said how its engine stands. */
 export interface RankReported {
--- a/src/group/formed/fence_map.ts
+++ b/src/group/formed/fence_map.ts
@@ -4,8 +4,8 @@
  *
  * @module
  */
-import type { ExpertMap } from "../types.ts";
-import type { RankExperts } from "./types.ts";
+import type { ExpertMap } from "../../messages/group_types.ts";
+import type { RankExperts } from "../../messages/formed_group_types.ts";
 
 /** What a rank knows of its group's maps without asking others. */
 export interface FenceMapInput {
--- a/src/group/formed/gathered_ranks.ts
+++ b/src/group/formed/gathered_ranks.ts
@@ -3,7 +3,7 @@
  *
  * @module
  */
-import type { ExpertMap } from "../types.ts";
+import type { ExpertMap } from "../../messages/group_types.ts";
 import { assembleMap } from "./assemble_map.ts";
 import type { Gathering, RankReported } from "./decider_types.ts";
 
--- a/src/group/formed/give_until_answered.ts
+++ b/src/group/formed/give_until_answered.ts
@@ -4,7 +4,10 @@
  * @module
  */
 import type { FormedEngine } from "../../external/formed_engine.ts";
-import type { EngineOrder, OrderOutcome } from "./types.ts";
+import type {
+  EngineOrder,
+  OrderOutcome,
+} from "../../messages/formed_group_types.ts";
 
 /** Times that one order is given, at most: its sender looks then what became of it. */
 const MOST_TRIES = 4;
--- a/src/group/formed/held_pass.ts
+++ b/src/group/formed/held_pass.ts
@@ -3,7 +3,7 @@
  *
  * @module
  */
-import type { RankState } from "./types.ts";
+import type { RankState } from "../../messages/formed_group_types.ts";
 
 /** The holder holds no pass. */
 export interface NothingHeld {
--- a/src/group/formed/held_pass_test.ts
+++ b/src/group/formed/held_pass_test.ts
@@ -2,7 +2,7 @@
 import { describe, it } from "node:test";
 import { createRankState } from "../../testing/rank_state.ts";
 import { readHeldPass } from "./held_pass.ts";
-import type { RankState } from "./types.ts";
+import type { RankState } from "../../messages/formed_group_types.ts";
 
 const PASS = 9;
 
--- a/src/group/formed/held_pass_watch.ts
+++ b/src/group/formed/held_pass_watch.ts
@@ -4,7 +4,7 @@
  * @module
  */
 import { readHeldPass } from "./held_pass.ts";
-import type { RankState } from "./types.ts";
+import type { RankState } from "../../messages/formed_group_types.ts";
 
 /**
  * Milliseconds for which the group may wait before a held pass until its switch is
--- a/src/group/formed/judge_report.ts
+++ b/src/group/formed/judge_report.ts
@@ -5,9 +5,9 @@
  * @module
  */
 import { assertNever } from "../../core/debug.ts";
-import type { ExpertMap } from "../types.ts";
+import type { ExpertMap } from "../../messages/group_types.ts";
 import type { DeciderPhase } from "./decider_types.ts";
-import type { RankState } from "./types.ts";
+import type { RankState } from "../../messages/formed_group_types.ts";
 
 /** The map is given up, and the one before stays in force. */
 export interface GiveUpMap {
--- a/src/group/formed/load_columns.ts
+++ b/src/group/formed/load_columns.ts
@@ -3,7 +3,10 @@
  *
  * @module
  */
-import type { GroupLoad, GroupLoadMessage } from "./types.ts";
+import type {
+  GroupLoad,
+  GroupLoadMessage,
+} from "../../messages/formed_group_types.ts";
 
 const PERCENT = 100;
 
--- a/src/group/formed/load_columns_test.ts
+++ b/src/group/formed/load_columns_test.ts
@@ -2,7 +2,7 @@
 import { describe, it } from "node:test";
 import { encodeFrame } from "../../messages/codec.ts";
 import { LoadReader, LoadWriter } from "./load_columns.ts";
-import type { GroupLoad } from "./types.ts";
+import type { GroupLoad } from "../../messages/formed_group_types.ts";
 
 function createLoad(
   ranks: number,
--- a/src/group/formed/map_changes.ts
+++ b/src/group/formed/map_changes.ts
@@ -6,14 +6,14 @@
  * @module
  */
 import { createHash } from "node:crypto";
-import type { ExpertMap } from "../types.ts";
+import type { ExpertMap } from "../../messages/group_types.ts";
 import type {
   MapBaseMessage,
   MapChangeMessage,
   MapRows,
   PrepareOrder,
   RankOrderMessage,
-} from "./types.ts";
+} from "../../messages/formed_group_types.ts";
 
 /** Remembers the map that was sent last on one link, which keeps the order. */
 export class SentMap {
--- a/src/group/formed/map_changes_test.ts
+++ b/src/group/formed/map_changes_test.ts
@@ -1,9 +1,12 @@
 import assert from "node:assert/strict";
 import { describe, it } from "node:test";
 import { encodeFrame } from "../../messages/codec.ts";
-import type { ExpertMap } from "../types.ts";
+import type { ExpertMap } from "../../messages/group_types.ts";
 import { ReceivedMap, SentMap } from "./map_changes.ts";
-import type { MapChangeMessage, RankOrderMessage } from "./types.ts";
+import type {
+  MapChangeMessage,
+  RankOrderMessage,
+} from "../../messages/formed_group_types.ts";
 
 const FIRST: ExpertMap = {
   layers: [{ experts: [[0, 1], [2]] }, { experts: [[0], [1, 2]] }],
--- a/src/group/formed/map_versions.ts
+++ b/src/group/formed/map_versions.ts
@@ -5,7 +5,7 @@
  */
 import { Debug } from "../../core/debug.ts";
 import type { RandomSource } from "../../core/random_source.ts";
-import type { RankState } from "./types.ts";
+import type { RankState } from "../../messages/formed_group_types.ts";
 
 /**
  * Versions of one decider come from a block of their own, at a random place: two
--- a/src/group/formed/open_orders.ts
+++ b/src/group/formed/open_orders.ts
@@ -3,7 +3,11 @@
  *
  * @module
  */
-import { isCarriedOut, type RankOrder, type RankState } from "./types.ts";
+import {
+  isCarriedOut,
+  type RankOrder,
+  type RankState,
+} from "../../messages/formed_group_types.ts";
 
 /**
  * Milliseconds after which an order to prepare a map is sent again. It carries the
--- a/src/group/formed/pass_times.ts
+++ b/src/group/formed/pass_times.ts
@@ -3,7 +3,7 @@
  *
  * @module
  */
-import type { RankState } from "./types.ts";
+import type { RankState } from "../../messages/formed_group_types.ts";
 
 /** Longest gap between two looks that tells of passes, in milliseconds. */
 const LONGEST_GAP_MS = 10_000;
--- a/src/group/formed/popularity.ts
+++ b/src/group/formed/popularity.ts
@@ -4,7 +4,7 @@
  *
  * @module
  */
-import type { ExpertCounts } from "./types.ts";
+import type { ExpertCounts } from "../../messages/formed_group_types.ts";
 
 /**
  * Milliseconds in which a choice counts for a third as much. Popularity changes
--- a/src/group/formed/popularity_test.ts
+++ b/src/group/formed/popularity_test.ts
@@ -3,7 +3,7 @@
 import { createRankState } from "../../testing/rank_state.ts";
 import { PassTimes } from "./pass_times.ts";
 import { Popularity } from "./popularity.ts";
-import type { RankState } from "./types.ts";
+import type { RankState } from "../../messages/formed_group_types.ts";
 
 function createState(pass: number, running = 1): RankState {
   return createRankState({ pass, running });
--- a/src/group/formed/rank_agent.ts
+++ b/src/group/formed/rank_agent.ts
@@ -19,7 +19,7 @@
   type RankQueryMessage,
   type RankReportMessage,
   type RankState,
-} from "./types.ts";
+} from "../../messages/formed_group_types.ts";
 
 /** Milliseconds between two looks at an engine that loads a map. */
 const LOADING_LOOK_MS = 12;
--- a/src/group/formed/rank_agent_test.ts
+++ b/src/group/formed/rank_agent_test.ts
@@ -2,7 +2,10 @@
 import { describe, it } from "node:test";
 import { FormedEngineFixture } from "../../testing/formed_engine_fixture.ts";
 import { RankAgent } from "./rank_agent.ts";
-import type { RankOrder, RankReportMessage } from "./types.ts";
+import type {
+  RankOrder,
+  RankReportMessage,
+} from "../../messages/formed_group_types.ts";
 
 const RANKS = 3;
 const EPOCH = 1;
--- a/src/group/formed/rank_links.ts
+++ b/src/group/formed/rank_links.ts
@@ -19,7 +19,7 @@
   RankOrderMessage,
   RankReportMessage,
   RankState,
-} from "./types.ts";
+} from "../../messages/formed_group_types.ts";
 
 /** The process of one rank. */
 export interface GroupMemberAddress {
--- a/src/group/formed/rank_links_test.ts
+++ b/src/group/formed/rank_links_test.ts
@@ -6,7 +6,10 @@
 import { findFreeAddress } from "../../testing/free_address.ts";
 import type { SendOrder } from "./decider_types.ts";
 import { RankLinks } from "./rank_links.ts";
-import type { RankOrder, RankReportMessage } from "./types.ts";
+import type {
+  RankOrder,
+  RankReportMessage,
+} from "../../messages/formed_group_types.ts";
 
 const RANKS = 3;
 const RANK = 2;
--- a/src/group/formed/rank_questions.ts
+++ b/src/group/formed/rank_questions.ts
@@ -9,7 +9,7 @@
  *
  * @module
  */
-import type { RankReportMessage } from "./types.ts";
+import type { RankReportMessage } from "../../messages/formed_group_types.ts";
 
 /** Milliseconds between two questions for counts to a rank. */
 const COUNT_INTERVAL_MS = 200;
--- a/src/group/formed/switch_rescuer.ts
+++ b/src/group/formed/switch_rescuer.ts
@@ -19,7 +19,10 @@
 import { HeldPassWatch } from "./held_pass_watch.ts";
 import type { RankAgent } from "./rank_agent.ts";
 import { type GroupMemberAddress, RankLinks } from "./rank_links.ts";
-import type { RankReportMessage, RankState } from "./types.ts";
+import type {
+  RankReportMessage,
+  RankState,
+} from "../../messages/formed_group_types.ts";
 
 const TICK_MS = 25;
 /** Orders from here are numbered from a random number above this, unlike deciders'. */
--- a/src/group/group_part.ts
+++ b/src/group/group_part.ts
@@ -8,14 +8,21 @@
 import type { LinkIdentity } from "../links/link_server.ts";
 import type { Message } from "../messages/types.ts";
 import type { RankEngine } from "../external/rank_engine.ts";
-import type { TargetProcessSettings } from "../process/process_settings.ts";
-import type { GroupDocument } from "../settings/types.ts";
+import type { GroupDocument } from "../messages/settings_documents.ts";
 import { CoordinatorDriver } from "./coordinator_driver.ts";
+import type { GroupShape } from "./map_planner.ts";
 import { MemberDriver } from "./member_driver.ts";
 
+/** The rank that a target's engine is, and the group that it belongs to. */
+export interface GroupRank extends Omit<GroupShape, "ranks"> {
+  readonly rank: number;
+  /** At rank 0: the targets before all ranks, in their order. */
+  readonly memberAddresses: readonly string[];
+}
+
 /** Options of a {@link GroupPart}. */
 export interface GroupPartOptions {
-  readonly group: NonNullable<TargetProcessSettings["group"]>;
+  readonly group: GroupRank;
   readonly identity: LinkIdentity;
   readonly engine: RankEngine;
   readonly trySettings: () => GroupDocument | undefined;
--- a/src/group/map_planner.ts
+++ b/src/group/map_planner.ts
@@ -7,8 +7,11 @@
 import { packGreedily } from "../policy/placement/greedy_packer.ts";
 import { LoadEstimator } from "../policy/placement/load_estimator.ts";
 import type { PlacementPlanner } from "../policy/placement/types.ts";
-import type { RankLoad } from "../external/rank_engine.ts";
-import type { ExpertMap, LayerPlacement } from "./types.ts";
+import type {
+  ExpertMap,
+  LayerPlacement,
+  RankLoad,
+} from "../messages/group_types.ts";
 
 /** Size of a group. */
 export interface GroupShape {
--- a/src/group/member.ts
+++ b/src/group/member.ts
@@ -14,7 +14,7 @@
   HoldOrder,
   MemberMessage,
   StageMessage,
-} from "./types.ts";
+} from "../messages/group_types.ts";
 
 /** Milliseconds between two questions for a decision. */
 export const ASK_INTERVAL_MS = 200;
--- a/src/group/member_driver.ts
+++ b/src/group/member_driver.ts
@@ -7,13 +7,14 @@
  */
 import { performance } from "node:perf_hooks";
 import { setTimeout as sleep } from "node:timers/promises";
-import type { RankEngine, RankLoad } from "../external/rank_engine.ts";
-import { GroupMember, type MemberEffect, type MemberEvent } from "./member.ts";
+import type { RankEngine } from "../external/rank_engine.ts";
 import type {
   CoordinatorMessage,
   EngineOrder,
   MemberMessage,
-} from "./types.ts";
+  RankLoad,
+} from "../messages/group_types.ts";
+import { GroupMember, type MemberEffect, type MemberEvent } from "./member.ts";
 
 const TICK_MS = 50;
 const RETRY_PAUSE_MS = 100;
--- a/src/group/member_test.ts
+++ b/src/group/member_test.ts
@@ -2,7 +2,11 @@
 import { describe, it } from "node:test";
 import { FakeEngine } from "../testing/fake_engine.ts";
 import { GroupMember, type MemberEffect } from "./member.ts";
-import type { CoordinatorMessage, Decider, ExpertMap } from "./types.ts";
+import type {
+  CoordinatorMessage,
+  Decider,
+  ExpertMap,
+} from "../messages/group_types.ts";
 
 const MAP: ExpertMap = { layers: [{ experts: [[0]] }] };
 const FIRST: Decider = { epoch: 1, decider: "first" };
--- a/src/messages/formed_group_schema.ts
+++ b/src/messages/formed_group_schema.ts
@@ -4,7 +4,7 @@
  * @module
  */
 import * as z from "zod";
-import { MAP_SCHEMA } from "../schema.ts";
+import { MAP_SCHEMA } from "./group_schema.ts";
 
 const COUNT = z.number().int().nonnegative();
 /** Experts or counts by layer. */
--- a/src/messages/formed_group_types.ts
+++ b/src/messages/formed_group_types.ts
@@ -8,7 +8,7 @@
  *
  * @module
  */
-import type { ExpertMap } from "../types.ts";
+import type { ExpertMap } from "./group_types.ts";
 
 /**
  * The rank that holds the pass of a switch, and whose engine decides it: this one is
--- a/src/messages/group_schema.ts
+++ b/src/messages/group_schema.ts
@@ -9,7 +9,7 @@
   EngineState,
   ExpertMap,
   MemberMessage,
-} from "./types.ts";
+} from "./group_types.ts";
 
 const COUNT = z.number().int().nonnegative();
 const OPTIONAL_COUNT = COUNT.optional();
--- a/src/messages/group_types.ts
+++ b/src/messages/group_types.ts
@@ -48,6 +48,14 @@
   readonly maps: readonly VersionedMap[];
 }
 
+/** What an engine counted since it was last asked. */
+export interface RankLoad {
+  /** Tokens a step that this rank computed for each expert of each layer. */
+  readonly tokens: readonly (readonly number[])[];
+  /** Time of this rank over what its tokens take at usual speed. */
+  readonly slowdown: number;
+}
+
 /** Load a map beside the active one. */
 export interface StageOrder {
   readonly kind: "stage";
--- a/src/messages/http_headers.ts
+++ b/src/messages/http_headers.ts
@@ -3,7 +3,7 @@
  *
  * @module
  */
-import type { Header } from "../messages/types.ts";
+import type { Header } from "./types.ts";
 
 /** Headers that concern one connection only and are never passed on. */
 const HOP_BY_HOP: ReadonlySet<string> = new Set([
--- a/src/messages/schema.ts
+++ b/src/messages/schema.ts
@@ -5,11 +5,11 @@
  */
 import * as z from "zod";
 import { PEER_SCHEMAS } from "../direct/peers/schema.ts";
-import { FORMED_GROUP_SCHEMAS } from "../group/formed/schema.ts";
+import { FORMED_GROUP_SCHEMAS } from "./formed_group_schema.ts";
 import {
   COORDINATOR_MESSAGE_SCHEMA,
   MEMBER_MESSAGE_SCHEMA,
-} from "../group/schema.ts";
+} from "./group_schema.ts";
 import { REFUSAL_NAMES, type RefusalName } from "../refusals/catalogue.ts";
 import type { Message } from "./types.ts";
 
--- a/src/messages/types.ts
+++ b/src/messages/types.ts
@@ -6,9 +6,12 @@
  * @module
  */
 import type { PeerMessage } from "../direct/peers/types.ts";
-import type { FormedGroupMessage } from "../group/formed/types.ts";
-import type { CoordinatorMessage, MemberMessage } from "../group/types.ts";
-import type { RankLoad } from "../external/rank_engine.ts";
+import type { FormedGroupMessage } from "./formed_group_types.ts";
+import type {
+  CoordinatorMessage,
+  MemberMessage,
+  RankLoad,
+} from "./group_types.ts";
 import type { RefusalName } from "../refusals/catalogue.ts";
 import type { Outcome } from "../refusals/types.ts";
 
--- a/src/policy/placement/greedy_packer.ts
+++ b/src/policy/placement/greedy_packer.ts
@@ -4,7 +4,7 @@
  *
  * @module
  */
-import type { LayerPlacement } from "../../group/types.ts";
+import type { LayerPlacement } from "../../messages/group_types.ts";
 import { countMoves } from "./rank_times.ts";
 import {
   type LayerLoad,
--- a/src/policy/placement/incremental_planner.ts
+++ b/src/policy/placement/incremental_planner.ts
@@ -4,7 +4,7 @@
  *
  * @module
  */
-import type { ExpertMap, LayerPlacement } from "../../group/types.ts";
+import type { ExpertMap, LayerPlacement } from "../../messages/group_types.ts";
 import { PlacementDraft, type ReplicaChange } from "./placement_draft.ts";
 
 /** What a plan is made from. */
--- a/src/policy/placement/incremental_planner_test.ts
+++ b/src/policy/placement/incremental_planner_test.ts
@@ -1,7 +1,7 @@
 import assert from "node:assert/strict";
 import { describe, it } from "node:test";
 import fc from "fast-check";
-import type { ExpertMap } from "../../group/types.ts";
+import type { ExpertMap } from "../../messages/group_types.ts";
 import { tryPlanIncrement } from "./incremental_planner.ts";
 
 const SEED = 20261202;
--- a/src/policy/placement/layer_state.ts
+++ b/src/policy/placement/layer_state.ts
@@ -6,7 +6,7 @@
  * @module
  * @internal
  */
-import type { LayerPlacement } from "../../group/types.ts";
+import type { LayerPlacement } from "../../messages/group_types.ts";
 import type { LayerLoad } from "./types.ts";
 
 /** One slot of one rank. */
--- a/src/policy/placement/placement_draft.ts
+++ b/src/policy/placement/placement_draft.ts
@@ -5,7 +5,7 @@
  * @module
  * @internal
  */
-import type { LayerPlacement } from "../../group/types.ts";
+import type { LayerPlacement } from "../../messages/group_types.ts";
 
 /**
  * Exponent of the norm that stands for the most loaded rank. Unlike the maximum
--- a/src/policy/placement/rank_times.ts
+++ b/src/policy/placement/rank_times.ts
@@ -3,7 +3,7 @@
  *
  * @module
  */
-import type { LayerPlacement } from "../../group/types.ts";
+import type { LayerPlacement } from "../../messages/group_types.ts";
 import type { LayerLoad } from "./types.ts";
 
 /**
--- a/src/policy/placement/rebalancer.ts
+++ b/src/policy/placement/rebalancer.ts
@@ -4,7 +4,7 @@
  * @module
  */
 import { match } from "ts-pattern";
-import type { LayerPlacement } from "../../group/types.ts";
+import type { LayerPlacement } from "../../messages/group_types.ts";
 import { LayerState, type SlotPlace } from "./layer_state.ts";
 import { countMoves } from "./rank_times.ts";
 import {
--- a/src/policy/pool_choice.ts
+++ b/src/policy/pool_choice.ts
@@ -4,7 +4,7 @@
  * @module
  */
 import type { RandomSource } from "../core/random_source.ts";
-import type { ServiceDocument } from "../settings/types.ts";
+import type { ServiceDocument } from "../messages/settings_documents.ts";
 
 /** Resolution of the draw: weights are compared in this many steps. */
 const DRAW_STEPS = 1_000_000;
--- a/src/settings/check_document.ts
+++ b/src/settings/check_document.ts
@@ -10,7 +10,10 @@
 import type { DiagnosticName } from "../diagnostics/catalogue.ts";
 import type { Diagnostic } from "../diagnostics/types.ts";
 import { DOCUMENT_SCHEMA } from "./schema.ts";
-import type { ServiceDocument, SettingsDocument } from "./types.ts";
+import type {
+  ServiceDocument,
+  SettingsDocument,
+} from "../messages/settings_documents.ts";
 
 /** Longest text of one document, in bytes. */
 export const MAX_DOCUMENT_BYTES = 65_536;
--- a/src/settings/check_tree.ts
+++ b/src/settings/check_tree.ts
@@ -4,7 +4,10 @@
  * @module
  */
 import type { Diagnostic } from "../diagnostics/types.ts";
-import type { ServiceDocument, SettingsDocument } from "./types.ts";
+import type {
+  ServiceDocument,
+  SettingsDocument,
+} from "../messages/settings_documents.ts";
 
 /** A checked document and its place among the others. */
 export interface TreeCandidate {
--- a/src/settings/load_snapshot.ts
+++ b/src/settings/load_snapshot.ts
@@ -13,12 +13,8 @@
   tryParseRecord,
   tryParseRoot,
 } from "./tree.ts";
-import type {
-  SettingsDocument,
-  SettingsHead,
-  SettingsPage,
-  SettingsRecord,
-} from "./types.ts";
+import type { SettingsHead, SettingsPage, SettingsRecord } from "./types.ts";
+import type { SettingsDocument } from "../messages/settings_documents.ts";
 import type { SettingsSnapshot } from "./snapshot.ts";
 
 /** Bodies that are asked for one by one at the same time. */
--- a/src/settings/peer_body_source.ts
+++ b/src/settings/peer_body_source.ts
@@ -4,10 +4,10 @@
  *
  * @module
  */
-import { BodySource } from "../settings/body_source.ts";
-import { hashOf } from "../settings/tree.ts";
+import { BodySource } from "./body_source.ts";
+import { hashOf } from "./tree.ts";
 import type { SettingsBodiesMessage } from "../messages/types.ts";
-import type { Link } from "./link.ts";
+import type { Link } from "../links/link.ts";
 
 /** Milliseconds that one peer is given to answer. */
 const ANSWER_LIMIT_MS = 2000;
--- a/src/settings/settings_exchange.ts
+++ b/src/settings/settings_exchange.ts
@@ -6,7 +6,7 @@
  */
 import { assertNever } from "../core/debug.ts";
 import type { Link } from "../links/link.ts";
-import type { PeerBodySource } from "../links/peer_body_source.ts";
+import type { PeerBodySource } from "./peer_body_source.ts";
 import type { SettingsMessage } from "../messages/types.ts";
 import type { BodyCache } from "./body_source.ts";
 import type { SettingsKeeper } from "./settings_keeper.ts";
--- a/src/settings/snapshot.ts
+++ b/src/settings/snapshot.ts
@@ -4,7 +4,8 @@
  * @module
  */
 import type { SettingsTree } from "./settings_tree.ts";
-import type { SettingsDocument, SettingsHead } from "./types.ts";
+import type { SettingsHead } from "./types.ts";
+import type { SettingsDocument } from "../messages/settings_documents.ts";
 
 /** All settings at one revision, read and checked. */
 export interface SettingsSnapshot {
--- a/src/target/back_end_calls.ts
+++ b/src/target/back_end_calls.ts
@@ -4,7 +4,7 @@
  * @module
  */
 import { performance } from "node:perf_hooks";
-import { forwardedHeadersOf } from "../core/http_headers.ts";
+import { forwardedHeadersOf } from "../messages/http_headers.ts";
 import type { BackEnd, BackEndCall } from "../external/back_end.ts";
 import type { Metrics } from "../process/metrics.ts";
 import type { StartBackEnd, TargetEvent } from "./types.ts";
--- a/src/target/target_driver.ts
+++ b/src/target/target_driver.ts
@@ -9,7 +9,7 @@
 import { GroupPart } from "../group/group_part.ts";
 import type { Link } from "../links/link.ts";
 import { LinkServer, type LinkServerListener } from "../links/link_server.ts";
-import { PeerBodySource } from "../links/peer_body_source.ts";
+import { PeerBodySource } from "../settings/peer_body_source.ts";
 import type { LinkFault } from "../messages/codec.ts";
 import {
   type HelloMessage,
@@ -33,7 +33,7 @@
 import { reachableFrom } from "../settings/reachable.ts";
 import { SettingsExchange } from "../settings/settings_exchange.ts";
 import { SettingsKeeper } from "../settings/settings_keeper.ts";
-import type { GroupDocument } from "../settings/types.ts";
+import type { GroupDocument } from "../messages/settings_documents.ts";
 import type { SettingsSnapshot } from "../settings/snapshot.ts";
 import { BackEndCalls } from "./back_end_calls.ts";
 import type { ClaimKeeper } from "./claim_keeper.ts";
--- a/src/target/target_reducer.ts
+++ b/src/target/target_reducer.ts
@@ -17,7 +17,7 @@
 } from "../messages/types.ts";
 import { FairQueue, latestStart } from "../policy/fair_queue.ts";
 import { isNotRun } from "../external/back_end.ts";
-import { getReasonOf } from "../refusals/back_end_failures.ts";
+import { getReasonOf } from "../external/back_end_failures.ts";
 import type { RefusalName } from "../refusals/catalogue.ts";
 import type { Outcome } from "../refusals/types.ts";
 import { type KeptAnswer, type KeyLedger } from "./key_ledger.ts";
--- a/src/testing/drifting_group.ts
+++ b/src/testing/drifting_group.ts
@@ -7,7 +7,7 @@
 import { RandomSource } from "../core/random_source.ts";
 import { getCopiesPerRank } from "../group/formed/copies_per_rank.ts";
 import { Popularity } from "../group/formed/popularity.ts";
-import type { ExpertMap } from "../group/types.ts";
+import type { ExpertMap } from "../messages/group_types.ts";
 import { tryPlanIncrement } from "../policy/placement/incremental_planner.ts";
 
 const SLOTS_PER_RANK = 5;
--- a/src/testing/fake_engine.ts
+++ b/src/testing/fake_engine.ts
@@ -9,7 +9,7 @@
   EngineState,
   ExpertMap,
   VersionedMap,
-} from "../group/types.ts";
+} from "../messages/group_types.ts";
 
 /** What a fresh engine has. */
 const FRESH_ENGINE: EngineState = {
--- a/src/testing/fake_formed_engine.ts
+++ b/src/testing/fake_formed_engine.ts
@@ -7,8 +7,8 @@
   ArmedSwitch,
   EngineOrder,
   RankState,
-} from "../group/formed/types.ts";
-import type { ExpertMap } from "../group/types.ts";
+} from "../messages/formed_group_types.ts";
+import type { ExpertMap } from "../messages/group_types.ts";
 
 interface LoadedMap {
   readonly version: number;
--- a/src/testing/fixtures.ts
+++ b/src/testing/fixtures.ts
@@ -14,7 +14,7 @@
   SubmitMessage,
 } from "../messages/types.ts";
 import { checkDocument } from "../settings/check_document.ts";
-import type { SettingsDocument } from "../settings/types.ts";
+import type { SettingsDocument } from "../messages/settings_documents.ts";
 
 /** One settings document for a test. */
 export interface DocumentFixture {
--- a/src/testing/formed_engine_fixture.ts
+++ b/src/testing/formed_engine_fixture.ts
@@ -10,7 +10,7 @@
   OrderOutcome,
   RankExperts,
   RankState,
-} from "../group/formed/types.ts";
+} from "../messages/formed_group_types.ts";
 import { FakeFormedEngine } from "./fake_formed_engine.ts";
 
 /** Experts of the one layer that each rank of the fake group holds. */
--- a/src/testing/formed_group_engines.ts
+++ b/src/testing/formed_group_engines.ts
@@ -9,8 +9,8 @@
   getHolderRank,
   type RankOrderMessage,
   type RankState,
-} from "../group/formed/types.ts";
-import type { ExpertMap } from "../group/types.ts";
+} from "../messages/formed_group_types.ts";
+import type { ExpertMap } from "../messages/group_types.ts";
 import type { EventQueue } from "./event_queue.ts";
 import { FakeFormedEngine } from "./fake_formed_engine.ts";
 
--- a/src/testing/formed_group_orders.ts
+++ b/src/testing/formed_group_orders.ts
@@ -9,7 +9,7 @@
   isCarriedOut,
   type RankOrderMessage,
   type RankReportMessage,
-} from "../group/formed/types.ts";
+} from "../messages/formed_group_types.ts";
 import type { EventQueue } from "./event_queue.ts";
 import { type FormedGroupEngines, LOAD_MS } from "./formed_group_engines.ts";
 import type { FormedGroupFaults } from "./formed_group_faults.ts";
--- a/src/testing/formed_group_world.ts
+++ b/src/testing/formed_group_world.ts
@@ -17,8 +17,8 @@
   isCarriedOut,
   type RankOrderMessage,
   type RankReportMessage,
-} from "../group/formed/types.ts";
-import type { ExpertMap } from "../group/types.ts";
+} from "../messages/formed_group_types.ts";
+import type { ExpertMap } from "../messages/group_types.ts";
 import { EventQueue } from "./event_queue.ts";
 import { FormedGroupEngines, HOLDER, RANKS } from "./formed_group_engines.ts";
 import { FormedGroupOrders } from "./formed_group_orders.ts";
--- a/src/testing/group_world.ts
+++ b/src/testing/group_world.ts
@@ -13,7 +13,7 @@
   EngineOrder,
   ExpertMap,
   MemberMessage,
-} from "../group/types.ts";
+} from "../messages/group_types.ts";
 import { FakeEngine } from "./fake_engine.ts";
 
 /** Ranks of the group. */
--- a/src/testing/hold_record.ts
+++ b/src/testing/hold_record.ts
@@ -4,7 +4,7 @@
  *
  * @module
  */
-import type { RankState } from "../group/formed/types.ts";
+import type { RankState } from "../messages/formed_group_types.ts";
 
 /** A look at a group that waits before a held pass. */
 export interface HoldLook {
--- a/src/testing/linked_group_world.ts
+++ b/src/testing/linked_group_world.ts
@@ -15,7 +15,7 @@
   ExpertCounts,
   RankExperts,
   RankReportMessage,
-} from "../group/formed/types.ts";
+} from "../messages/formed_group_types.ts";
 import { encodeFrame } from "../messages/codec.ts";
 import { EventQueue } from "./event_queue.ts";
 import { FakeFormedEngine } from "./fake_formed_engine.ts";
--- a/src/testing/rank_state.ts
+++ b/src/testing/rank_state.ts
@@ -3,7 +3,7 @@
  *
  * @module
  */
-import type { RankState } from "../group/formed/types.ts";
+import type { RankState } from "../messages/formed_group_types.ts";
 
 /** A rank of an open group of four with nothing under way, but for what is named. */
 export function createRankState(changes: Partial<RankState> = {}): RankState {
--- a/src/testing/switch_orders_world.ts
+++ b/src/testing/switch_orders_world.ts
@@ -17,8 +17,8 @@
   getHolderRank,
   isCarriedOut,
   type RankOrder,
-} from "../group/formed/types.ts";
-import type { ExpertMap } from "../group/types.ts";
+} from "../messages/formed_group_types.ts";
+import type { ExpertMap } from "../messages/group_types.ts";
 import { FakeFormedEngine } from "./fake_formed_engine.ts";
 
 /** What a run showed. */
--- a/standins/rank_group_stand_in.ts
+++ b/standins/rank_group_stand_in.ts
@@ -6,8 +6,7 @@
  * @module
  */
 import { Hono } from "hono";
-import type { EngineOrder } from "../src/group/types.ts";
-import type { RankLoad } from "../src/external/rank_engine.ts";
+import type { EngineOrder, RankLoad } from "../src/messages/group_types.ts";
 import { createHonoListener } from "../src/process/hono_listener.ts";
 import type { HttpListener } from "../src/process/http_listener.ts";
 import { FakeEngine } from "../src/testing/fake_engine.ts";
