--- a/src/group/coordinator.ts
+++ b/src/group/coordinator.ts
@@ -35,7 +35,7 @@
 /** Milliseconds after which an unanswered message is sent again. */
 export const RESEND_MS = 200;
 /** Milliseconds after which a switch that is not prepared is given up. */
-export const SWITCH_LIMIT_MS = 30_000;
+const SWITCH_LIMIT_MS = 30_000;
 const FIRST_MARGIN_STEPS = 16;
 const LARGEST_MARGIN_STEPS = 4096;
 /**
--- a/src/group/formed/decider.ts
+++ b/src/group/formed/decider.ts
@@ -16,13 +16,13 @@
  * @module
  */
 import { assertNever } from "../../core/debug.ts";
-import type { RandomSource } from "../../core/random_source.ts";
 import type { ExpertMap } from "../../messages/group_types.ts";
 import { DeciderEffects } from "./decider_effects.ts";
 import type {
   DeciderEffect,
   DeciderEvent,
   DeciderPhase,
+  FormedGroupDeciderOptions,
   Gathering,
   MapProposed,
   RankReported,
@@ -49,16 +49,6 @@
 /** Weight of the newest report in the mean time of a pass. */
 const PASS_SMOOTHING = 0.4;
 
-/** Options of a {@link FormedGroupDecider}. */
-export interface FormedGroupDeciderOptions {
-  /** State of rank 0 as the decider starts. */
-  readonly state: RankState;
-  readonly random: RandomSource;
-  readonly now: number;
-  /** Number of its first order, apart from those of other deciders of the group. */
-  readonly firstOrderId: number;
-}
-
 /** Decides the expert map of a formed group. */
 export class FormedGroupDecider {
   readonly #ranks: number;
--- a/src/group/formed/decider_types.ts
+++ b/src/group/formed/decider_types.ts
@@ -3,6 +3,7 @@
  *
  * @module
  */
+import type { RandomSource } from "../../core/random_source.ts";
 import type { ExpertMap } from "../../messages/group_types.ts";
 import type {
   RankExperts,
@@ -11,6 +12,16 @@
   RankState,
 } from "../../messages/formed_group_types.ts";
 
+/** Options of a decider of a formed group. */
+export interface FormedGroupDeciderOptions {
+  /** State of rank 0 as the decider starts. */
+  readonly state: RankState;
+  readonly random: RandomSource;
+  readonly now: number;
+  /** Number of its first order, apart from those of other deciders of the group. */
+  readonly firstOrderId: number;
+}
+
 /** A rank's process said how its engine stands. */
 export interface RankReported {
   readonly kind: "rank_reported";
--- a/src/messages/formed_group_types.ts
+++ b/src/messages/formed_group_types.ts
@@ -270,7 +270,7 @@
 }
 
 /** Whether a rank will switch to a version as a pass begins. */
-export function isArmedFor(state: RankState, wanted: ArmedSwitch): boolean {
+function isArmedFor(state: RankState, wanted: ArmedSwitch): boolean {
   return state.armed?.version === wanted.version &&
     state.armed.pass === wanted.pass;
 }
