--- a/src/group/formed/decider_types.ts
+++ b/src/group/formed/decider_types.ts
@@ -3,13 +3,24 @@
  *
  * @module
  */
-import type { ExpertMap } from "../types.ts";
+import type { RandomSource } from "../../core/random_source.ts";
+import type { ExpertMap } from "../../messages/group_types.ts";
 import type {
   RankExperts,
   RankOrder,
   RankReportMessage,
   RankState,
-} from "./types.ts";
+} from "../../messages/formed_group_types.ts";
+
+/** Options of a decider of a formed group. */
+export interface FormedGroupDeciderOptions {
+  /** State of rank 0 as the decider starts. */
+  readonly state: RankState;
+  readonly random: RandomSource;
+  readonly now: number;
+  /** Number of its first order, apart from those of other deciders of the group. */
+  readonly firstOrderId: number;
+}
 
 /** A rank's process said how its engine stands. */
 export interface RankReported {
@@ -99,7 +110,7 @@
 }
 
 /** A switch at a pass. */
-interface SwitchAtPass {
+export interface SwitchAtPass {
   readonly version: number;
   readonly pass: number;
   /** Undefined when an earlier decider planned it. */
--- a/src/group/formed/types.ts
+++ b/src/messages/formed_group_types.ts
@@ -8,7 +8,7 @@
  *
  * @module
  */
-import type { ExpertMap } from "../types.ts";
+import type { ExpertMap } from "./group_types.ts";
 
 /**
  * The rank that holds the pass of a switch, and whose engine decides it: this one is
@@ -270,7 +270,7 @@
 }
 
 /** Whether a rank will switch to a version as a pass begins. */
-export function isArmedFor(state: RankState, wanted: ArmedSwitch): boolean {
+function isArmedFor(state: RankState, wanted: ArmedSwitch): boolean {
   return state.armed?.version === wanted.version &&
     state.armed.pass === wanted.pass;
 }
