Store: drains of failure domains are read, and a key's last state in a watch counts

Cause: operators ask with a key below op/evacuate/ that a failure domain gets no more requests, and nothing reads it. A watch's answer told removals and writings in two lists without their order, so a key that was set, removed and set again within one answer could end as either.

Change: StoreFormat has the prefix under which operators write, and reads a failure domain from a key; a platform without drains needs neither. A watch leaves out what a later removal of the same key has undone, and names as removed only what was not written again.

--- a/src/external/operator_settings.ts
+++ b/src/external/operator_settings.ts
@@ -37,6 +37,25 @@
   readonly stepMs: number;
 }
 
+/** The key asks to drain a failure domain. */
+export interface DrainKey {
+  readonly kind: "drain";
+  readonly failureDomain: string;
+}
+
+/** The key is below that of the drains, and names no failure domain. */
+export interface UnreadableDrainKey {
+  readonly kind: "unreadable";
+}
+
+/** The key is about something else. */
+export interface OtherKey {
+  readonly kind: "other";
+}
+
+/** What a key that operators write says of drains. */
+export type OperatorKey = DrainKey | UnreadableDrainKey | OtherKey;
+
 /** How settings and back ends are written in the platform's store. */
 export abstract class StoreFormat {
   /** Key of the settings. */
@@ -54,4 +73,19 @@
     key: string,
     text: string,
   ): BackEndInstance | undefined;
+
+  /** Prefix of all keys that operators write; the settings' own key without drains. */
+  get operatorPrefix(): string {
+    return this.settingsKey;
+  }
+
+  /** Reads which failure domain a key asks to drain; none by default. */
+  readDrainKey(_key: string): OperatorKey {
+    return { kind: "other" };
+  }
+
+  /** Whether the value under such a key asks for the drain. */
+  isDrainValue(_text: string): boolean {
+    return false;
+  }
 }
--- a/src/external/watched_store.ts
+++ b/src/external/watched_store.ts
@@ -25,10 +25,12 @@
   readonly revision: number;
 }
 
-/** Keys changed; those without a value were removed. */
+/** Keys changed; those without a value were removed. A key is in one of the two lists. */
 export interface StoreChanged {
   readonly kind: "changed";
+  /** In order, without what a later removal of the key has undone. */
   readonly written: readonly StoreItem[];
+  /** Keys that were removed and not written again. */
   readonly removed: readonly string[];
   /** Revision to go on from. */
   readonly revision: number;
