Entry: targets in drained failure domains take no new requests

Cause: requests that reach a machine which operators take away are lost, whether they are first attempts, retries, resumed streams, waited before, or belong to a key's owner.

Change: the event failure_domains_drained marks targets, also those listed later, as not serving. When all targets that would serve are drained, or the owner of a key is, the request is refused at once with DOMAINS_DRAINED (5036); waiting ones are refused with the event. The product's settings have /failure-domains/NAME.

--- a/src/entry/decision_notes.ts
+++ b/src/entry/decision_notes.ts
@@ -9,6 +9,7 @@
 import type { RefusalName } from "../refusals/catalogue.ts";
 import type { Outcome } from "../refusals/types.ts";
 import type { NotedCrash } from "./crash_watch.ts";
+import type { DrainFacts } from "./drain_watch.ts";
 import type { InFlightRequest } from "./in_flight_request.ts";
 import type { TargetRecord } from "./target_record.ts";
 import type { CallerRequest, LogDecision } from "./types.ts";
@@ -24,6 +25,8 @@
   readonly serving: number;
   /** Requests a second that the target takes from all entries, if it named a limit. */
   readonly perSecond: number | undefined;
+  /** Share of requests that its failure domain takes, from 0 to 1. */
+  readonly share: number;
 }
 
 /** How a request ended without an answer. */
@@ -33,6 +36,8 @@
   readonly now: number;
   /** When the caller was told to come back, in milliseconds from now. */
   readonly returnMs?: number;
+  /** The drains that it is due to. */
+  readonly drains?: DrainFacts;
 }
 
 /** A request goes to a target, for the first time or once more. */
@@ -40,7 +45,7 @@
   inFlight: InFlightRequest,
   facts: SentFacts,
 ): LogDecision {
-  const { target, now, serving, perSecond } = facts;
+  const { target, now, serving, perSecond, share } = facts;
   return {
     kind: "log_decision",
     name: "REQUEST_SENT",
@@ -57,6 +62,9 @@
       failureShare: Number(target.failureShare.toFixed(SHARE_DECIMALS)),
       serving,
       perSecond,
+      returningShare: share < 1
+        ? Number(share.toFixed(SHARE_DECIMALS))
+        : undefined,
       resumedAfter: inFlight.cursor?.lastEventId,
       leftMs: Math.round(inFlight.deadlineAt - now),
     },
@@ -209,6 +217,7 @@
       submission: facts.submission,
       mayHaveRun: inFlight.mayHaveRun,
       digest: facts.reason === "CRASHES_TARGETS" ? inFlight.digest : undefined,
+      ...facts.drains,
       isRepeated: inFlight.isRepeated,
       returnMs: facts.returnMs && Math.round(facts.returnMs),
       leftMs: Math.round(inFlight.deadlineAt - facts.now),
--- a/src/entry/entry_driver.ts
+++ b/src/entry/entry_driver.ts
@@ -199,6 +199,7 @@
       : this.#routes;
     this.#routes = routes;
     const changedServices = changed && routes.refresh(changed, documents);
+    this.#drainDomains([...routes.drainedFailureDomains].sort());
     this.#server.dispatch({
       kind: "settings_in_force",
       now: performance.now(),
@@ -208,6 +209,15 @@
     });
   }
 
+  #drainDomains(failureDomains: readonly string[]): void {
+    this.#metrics.setDrainedDomains(failureDomains.length);
+    this.#server.dispatch({
+      kind: "failure_domains_drained",
+      now: performance.now(),
+      failureDomains,
+    });
+  }
+
   #startMachineReader(): void {
     const { machineList, log } = this.#options;
     if (machineList === undefined) return;
--- a/src/entry/entry_reducer.ts
+++ b/src/entry/entry_reducer.ts
@@ -26,6 +26,7 @@
   createWaitsNote,
 } from "./decision_notes.ts";
 import { Admission } from "./admission.ts";
+import { DrainWatch } from "./drain_watch.ts";
 import {
   type AttemptEnd,
   type CrashMemory,
@@ -99,6 +100,7 @@
   readonly #digestKey: string;
   readonly #crashes: CrashWatch;
   readonly #limits = new LimitWatch();
+  readonly #drains: DrainWatch;
   readonly #news: TargetNews;
   #isDraining = false;
   #saidDrained = false;
@@ -109,6 +111,7 @@
   constructor(options: EntryReducerOptions) {
     const { limits } = this.#limits;
     this.#selection = new TargetSelection({ ...options, limits });
+    this.#drains = new DrainWatch(this.#selection.drains, this.registry);
     this.#pools = new PoolChoice(options.random);
     this.#retries = new RetryPolicy(options.poolRetries);
     this.#digestKey = options.digestKey ?? "";
@@ -185,6 +188,7 @@
         return this.#scriptsFinished(event.requestId);
       case "instances_listed":
         this.#effects.push(...this.#news.noteListed(event));
+        this.#effects.push(...this.#drains.noteTargets());
         return this.#submitWaiting(event.now);
       case "entries_listed":
         this.#selection.setEntries(event.entries, event.now);
@@ -202,6 +206,10 @@
       case "limits_told":
         this.#effects.push(...this.#limits.noteTold(event));
         return this.#submitWaiting(event.now);
+      case "failure_domains_drained":
+        this.#effects.push(...this.#drains.noteDrained(event));
+        this.#submitWaiting(event.now);
+        return this.#refuseExpired(event.now);
       case "ranks_listed":
         return this.registry.setRanks(event.ranks);
       case "group_seen":
@@ -335,7 +343,10 @@
     now: number,
   ): void {
     const isKeyed = inFlight.request.idempotencyKey !== undefined;
-    this.#fail(inFlight, createUnsent(reason, isKeyed), now);
+    const drains = reason === "DOMAINS_DRAINED"
+      ? this.#drains.getFacts(now)
+      : undefined;
+    this.#fail(inFlight, { ...createUnsent(reason, isKeyed), drains }, now);
   }
 
   #messageReceived(event: TargetMessageReceived): void {
@@ -560,9 +571,7 @@
       this.#comparedAt = now;
       this.registry.updateSlowness(now);
     }
-    for (const { inFlight, reason } of this.#waiting.takeExpired(now)) {
-      this.#failUnsent(inFlight, reason, now);
-    }
+    this.#refuseExpired(now);
     this.#submitWaiting(now);
     for (const inFlight of [...this.#inFlight.values()]) {
       if (inFlight.deadlineAt > now) continue;
@@ -573,6 +582,12 @@
     }
   }
 
+  #refuseExpired(now: number): void {
+    for (const { inFlight, reason } of this.#waiting.takeExpired(now)) {
+      this.#failUnsent(inFlight, reason, now);
+    }
+  }
+
   /** A target that gave no first byte before the deadline may be frozen. */
   #countSilence(inFlight: InFlightRequest, now: number): void {
     if (inFlight.head !== undefined) return;
@@ -587,7 +602,8 @@
   ): void {
     const serving = this.registry.servingOf(inFlight.pool).length;
     const perSecond = this.limits.tryGet(target.name);
-    const facts = { target, now, serving, perSecond };
+    const share = this.#selection.drains.getShare(target.failureDomain, now);
+    const facts = { target, now, serving, perSecond, share };
     this.#effects.push(createSentNote(inFlight, facts));
   }
 
--- a/src/entry/failures.ts
+++ b/src/entry/failures.ts
@@ -5,6 +5,7 @@
  */
 import type { RefusalName } from "../refusals/catalogue.ts";
 import type { Outcome } from "../refusals/types.ts";
+import type { DrainFacts } from "./drain_watch.ts";
 import type { InFlightRequest } from "./in_flight_request.ts";
 
 /** What is known of a request that got no answer. */
@@ -15,6 +16,8 @@
   readonly submission: Outcome;
   /** Milliseconds after which a target may take it, where that is known. */
   readonly freeInMs?: number;
+  /** The drains that it is due to. */
+  readonly drains?: DrainFacts;
 }
 
 /** Lowest status of an answer that says that the back end failed. */
--- a/src/entry/return_facts.ts
+++ b/src/entry/return_facts.ts
@@ -20,6 +20,7 @@
   BACK_END_UNREACHABLE: "outage",
   WRONG_INSTANCE: "outage",
   NO_KEY_OWNER: "owner_away",
+  DOMAINS_DRAINED: "drain",
   POOL_FULL: "overload",
   BACK_END_FULL: "overload",
   TARGETS_LIMITED: "limit",
--- a/src/entry/routing_table.ts
+++ b/src/entry/routing_table.ts
@@ -36,6 +36,9 @@
 /** Settings paths of targets begin with this. */
 const TARGETS_PREFIX = "/targets/";
 
+/** Settings paths of failure domains begin with this. */
+const FAILURE_DOMAINS_PREFIX = "/failure-domains/";
+
 /** Stands for any host in the keys of prefixes; no host is empty. */
 const ANY_HOST = "";
 
@@ -48,6 +51,7 @@
   /** Paths of the services of each organisation, by its path. */
   readonly #services = new Map<string, Set<string>>();
   readonly #leavingTargets = new Set<string>();
+  readonly #drainedDomains = new Set<string>();
   /** Callers by the SHA-256 of their access keys. */
   readonly #callers = new Map<string, Caller>();
 
@@ -56,6 +60,7 @@
     for (const path of documents.keys()) {
       this.#update(path, documents);
       this.#updateTarget(path, documents);
+      this.#updateFailureDomain(path, documents);
       this.#updateCaller(path, documents);
     }
   }
@@ -70,6 +75,11 @@
     return this.#leavingTargets;
   }
 
+  /** Failure domains that operators drain. */
+  get drainedFailureDomains(): ReadonlySet<string> {
+    return this.#drainedDomains;
+  }
+
   /** Every route. */
   routes(): IterableIterator<Route> {
     return this.#byService.values();
@@ -127,6 +137,7 @@
     for (const service of services) this.#update(service, documents);
     for (const path of paths) {
       this.#updateTarget(path, documents);
+      this.#updateFailureDomain(path, documents);
       this.#updateCaller(path, documents);
     }
     return [...services];
@@ -145,6 +156,14 @@
     else this.#leavingTargets.delete(nameOfPath(path));
   }
 
+  #updateFailureDomain(path: string, documents: Documents): void {
+    if (!path.startsWith(FAILURE_DOMAINS_PREFIX)) return;
+    const document = documents.get(path);
+    const isDrained = document?.kind === "failure_domain" && document.draining;
+    if (isDrained) this.#drainedDomains.add(nameOfPath(path));
+    else this.#drainedDomains.delete(nameOfPath(path));
+  }
+
   #updateCaller(path: string, documents: Documents): void {
     const organisation = nameOfPath(path);
     if (path !== organisationPathOf(path)) return;
--- a/src/entry/routing_table_test.ts
+++ b/src/entry/routing_table_test.ts
@@ -62,6 +62,20 @@
 }
 
 describe("routing table", () => {
+  it("tells which failure domains are drained, as the settings change", () => {
+    const path = "/failure-domains/a";
+    const drained = (text: string) => createDocuments([{ path, text }]);
+    const documents = drained("kind: failure_domain\ndraining: true");
+    const table = new RoutingTable(documents);
+    assert.deepEqual([...table.drainedFailureDomains], ["a"]);
+    table.refresh([path], drained("kind: failure_domain"));
+    assert.deepEqual([...table.drainedFailureDomains], []);
+    table.refresh([path], documents);
+    assert.deepEqual([...table.drainedFailureDomains], ["a"]);
+    table.refresh([path], new Map());
+    assert.deepEqual([...table.drainedFailureDomains], []);
+  });
+
   it("follows changes to the same table as one made anew", () => {
     fc.assert(
       fc.property(
--- a/src/entry/target_record.ts
+++ b/src/entry/target_record.ts
@@ -32,6 +32,7 @@
   #saidLeaving = false;
   #isListedLeaving = false;
   #isSetLeaving = false;
+  #isDrained = false;
   #reportedLoad = 0;
   #ownInReport = 0;
   #reportedAt = 0;
@@ -113,6 +114,20 @@
 
   /** Whether new work may be sent. */
   get isServing(): boolean {
+    return !this.#isDrained && this.#wouldServe;
+  }
+
+  /** Whether new work may not be sent for the drain of its failure domain alone. */
+  get isHeldByDrain(): boolean {
+    return this.#isDrained && this.#wouldServe;
+  }
+
+  /** Whether operators drain its failure domain. */
+  get isDrained(): boolean {
+    return this.#isDrained;
+  }
+
+  get #wouldServe(): boolean {
     return this.#isConnected && !this.#saidLeaving &&
       !this.#isListedLeaving && !this.#isSetLeaving;
   }
@@ -155,6 +170,11 @@
     this.#isSetLeaving = isLeaving;
   }
 
+  /** Whether operators drain its failure domain. */
+  setDrained(isDrained: boolean): void {
+    this.#isDrained = isDrained;
+  }
+
   /** The rank group that it belongs to. */
   setGroup(group: GroupBelief): void {
     this.#group = group;
--- a/src/entry/target_registry.ts
+++ b/src/entry/target_registry.ts
@@ -35,12 +35,18 @@
   readonly #idByAddress = new Map<string, string>();
   #leavingNames: ReadonlySet<string> = new Set();
   #setLeavingNames: ReadonlySet<string> = new Set();
+  #drainedDomains: ReadonlySet<string> = new Set();
 
   /** Every target that was ever connected and is still listed. */
   all(): IterableIterator<TargetRecord> {
     return this.#byName.values();
   }
 
+  /** Whether no target is known. */
+  get isEmpty(): boolean {
+    return this.#byName.size === 0;
+  }
+
   /** A target by name. */
   tryGet(name: string): TargetRecord | undefined {
     return this.#byName.get(name);
@@ -52,12 +58,20 @@
     return targets.filter((target) => target.isServing);
   }
 
+  /** Whether all targets of a pool that would serve are in drained failure domains. */
+  isDrainedWhole(pool: string): boolean {
+    const targets = this.#byPool.get(pool) ?? [];
+    return targets.some((target) => target.isHeldByDrain) &&
+      !targets.some((target) => target.isServing);
+  }
+
   /** A target was connected to. Its load and failures start anew. */
   connect(identity: TargetIdentity): TargetRecord {
     this.#remove(identity.name);
     const record = new TargetRecord(identity);
     record.setListedLeaving(this.#leavingNames.has(identity.name));
     record.setSetLeaving(this.#setLeavingNames.has(identity.name));
+    record.setDrained(this.#drainedDomains.has(identity.failureDomain));
     this.#byName.set(identity.name, record);
     const pool = this.#byPool.get(identity.pool) ?? [];
     this.#byPool.set(identity.pool, [...pool, record]);
@@ -72,6 +86,14 @@
     }
   }
 
+  /** The failure domains that operators drain; of targets listed later, too. */
+  setDrained(failureDomains: ReadonlySet<string>): void {
+    this.#drainedDomains = failureDomains;
+    for (const record of this.#byName.values()) {
+      record.setDrained(failureDomains.has(record.failureDomain));
+    }
+  }
+
   /** The platform's list was read. */
   setMachines(machines: readonly VirtualMachine[]): void {
     this.#leavingNames = new Set(
--- a/src/entry/target_selection.ts
+++ b/src/entry/target_selection.ts
@@ -8,6 +8,7 @@
 import type { RandomSource } from "../core/random_source.ts";
 import type { BackEndInstance } from "../external/back_end_directory.ts";
 import { getBlindLimit } from "../policy/blind_limit.ts";
+import { DomainDrains } from "../policy/domain_drains.ts";
 import { PrefixIndex } from "../policy/prefix_index.ts";
 import {
   estimateLoad,
@@ -29,6 +30,7 @@
 export type NoTargetReason =
   | "NO_TARGET"
   | "NO_KEY_OWNER"
+  | "DOMAINS_DRAINED"
   | "GROUP_CLOSED"
   | "GROUP_STALLED"
   | "POOL_FULL"
@@ -71,6 +73,8 @@
   readonly registry = new TargetRegistry();
   /** Who may send to targets that have named limits. */
   readonly permits: SendPermits;
+  /** Which failure domains are drained or return. */
+  readonly drains: DomainDrains;
   readonly #failureDomain: string;
   readonly #entryName: string;
   /** Names of the targets in view. */
@@ -89,6 +93,7 @@
     this.#entryName = options.entryName ?? "";
     this.#choice = options.choice ?? new ScoredChoice(options.random);
     this.#limits = options.limits;
+    this.drains = new DomainDrains(options.random);
     this.permits = new SendPermits(this.#entryName, options.limits);
   }
 
@@ -101,7 +106,7 @@
       return this.#selectOwner(inFlight);
     }
     const serving = this.#untriedOf(inFlight);
-    if (serving.length === 0) return Err("NO_TARGET");
+    if (serving.length === 0) return Err(this.#absenceReasonOf(inFlight.pool));
     const open = serving.filter((target) => !target.isGroupClosed(now));
     if (open.length === 0) return Err(this.#closedReasonOf(serving));
     const free = open.filter((target) =>
@@ -114,7 +119,10 @@
     );
     if (permitted.length === 0) return Err("TARGETS_LIMITED");
     const brisk = permitted.filter((target) => !target.isStraggler);
-    const candidates = brisk.length > 0 ? brisk : permitted;
+    const candidates = this.drains.limitReturning(
+      brisk.length > 0 ? brisk : permitted,
+      now,
+    );
     const due = candidates.find(({ name }) => this.permits.isDue(name, now));
     if (due !== undefined) return Ok(due);
     const inView = candidates.filter(({ name }) => this.#inView.has(name));
@@ -134,6 +142,10 @@
       this.#closedReasonOf(serving) === "GROUP_STALLED";
   }
 
+  #absenceReasonOf(pool: string): "NO_TARGET" | "DOMAINS_DRAINED" {
+    return this.registry.isDrainedWhole(pool) ? "DOMAINS_DRAINED" : "NO_TARGET";
+  }
+
   #untriedOf(inFlight: InFlightRequest): readonly TargetRecord[] {
     return this.registry.servingOf(inFlight.pool)
       .filter(({ name }) => !inFlight.hasTried(name));
@@ -269,7 +281,7 @@
     return chosen && this.registry.tryGet(chosen.name);
   }
 
-  /** A key may run only at its owner, leaving or not. */
+  /** A key may run only at its owner, leaving or not, but not drained. */
   #selectOwner(
     inFlight: InFlightRequest,
   ): Result<TargetRecord, NoTargetReason> {
@@ -280,7 +292,8 @@
       idempotencyKey: request.idempotencyKey as string,
     }));
     const owner = this.registry.tryOwner(route.service.pool, slot);
-    return owner === undefined ? Err("NO_KEY_OWNER") : Ok(owner);
+    if (owner === undefined) return Err("NO_KEY_OWNER");
+    return owner.isDrained ? Err("DOMAINS_DRAINED") : Ok(owner);
   }
 }
 
--- a/src/entry/types.ts
+++ b/src/entry/types.ts
@@ -153,6 +153,13 @@
   readonly group: string;
 }
 
+/** Operators drain these failure domains, and no others. */
+export interface FailureDomainsDrained {
+  readonly kind: "failure_domains_drained";
+  readonly now: number;
+  readonly failureDomains: readonly string[];
+}
+
 /** The ranks of groups were listed. */
 export interface RanksListed {
   readonly kind: "ranks_listed";
@@ -218,6 +225,7 @@
   | ScriptsFinished
   | InstancesListed
   | EntriesListed
+  | FailureDomainsDrained
   | GroupLoadTold
   | RanksListed
   | GroupSeen
--- a/src/entry/waiting_requests.ts
+++ b/src/entry/waiting_requests.ts
@@ -67,7 +67,7 @@
     const waiting = this.#waiting.get(requestId);
     if (waiting === undefined) return;
     waiting.reason = reason;
-    if (reason !== "GROUP_CLOSED") return;
+    if (reason !== "GROUP_CLOSED" && reason !== "DOMAINS_DRAINED") return;
     const until = getWaitEnd(waiting.inFlight, reason);
     waiting.until = Math.min(waiting.until, until);
   }
--- a/src/events/catalogue.ts
+++ b/src/events/catalogue.ts
@@ -367,6 +367,43 @@
     text: "A target named a limit that is no number, which changes nothing",
     action: "See `text`, and mend what names it.",
   },
+  DRAINS_CHANGED: {
+    code: 2821,
+    level: "info",
+    text: "The failure domains that operators drain have changed",
+    action: NOTHING,
+  },
+  DRAIN_UNREADABLE: {
+    code: 2822,
+    level: "warn",
+    text: "A drain in the platform's store cannot be read and changes nothing",
+    action: "Look who wrote the key, and write it anew or remove it.",
+  },
+  DRAINS_KEPT: {
+    code: 2823,
+    level: "warn",
+    text:
+      "The platform's store has come back without some drains, which stay in force for some seconds",
+    action: "Write the drains again that are still wanted.",
+  },
+  DOMAIN_DRAINED: {
+    code: 2824,
+    level: "info",
+    text: "The targets of a failure domain take no new requests",
+    action: NOTHING,
+  },
+  DOMAIN_WITHOUT_TARGETS: {
+    code: 2825,
+    level: "warn",
+    text: "A drained failure domain contains no target",
+    action: "Compare the name with the failure domains of the targets.",
+  },
+  DOMAIN_RETURNS: {
+    code: 2826,
+    level: "info",
+    text: "The targets of a failure domain take requests again, at first few",
+    action: NOTHING,
+  },
   INTERNAL_FAULT: {
     code: 2901,
     level: "error",
--- a/src/policy/return_time.ts
+++ b/src/policy/return_time.ts
@@ -31,6 +31,8 @@
   | "stall"
   /** No target is listed now; lists change within a second. */
   | "absence"
+  /** Operators drain all targets that could serve it, for as long as they like. */
+  | "drain"
   /** Targets have as much work as they can finish in time. */
   | "overload"
   /** All targets that could serve it have named limits, and take no more now. */
@@ -87,7 +89,9 @@
  * ```
  */
 export function getLongestWaitMs(facts: ReturnFacts): number {
-  if (facts.obstacle === "owner_away") return 0;
+  const isFutile = facts.obstacle === "owner_away" ||
+    facts.obstacle === "drain";
+  if (isFutile) return 0;
   // It waits for the answer of an entry that was asked for a permit, not for a target.
   if (facts.obstacle === "limit") return Math.min(facts.leftMs, ASK_LIMIT_MS);
   const mayBeServedSoon = facts.isRepeated || facts.obstacle === "stall";
--- a/src/process/metrics.ts
+++ b/src/process/metrics.ts
@@ -64,6 +64,8 @@
     "Time to the first byte of streamed answers",
   );
 
+  #drainedDomains = 0;
+
   /** Reads the gauges from `source` when the page is asked for. */
   constructor(source: () => MetricsSource, log: EventLog) {
     super(log);
@@ -87,6 +89,16 @@
       "Settings that were older and ignored",
       () => source().olderOffers,
     );
+    this.metricsPage.gauge(
+      "drained_failure_domains",
+      "Failure domains that operators drain",
+      () => this.#drainedDomains,
+    );
+  }
+
+  /** So many failure domains are drained from now on. */
+  setDrainedDomains(count: number): void {
+    this.#drainedDomains = count;
   }
 
   /** A request was taken in. */
--- a/src/refusals/catalogue.ts
+++ b/src/refusals/catalogue.ts
@@ -230,6 +230,12 @@
     title: "The rank group that serves this request does not run now",
     retryAfterSeconds: 2,
   },
+  DOMAINS_DRAINED: {
+    code: 5036,
+    status: 503,
+    title: "All targets that could serve this request are being drained",
+    retryAfterSeconds: 2,
+  },
   GROUP_CLOSED: {
     code: 5030,
     status: 503,
--- a/src/settings/check_document.ts
+++ b/src/settings/check_document.ts
@@ -22,6 +22,7 @@
   { pattern: /^\/teams\/[^/]+$/, kind: "team" },
   { pattern: /^\/groups\/[^/]+$/, kind: "group" },
   { pattern: /^\/targets\/[^/]+$/, kind: "target" },
+  { pattern: /^\/failure-domains\/[^/]+$/, kind: "failure_domain" },
 ];
 const PATH_PATTERN = /^(\/[a-z0-9][a-z0-9_-]{0,62})+$/;
 
--- a/src/settings/schema.ts
+++ b/src/settings/schema.ts
@@ -82,6 +82,12 @@
   leaving: z.boolean().default(false),
 });
 
+/** Shape of what operators say of one failure domain. */
+export const FAILURE_DOMAIN_SCHEMA = z.strictObject({
+  kind: z.literal("failure_domain"),
+  draining: z.boolean().default(false),
+});
+
 /** Shape of any document. */
 export const DOCUMENT_SCHEMA = z.discriminatedUnion("kind", [
   ORGANISATION_SCHEMA,
@@ -89,4 +95,5 @@
   TEAM_SCHEMA,
   GROUP_SCHEMA,
   TARGET_SCHEMA,
+  FAILURE_DOMAIN_SCHEMA,
 ]);
--- a/src/settings/types.ts
+++ b/src/settings/types.ts
@@ -101,13 +101,21 @@
   readonly leaving: boolean;
 }
 
+/** What operators say of one failure domain. Path: `/failure-domains/NAME`. */
+export interface FailureDomainDocument {
+  readonly kind: "failure_domain";
+  /** Its targets are sent no new requests from now on. */
+  readonly draining: boolean;
+}
+
 /** Any settings document. */
 export type SettingsDocument =
   | OrganisationDocument
   | ServiceDocument
   | TeamDocument
   | GroupDocument
-  | TargetDocument;
+  | TargetDocument
+  | FailureDomainDocument;
 
 /** The value that says what is accepted; moved by compare-and-swap only. */
 export interface SettingsHead {
