Direct entries: drains are followed with the settings, and told to other entries

Cause: an entry that serves with settings but without drains sends to machines that operators take away.

Change: entries watch the operators' prefix once, for settings and drains, and put drains in force before the settings of the same listing or message. News between entries has the set with the revision at which it was read; older ones change nothing.

--- a/src/direct/direct_entry_driver.ts
+++ b/src/direct/direct_entry_driver.ts
@@ -27,6 +27,7 @@
 import { createTextPages, type TextPage } from "../process/text_pages.ts";
 import { CountedStore } from "./counted_store.ts";
 import { type Directory, DirectoryFollower } from "./directory_follower.ts";
+import { DrainFollower } from "./drain_follower.ts";
 import { DirectTargetPool } from "./direct_target_pool.ts";
 import { GroupLoadFollower } from "./group_load_follower.ts";
 import { EntryMemories } from "./peers/entry_memories.ts";
@@ -71,6 +72,7 @@
   readonly #reducer: EntryReducer;
   readonly #server: RequestServer;
   readonly #targets: DirectTargetPool;
+  readonly #drains: DrainFollower;
   readonly #settings: SettingsFollower;
   readonly #directory: DirectoryFollower;
   readonly #registry: ProcessRegistry;
@@ -123,10 +125,16 @@
           message,
         }),
     });
+    this.#drains = new DrainFollower({
+      format,
+      log,
+      onDrains: (failureDomains) => this.#onDrains(failureDomains),
+    });
     this.#settings = new SettingsFollower({
       store,
       format,
       log,
+      drains: this.#drains,
       watchWaitMs: settings.leavingLimitMs * SETTINGS_WATCH_PART,
       onSettings: (inForce) => this.#onSettings(inForce),
     });
@@ -175,6 +183,7 @@
         isReading: this.#peers.isLed || this.#directory.isReached,
         settings: this.#settings.inUse,
         settingsCheckedAt: this.#settings.checkedAt,
+        drains: this.#drains.stored,
         directory: this.#directory.directory,
         processes: {
           revision: this.#registry.revision,
@@ -205,6 +214,7 @@
           now: performance.now(),
           outcome,
         }),
+      onDrains: (drains, ageMs) => this.#drains.offer(drains, ageMs),
       onSettings: (text) => void this.#settings.offer(text, "entry"),
       onSettingsChecked: (checkedAt) => this.#settings.noteChecked(checkedAt),
       onDirectory: (directory) => this.#directory.offer(directory),
@@ -286,6 +296,7 @@
 
   async close(): Promise<void> {
     this.#settings.stop();
+    this.#drains.stop();
     this.#groupLoads.stop();
     this.#peers.close();
     this.#server.close();
@@ -295,6 +306,16 @@
     await this.#registry.stop();
   }
 
+  #onDrains(failureDomains: readonly string[]): void {
+    this.#metrics.setDrainedDomains(failureDomains.length);
+    this.#server.dispatch({
+      kind: "failure_domains_drained",
+      now: performance.now(),
+      failureDomains,
+    });
+    this.#peers.knowledgeChanged();
+  }
+
   #onSettings(settings: OperatorSettings): void {
     this.#peers.knowledgeChanged();
     const routes = new RoutingTable(settings.documents);
--- a/src/direct/peers/entry_peers.ts
+++ b/src/direct/peers/entry_peers.ts
@@ -23,6 +23,7 @@
 import { ReaderTurns } from "./reader_turns.ts";
 import type {
   DirectoryNews,
+  DrainNews,
   KnownNews,
   ProcessNews,
   StoreNewsMessage,
@@ -54,6 +55,8 @@
   /** What became of a question for permits. */
   readonly onPermits: (outcome: PermitOutcome) => void;
   readonly onSettings: (text: string) => void;
+  /** Another entry's drains, so many milliseconds old; told before its settings. */
+  readonly onDrains: (drains: DrainNews, ageMs: number) => void;
   /** A reader's settings were the newest at a time in milliseconds. */
   readonly onSettingsChecked: (checkedAt: number) => void;
   readonly onDirectory: (directory: Directory) => void;
@@ -257,11 +260,13 @@
   }
 
   #known(): KnownNews {
-    const { settings, directory, processes } = this.#options.getKnowledge();
+    const { settings, directory, processes, drains } = this.#options
+      .getKnowledge();
     return {
       settingsVersion: settings?.settings.version,
       directoryContent: directory?.content,
       processesRevision: processes.revision,
+      drainsRevision: drains?.revision,
     };
   }
 
@@ -269,10 +274,13 @@
     news: StoreNewsMessage,
     askedAt: number | undefined,
   ): void {
-    const { settingsText, settingsAgeMs, directory, processes } = news;
+    const { settingsText, settingsAgeMs, directory, processes, drains } = news;
     const { onSettings, onSettingsChecked, onDirectory, onProcesses } =
       this.#options;
     this.#options.memories.take(news.memories, performance.now());
+    if (drains !== undefined) {
+      this.#options.onDrains(drains, settingsAgeMs ?? 0);
+    }
     if (settingsText !== undefined) onSettings(settingsText);
     if (askedAt !== undefined && settingsAgeMs !== undefined) {
       onSettingsChecked(askedAt - settingsAgeMs);
--- a/src/direct/peers/peer_server.ts
+++ b/src/direct/peers/peer_server.ts
@@ -19,6 +19,7 @@
   type MemoryContents,
 } from "./entry_memories.ts";
 import type {
+  DrainNews,
   KnownNews,
   ProcessNews,
   SendPermitQueryMessage,
@@ -36,6 +37,8 @@
   readonly settings: SettingsInUse | undefined;
   /** When the store was asked whether there are newer settings, in milliseconds. */
   readonly settingsCheckedAt: number;
+  /** The drains that the store holds; undefined before they were read. */
+  readonly drains?: DrainNews;
   readonly directory: Directory | undefined;
   readonly processes: ProcessNews;
 }
@@ -176,8 +179,8 @@
   known: KnownNews,
   now: number,
 ): StoreNews {
-  const { isReading, settings, settingsCheckedAt, directory, processes } =
-    knowledge;
+  const { isReading, settings, settingsCheckedAt, directory } = knowledge;
+  const { processes, drains } = knowledge;
   const isListNew = directory?.content !== known.directoryContent;
   return {
     kind: "store_news",
@@ -188,6 +191,7 @@
     settingsAgeMs: Number.isFinite(settingsCheckedAt)
       ? Math.max(0, now - settingsCheckedAt)
       : undefined,
+    drains: hasNewerDrains(knowledge, known) ? drains : undefined,
     directory: directory && Number.isFinite(directory.askedAt)
       ? {
         revision: directory.revision,
@@ -204,6 +208,7 @@
   const { directory } = knowledge;
   return hasNewerSettings(knowledge, known) ||
     hasNewerProcesses(knowledge, known) ||
+    hasNewerDrains(knowledge, known) ||
     (directory !== undefined && directory.content !== known.directoryContent);
 }
 
@@ -223,9 +228,16 @@
     processes.revision > processesRevision;
 }
 
+function hasNewerDrains(
+  { drains }: StoreKnowledge,
+  { drainsRevision }: KnownNews,
+): boolean {
+  return drains !== undefined && drains.revision > (drainsRevision ?? -1);
+}
+
 /** What an entry has once it was told what was news to it. */
 function knownAfter(
-  { settings, directory, processes }: StoreKnowledge,
+  { settings, directory, processes, drains }: StoreKnowledge,
   known: KnownNews,
 ): KnownNews {
   return {
@@ -234,5 +246,8 @@
     processesRevision: known.processesRevision === undefined
       ? undefined
       : Math.max(processes.revision, known.processesRevision),
+    drainsRevision: drains === undefined
+      ? known.drainsRevision
+      : Math.max(drains.revision, known.drainsRevision ?? 0),
   };
 }
--- a/src/direct/peers/peer_server_test.ts
+++ b/src/direct/peers/peer_server_test.ts
@@ -43,6 +43,16 @@
     assert.equal(news.processes?.revision, 3);
   });
 
+  it("tells drains to who knows none or older ones, with the settings", () => {
+    const drains = { revision: 7, failureDomains: ["a"] };
+    const told = (drainsRevision?: number) =>
+      createNews(createKnowledge({ drains }), { drainsRevision }, 350).drains;
+    assert.deepEqual(told(), drains);
+    assert.deepEqual(told(6), drains);
+    assert.equal(told(7), undefined);
+    assert.equal(createNews(createKnowledge(), {}, 350).drains, undefined);
+  });
+
   it("says whether it has this from the store, or from whom it helps", () => {
     const turnedAway = createKnowledge({ isReading: false });
     assert.equal(createNews(turnedAway, {}, 350).isReading, false);
--- a/src/direct/peers/schema.ts
+++ b/src/direct/peers/schema.ts
@@ -57,6 +57,7 @@
     settingsVersion: COUNT.optional(),
     directoryContent: z.string().optional(),
     processesRevision: COUNT.optional(),
+    drainsRevision: COUNT.optional(),
     isFollowing: z.boolean(),
     memories: MEMORIES_SCHEMA.default({}),
   }),
@@ -66,6 +67,10 @@
     isReading: z.boolean(),
     settingsText: z.string().optional(),
     settingsAgeMs: AGE_MS.optional(),
+    drains: z.object({
+      revision: COUNT,
+      failureDomains: z.array(z.string().min(1)),
+    }).optional(),
     directory: z.object({
       revision: COUNT,
       ageMs: AGE_MS,
--- a/src/direct/peers/types.ts
+++ b/src/direct/peers/types.ts
@@ -50,6 +50,13 @@
   readonly limits?: MemoryNews<TargetLimitNews>;
 }
 
+/** The failure domains that operators drain, as another entry heard of them. */
+export interface DrainNews {
+  /** Revision of the store at which they were read. */
+  readonly revision: number;
+  readonly failureDomains: readonly string[];
+}
+
 /** What an entry has already, so that only news is told. */
 export interface KnownNews {
   /** Version of its settings; undefined when it has none. */
@@ -58,6 +65,8 @@
   readonly directoryContent?: string;
   /** Revision of its list of processes; undefined when it wants none. */
   readonly processesRevision?: number;
+  /** Revision at which its drains were read; undefined when it has read none. */
+  readonly drainsRevision?: number;
 }
 
 /** Asks another entry for whatever it heard from the store since. */
@@ -100,6 +109,8 @@
   readonly settingsText?: string;
   /** Milliseconds since the store was asked whether there are newer ones. */
   readonly settingsAgeMs?: number;
+  /** As old as the settings, since both come from one watch. */
+  readonly drains?: DrainNews;
   readonly directory?: DirectoryNews;
   readonly processes?: ProcessNews;
   readonly memories: MemoriesNews;
--- a/src/direct/settings_follower.ts
+++ b/src/direct/settings_follower.ts
@@ -9,6 +9,7 @@
   StoreFormat,
 } from "../external/operator_settings.ts";
 import type { StoreItem, WatchedStore } from "../external/watched_store.ts";
+import type { DrainFollower } from "./drain_follower.ts";
 import { Reachability } from "./reachability.ts";
 import { StoreWatch } from "./store_watch.ts";
 
@@ -35,6 +36,8 @@
   readonly watchWaitMs?: number;
   /** Milliseconds until they are read again; undefined: each version is wanted at once. */
   readonly rereadMs?: number;
+  /** Hears of drains from the same watch, before the settings; undefined: none are needed. */
+  readonly drains?: DrainFollower;
   /** Called for each newer version, in order. */
   readonly onSettings: (settings: OperatorSettings) => void;
 }
@@ -49,18 +52,24 @@
   /** Follows nothing yet. */
   constructor(options: SettingsFollowerOptions) {
     this.#options = options;
-    const { store, format, log } = options;
+    const { store, format, log, drains } = options;
     this.#watch = new StoreWatch({
       store,
-      prefix: format.settingsKey,
+      prefix: drains === undefined ? format.settingsKey : format.operatorPrefix,
       waitMs: options.watchWaitMs ?? WATCH_WAIT_MS,
       retryPauseMs: RETRY_PAUSE_MS,
       rereadMs: options.rereadMs,
       readsFirst: true,
       readsWhenAlone: true,
       reachability: new Reachability("settings", log),
-      onListed: (items) => this.#offerItems(items),
-      onChanged: ({ written }) => this.#offerItems(written),
+      onListed: (items) => {
+        drains?.noteListed({ items, revision: this.#watch.revision });
+        this.#offerItems(items);
+      },
+      onChanged: (changed) => {
+        drains?.noteChanged(changed);
+        this.#offerItems(changed.written);
+      },
     });
   }
 
