--- a/src/entry/drained_targets_test.ts
+++ b/src/entry/drained_targets_test.ts
@@ -185,8 +185,12 @@
       service: "/organisations/andamaq/services/confirm",
       idempotencyKey,
     }));
-    const claims = { kind: "claims", version: 1, slots: [slot] } as const;
-    fixture.reduce(createMessage("a-1", claims));
+    fixture.reduce(createMessage("a-1", {
+      kind: "claims",
+      version: 1,
+      slotCount: 64,
+      slots: [slot],
+    }));
     assert.deepEqual(domainsOf(fixture.request({ idempotencyKey })), ["a"]);
     fixture.drain(["a"]);
     const effects = fixture.request({ idempotencyKey });
