Fleet model of drains: a silent watch fails at the end of its own time

Cause: the model let a watch that went silent fail 1.5 s after the change; it fails 1.5 s after the time for which the store may hold it.

Change: the model counts from the beginning of the watch.

--- a/src/testing/drain_store_model.ts
+++ b/src/testing/drain_store_model.ts
@@ -148,8 +148,12 @@
     this.call((isAnswered) => {
       if (round !== one.round) return;
       if (one.reader.isSilent()) {
-        const { queue } = this.#options;
-        return queue.after(CALL_LIMIT_MS, () => this.#failed(one, round));
+        const { queue, watchWaitMs } = this.#options;
+        const limitAt = askedAt + watchWaitMs + CALL_LIMIT_MS;
+        return queue.after(
+          limitAt - queue.now,
+          () => this.#failed(one, round),
+        );
       }
       if (!isAnswered) return this.#failed(one, round);
       this.#read(one, askedAt);
