Drains: at most 256 at once; ranks of a drained failure domain stay in their group

Cause: news to other entries holds all drains, and a writer's mistake could make it larger than a connection takes; no test said what a drain leaves to rank groups.

Change: a set of more than 256 is logged as unreadable and changes nothing.

Result: drain_follower_test and drained_targets_test pass.

--- a/src/direct/drain_follower.ts
+++ b/src/direct/drain_follower.ts
@@ -15,6 +15,8 @@
 } from "../external/watched_store.ts";
 import { areSame, DrainedDomains, type DrainSet } from "./drained_domains.ts";
 
+/** Drains that are in force at once, at most: news to other entries holds all of them. */
+export const MOST_DRAINS = 256;
 /** Unreadable drains that are remembered, so that each is logged once. */
 const MOST_REMEMBERED = 256;
 /** Characters of a key, and of a list of failure domains, that are logged. */
@@ -106,14 +108,14 @@
     const read = format.readDrainKey(item.key);
     if (read.kind === "other") return false;
     const isReadable = read.kind === "drain" && format.isDrainValue(item.value);
-    if (!isReadable) this.#noteUnreadable(item);
+    if (!isReadable) this.#noteUnreadable(item.key, item.revision);
     if (read.kind === "unreadable") return false;
     const { failureDomain } = read;
     if (isReadable || known.has(failureDomain)) drained.add(failureDomain);
     return isReadable;
   }
 
-  #noteUnreadable({ key, revision }: StoreItem): void {
+  #noteUnreadable(key: string, revision: number): void {
     const entry = `${key} ${revision}`;
     if (this.#unreadable.has(entry)) return;
     if (this.#unreadable.size >= MOST_REMEMBERED) this.#unreadable.clear();
@@ -125,6 +127,10 @@
   }
 
   #take(set: DrainSet, from: DrainSource): void {
+    const count = set.failureDomains.length;
+    if (count > MOST_DRAINS) {
+      return this.#noteUnreadable(`${count} drains at once`, set.revision);
+    }
     const taken = this.#drains.take(set, performance.now());
     if (taken === undefined) return;
     if (taken.kept.length > 0) {
--- a/src/direct/drain_follower_test.ts
+++ b/src/direct/drain_follower_test.ts
@@ -14,7 +14,7 @@
   type StoreWatchOutcome,
 } from "../external/watched_store.ts";
 import { UnregisteredStore } from "../testing/unregistered_store.ts";
-import { DrainFollower } from "./drain_follower.ts";
+import { DrainFollower, MOST_DRAINS } from "./drain_follower.ts";
 import { SettingsFollower } from "./settings_follower.ts";
 
 const SETTINGS = "op/settings=1";
@@ -154,6 +154,19 @@
     told: "[a] settings-1",
     unreadable: 2,
   },
+  {
+    name: "stay when somebody writes absurdly many",
+    listings: [DRAINED],
+    outcomes: [
+      createChange(
+        6,
+        Array.from({ length: MOST_DRAINS }, (_, n) => `op/drain/z${n}=yes`),
+      ),
+      createChange(7, [], ["op/drain/a"]),
+    ],
+    told: "[a] settings-1 []",
+    unreadable: 1,
+  },
   {
     name: "stay when a listing fails",
     listings: [DRAINED, undefined],
--- a/src/entry/drained_targets_test.ts
+++ b/src/entry/drained_targets_test.ts
@@ -202,6 +202,25 @@
     assert.ok((problem?.retryAfterSeconds ?? 0) > 0);
   });
 
+  it("keeps its ranks at work for the others of their group", () => {
+    const fixture = new DrainFixture();
+    const ids = ["a-1", "a-2", "b-1", "b-2", "c-1", "c-2"];
+    const ranks = ids.map((id) => ({
+      engineAddress: `${id}:80`,
+      group: "group",
+    }));
+    fixture.reduce({ kind: "ranks_listed", ranks });
+    fixture.drain(["a"]);
+    const sight = { group: "group", isOpen: true, ageMs: 0 };
+    fixture.reduce({
+      kind: "group_seen",
+      now: 0,
+      sight: { kind: "group_sight", ...sight },
+    });
+    assert.equal(fixture.domainsOfRequests(), "b c");
+    assert.ok(fixture.entry.registry.groups.isWhole("group"));
+  });
+
   it("is logged with its targets, and without any as such", () => {
     const fixture = new DrainFixture();
     assert.deepEqual(loggedOf(fixture.drain(["a", "z"])), [
