--- a/src/process/process_test.ts
+++ b/src/process/process_test.ts
@@ -204,6 +204,22 @@
     assert.match(text, /lagoonwharf_refusals_total\{reason="DEADLINE"\} 1/);
   });
 
+  // A drain that only the platform's store could ask for would leave these deployments without.
+  it("refuses at once while settings drain all targets, and serves again", async () => {
+    const path = "/failure-domains/a";
+    const setDraining = async (draining: boolean) => {
+      const text = `kind: failure_domain\ndraining: ${draining}\n`;
+      const revision = await cluster.apply(entry, path, text);
+      await cluster.waitForRevision(entry, revision);
+    };
+    await setDraining(true);
+    const refused = await call(entry, "/confirm");
+    assert.equal(refused.status, 503);
+    assert.equal(JSON.parse(refused.text).code, 5036);
+    await setDraining(false);
+    assert.equal((await call(entry, "/confirm")).status, 200);
+  });
+
   it("cuts a stream whose target is killed, and goes on with others", async () => {
     const victim = await startPlanTarget("plan-2");
     await cluster.waitForTargets(entry, ["plan-2"]);
