--- a/src/direct/drained_domains.ts
+++ b/src/direct/drained_domains.ts
@@ -87,7 +87,14 @@
   }
 }
 
-/** Whether two sets in alphabetical order hold the same failure domains. */
+/**
+ * Whether two sets in alphabetical order hold the same failure domains.
+ *
+ * @example
+ * ```ts
+ * areSame(["a", "b"], ["a", "b"]); // true
+ * ```
+ */
 export function areSame(
   left: readonly string[],
   right: readonly string[],
--- a/src/direct/peers/entry_peers.ts
+++ b/src/direct/peers/entry_peers.ts
@@ -14,6 +14,7 @@
   PermitQuestion,
 } from "../../policy/send_permits.ts";
 import type { Directory } from "../directory_follower.ts";
+import type { DrainSet } from "../drained_domains.ts";
 import type { EntryMemories } from "./entry_memories.ts";
 import { type ListedEntry, listReaderCandidates } from "./peer_choice.ts";
 import { PeerFollower } from "./peer_follower.ts";
@@ -23,7 +24,6 @@
 import { ReaderTurns } from "./reader_turns.ts";
 import type {
   DirectoryNews,
-  DrainNews,
   KnownNews,
   ProcessNews,
   StoreNewsMessage,
@@ -56,7 +56,7 @@
   readonly onPermits: (outcome: PermitOutcome) => void;
   readonly onSettings: (text: string) => void;
   /** Another entry's drains, so many milliseconds old; told before its settings. */
-  readonly onDrains: (drains: DrainNews, ageMs: number) => void;
+  readonly onDrains: (drains: DrainSet, ageMs: number) => void;
   /** A reader's settings were the newest at a time in milliseconds. */
   readonly onSettingsChecked: (checkedAt: number) => void;
   readonly onDirectory: (directory: Directory) => void;
--- a/src/direct/peers/peer_server.ts
+++ b/src/direct/peers/peer_server.ts
@@ -9,6 +9,7 @@
 import { type LinkIdentity, LinkServer } from "../../links/link_server.ts";
 import { HttpListener } from "../../process/http_listener.ts";
 import type { Directory } from "../directory_follower.ts";
+import type { DrainSet } from "../drained_domains.ts";
 import type { SettingsInUse } from "../settings_follower.ts";
 import type { PermitAnswer } from "../../policy/send_permits.ts";
 import {
@@ -19,7 +20,6 @@
   type MemoryContents,
 } from "./entry_memories.ts";
 import type {
-  DrainNews,
   KnownNews,
   ProcessNews,
   SendPermitQueryMessage,
@@ -38,7 +38,7 @@
   /** When the store was asked whether there are newer settings, in milliseconds. */
   readonly settingsCheckedAt: number;
   /** The drains that the store holds; undefined before they were read. */
-  readonly drains?: DrainNews;
+  readonly drains?: DrainSet;
   readonly directory: Directory | undefined;
   readonly processes: ProcessNews;
 }
--- a/src/direct/peers/types.ts
+++ b/src/direct/peers/types.ts
@@ -5,6 +5,7 @@
  * @module
  */
 import type { BackEndInstance } from "../../external/back_end_directory.ts";
+import type { DrainSet } from "../drained_domains.ts";
 import type { ListedProcess } from "../listed_process.ts";
 
 /** A target that ended under a request, as another entry heard of it. */
@@ -50,13 +51,6 @@
   readonly limits?: MemoryNews<TargetLimitNews>;
 }
 
-/** The failure domains that operators drain, as another entry heard of them. */
-export interface DrainNews {
-  /** Revision of the store at which they were read. */
-  readonly revision: number;
-  readonly failureDomains: readonly string[];
-}
-
 /** What an entry has already, so that only news is told. */
 export interface KnownNews {
   /** Version of its settings; undefined when it has none. */
@@ -110,7 +104,7 @@
   /** Milliseconds since the store was asked whether there are newer ones. */
   readonly settingsAgeMs?: number;
   /** As old as the settings, since both come from one watch. */
-  readonly drains?: DrainNews;
+  readonly drains?: DrainSet;
   readonly directory?: DirectoryNews;
   readonly processes?: ProcessNews;
   readonly memories: MemoriesNews;
