--- a/src/direct/peers/types.ts
+++ b/src/direct/peers/types.ts
@@ -5,6 +5,7 @@
  * @module
  */
 import type { BackEndInstance } from "../../external/back_end_directory.ts";
+import type { DrainSet } from "../drained_domains.ts";
 import type { ListedProcess } from "../listed_process.ts";
 
 /** A target that ended under a request, as another entry heard of it. */
@@ -58,6 +59,8 @@
   readonly directoryContent?: string;
   /** Revision of its list of processes; undefined when it wants none. */
   readonly processesRevision?: number;
+  /** Revision at which its drains were read; undefined when it has read none. */
+  readonly drainsRevision?: number;
 }
 
 /** Asks another entry for whatever it heard from the store since. */
@@ -100,6 +103,8 @@
   readonly settingsText?: string;
   /** Milliseconds since the store was asked whether there are newer ones. */
   readonly settingsAgeMs?: number;
+  /** As old as the settings, since both come from one watch. */
+  readonly drains?: DrainSet;
   readonly directory?: DirectoryNews;
   readonly processes?: ProcessNews;
   readonly memories: MemoriesNews;
--- a/src/entry/target_selection.ts
+++ b/src/entry/target_selection.ts
@@ -9,6 +9,7 @@
 import type { BackEndInstance } from "../external/back_end_directory.ts";
 import { getBlindLimit } from "../policy/blind_limit.ts";
 import { DomainReachability } from "../policy/domain_reachability.ts";
+import { DomainDrains } from "../policy/domain_drains.ts";
 import { PrefixIndex } from "../policy/prefix_index.ts";
 import {
   estimateLoad,
@@ -31,6 +32,7 @@
 export type NoTargetReason =
   | "NO_TARGET"
   | "NO_KEY_OWNER"
+  | "DOMAINS_DRAINED"
   | "GROUP_CLOSED"
   | "GROUP_STALLED"
   | "TARGETS_UNREACHABLE"
@@ -76,6 +78,8 @@
   readonly permits: SendPermits;
   /** Which failure domains this entry cannot reach. */
   readonly reachability = new DomainReachability();
+  /** Which failure domains are drained or return. */
+  readonly drains: DomainDrains;
   readonly #failureDomain: string;
   readonly #entryName: string;
   /** Names of the targets in view. */
@@ -94,6 +98,7 @@
     this.#entryName = options.entryName ?? "";
     this.#choice = options.choice ?? new ScoredChoice(options.random);
     this.#limits = options.limits;
+    this.drains = new DomainDrains(options.random);
     this.permits = new SendPermits(this.#entryName, options.limits);
   }
 
@@ -106,7 +111,7 @@
       return this.#selectOwner(inFlight);
     }
     const serving = this.#untriedOf(inFlight);
-    if (serving.length === 0) return Err("NO_TARGET");
+    if (serving.length === 0) return Err(this.#absenceReasonOf(inFlight.pool));
     const open = serving.filter((target) => !target.isGroupClosed(now));
     if (open.length === 0) return Err(this.#closedReasonOf(serving));
     const reachable = this.reachability.filter(open, now);
@@ -121,7 +126,10 @@
     );
     if (permitted.length === 0) return Err("TARGETS_LIMITED");
     const brisk = permitted.filter((target) => !target.isStraggler);
-    const candidates = brisk.length > 0 ? brisk : permitted;
+    const candidates = this.drains.limitReturning(
+      brisk.length > 0 ? brisk : permitted,
+      now,
+    );
     const due = candidates.find(({ name }) => this.permits.isDue(name, now));
     if (due !== undefined) return Ok(due);
     const inView = candidates.filter(({ name }) => this.#inView.has(name));
@@ -155,6 +163,10 @@
       this.#closedReasonOf(serving) === "GROUP_STALLED";
   }
 
+  #absenceReasonOf(pool: string): "NO_TARGET" | "DOMAINS_DRAINED" {
+    return this.registry.isDrainedWhole(pool) ? "DOMAINS_DRAINED" : "NO_TARGET";
+  }
+
   #untriedOf(inFlight: InFlightRequest): readonly TargetRecord[] {
     return this.registry.servingOf(inFlight.pool)
       .filter(({ name }) => !inFlight.hasTried(name));
@@ -291,7 +303,7 @@
     return chosen && this.registry.tryGet(chosen.name);
   }
 
-  /** A key may run only at its owner, leaving or not. */
+  /** A key may run only at its owner, leaving or not, but not drained. */
   #selectOwner(
     inFlight: InFlightRequest,
   ): Result<TargetRecord, NoTargetReason> {
@@ -302,7 +314,8 @@
       idempotencyKey: request.idempotencyKey as string,
     }));
     const owner = this.registry.tryOwner(route.service.pool, slot);
-    return owner === undefined ? Err("NO_KEY_OWNER") : Ok(owner);
+    if (owner === undefined) return Err("NO_KEY_OWNER");
+    return owner.isDrained ? Err("DOMAINS_DRAINED") : Ok(owner);
   }
 }
 
--- a/src/entry/waiting_requests.ts
+++ b/src/entry/waiting_requests.ts
@@ -14,6 +14,7 @@
 const KNOWN_LOSSES: ReadonlySet<NoTargetReason> = new Set([
   "GROUP_CLOSED",
   "TARGETS_UNREACHABLE",
+  "DOMAINS_DRAINED",
 ]);
 
 interface Waiting {
--- a/src/messages/settings_documents.ts
+++ b/src/messages/settings_documents.ts
@@ -100,10 +100,18 @@
   readonly leaving: boolean;
 }
 
+/** What operators say of one failure domain. Path: `/failure-domains/NAME`. */
+export interface FailureDomainDocument {
+  readonly kind: "failure_domain";
+  /** Its targets are sent no new requests from now on. */
+  readonly draining: boolean;
+}
+
 /** Any settings document. */
 export type SettingsDocument =
   | OrganisationDocument
   | ServiceDocument
   | TeamDocument
   | GroupDocument
-  | TargetDocument;
+  | TargetDocument
+  | FailureDomainDocument;
