Permits: targets that warm up have limits, too

Cause: a target that has started is slow and fails above a rate that the settings give, and entries sent it their usual share. Permits knew one source of limits, those that targets name. Change: SendPermits reads limits from one interface, SendLimits, which combines TargetLimits and the new WarmUpLimits; the lower holds. Burst and lifetime of permits move to permit_bounds.ts and are tighter for targets that warm up, which are bounded in spans of one second. Lists and settings reach WarmUpLimits by WarmUpWatch, which writes 2831 and 2833.

--- a/src/entry/decision_notes.ts
+++ b/src/entry/decision_notes.ts
@@ -5,6 +5,7 @@
  * @module
  */
 import type { GroupSightMessage } from "../group/formed/types.ts";
+import type { SendLimit } from "../policy/send_limits.ts";
 import type { TargetLimit } from "../policy/target_limits.ts";
 import type { RefusalName } from "../refusals/catalogue.ts";
 import type { Outcome } from "../refusals/types.ts";
@@ -22,8 +23,8 @@
   readonly now: number;
   /** Targets of the pool that took new work. */
   readonly serving: number;
-  /** Requests a second that the target takes from all entries, if it named a limit. */
-  readonly perSecond: number | undefined;
+  /** What the target takes from all entries, if it has a limit. */
+  readonly limit: SendLimit | undefined;
 }
 
 /** How a request ended without an answer. */
@@ -40,7 +41,7 @@
   inFlight: InFlightRequest,
   facts: SentFacts,
 ): LogDecision {
-  const { target, now, serving, perSecond } = facts;
+  const { target, now, serving, limit } = facts;
   return {
     kind: "log_decision",
     name: "REQUEST_SENT",
@@ -56,7 +57,8 @@
         : Math.round(now - target.reportedAt),
       failureShare: Number(target.failureShare.toFixed(SHARE_DECIMALS)),
       serving,
-      perSecond,
+      perSecond: limit?.perSecond,
+      isCold: limit?.isWarmUp === true ? true : undefined,
       resumedAfter: inFlight.cursor?.lastEventId,
       leftMs: Math.round(inFlight.deadlineAt - now),
     },
--- a/src/entry/entry_reducer.ts
+++ b/src/entry/entry_reducer.ts
@@ -16,6 +16,7 @@
 import type { PoolRetryLimits } from "../policy/pool_retry_budgets.ts";
 import type { TargetChoice } from "../policy/target_choice.ts";
 import type { PermitQuestion, SendPermits } from "../policy/send_permits.ts";
+import { CombinedLimits, type SendLimits } from "../policy/send_limits.ts";
 import type { TargetLimits } from "../policy/target_limits.ts";
 import type { RefusalName } from "../refusals/catalogue.ts";
 import {
@@ -58,6 +59,7 @@
 import { type NoTargetReason, TargetSelection } from "./target_selection.ts";
 import { RetryPolicy } from "./retry_policy.ts";
 import { WaitingRequests } from "./waiting_requests.ts";
+import { WarmUpWatch } from "./warm_up_watch.ts";
 import type {
   CallerRequest,
   EntryEffect,
@@ -99,6 +101,9 @@
   readonly #digestKey: string;
   readonly #crashes: CrashWatch;
   readonly #limits = new LimitWatch();
+  /** Which targets warm up. */
+  readonly warmUp = new WarmUpWatch();
+  readonly #sendLimits: SendLimits;
   readonly #news: TargetNews;
   #isDraining = false;
   #saidDrained = false;
@@ -108,7 +113,11 @@
   /** Begins without settings or targets. */
   constructor(options: EntryReducerOptions) {
     const { limits } = this.#limits;
-    this.#selection = new TargetSelection({ ...options, limits });
+    this.#sendLimits = new CombinedLimits(limits, this.warmUp.limits);
+    this.#selection = new TargetSelection({
+      ...options,
+      limits: this.#sendLimits,
+    });
     this.#pools = new PoolChoice(options.random);
     this.#retries = new RetryPolicy(options.poolRetries);
     this.#digestKey = options.digestKey ?? "";
@@ -119,6 +128,7 @@
       selection: this.#selection,
       crashes: this.#crashes,
       limits,
+      warmUp: this.warmUp,
     });
   }
 
@@ -137,7 +147,7 @@
     return this.#limits.limits;
   }
 
-  /** Who may send to targets that have named limits. */
+  /** Who may send to targets that have limits. */
   get permits(): SendPermits {
     return this.#selection.permits;
   }
@@ -538,6 +548,7 @@
   #settingsInForce(event: SettingsInForce): void {
     const { routes, changed, now } = event;
     this.#admission.setRoutes(routes);
+    this.#effects.push(...this.warmUp.noteSettings(event));
     this.registry.setLeavingBySettings(event.leavingTargets ?? new Set());
     const concerned = changed === undefined
       ? routes.routes()
@@ -556,6 +567,7 @@
   }
 
   #tick(now: number): void {
+    this.#effects.push(...this.warmUp.noteTime(now));
     if (now - this.#comparedAt >= COMPARE_INTERVAL_MS) {
       this.#comparedAt = now;
       this.registry.updateSlowness(now);
@@ -586,8 +598,9 @@
     now: number,
   ): void {
     const serving = this.registry.servingOf(inFlight.pool).length;
-    const perSecond = this.limits.tryGet(target.name);
-    const facts = { target, now, serving, perSecond };
+    const limit = this.#sendLimits.tryGet(target.name);
+    this.warmUp.noteSent(target.name, inFlight.pool);
+    const facts = { target, now, serving, limit };
     this.#effects.push(createSentNote(inFlight, facts));
   }
 
--- a/src/entry/target_news.ts
+++ b/src/entry/target_news.ts
@@ -18,6 +18,7 @@
   GroupSeen,
   InstancesListed,
 } from "./types.ts";
+import type { WarmUpWatch } from "./warm_up_watch.ts";
 
 /** A target, and when something was heard of it in milliseconds. */
 export interface TargetMoment {
@@ -30,6 +31,7 @@
   readonly selection: TargetSelection;
   readonly crashes: CrashWatch;
   readonly limits: TargetLimits;
+  readonly warmUp: WarmUpWatch;
 }
 
 /** Takes in what is told of targets. */
@@ -42,14 +44,17 @@
   }
 
   /** The back ends that are called directly were listed. */
-  noteListed({ instances, now }: InstancesListed): readonly EntryEffect[] {
-    const { selection, limits } = this.#options;
+  noteListed(event: InstancesListed): readonly EntryEffect[] {
+    const { instances, now } = event;
+    const { selection, limits, warmUp } = this.#options;
     limits.setListed(new Set(instances.map(({ id }) => id)), now);
+    const warmUpNotes = warmUp.noteListed(event);
     selection.permits.forgetUnlimited();
-    return selection.setInstances(instances, now).flatMap((target) => [
+    const ended = selection.setInstances(instances, now).flatMap((target) => [
       createTargetEndedNote(target),
       ...this.#noteGone({ target, now }),
     ]);
+    return [...warmUpNotes, ...ended];
   }
 
   /** A group's decider told how its ranks stand. */
--- a/src/entry/target_selection.ts
+++ b/src/entry/target_selection.ts
@@ -19,7 +19,7 @@
   type PermitQuestion,
   SendPermits,
 } from "../policy/send_permits.ts";
-import type { TargetLimits } from "../policy/target_limits.ts";
+import type { SendLimits } from "../policy/send_limits.ts";
 import { chooseSubset } from "../policy/target_subset.ts";
 import type { InFlightRequest } from "./in_flight_request.ts";
 import type { TargetRecord } from "./target_record.ts";
@@ -42,8 +42,8 @@
   readonly choice?: TargetChoice;
   /** Tells entries apart; needed for a view of part of a pool, and for limits of targets. */
   readonly entryName?: string;
-  /** The limits that targets name. */
-  readonly limits: TargetLimits;
+  /** The limits on what targets are sent. */
+  readonly limits: SendLimits;
 }
 
 /**
@@ -69,7 +69,7 @@
 /** Finds the target of a request. */
 export class TargetSelection {
   readonly registry = new TargetRegistry();
-  /** Who may send to targets that have named limits. */
+  /** Who may send to targets that have limits. */
   readonly permits: SendPermits;
   readonly #failureDomain: string;
   readonly #entryName: string;
@@ -80,7 +80,7 @@
   readonly #choice: TargetChoice;
   /** Entries of the fleet, this one included. */
   #entries: number | undefined;
-  readonly #limits: TargetLimits;
+  readonly #limits: SendLimits;
   readonly #prefixes = new PrefixIndex();
 
   /** Begins without targets. */
--- a/src/entry/types.ts
+++ b/src/entry/types.ts
@@ -15,6 +15,7 @@
 import type { CrashedRequest } from "../policy/crash_history.ts";
 import type { PermitOutcome, PermitQuestion } from "../policy/send_permits.ts";
 import type { TargetLimit } from "../policy/target_limits.ts";
+import type { ColdPools } from "../policy/warm_up_limits.ts";
 import type { PoolRetryLimits } from "../policy/pool_retry_budgets.ts";
 import type { RefusalName } from "../refusals/catalogue.ts";
 import type { ProblemDetails } from "../refusals/types.ts";
@@ -115,6 +116,8 @@
   readonly leavingTargets?: ReadonlySet<string>;
   /** Services that changed since the last time; undefined: any may have. */
   readonly changed?: readonly string[];
+  /** Pools whose targets can be cold; none unless given. */
+  readonly coldPools?: ColdPools;
 }
 
 /** The old scripts answered, or failed to. */
@@ -129,6 +132,8 @@
   readonly kind: "instances_listed";
   readonly now: number;
   readonly instances: readonly BackEndInstance[];
+  /** When the list was asked for, in milliseconds, if that is known. */
+  readonly askedAt?: number;
 }
 
 /** The entries that share limits were listed, this one included. */
--- a/src/events/catalogue.ts
+++ b/src/events/catalogue.ts
@@ -367,6 +367,27 @@
     text: "A target named a limit that is no number, which changes nothing",
     action: "See `text`, and mend what names it.",
   },
+  COLD_TARGETS_CHANGED: {
+    code: 2831,
+    level: "info",
+    text: "Other targets of a pool warm up than before",
+    action:
+      "Nothing after starts. If targets turn cold at other times, see what they lost.",
+  },
+  COLDNESS_UNREADABLE: {
+    code: 2832,
+    level: "warn",
+    text:
+      "An entry in the platform's store says of its back end's coldness what cannot be read, which counts as nothing",
+    action: "See `text` and who wrote the key.",
+  },
+  COLD_RATE_UNREADABLE: {
+    code: 2833,
+    level: "warn",
+    text:
+      "Settings say of a pool's cold targets what cannot be read; the pool stays as it was",
+    action: "See `text`, and write settings that this version reads.",
+  },
   INTERNAL_FAULT: {
     code: 2901,
     level: "error",
--- a/src/external/back_end_directory.ts
+++ b/src/external/back_end_directory.ts
@@ -19,4 +19,13 @@
   /** Requests that it runs at once. */
   readonly concurrency: number;
   readonly state: "serving" | "leaving";
+  /** Whether its list entry says that it still warms up; undefined: it does not say. */
+  readonly isCold?: boolean;
 }
+
+/** What the list entry of a back end says of how long it warms up. */
+export type ColdnessWord =
+  | { readonly kind: "untold" }
+  | { readonly kind: "told"; readonly leftMs: number }
+  /** It says something else; `text` is what, shortened. */
+  | { readonly kind: "unreadable"; readonly text: string };
--- a/src/external/operator_settings.ts
+++ b/src/external/operator_settings.ts
@@ -4,7 +4,8 @@
  * @module
  */
 import type { Result } from "ts-results-es";
-import type { BackEndInstance } from "./back_end_directory.ts";
+import type { ColdPools } from "../policy/warm_up_limits.ts";
+import type { BackEndInstance, ColdnessWord } from "./back_end_directory.ts";
 import type { SettingsDocument } from "../settings/types.ts";
 
 /** Settings as operators wrote them, in this system's own documents. */
@@ -18,6 +19,8 @@
   readonly pools: ReadonlySet<string>;
   /** Rank groups by the pool that they serve. */
   readonly groups: ReadonlyMap<string, GroupSettings>;
+  /** Pools whose back ends can be cold; none unless given. */
+  readonly coldPools?: ColdPools;
 }
 
 /** What the settings say of the rank groups of a pool. */
@@ -54,4 +57,9 @@
     key: string,
     text: string,
   ): BackEndInstance | undefined;
+
+  /** What the entry of a back end says of how long it warms up; nothing unless overridden. */
+  readColdness(_text: string): ColdnessWord {
+    return { kind: "untold" };
+  }
 }
--- /dev/null
+++ b/src/policy/permit_bounds.ts
@@ -0,0 +1,64 @@
+/**
+ * How many permits for a target may come together, and for how long they hold.
+ *
+ * A target that warms up may get 1.5 times its limit and 5 more in any span of one second.
+ * Requests of a span use permits that were asked for in it or within their lifetime before
+ * it. Beside the entry that gives the whole of a limit r, another one gives a quarter. With
+ * a lifetime of 0.2 s + 1.5 / r, a burst of 2 and a second one of 1, a span gets at most
+ * 1.25 r (1 + 0.2 + 1.5 / r) + 3 = 1.5 r + 4.875. The burst and lifetime for limits that
+ * targets name give up to 48 in a second at 17 a second, where 30.5 are allowed.
+ *
+ * @module
+ */
+import type { SendLimit } from "./send_limits.ts";
+import type { TokenBucketOptions } from "./token_bucket.ts";
+
+/** Milliseconds for which a permit holds, from the question for it. */
+export const PERMIT_MS = 1000;
+/** Requests let through at once, in seconds of the limit; one at least. */
+const BURST_SECONDS = 0.25;
+/** Least of a limit that is used, in requests a second: without any its end is never heard. */
+const LEAST_PER_SECOND = 0.1;
+/** Most that come at once from the entry that gives the whole of a warm-up limit. */
+const WARM_UP_BURST = 2;
+/** Most that come at once from an entry that gives a part of a warm-up limit. */
+const WARM_UP_PART_BURST = 1;
+/** Lifetime of permits for a target that warms up: least, and that of 1.5 permits more. */
+const WARM_UP_PERMIT_MS = 200;
+const WARM_UP_PERMITS_KEPT = 1.5;
+
+/**
+ * The bucket out of which an entry gives a part of a limit.
+ *
+ * @example
+ * ```ts
+ * bucket.setOptions(getBucketOptions(limit, 0.25), now);
+ * ```
+ */
+export function getBucketOptions(
+  limit: SendLimit | undefined,
+  part: number,
+): TokenBucketOptions {
+  const given = Math.max(LEAST_PER_SECOND, limit?.perSecond ?? 0) * part;
+  const burst = Math.max(1, given * BURST_SECONDS);
+  if (limit?.isWarmUp !== true) return { perSecond: given, burst };
+  const most = part === 1 ? WARM_UP_BURST : WARM_UP_PART_BURST;
+  return { perSecond: given, burst: Math.min(burst, most) };
+}
+
+/**
+ * Milliseconds for which a permit holds, from the question for it.
+ *
+ * @example
+ * ```ts
+ * const until = askedAt + getPermitMs(limits.tryGet(target));
+ * ```
+ */
+export function getPermitMs(limit: SendLimit | undefined): number {
+  if (limit?.isWarmUp !== true) return PERMIT_MS;
+  const perSecond = Math.max(LEAST_PER_SECOND, limit.perSecond);
+  return Math.min(
+    PERMIT_MS,
+    WARM_UP_PERMIT_MS + WARM_UP_PERMITS_KEPT * 1000 / perSecond,
+  );
+}
--- a/src/policy/send_permits.ts
+++ b/src/policy/send_permits.ts
@@ -1,5 +1,6 @@
 /**
- * Who may send to a target that has named a limit.
+ * Who may send to a target that has a limit: one that it has named, or that holds while it
+ * warms up.
  *
  * The pattern: a server in need takes few requests a second from a whole fleet of entries,
  * often fewer than there are entries. An entry's share by itself is then far below one
@@ -17,11 +18,10 @@
  * @module
  */
 import { getRendezvousRank } from "../core/rendezvous_hash.ts";
-import type { TargetLimits } from "./target_limits.ts";
+import { getBucketOptions, getPermitMs } from "./permit_bounds.ts";
+import type { SendLimits } from "./send_limits.ts";
 import { TokenBucket } from "./token_bucket.ts";
 
-/** Milliseconds for which a permit holds, from the question for it. */
-export const PERMIT_MS = 1000;
 /** Milliseconds after which an entry that was asked is taken for unreachable. */
 export const ASK_LIMIT_MS = 300;
 /** Milliseconds for which one that could not be asked is passed over. */
@@ -30,14 +30,10 @@
 const SETTLED_AFTER_MS = 5000;
 /** Part of a limit that is given beside the entry that gives the whole. */
 const DEPUTY_PART = 0.25;
-/** Requests let through at once, in seconds of the limit; one at least. */
-const BURST_SECONDS = 0.25;
 /** Milliseconds after which the first entry sends to a target before all others. */
 const PROBE_AFTER_MS = 1000;
 /** Milliseconds between two questions for permits ahead of need. */
 const AHEAD_MS = 200;
-/** Least of a limit that is used, in requests a second: without any its end is never heard. */
-const LEAST_PER_SECOND = 0.1;
 /** Permits asked for at once, at most. */
 const MOST_ASKED = 8;
 /** Milliseconds in which those who were sent away count as a queue. */
@@ -101,17 +97,17 @@
   sentAway: number[];
 }
 
-/** Who may send to targets that have named limits. */
+/** Who may send to targets that have limits. */
 export class SendPermits {
   readonly #self: string;
-  readonly #limits: TargetLimits;
+  readonly #limits: SendLimits;
   readonly #states = new Map<string, TargetState>();
   readonly #unreachableUntil = new Map<string, number>();
   #entries: readonly string[] = [];
   #listedAt = Number.NEGATIVE_INFINITY;
 
   /** Begins without a list of entries, so that this one may send to no such target. */
-  constructor(self: string, limits: TargetLimits) {
+  constructor(self: string, limits: SendLimits) {
     this.#self = self;
     this.#limits = limits;
   }
@@ -157,7 +153,9 @@
 
   /** Whether a target should be sent the next request, so that its next word is heard. */
   isDue(target: string, now: number): boolean {
-    if (this.#limits.tryGet(target) === undefined) return false;
+    const limit = this.#limits.tryGet(target);
+    // Lists say when a target has warmed up; only named limits end by an answer.
+    if (limit === undefined || limit.isWarmUp) return false;
     const state = this.#stateOf(target, now);
     return state.givers.first === this.#self &&
       now - state.sentAt >= PROBE_AFTER_MS && this.maySend(target, now);
@@ -205,9 +203,11 @@
    * some requests a second, and the target would miss those of all but one.
    */
   tryPlanAhead(target: string, now: number): PermitQuestion | undefined {
-    const perSecond = this.#limits.tryGet(target) ?? 0;
-    const share = perSecond / Math.max(1, this.#entries.length);
-    if (share * PERMIT_MS < 1000 || this.maySend(target, now)) return undefined;
+    const limit = this.#limits.tryGet(target);
+    const share = (limit?.perSecond ?? 0) / Math.max(1, this.#entries.length);
+    // A permit that ends before the next request would be lost to all.
+    if (share * getPermitMs(limit) < 1000) return undefined;
+    if (this.maySend(target, now)) return undefined;
     const state = this.#stateOf(target, now);
     if (now - state.askedAt < AHEAD_MS) return undefined;
     return this.#tryAsk(target, Math.ceil(share * AHEAD_MS / 1000), now);
@@ -226,7 +226,7 @@
       return;
     }
     this.#unreachableUntil.delete(entry);
-    const until = askedAt + PERMIT_MS;
+    const until = askedAt + getPermitMs(this.#limits.tryGet(target));
     for (let permit = 0; permit < answer.granted; permit++) {
       state.permits.push(until);
     }
@@ -245,10 +245,9 @@
   #stateOf(target: string, now: number): TargetState {
     const state = this.#states.get(target) ?? this.#createState(target, now);
     this.#states.set(target, state);
-    const limit = Math.max(LEAST_PER_SECOND, this.#limits.tryGet(target) ?? 0);
-    const perSecond = limit * this.#partOf(state, now);
-    const burst = Math.max(1, perSecond * BURST_SECONDS);
-    state.bucket.setOptions({ perSecond, burst }, now);
+    const limit = this.#limits.tryGet(target);
+    const part = this.#partOf(state, now);
+    state.bucket.setOptions(getBucketOptions(limit, part), now);
     return state;
   }
 
--- a/src/policy/send_permits_test.ts
+++ b/src/policy/send_permits_test.ts
@@ -6,17 +6,24 @@
 import { describe, it } from "node:test";
 import {
   ASK_LIMIT_MS,
-  PERMIT_MS,
   type PermitPlan,
   type PermitQuestion,
   SendPermits,
 } from "./send_permits.ts";
+import { PERMIT_MS } from "./permit_bounds.ts";
+import { CombinedLimits, type SendLimits } from "./send_limits.ts";
 import { TargetLimits } from "./target_limits.ts";
+import { WarmUpLimits } from "./warm_up_limits.ts";
 
 const TARGET = "i-1";
 /** Well after the list of entries was heard. */
 const SETTLED = 60_000;
 
+/** Limits that targets name, while none is cold. */
+function combine(limits: TargetLimits): SendLimits {
+  return new CombinedLimits(limits, new WarmUpLimits());
+}
+
 /** Entries that know each other, and the limit of a target. */
 class Fleet {
   readonly names: readonly string[];
@@ -27,7 +34,7 @@
     for (const name of this.names) {
       const limits = new TargetLimits();
       limits.note({ target: TARGET, perSecond, sentAt: 0, now: 0 });
-      const permits = new SendPermits(name, limits);
+      const permits = new SendPermits(name, combine(limits));
       permits.setEntries(this.names, 0);
       this.permits.set(name, permits);
     }
@@ -166,7 +173,7 @@
   });
 
   it("are not given by an entry that has not heard of the limit", () => {
-    const permits = new SendPermits("entry-0", new TargetLimits());
+    const permits = new SendPermits("entry-0", combine(new TargetLimits()));
     permits.setEntries(["entry-0"], 0);
     assert.equal(permits.give(TARGET, 1, SETTLED).granted, 0);
   });
@@ -174,7 +181,7 @@
   it("are not to be had before the other entries are known", () => {
     const limits = new TargetLimits();
     limits.note({ target: TARGET, perSecond: 9, sentAt: 0, now: 0 });
-    const permits = new SendPermits("entry-0", limits);
+    const permits = new SendPermits("entry-0", combine(limits));
     assert.ok(!permits.maySend(TARGET, SETTLED));
     assert.equal(permits.plan([TARGET], 1, SETTLED).kind, "none");
   });
