Platform: read how long servers stay cold, and what a cold one takes

Cause: the store says of each server how long it stays cold, and of each service what a cold one takes; nothing read either.

--- a/scripts/check_names.ts
+++ b/scripts/check_names.ts
@@ -22,7 +22,7 @@
 );
 /** Keys, fields and variables, as they are written. */
 const FIELD_NAMES =
-  /op\/config|current_rev|gap_aim_ms|slo_ms|max_attempts|api_keys|LAGOONWHARF_SETTINGS/;
+  /op\/config|current_rev|gap_aim_ms|slo_ms|max_attempts|api_keys|cold_(left_ms|start_s|per_s)|LAGOONWHARF_SETTINGS/;
 
 function findingsIn(file: string): readonly string[] {
   return readFileSync(file, "utf8").split("\n").flatMap((line, index) =>
--- a/src/direct/direct_entry_driver.ts
+++ b/src/direct/direct_entry_driver.ts
@@ -103,6 +103,8 @@
       queued: 0,
       settingsRevision: this.#settings.inUse?.settings.version ?? 0,
       olderOffers: 0,
+      coldTargets: this.#reducer.warmUp.limits.coldCount,
+      coldRequests: this.#reducer.warmUp.sentByPool,
     }), log);
     this.#server = new RequestServer({
       reducer: this.#reducer,
@@ -136,6 +138,8 @@
       log,
       isKnownPool: (pool) =>
         this.#settings.inUse?.settings.pools.has(pool) ?? true,
+      isColdPool: (pool) =>
+        this.#reducer.warmUp.limits.tryPool(pool) !== undefined,
       onDirectory: (directory) => this.#onDirectory(directory),
       onListed: (directory) => this.#peers.storeAnswered(directory),
       // Whoever is told of back ends by another entry calls the store too seldom to hear it.
@@ -303,16 +307,18 @@
       kind: "settings_in_force",
       now: performance.now(),
       routes,
+      coldPools: settings.coldPools,
     });
   }
 
   #onDirectory(directory: Directory): void {
-    const { instances } = directory;
+    const { instances, askedAt } = directory;
     this.#targets.setInstances(instances);
     this.#server.dispatch({
       kind: "instances_listed",
       now: performance.now(),
       instances,
+      askedAt,
     });
   }
 
--- a/src/direct/directory_follower.ts
+++ b/src/direct/directory_follower.ts
@@ -11,6 +11,7 @@
 import { splitRevision } from "../external/store_revision.ts";
 import type { StoreListing, WatchedStore } from "../external/watched_store.ts";
 import { ListedBackEnds } from "./listed_back_ends.ts";
+import { ListedColdness } from "./listed_coldness.ts";
 import { Reachability } from "./reachability.ts";
 
 /**
@@ -47,6 +48,8 @@
   readonly log: EventLog;
   /** Whether any settings name a pool. */
   readonly isKnownPool: (pool: string) => boolean;
+  /** Whether the settings give a rate for cold back ends of a pool; no pool unless given. */
+  readonly isColdPool?: (pool: string) => boolean;
   readonly onDirectory: (directory: Directory) => void;
   /** Called after each listing that was answered, with the list as it is kept. */
   readonly onListed: (directory: Directory) => void;
@@ -69,11 +72,20 @@
   /** Follows nothing yet. */
   constructor(options: DirectoryFollowerOptions) {
     this.#options = options;
-    const { format, log, isKnownPool } = options;
+    const { format, log, isKnownPool, isColdPool = () => false } = options;
     this.#reachability = new Reachability("back ends", log);
     this.#backEnds = new ListedBackEnds({
       format,
       isKnownPool,
+      coldness: new ListedColdness({
+        format,
+        isColdPool,
+        onUnreadable: ({ key, text }) =>
+          log.write("COLDNESS_UNREADABLE", {
+            key: key.slice(0, LOGGED_KEY_LENGTH),
+            text,
+          }),
+      }),
       onUnreadable: ({ key, revision }) =>
         log.write("BACK_END_UNREADABLE", {
           key: key.slice(0, LOGGED_KEY_LENGTH),
@@ -103,7 +115,7 @@
     const askedAt = performance.now();
     const listing = await this.#tryList();
     if (listing === undefined) return onUnanswered();
-    const instances = this.#backEnds.read(listing.items);
+    const instances = this.#backEnds.read(listing.items, performance.now());
     const { revision } = listing;
     const content = contentOf(instances);
     const listed = { instances, revision, content, askedAt };
--- a/src/direct/listed_back_ends.ts
+++ b/src/direct/listed_back_ends.ts
@@ -7,6 +7,7 @@
 import type { BackEndInstance } from "../external/back_end_directory.ts";
 import type { StoreFormat } from "../external/operator_settings.ts";
 import type { StoreItem } from "../external/watched_store.ts";
+import type { ListedColdness } from "./listed_coldness.ts";
 import { markSuperseded } from "./superseded_instances.ts";
 
 /** Unreadable entries that are remembered, so that each is told once. */
@@ -18,6 +19,8 @@
   /** Called once for each entry that cannot be read. */
   readonly onUnreadable: (item: StoreItem) => void;
   readonly isKnownPool: (pool: string) => boolean;
+  /** Reads whether back ends warm up; none does unless given. */
+  readonly coldness?: ListedColdness;
 }
 
 /** Reads the entries of back ends. */
@@ -34,16 +37,17 @@
   }
 
   /**
-   * The back ends that the items name.
+   * The back ends that the items name, listed at a time in milliseconds.
    *
    * @example
    * ```ts
-   * const instances = backEnds.read(listing.items);
+   * const instances = backEnds.read(listing.items, performance.now());
    * ```
    */
-  read(items: readonly StoreItem[]): readonly BackEndInstance[] {
+  read(items: readonly StoreItem[], now: number): readonly BackEndInstance[] {
+    this.#options.coldness?.keep(items);
     const listed = items.flatMap((item) => {
-      const instance = this.#tryRead(item);
+      const instance = this.#tryRead(item, now);
       const { createdRevision } = item;
       return instance === undefined ? [] : [{ instance, createdRevision }];
     });
@@ -53,14 +57,14 @@
     return markSuperseded(listed, this.#options.isKnownPool);
   }
 
-  #tryRead(item: StoreItem): BackEndInstance | undefined {
-    const { format } = this.#options;
+  #tryRead(item: StoreItem, now: number): BackEndInstance | undefined {
+    const { format, coldness } = this.#options;
     const instance = format.tryReadBackEnd(item.key, item.value);
     if (instance === undefined) {
       this.#noteUnreadable(item);
       return undefined;
     }
-    return this.#newestOf(instance);
+    return this.#newestOf(coldness?.mark(instance, item, now) ?? instance);
   }
 
   /** A last word of the start before may arrive late. */
--- a/src/direct/listed_back_ends_test.ts
+++ b/src/direct/listed_back_ends_test.ts
@@ -50,7 +50,7 @@
   });
 
   read(...items: readonly StoreItem[]): readonly string[] {
-    return this.backEnds.read(items).map(({ id }) => id);
+    return this.backEnds.read(items, 0).map(({ id }) => id);
   }
 }
 
--- a/src/direct/peers/schema.ts
+++ b/src/direct/peers/schema.ts
@@ -17,6 +17,8 @@
   failureDomain: z.string(),
   concurrency: COUNT,
   state: z.enum(["serving", "leaving"]),
+  // One that cannot be read counts as absent; the other back ends hold.
+  isCold: z.boolean().optional().catch(undefined),
 });
 
 const AGE_MS = z.number().nonnegative();
--- a/src/process/metrics.ts
+++ b/src/process/metrics.ts
@@ -15,6 +15,10 @@
   readonly queued: number;
   readonly settingsRevision: number;
   readonly olderOffers: number;
+  /** Targets that warm up, as far as this process knows. */
+  readonly coldTargets?: number;
+  /** Requests sent to targets that warmed up, by pool. */
+  readonly coldRequests?: ReadonlyMap<string, number>;
 }
 
 /** Counters and quantiles of a process that serves callers. */
@@ -87,6 +91,17 @@
       "Settings that were older and ignored",
       () => source().olderOffers,
     );
+    this.metricsPage.gauge(
+      "cold_targets",
+      "Targets that warm up",
+      () => source().coldTargets ?? 0,
+    );
+    this.metricsPage.counts({
+      name: "cold_requests_total",
+      help: "Requests sent to targets that warmed up",
+      label: "pool",
+      read: () => source().coldRequests ?? new Map(),
+    });
   }
 
   /** A request was taken in. */
