Targets that warm up: model, tests

Cause: the bound of cold targets was not tested. Change: the model of entries before limited targets lists targets that end, start again and turn cold, which some entries hear late.

--- a/src/testing/limited_entries.ts
+++ b/src/testing/limited_entries.ts
@@ -9,11 +9,11 @@
 import type { EntryEffect, EntryEvent } from "../entry/types.ts";
 import type { AttemptMessage, RateLimitWord } from "../messages/types.ts";
 import { ASK_LIMIT_MS, type PermitQuestion } from "../policy/send_permits.ts";
+import { type ColdPlan, ColdTargets } from "./cold_targets.ts";
 import { EventQueue } from "./event_queue.ts";
 import {
   createCallerRequest,
   createEmptyAnswer,
-  createInstance,
   createRoutes,
 } from "./fixtures.ts";
 
@@ -24,6 +24,8 @@
 /** Mean milliseconds from a request to the head of its answer. */
 const WORK_MS = 250;
 const TICK_MS = 50;
+/** Milliseconds between two lists of the targets. */
+const LIST_MS = 1000;
 /** Milliseconds before the callers come. */
 const START_MS = 6000;
 
@@ -59,6 +61,8 @@
   readonly requestsPerSecond: number;
   readonly changes: readonly LimitChange[];
   readonly troubles: readonly EntryTrouble[];
+  /** Lists of the targets change, and targets in them warm up. */
+  readonly cold?: ColdPlan;
 }
 
 /** A request reached a target. */
@@ -103,6 +107,7 @@
   readonly #random: RandomSource;
   readonly #entries: readonly EntryState[];
   readonly #limits: (number | undefined)[];
+  readonly #targets: ColdTargets;
   readonly #startedAt = new Map<number, number>();
   readonly #arrivals: Arrival[] = [];
   readonly #refusals: Refusal[] = [];
@@ -115,6 +120,11 @@
     this.#options = options;
     this.#random = new RandomSource(options.seed);
     this.#limits = Array.from({ length: options.targets }, () => undefined);
+    this.#targets = new ColdTargets({
+      count: options.targets,
+      plan: options.cold,
+      startMs: START_MS,
+    });
     this.#entries = Array.from({ length: options.entries }, (_, number) => ({
       number,
       reducer: this.#createReducer(number),
@@ -134,13 +144,14 @@
   run(milliseconds: number): LimitedEntriesResult {
     for (const entry of this.#entries) this.#introduce(entry);
     this.#planTick();
+    for (const entry of this.#options.cold ? this.#entries : []) {
+      this.#planList(entry, this.#random.nextBelow(LIST_MS));
+    }
     for (const change of this.#options.changes) this.#planChange(change);
     for (const trouble of this.#options.troubles) this.#planTrouble(trouble);
-    this.#queue.after(
-      START_MS,
-      () => this.#planCaller(START_MS + milliseconds),
-    );
-    this.#queue.runUntil(START_MS + milliseconds);
+    const end = START_MS + milliseconds;
+    this.#queue.after(START_MS, () => this.#planCaller(end));
+    this.#queue.runUntil(end);
     return {
       requests: this.#requests,
       arrivals: this.#arrivals,
@@ -160,14 +171,20 @@
     const service = ["defaultDeadlineMs: 8000", "objectiveMs: 400"];
     const routes = createRoutes({ service });
     const { now } = this.#queue;
-    reducer.reduce({ kind: "settings_in_force", now, routes });
-    const instances = this.#limits.map((_, target) =>
-      createInstance(`target-${target}`)
-    );
-    reducer.reduce({ kind: "instances_listed", now, instances });
+    const { coldPools } = this.#targets;
+    reducer.reduce({ kind: "settings_in_force", now, routes, coldPools });
+    reducer.reduce(this.#targets.list(number, now));
     return reducer;
   }
 
+  /** The store tells lists to entries that are cut off from the others, too. */
+  #planList(entry: EntryState, afterMs: number): void {
+    this.#queue.after(afterMs, () => {
+      this.#reduce(entry, this.#targets.list(entry.number, this.#queue.now));
+      this.#planList(entry, LIST_MS);
+    });
+  }
+
   #introduce(entry: EntryState): void {
     const entries = this.#entries
       .filter(({ isDown }) => !isDown)
@@ -287,7 +304,7 @@
     targetName: string,
     place: { readonly requestId: number; readonly attempt: number },
   ): void {
-    const target = Number(targetName.slice("target-".length));
+    const target = Number.parseInt(targetName.slice("target-".length));
     const { reducer } = entry;
     const at = this.#queue.now - START_MS;
     this.#arrivals.push({ at, target, entry: entry.number });
