--- a/src/entry/decision_notes.ts
+++ b/src/entry/decision_notes.ts
@@ -5,6 +5,7 @@
  * @module
  */
 import type { GroupSightMessage } from "../messages/formed_group_types.ts";
+import type { SendLimit } from "../policy/send_limits.ts";
 import type { TargetLimit } from "../policy/target_limits.ts";
 import type { RefusalName } from "../refusals/catalogue.ts";
 import type { Outcome } from "../refusals/types.ts";
@@ -23,10 +24,10 @@
   readonly now: number;
   /** Targets of the pool that took new work. */
   readonly serving: number;
-  /** Requests a second that the target takes from all entries, if it named a limit. */
-  readonly perSecond: number | undefined;
   /** Share of requests that its failure domain takes, from 0 to 1. */
   readonly share: number;
+  /** What the target takes from all entries, if it has a limit. */
+  readonly limit: SendLimit | undefined;
 }
 
 /** How a request ended without an answer. */
@@ -45,7 +46,7 @@
   inFlight: InFlightRequest,
   facts: SentFacts,
 ): LogDecision {
-  const { target, now, serving, perSecond, share } = facts;
+  const { target, now, serving, limit, share } = facts;
   return {
     kind: "log_decision",
     name: "REQUEST_SENT",
@@ -61,10 +62,11 @@
         : Math.round(now - target.reportedAt),
       failureShare: Number(target.failureShare.toFixed(SHARE_DECIMALS)),
       serving,
-      perSecond,
       returningShare: share < 1
         ? Number(share.toFixed(SHARE_DECIMALS))
         : undefined,
+      perSecond: limit?.perSecond,
+      isCold: limit?.isWarmUp === true ? true : undefined,
       resumedAfter: inFlight.cursor?.lastEventId,
       leftMs: Math.round(inFlight.deadlineAt - now),
     },
--- a/src/events/catalogue.ts
+++ b/src/events/catalogue.ts
@@ -391,7 +391,7 @@
     code: 2822,
     level: "warn",
     text: "A drain in the platform's store cannot be read and changes nothing",
-    action: "Look who wrote the key, and write it anew or remove it.",
+    action: "Find out who wrote the key; write it again or remove it.",
   },
   DRAINS_KEPT: {
     code: 2823,
@@ -418,6 +418,27 @@
     text: "The targets of a failure domain take requests again, at first few",
     action: NOTHING,
   },
+  COLD_TARGETS_CHANGED: {
+    code: 2831,
+    level: "info",
+    text: "Other targets of a pool warm up than before",
+    action:
+      "Nothing after starts. If targets turn cold at other times, see what they lost.",
+  },
+  COLDNESS_UNREADABLE: {
+    code: 2832,
+    level: "warn",
+    text:
+      "An entry in the platform's store says of its back end's coldness what cannot be read, which counts as nothing",
+    action: "See `text` and who wrote the key.",
+  },
+  COLD_RATE_UNREADABLE: {
+    code: 2833,
+    level: "warn",
+    text:
+      "Settings say of a pool's cold targets what cannot be read; the pool stays as it was",
+    action: "See `text`, and write settings that this version reads.",
+  },
   INTERNAL_FAULT: {
     code: 2901,
     level: "error",
--- a/src/external/operator_settings.ts
+++ b/src/external/operator_settings.ts
@@ -4,8 +4,9 @@
  * @module
  */
 import type { Result } from "ts-results-es";
-import type { BackEndInstance } from "./back_end_directory.ts";
 import type { SettingsDocument } from "../messages/settings_documents.ts";
+import type { ColdPools } from "../policy/warm_up_limits.ts";
+import type { BackEndInstance, ColdnessWord } from "./back_end_directory.ts";
 
 /** Settings as operators wrote them, in this system's own documents. */
 export interface OperatorSettings {
@@ -18,6 +19,8 @@
   readonly pools: ReadonlySet<string>;
   /** Rank groups by the pool that they serve. */
   readonly groups: ReadonlyMap<string, GroupSettings>;
+  /** Pools whose back ends can be cold; none unless given. */
+  readonly coldPools?: ColdPools;
 }
 
 /** What the settings say of the rank groups of a pool. */
@@ -88,4 +91,9 @@
   isDrainValue(_text: string): boolean {
     return false;
   }
+
+  /** What the entry of a back end says of how long it warms up; nothing unless overridden. */
+  readColdness(_text: string): ColdnessWord {
+    return { kind: "untold" };
+  }
 }
