Policies: capacity of a rank group, and which requests are held back near it

Cause: in a burst the answers of all kinds are late alike, since one request more makes each pass of a rank group longer for all.

Change: capacity from the highest cost of a request in the last 6 s; the part held back grows from 0.9 to 1.1 of it and is taken from the least urgent end of the mix seen in 5 s, within a priority from organisations above their fair share.

--- /dev/null
+++ b/src/policy/admission_order_test.ts
@@ -0,0 +1,125 @@
+import assert from "node:assert/strict";
+import { describe, it } from "node:test";
+import {
+  AdmissionOrder,
+  getHeldPart,
+  type OrderedRequest,
+} from "./admission_order.ts";
+
+const KNOWN = [3, 5, 7] as const;
+const REQUESTS = 3000;
+
+interface Sender {
+  readonly priority: number;
+  readonly organisation: string;
+  /** Requests of this sender among all. */
+  readonly requests: number;
+}
+
+function createOrder(senders: readonly Sender[], now = 0): AdmissionOrder {
+  const order = new AdmissionOrder();
+  for (const { requests, ...sender } of senders) {
+    for (let index = 0; index < requests; index++) {
+      order.noteArrival({ ...sender, weight: 1, now });
+    }
+  }
+  return order;
+}
+
+/** Each priority is a third of what comes in. */
+function createEvenOrder(): AdmissionOrder {
+  return createOrder(KNOWN.map((priority) => ({
+    priority,
+    organisation: "andamaq",
+    requests: REQUESTS,
+  })));
+}
+
+function heldOf(
+  order: AdmissionOrder,
+  request: Partial<OrderedRequest>,
+  facts: { readonly heldPart: number; readonly now?: number },
+): number {
+  const held = order.getHeldPartOf(
+    { priority: 7, organisation: "andamaq", weight: 1, ...request },
+    { now: facts.now ?? 0, heldPart: facts.heldPart, known: KNOWN },
+  );
+  return Math.round(held * 100) / 100;
+}
+
+function heldByPriority(
+  order: AdmissionOrder,
+  heldPart: number,
+): readonly number[] {
+  return KNOWN.map((priority) => heldOf(order, { priority }, { heldPart }));
+}
+
+describe("part that is held back", () => {
+  it("grows from 0.9 to 1.1 of the capacity", () => {
+    const partAt = (load: number) => getHeldPart({ load, capacity: 100 });
+    const parts = [80, 90, 95, 100, 110, 200].map(partAt);
+    const rounded = parts.map((part) => Math.round(part * 100) / 100);
+    assert.deepEqual(rounded, [0, 0, 0.25, 0.5, 1, 1]);
+    assert.equal(getHeldPart({ load: 0, capacity: 0 }), 1);
+  });
+});
+
+describe("order of admission", () => {
+  it("holds back the least urgent first in a burst", () => {
+    const order = createEvenOrder();
+    assert.deepEqual(heldByPriority(order, 0), [0, 0, 0]);
+    assert.deepEqual(heldByPriority(order, 0.2), [0, 0, 0.6]);
+    assert.deepEqual(heldByPriority(order, 0.4), [0, 0.45, 0.75]);
+  });
+
+  it("admits a quarter of the least urgent and all of the first", () => {
+    assert.deepEqual(heldByPriority(createEvenOrder(), 1), [0, 0.75, 0.75]);
+  });
+
+  it("takes priorities for equally frequent as an entry starts", () => {
+    const order = new AdmissionOrder();
+    assert.deepEqual(heldByPriority(order, 0.2), [0, 0, 0.6]);
+  });
+
+  it("never takes the only priority that one of many entries saw for the first", () => {
+    const sender = { priority: 7, organisation: "andamaq", requests: 1 };
+    const order = createOrder([sender]);
+    assert.deepEqual(heldByPriority(order, 1), [0, 0.75, 0.75]);
+  });
+
+  it("forgets a burst that is over", () => {
+    const sender = { priority: 7, organisation: "andamaq", requests: 1000 };
+    const order = createOrder([sender]);
+    assert.equal(heldOf(order, {}, { heldPart: 0.2 }), 0.2);
+    assert.equal(heldOf(order, {}, { heldPart: 0.2, now: 5000 }), 0.6);
+  });
+
+  it("holds back a large organisation before many small ones", () => {
+    const small = Array.from({ length: 40 }, (_, index) => ({
+      priority: 7,
+      organisation: `small-${index}`,
+      requests: 10,
+    }));
+    const large = { priority: 7, organisation: "large", requests: 600 };
+    const order = createOrder([...small, large]);
+    const heldPart = 0.3;
+    const ofLarge = heldOf(order, { organisation: "large" }, { heldPart });
+    const ofSmall = heldOf(order, { organisation: "small-1" }, { heldPart });
+    assert.equal(ofSmall, 0);
+    assert.ok(ofLarge > 0.4 && ofLarge < 0.6, `${ofLarge}`);
+    // At least half of the usual part, so that it is not shut out.
+    const ofLargeAtMost = heldOf(order, { organisation: "large" }, {
+      heldPart: 1,
+    });
+    assert.ok(ofLargeAtMost <= 0.88, `${ofLargeAtMost}`);
+  });
+
+  it("holds back returned requests as late ones of their kind", () => {
+    const sender = { priority: 8, organisation: "andamaq", requests: 1000 };
+    const order = createOrder([sender, { ...sender, priority: 7 }]);
+    const heldPart = 0.3;
+    assert.equal(heldOf(order, { priority: 8 }, { heldPart }), 0.6);
+    assert.equal(heldOf(order, { priority: 7 }, { heldPart }), 0);
+    assert.equal(heldOf(createEvenOrder(), { priority: 4 }, { heldPart }), 0);
+  });
+});
--- /dev/null
+++ b/src/policy/group_capacity_test.ts
@@ -0,0 +1,102 @@
+import assert from "node:assert/strict";
+import { describe, it } from "node:test";
+import {
+  type CapacityFacts,
+  type CapacityReport,
+  GroupCapacity,
+} from "./group_capacity.ts";
+
+const IDLE_PASS_MS = 35;
+
+function createFacts(changes: Partial<CapacityFacts> = {}): CapacityFacts {
+  return {
+    now: 0,
+    pauseMs: 150,
+    idlePassMs: IDLE_PASS_MS,
+    slots: 224,
+    ...changes,
+  };
+}
+
+/** A report of passes that each request makes longer by so much. */
+function createReport(
+  costMs: number,
+  changes: Partial<CapacityReport> = {},
+): CapacityReport {
+  const load = 100;
+  return { at: 0, passMs: IDLE_PASS_MS + costMs * load, load, ...changes };
+}
+
+function capacityAt(capacity: GroupCapacity, now: number): number | undefined {
+  const room = capacity.tryGet(createFacts({ now }));
+  return room && Math.round(room.capacity);
+}
+
+describe("capacity of a rank group", () => {
+  it("is what passes have time for within the pause", () => {
+    const capacity = new GroupCapacity();
+    capacity.note(createReport(0.5));
+    assert.equal(capacityAt(capacity, 0), 200);
+  });
+
+  it("keeps the cost of a jump that ends within the time of an answer", () => {
+    const capacity = new GroupCapacity();
+    capacity.note(createReport(1, { at: 0 }));
+    for (let at = 200; at <= 5800; at += 200) {
+      capacity.note(createReport(0.5, { at }));
+    }
+    assert.equal(capacityAt(capacity, 5800), 100);
+    capacity.note(createReport(0.5, { at: 6000 }));
+    assert.equal(capacityAt(capacity, 6000), 200);
+  });
+
+  it("is never more than the slots", () => {
+    const capacity = new GroupCapacity();
+    capacity.note(createReport(0.1));
+    assert.equal(capacityAt(capacity, 0), 224);
+  });
+
+  it("takes no cost from a few requests in a nearly idle group", () => {
+    const capacity = new GroupCapacity();
+    capacity.note({ at: 0, passMs: 45, load: 2 });
+    assert.equal(capacityAt(capacity, 0), 224);
+  });
+
+  it("is not known once the decider is silent", () => {
+    const capacity = new GroupCapacity();
+    assert.equal(capacityAt(capacity, 0), undefined);
+    capacity.note(createReport(0.5));
+    assert.equal(capacityAt(capacity, 1500), 200);
+    assert.equal(capacityAt(capacity, 1501), undefined);
+  });
+
+  it("forgets the costs of a group that formed anew", () => {
+    const capacity = new GroupCapacity();
+    capacity.note(createReport(1, { epoch: 1 }));
+    capacity.note(createReport(0.5, { epoch: 2, at: 200 }));
+    assert.equal(capacityAt(capacity, 200), 200);
+  });
+
+  it("drops reports with absurd values", () => {
+    const capacity = new GroupCapacity();
+    capacity.note(createReport(0.5));
+    const absurd: readonly Partial<CapacityReport>[] = [
+      { passMs: Number.NaN },
+      { passMs: -1 },
+      { passMs: 1e9 },
+      { load: -1 },
+      { load: Number.POSITIVE_INFINITY },
+    ];
+    for (const changes of absurd) {
+      assert.equal(capacity.note(createReport(0.5, changes)), false);
+    }
+    assert.equal(capacityAt(capacity, 0), 200);
+  });
+
+  it("holds nothing back where even an idle pass takes too long", () => {
+    const capacity = new GroupCapacity();
+    capacity.note(createReport(0.5));
+    const facts = createFacts({ idlePassMs: 140 });
+    assert.equal(capacity.tryGet(facts), undefined);
+  });
+});
