Tests: a model of bursts of different urgency before a rank group

Cause: rules and constants of admission by priority can't be judged by unit tests; reports are old, costs jump, and callers come back.

--- /dev/null
+++ b/src/testing/burst_callers.ts
@@ -0,0 +1,197 @@
+/**
+ * Callers of three urgencies and many organisations, in virtual time: they come back once
+ * after a refusal, and leave a connection that stays silent.
+ *
+ * @module
+ */
+import { Buffer } from "node:buffer";
+import type { RandomSource } from "../core/random_source.ts";
+import type { CallerRequest, EntryEffect } from "../entry/types.ts";
+import {
+  type Burst,
+  type CallOutcome,
+  DEADLINE_MS,
+  type EndedCall,
+  KINDS,
+  OBJECTIVE_MS,
+  ORGANISATIONS,
+  PAUSE_MS,
+} from "./burst_types.ts";
+import type { EventQueue } from "./event_queue.ts";
+
+/** Milliseconds after which a caller leaves a connection that stays silent. */
+const SILENCE_LIMIT_MS = 2000;
+/** Callers honour a time to return up to this part of what their deadline leaves. */
+const HONOURED_PART = 1 / 3;
+const MS_PER_SECOND = 1000;
+/** Shares of the two large organisations. */
+const LARGE_SHARES = [1 / 3, 1 / 6] as const;
+
+/** A caller on its way. */
+interface Call {
+  readonly kind: number;
+  readonly organisation: number;
+  readonly sentAt: number;
+  hasReturned: boolean;
+  firstPieceMs: number | undefined;
+  pieceAt: number;
+  longestPauseMs: number;
+}
+
+/** What {@link BurstCallers} work with. */
+export interface BurstCallersOptions {
+  readonly events: EventQueue;
+  readonly random: RandomSource;
+  readonly perSecond: number;
+  readonly burst: Burst;
+  /** Gives a request to some entry. */
+  readonly send: (request: CallerRequest) => void;
+  /** The caller closed its connection. */
+  readonly leave: (requestId: number) => void;
+}
+
+/** Name of an organisation's access key. */
+export function keyOf(organisation: number): string {
+  return organisation.toString(16).padStart(64, "0");
+}
+
+/** Callers in virtual time. */
+export class BurstCallers {
+  readonly ended: EndedCall[] = [];
+  readonly #options: BurstCallersOptions;
+  /** By the id of the request that is under way. */
+  readonly #calls = new Map<number, Call>();
+  #lastId = 0;
+
+  /** Calls from now on. */
+  constructor(options: BurstCallersOptions) {
+    this.#options = options;
+    for (const kind of KINDS.keys()) this.#planNext(kind);
+  }
+
+  /** Callers that wait for the end of an answer. */
+  get waiting(): number {
+    return this.#calls.size;
+  }
+
+  /** An entry did something for a request. */
+  perform(effect: EntryEffect): void {
+    switch (effect.kind) {
+      case "continue_answer":
+        return this.#onPiece(effect.requestId);
+      case "finish_answer":
+      case "whole_answer":
+        return this.#onEnd(effect.requestId);
+      case "refuse_request":
+        return this.#onRefused(
+          effect.requestId,
+          effect.problem.retryAfterSeconds ?? 1,
+        );
+      case "cut_answer":
+        return this.#end(effect.requestId, "unserved");
+      default:
+        return;
+    }
+  }
+
+  /** The entry of these requests has ended. */
+  lose(requestIds: readonly number[]): void {
+    for (const id of requestIds) this.#end(id, "unserved");
+  }
+
+  #planNext(kind: number): void {
+    const { events, random, perSecond, burst } = this.#options;
+    const share = KINDS[kind]?.share ?? 0;
+    const isBurst = kind === burst.kind && events.now >= burst.from &&
+      events.now < burst.until;
+    const rate = perSecond * share * (isBurst ? burst.factor : 1);
+    events.after(random.nextExponential(MS_PER_SECOND / rate), () => {
+      this.#planNext(kind);
+      this.#send({
+        kind,
+        organisation: this.#drawOrganisation(),
+        sentAt: events.now,
+        hasReturned: false,
+        firstPieceMs: undefined,
+        pieceAt: 0,
+        longestPauseMs: 0,
+      });
+    });
+  }
+
+  #drawOrganisation(): number {
+    const { random } = this.#options;
+    let drawn = random.nextFraction();
+    for (const [organisation, share] of LARGE_SHARES.entries()) {
+      if (drawn < share) return organisation;
+      drawn -= share;
+    }
+    const small = ORGANISATIONS - LARGE_SHARES.length;
+    return LARGE_SHARES.length + random.nextBelow(small);
+  }
+
+  #send(call: Call): void {
+    const { events, send } = this.#options;
+    const id = ++this.#lastId;
+    this.#calls.set(id, call);
+    events.after(SILENCE_LIMIT_MS, () => this.#leaveIfSilent(id));
+    send({
+      id,
+      method: "POST",
+      path: `/kind-${call.kind}`,
+      headers: [],
+      body: Buffer.alloc(0),
+      deadlineMs: Math.floor(call.sentAt + DEADLINE_MS - events.now),
+      accessKeySha256: keyOf(call.organisation),
+    });
+  }
+
+  #leaveIfSilent(id: number): void {
+    const call = this.#calls.get(id);
+    if (call === undefined || call.firstPieceMs !== undefined) return;
+    this.#end(id, "unserved");
+    this.#options.leave(id);
+  }
+
+  #onPiece(id: number): void {
+    const call = this.#calls.get(id);
+    if (call === undefined) return;
+    const { now } = this.#options.events;
+    if (call.firstPieceMs === undefined) call.firstPieceMs = now - call.sentAt;
+    else {
+      const pauseMs = now - call.pieceAt;
+      call.longestPauseMs = Math.max(call.longestPauseMs, pauseMs);
+    }
+    call.pieceAt = now;
+  }
+
+  #onEnd(id: number): void {
+    const { firstPieceMs = Infinity, longestPauseMs = 0 } =
+      this.#calls.get(id) ?? {};
+    const isOnTime = firstPieceMs <= OBJECTIVE_MS && longestPauseMs <= PAUSE_MS;
+    this.#end(id, isOnTime ? "on_time" : "late");
+  }
+
+  #onRefused(id: number, retryAfterSeconds: number): void {
+    const call = this.#calls.get(id);
+    if (call === undefined) return;
+    const { events } = this.#options;
+    const leftMs = call.sentAt + DEADLINE_MS - events.now;
+    const waitMs = Math.min(
+      retryAfterSeconds * MS_PER_SECOND,
+      HONOURED_PART * leftMs,
+    );
+    if (call.hasReturned) return this.#end(id, "unserved");
+    this.#calls.delete(id);
+    call.hasReturned = true;
+    events.after(waitMs, () => this.#send(call));
+  }
+
+  #end(id: number, outcome: CallOutcome): void {
+    const call = this.#calls.get(id);
+    if (call === undefined) return;
+    this.#calls.delete(id);
+    const { kind, organisation, sentAt } = call;
+    this.ended.push({ kind, organisation, sentAt, outcome });
+  }
+}
--- /dev/null
+++ b/src/testing/priority_burst_world.ts
@@ -0,0 +1,330 @@
+/**
+ * Entries before one rank group in virtual time, without a network: callers, reports of
+ * the group's decider that are some hundred milliseconds old, and restarts of both.
+ *
+ * @module
+ */
+import { RandomSource } from "../core/random_source.ts";
+import { EntryReducer } from "../entry/entry_reducer.ts";
+import { RoutingTable } from "../entry/routing_table.ts";
+import type {
+  CallerRequest,
+  EntryEffect,
+  EntryEvent,
+  SendToTarget,
+} from "../entry/types.ts";
+import { BurstCallers, keyOf } from "./burst_callers.ts";
+import {
+  type Burst,
+  DEADLINE_MS,
+  type EndedCall,
+  KINDS,
+  OBJECTIVE_MS,
+  ORGANISATIONS,
+  PAUSE_MS,
+} from "./burst_types.ts";
+import { EventQueue } from "./event_queue.ts";
+import { createDocuments, createInstance } from "./fixtures.ts";
+import {
+  addressOf,
+  type GroupSnapshot,
+  JointPassGroup,
+  RANKS,
+  SLOTS_PER_RANK,
+} from "./joint_pass_group.ts";
+
+const POOL = "ranks";
+const GROUP = "group";
+const REPORT_INTERVAL_MS = 200;
+/** Age of a report as an entry gets it, in milliseconds. */
+const REPORT_AGE = { least: 200, most: 500 };
+const TICK_MS = 40;
+/** Pieces of an answer: 17 in the mean. */
+const PIECES = { least: 12, spread: 11 };
+const STREAM_HEAD = [["content-type", "text/event-stream"]] as const;
+
+/** A time without the decider, in milliseconds. */
+export interface Silence {
+  readonly from: number;
+  readonly until: number;
+}
+
+/** What varies between runs. */
+export interface BurstWorldOptions {
+  readonly seed: number;
+  readonly entries: number;
+  /** Requests a second of all kinds, outside of a burst. */
+  readonly perSecond: number;
+  readonly burst: Burst;
+  /** Whether the services differ in priority; otherwise each has the usual one. */
+  readonly isPrioritised: boolean;
+  /** The decider restarts. */
+  readonly silence?: Silence;
+  /** When all entries restart. */
+  readonly restartAt?: number;
+}
+
+interface Entry {
+  reducer: EntryReducer;
+  /** When its last report arrived; reports keep their order. */
+  heardAt: number;
+  readonly requests: Set<number>;
+}
+
+/** Entries, callers and a rank group in virtual time. */
+export class PriorityBurstWorld {
+  readonly #options: BurstWorldOptions;
+  readonly #events = new EventQueue();
+  readonly #random: RandomSource;
+  readonly #group: JointPassGroup;
+  readonly #callers: BurstCallers;
+  readonly #entries: Entry[];
+  /** Entry of each request, by its id. */
+  readonly #entryOf = new Map<number, Entry>();
+
+  /** The same options give the same run. */
+  constructor(options: BurstWorldOptions) {
+    this.#options = options;
+    const { seed, perSecond, burst } = options;
+    const events = this.#events;
+    this.#random = new RandomSource(seed);
+    this.#group = new JointPassGroup(events, new RandomSource(seed + 1));
+    this.#entries = Array.from({ length: options.entries }, (_, index) => ({
+      reducer: this.#createReducer(index),
+      heardAt: 0,
+      requests: new Set<number>(),
+    }));
+    this.#callers = new BurstCallers({
+      events,
+      random: new RandomSource(seed + 2),
+      perSecond,
+      burst,
+      send: (request) => this.#send(request),
+      leave: (requestId) => this.#leave(requestId),
+    });
+    this.#planReport();
+    for (const entry of this.#entries) this.#planTick(entry);
+    if (options.restartAt !== undefined) {
+      events.after(options.restartAt, () => this.#restartEntries());
+    }
+  }
+
+  /** Runs until a virtual time; returns the calls that have ended. */
+  run(untilMs: number): readonly EndedCall[] {
+    this.#events.runUntil(untilMs);
+    return this.#callers.ended;
+  }
+
+  /** Requests that run or wait in the group. */
+  get groupLoad(): number {
+    return this.#group.load;
+  }
+
+  /** Requests that the entries have. */
+  get inFlight(): number {
+    return this.#entries.reduce(
+      (sum, { reducer }) => sum + reducer.inFlight,
+      0,
+    );
+  }
+
+  #createReducer(index: number): EntryReducer {
+    const { now } = this.#events;
+    const reducer = new EntryReducer({
+      failureDomain: "a",
+      entryName: `entry-${index}`,
+      random: new RandomSource(this.#options.seed + 100 + index),
+    });
+    reducer.reduce({
+      kind: "settings_in_force",
+      now,
+      routes: createTable(this.#options.isPrioritised),
+    });
+    reducer.reduce({ kind: "instances_listed", now, instances: INSTANCES });
+    reducer.reduce({
+      kind: "entries_listed",
+      now,
+      entries: Array.from(
+        { length: this.#options.entries },
+        (_, other) => `entry-${other}`,
+      ),
+    });
+    reducer.reduce({ kind: "ranks_listed", ranks: LISTED_RANKS });
+    return reducer;
+  }
+
+  #send(request: CallerRequest): void {
+    const place = this.#random.nextBelow(this.#entries.length);
+    const entry = this.#entries[place] as Entry;
+    this.#entryOf.set(request.id, entry);
+    entry.requests.add(request.id);
+    const { now } = this.#events;
+    this.#dispatch(entry, { kind: "request_arrived", now, request });
+  }
+
+  #leave(requestId: number): void {
+    const entry = this.#entryOf.get(requestId);
+    if (entry === undefined) return;
+    const { now } = this.#events;
+    this.#dispatch(entry, { kind: "caller_gone", now, requestId });
+  }
+
+  #dispatch(entry: Entry, event: EntryEvent): void {
+    for (const effect of entry.reducer.reduce(event)) {
+      this.#perform(entry, effect);
+    }
+  }
+
+  #perform(entry: Entry, effect: EntryEffect): void {
+    if (effect.kind === "send") return this.#sendToRank(entry, effect);
+    this.#callers.perform(effect);
+  }
+
+  #sendToRank(entry: Entry, { targetName, message }: SendToTarget): void {
+    const rank = Number(targetName.split("-")[1]);
+    const key = `${message.requestId}.${message.attempt}`;
+    if (message.kind === "cancel") return this.#group.cancel(rank, key);
+    const { requestId, attempt } = message;
+    const place = { requestId, attempt };
+    const { reducer } = entry;
+    let sequence = 0;
+    this.#group.submit(rank, {
+      key,
+      priority: message.priority,
+      pieces: PIECES.least + this.#random.nextBelow(PIECES.spread),
+      onPiece: (isLast) => {
+        // An entry that has restarted hears no answers of its earlier run.
+        if (entry.reducer !== reducer) return;
+        const say = (told: AnswerPart) =>
+          this.#dispatch(entry, {
+            kind: "message_received",
+            now: this.#events.now,
+            targetName,
+            message: { ...place, sequence: sequence++, ...told },
+          });
+        if (sequence === 0) {
+          say({ kind: "answer_head", status: 200, headers: STREAM_HEAD });
+        }
+        const bytes = createEvent(sequence);
+        say({ kind: "answer_data", bytes });
+        if (!isLast) return;
+        const byteCount = sumOfEvents(sequence);
+        say({ kind: "answer_end", byteCount, queued: 0, running: 0 });
+      },
+    });
+  }
+
+  #planReport(): void {
+    this.#events.after(REPORT_INTERVAL_MS, () => {
+      this.#planReport();
+      const { now } = this.#events;
+      const { from, until } = this.#options.silence ?? { from: 0, until: 0 };
+      if (now >= from && now < until) return;
+      const snapshot = this.#group.observe();
+      for (const entry of this.#entries) this.#report(entry, snapshot);
+    });
+  }
+
+  #report(entry: Entry, { passMs, loads }: GroupSnapshot): void {
+    const { now } = this.#events;
+    const { least, most } = REPORT_AGE;
+    const age = least + this.#random.nextFraction() * (most - least);
+    const at = Math.max(entry.heardAt, now + age);
+    entry.heardAt = at;
+    this.#events.after(at - now, () =>
+      this.#dispatch(entry, {
+        kind: "group_load_told",
+        now: this.#events.now,
+        load: {
+          pool: POOL,
+          group: GROUP,
+          isOpen: true,
+          ageMs: least,
+          passMs,
+          loads,
+        },
+      }));
+  }
+
+  #planTick(entry: Entry): void {
+    this.#events.after(TICK_MS, () => {
+      const { now } = this.#events;
+      const isBusy = entry.reducer.inFlight > 0;
+      if (isBusy) this.#dispatch(entry, { kind: "tick", now });
+      this.#planTick(entry);
+    });
+  }
+
+  #restartEntries(): void {
+    for (const [index, entry] of this.#entries.entries()) {
+      this.#callers.lose([...entry.requests]);
+      entry.requests.clear();
+      entry.reducer = this.#createReducer(index);
+    }
+  }
+}
+
+type AnswerPart =
+  | {
+    readonly kind: "answer_head";
+    readonly status: number;
+    readonly headers: typeof STREAM_HEAD;
+  }
+  | { readonly kind: "answer_data"; readonly bytes: Uint8Array }
+  | {
+    readonly kind: "answer_end";
+    readonly byteCount: number;
+    readonly queued: number;
+    readonly running: number;
+  };
+
+const RANK_NUMBERS = Array.from({ length: RANKS }, (_, rank) => rank);
+const INSTANCES = RANK_NUMBERS.map((rank) =>
+  createInstance(`rank-${rank}`, {
+    address: addressOf(rank),
+    pool: POOL,
+    concurrency: SLOTS_PER_RANK,
+  })
+);
+const LISTED_RANKS = RANK_NUMBERS.map((rank) => ({
+  engineAddress: addressOf(rank),
+  group: GROUP,
+}));
+
+function createEvent(sequence: number): Uint8Array {
+  return new TextEncoder().encode(`id: ${sequence}\ndata: x\n\n`);
+}
+
+/** Bytes of the events before a sequence number; the first has number 1. */
+function sumOfEvents(end: number): number {
+  let sum = 0;
+  for (let sequence = 1; sequence < end; sequence++) {
+    sum += createEvent(sequence).length;
+  }
+  return sum;
+}
+
+function createTable(isPrioritised: boolean): RoutingTable {
+  const organisations = Array.from({ length: ORGANISATIONS }, (_, place) => ({
+    path: `/organisations/org-${place}`,
+    text: `kind: organisation\naccessKeySha256: ["${keyOf(place)}"]`,
+  }));
+  const services = KINDS.map(({ priority }, kind) => ({
+    path: `/organisations/org-0/services/kind-${kind}`,
+    text: [
+      "kind: service",
+      `pathPrefix: /kind-${kind}`,
+      `pool: ${POOL}`,
+      "callers: access_key",
+      "resumable: true",
+      "idempotentMethods: [POST]",
+      "retryShare: 1",
+      `defaultDeadlineMs: ${DEADLINE_MS}`,
+      `longestDeadlineMs: ${DEADLINE_MS}`,
+      `objectiveMs: ${OBJECTIVE_MS}`,
+      `pauseObjectiveMs: ${PAUSE_MS}`,
+      ...isPrioritised ? [`priority: ${priority}`] : [],
+    ].join("\n"),
+  }));
+  return new RoutingTable(createDocuments([...organisations, ...services]));
+}
