Waiting requests and targets' queues share one order

Cause: requests that waited at an entry went oldest first, so that a burst of the least urgent kind filled the 256 places before the others.

Change: WaitingRequests keeps its requests in the targets' FairQueue: priority, organisations in turn by weight, age. When all places are taken, a more urgent request takes that of the newest of the least urgent. Pools whose services have one priority stay oldest first.

--- a/src/entry/entry_reducer.ts
+++ b/src/entry/entry_reducer.ts
@@ -278,9 +278,9 @@
     return true;
   }
 
-  /** Tries again for those that wait, the oldest first. */
+  /** Tries again for those that wait, in the order in which they are due. */
   #submitWaiting(now: number): void {
-    for (const inFlight of this.#waiting.all()) {
+    for (const inFlight of this.#waiting.all(now)) {
       if (this.#tryRefuseCrashing(inFlight, now)) continue;
       const { id } = inFlight.request;
       const selected = this.#selection.select(inFlight, now);
@@ -290,7 +290,7 @@
         this.#waiting.noteReason(id, reason);
         continue;
       }
-      this.#waiting.remove(id);
+      this.#waiting.take(id);
       this.#submit(inFlight, selected.value, now);
     }
   }
--- a/src/entry/waiting_requests.ts
+++ b/src/entry/waiting_requests.ts
@@ -3,6 +3,8 @@
  *
  * @module
  */
+import { USUAL_PRIORITY } from "../messages/priority.ts";
+import { FairQueue, type QueuedItem } from "../policy/fair_queue.ts";
 import { getLongestWaitMs } from "../policy/return_time.ts";
 import type { InFlightRequest } from "./in_flight_request.ts";
 import { tryReturnFacts } from "./return_facts.ts";
@@ -10,7 +12,8 @@
 
 /** Requests that wait at one entry, at most. */
 const MOST_WAITING = 256;
-interface Waiting {
+
+interface Waiting extends QueuedItem {
   readonly inFlight: InFlightRequest;
   until: number;
   reason: NoTargetReason;
@@ -22,13 +25,22 @@
   readonly reason: NoTargetReason;
 }
 
-/** Requests that wait for a target to get free, oldest first. */
+/**
+ * Requests that wait for a target to get free: in pools whose services differ in priority
+ * in the order of targets' queues, elsewhere oldest first.
+ */
 export class WaitingRequests {
-  readonly #waiting = new Map<number, Waiting>();
+  readonly #byId = new Map<number, Waiting>();
+  /** Of pools with one priority; all in one line, so oldest first. */
+  readonly #plain = new FairQueue<Waiting>(MOST_WAITING);
+  /** Of pools whose services differ in priority. */
+  readonly #ordered = new FairQueue<Waiting>(MOST_WAITING);
+  /** Those that gave up their place to more urgent ones. */
+  #dropped: Waiting[] = [];
 
   /** Requests that wait. */
   get size(): number {
-    return this.#waiting.size;
+    return this.#byId.size;
   }
 
   /** Lets a request wait; false when it is to be refused at once. */
@@ -38,25 +50,42 @@
     now: number,
   ): boolean {
     const until = getWaitEnd(inFlight, reason);
-    if (until <= now || this.#waiting.size >= MOST_WAITING) return false;
-    this.#waiting.set(inFlight.request.id, { inFlight, until, reason });
+    if (until <= now) return false;
+    const waiting = createWaiting(inFlight, { until, reason, now });
+    if (this.#byId.size >= MOST_WAITING && !this.#tryReplace(waiting)) {
+      return false;
+    }
+    this.#add(waiting);
     return true;
   }
 
   /** Requests that wait for a reason. */
   countOf(reason: NoTargetReason): number {
-    return [...this.#waiting.values()]
+    return [...this.#byId.values()]
       .filter((waiting) => waiting.reason === reason).length;
   }
 
   /** The request waits no more. */
   remove(requestId: number): void {
-    this.#waiting.delete(requestId);
+    const waiting = this.#byId.get(requestId);
+    if (waiting === undefined) return;
+    this.#byId.delete(requestId);
+    this.#queueOf(waiting).removeWhere((other) => other === waiting);
   }
 
-  /** Those that wait, oldest first. */
-  all(): readonly InFlightRequest[] {
-    return [...this.#waiting.values()].map(({ inFlight }) => inFlight);
+  /** The request goes to a target; it was its organisation's turn. */
+  take(requestId: number): void {
+    const waiting = this.#byId.get(requestId);
+    if (waiting === undefined) return;
+    this.#byId.delete(requestId);
+    this.#queueOf(waiting).take(waiting);
+  }
+
+  /** Those that wait, in the order in which they are due. */
+  all(now: number): readonly InFlightRequest[] {
+    this.#demoteLate(now);
+    return [...this.#plain.inOrder(), ...this.#ordered.inOrder()]
+      .map(({ inFlight }) => inFlight);
   }
 
   /**
@@ -64,7 +93,7 @@
    * longer than one that comes now.
    */
   noteReason(requestId: number, reason: NoTargetReason): void {
-    const waiting = this.#waiting.get(requestId);
+    const waiting = this.#byId.get(requestId);
     if (waiting === undefined) return;
     waiting.reason = reason;
     if (reason !== "GROUP_CLOSED") return;
@@ -74,11 +103,69 @@
 
   /** Takes out those whose wait is over. */
   takeExpired(now: number): readonly ExpiredWait[] {
-    const expired = [...this.#waiting.values()]
+    const expired = [...this.#byId.values()]
       .filter(({ until }) => until <= now);
     for (const { inFlight } of expired) this.remove(inFlight.request.id);
-    return expired;
+    const dropped = this.#dropped;
+    this.#dropped = [];
+    return [...dropped, ...expired];
+  }
+
+  #add(waiting: Waiting): void {
+    this.#byId.set(waiting.inFlight.request.id, waiting);
+    this.#queueOf(waiting).add(waiting);
   }
+
+  /** Makes room for one that is more urgent than some that waits. */
+  #tryReplace(waiting: Waiting): boolean {
+    if (waiting.inFlight.mix === undefined) return false;
+    const last = this.#ordered.inOrder().at(-1);
+    if (last === undefined || last.priority <= waiting.priority) return false;
+    const dropped = this.#ordered.tryDrop();
+    if (dropped === undefined) return false;
+    this.#byId.delete(dropped.inFlight.request.id);
+    this.#dropped.push(dropped);
+    return true;
+  }
+
+  /** Those that have become late go after those of their kind that can be on time. */
+  #demoteLate(now: number): void {
+    const late = this.#ordered.removeWhere(({ inFlight, priority }) =>
+      inFlight.priorityAt(now) !== priority
+    );
+    for (const { inFlight, until, reason } of late) {
+      this.#add(createWaiting(inFlight, { until, reason, now }));
+    }
+  }
+
+  #queueOf({ inFlight }: Waiting): FairQueue<Waiting> {
+    return inFlight.mix === undefined ? this.#plain : this.#ordered;
+  }
+}
+
+function createWaiting(
+  inFlight: InFlightRequest,
+  facts: {
+    readonly until: number;
+    readonly reason: NoTargetReason;
+    readonly now: number;
+  },
+): Waiting {
+  const { until, reason, now } = facts;
+  const { mix, route } = inFlight;
+  return {
+    inFlight,
+    until,
+    reason,
+    startBy: inFlight.deadlineAt,
+    ...mix === undefined
+      ? { priority: USUAL_PRIORITY, organisation: "", weight: 1 }
+      : {
+        priority: inFlight.priorityAt(now),
+        organisation: route.organisation,
+        weight: route.limits.weight,
+      },
+  };
 }
 
 /** When a request has waited as long as it may, in milliseconds. */
--- /dev/null
+++ b/src/entry/waiting_requests_test.ts
@@ -0,0 +1,122 @@
+import assert from "node:assert/strict";
+import { describe, it } from "node:test";
+import { createCallerRequest, createDocuments } from "../testing/fixtures.ts";
+import { InFlightRequest } from "./in_flight_request.ts";
+import { RoutingTable } from "./routing_table.ts";
+import { WaitingRequests } from "./waiting_requests.ts";
+
+const MOST_WAITING = 256;
+/** Priorities of the services `/s0`, `/s1` and `/s2` of one pool. */
+const PRIORITIES = [3, 5, 7];
+const TABLE = new RoutingTable(createDocuments([
+  { path: "/organisations/andamaq", text: "kind: organisation" },
+  ...PRIORITIES.map((priority, place) => ({
+    path: `/organisations/andamaq/services/s${place}`,
+    text: [
+      "kind: service",
+      `pathPrefix: /s${place}`,
+      "pool: ranks",
+      `priority: ${priority}`,
+      "objectiveMs: 400",
+    ].join("\n"),
+  })),
+]));
+
+interface Caller {
+  readonly service?: number;
+  readonly organisation?: string;
+  readonly arrivedAt?: number;
+  readonly isMixed?: boolean;
+}
+
+function createRequest(id: number, caller: Caller = {}): InFlightRequest {
+  const { service = 1, organisation = "andamaq", arrivedAt = 0 } = caller;
+  const route = TABLE.tryRoute({ path: `/s${service}` });
+  assert.ok(route);
+  const request = createCallerRequest({ id });
+  return new InFlightRequest(request, { ...route, organisation }, {
+    arrivedAt,
+    deadlineAt: 8000,
+    pool: "ranks",
+    mix: caller.isMixed === false
+      ? undefined
+      : TABLE.priorities.tryMix("ranks"),
+    isRepeated: false,
+    digestKey: "",
+  });
+}
+
+function addAll(
+  waiting: WaitingRequests,
+  callers: readonly Caller[],
+): readonly boolean[] {
+  return callers.map((caller, place) =>
+    waiting.tryAdd(createRequest(place + 1, caller), "GROUP_STALLED", 0)
+  );
+}
+
+function idsOf(waiting: WaitingRequests, now = 0): readonly number[] {
+  return waiting.all(now).map(({ request }) => request.id);
+}
+
+describe("requests that wait", () => {
+  it("go by priority, then organisations in turn, then age", () => {
+    const waiting = new WaitingRequests();
+    addAll(waiting, [
+      { service: 2 },
+      { service: 1, organisation: "large" },
+      { service: 1, organisation: "large" },
+      { service: 1, organisation: "small" },
+      { service: 0 },
+    ]);
+    assert.deepEqual(idsOf(waiting), [5, 2, 4, 3, 1]);
+  });
+
+  it("count what was sent as its organisation's turn", () => {
+    const waiting = new WaitingRequests();
+    addAll(waiting, [
+      { organisation: "large" },
+      { organisation: "large" },
+      { organisation: "small" },
+    ]);
+    waiting.take(1);
+    assert.deepEqual(idsOf(waiting), [3, 2]);
+  });
+
+  it("go after their kind once they are late", () => {
+    const waiting = new WaitingRequests();
+    addAll(waiting, [{}, { arrivedAt: 200 }, { service: 2, arrivedAt: 200 }]);
+    assert.deepEqual(idsOf(waiting, 241), [2, 1, 3]);
+  });
+
+  it("go oldest first where the pool has one priority", () => {
+    const waiting = new WaitingRequests();
+    const isMixed = false;
+    addAll(waiting, [
+      { service: 2, isMixed },
+      { service: 1, organisation: "large", isMixed },
+      { service: 1, organisation: "large", isMixed },
+      { service: 0, organisation: "small", isMixed },
+    ]);
+    assert.deepEqual(idsOf(waiting), [1, 2, 3, 4]);
+  });
+
+  it("give up a place for a more urgent one when there are too many", () => {
+    const waiting = new WaitingRequests();
+    const callers = Array.from(
+      { length: MOST_WAITING },
+      () => ({ service: 2 }),
+    );
+    addAll(waiting, callers);
+    const add = (id: number, caller: Caller) =>
+      waiting.tryAdd(createRequest(id, caller), "GROUP_STALLED", 0);
+    assert.equal(add(1000, { service: 2 }), false);
+    assert.equal(add(1001, { isMixed: false }), false);
+    assert.equal(add(1002, { service: 0 }), true);
+    assert.equal(waiting.size, MOST_WAITING);
+    assert.equal(idsOf(waiting)[0], 1002);
+    const [dropped, ...others] = waiting.takeExpired(0);
+    assert.equal(dropped?.inFlight.request.id, MOST_WAITING);
+    assert.equal(others.length, 0);
+  });
+});
--- a/src/policy/fair_queue.ts
+++ b/src/policy/fair_queue.ts
@@ -1,6 +1,7 @@
 /**
  * A bounded queue that is shared fairly: by priority first, then between
- * organisations by weight, then in order of arrival.
+ * organisations by weight, then in order of arrival. Targets queue work in it, and entries
+ * the requests that wait for a target.
  *
  * @module
  */
@@ -40,6 +41,12 @@
   return now + LONGEST_WAIT_SHARE * remainingMs;
 }
 
+/**
+ * Lines of organisations without items that an empty queue keeps. Their turns matter little
+ * then, and there may be some ten thousand organisations.
+ */
+const MOST_IDLE_LINES = 1000;
+
 interface OrganisationLine<T> {
   readonly items: T[];
   /** Virtual time at which the next item of the organisation is due. */
@@ -98,6 +105,32 @@
     return undefined;
   }
 
+  /**
+   * All items in the order in which they would be taken, without taking any: some of them
+   * may not be able to go yet.
+   */
+  inOrder(): readonly T[] {
+    return PRIORITIES.flatMap((priority) => orderOf(this.#laneOf(priority)));
+  }
+
+  /** Takes an item out of its turn; its organisation's next item is due later for it. */
+  take(item: T): void {
+    const lane = this.#laneOf(item.priority);
+    const line = lane.lines.get(item.organisation);
+    const place = line?.items.indexOf(item) ?? -1;
+    if (line === undefined || place < 0) return;
+    line.items.splice(place, 1);
+    this.#charge(lane, line, item);
+    if (this.#length === 0 && lane.lines.size > MOST_IDLE_LINES) {
+      lane.lines.clear();
+    }
+  }
+
+  /** Takes out the newest item of the longest line among the least urgent. */
+  tryDrop(): T | undefined {
+    return this.#dropFromLongestLine();
+  }
+
   /** Takes out every item for which `isUnwanted` holds. */
   removeWhere(isUnwanted: (item: T) => boolean): readonly T[] {
     const removed: T[] = [];
@@ -131,12 +164,16 @@
     }
     const item = first?.items.shift();
     if (first === undefined || item === undefined) return undefined;
-    lane.virtualNow = Math.max(lane.virtualNow, first.dueAt);
-    first.dueAt += 1 / item.weight;
-    this.#length--;
+    this.#charge(lane, first, item);
     return item;
   }
 
+  #charge(lane: Lane<T>, line: OrganisationLine<T>, { weight }: T): void {
+    lane.virtualNow = Math.max(lane.virtualNow, line.dueAt);
+    line.dueAt += 1 / weight;
+    this.#length--;
+  }
+
   #dropFromLongestLine(): T | undefined {
     for (const priority of PRIORITIES.toReversed()) {
       const lane = this.#laneOf(priority);
@@ -153,6 +190,26 @@
   }
 }
 
+/** Items of a lane as organisations take turns by weight. */
+function orderOf<T extends QueuedItem>(lane: Lane<T>): readonly T[] {
+  const lines = [...lane.lines.values()]
+    .filter(({ items }) => items.length > 0)
+    .map(({ items, dueAt }) => ({ items, dueAt, next: 0 }));
+  const ordered: T[] = [];
+  while (true) {
+    let first: (typeof lines)[number] | undefined;
+    for (const line of lines) {
+      if (line.next >= line.items.length) continue;
+      if (first === undefined || line.dueAt < first.dueAt) first = line;
+    }
+    const item = first?.items[first.next];
+    if (first === undefined || item === undefined) return ordered;
+    ordered.push(item);
+    first.next++;
+    first.dueAt += 1 / item.weight;
+  }
+}
+
 /**
  * An emptied line keeps its due time until the lane has caught up with it;
  * otherwise an organisation that sends one at a time would jump the others.
--- a/src/policy/fair_queue_test.ts
+++ b/src/policy/fair_queue_test.ts
@@ -57,6 +57,28 @@
     assert.ok(ofSingle <= 31, `${ofSingle} of 60`);
   });
 
+  it("tells the order in which items would be taken, and takes none", () => {
+    const queue = new FairQueue<Item>(10);
+    queue.add(createItem("last", { priority: 8 }));
+    for (const name of ["a1", "a2"]) queue.add(createItem(name));
+    queue.add(createItem("b1", { organisation: "b" }));
+    queue.add(createItem("first", { priority: 0 }));
+    const order = ["first", "a1", "b1", "a2", "last"];
+    assert.deepEqual(queue.inOrder().map(({ name }) => name), order);
+    assert.deepEqual(drain(queue).map(({ name }) => name), order);
+  });
+
+  it("counts an item that goes ahead as its organisation's turn", () => {
+    const queue = new FairQueue<Item>(10);
+    const items = ["a1", "a2"].map((name) => createItem(name));
+    for (const item of items) queue.add(item);
+    queue.add(createItem("b1", { organisation: "b" }));
+    queue.take(items[1] as Item);
+    const names = drain(queue).map(({ name }) => name);
+    assert.deepEqual(names, ["b1", "a1"]);
+    assert.equal(queue.length, 0);
+  });
+
   it("takes quick work first", () => {
     const queue = new FairQueue<Item>(10);
     queue.add(
