--- a/src/direct/direct_entry_driver.ts
+++ b/src/direct/direct_entry_driver.ts
@@ -103,6 +103,7 @@
       queued: 0,
       settingsRevision: this.#settings.inUse?.settings.version ?? 0,
       olderOffers: 0,
+      rooms: this.#reducer.gate.roomsAt(performance.now()),
     }), log);
     this.#server = new RequestServer({
       reducer: this.#reducer,
--- a/src/entry/admission_gate.ts
+++ b/src/entry/admission_gate.ts
@@ -14,6 +14,7 @@
   getHeldPart,
 } from "../policy/admission_order.ts";
 import type { CapacityFacts, GroupRoom } from "../policy/group_capacity.ts";
+import type { RefusalName } from "../refusals/catalogue.ts";
 import type { GroupBelief } from "./group_belief.ts";
 import type { InFlightRequest } from "./in_flight_request.ts";
 import type { TargetRecord } from "./target_record.ts";
@@ -21,6 +22,8 @@
 
 /** Milliseconds between two lines of the log on one group. */
 const LOG_INTERVAL_MS = 1000;
+/** Milliseconds after which the load of a group that no request was meant for is not shown. */
+const ROOM_SHOWN_MS = 5000;
 
 /** Why a request is held back, and when its caller should come back. */
 export interface HoldFacts {
@@ -54,6 +57,11 @@
   readonly #orders = new Map<string, AdmissionOrder>();
   readonly #drawn = new WeakMap<InFlightRequest, Drawn>();
   readonly #holds = new Map<string, GroupHolds>();
+  /** What groups were like when they were last asked for, by name. */
+  readonly #rooms = new Map<
+    string,
+    { readonly room: GroupRoom; readonly at: number }
+  >();
   #notes: EntryEffect[] = [];
 
   /** Holds back nothing before it knows groups. */
@@ -93,6 +101,7 @@
     for (const group of groupsOf(targets)) {
       const room = tryRoomOf(group, { targets, settings, now });
       if (room === undefined) continue;
+      this.#rooms.set(group.name, { room, at: now });
       if (this.#isHeldBack(inFlight, { group, room, mix, now })) {
         closed.add(group);
       }
@@ -103,13 +112,14 @@
     );
   }
 
-  /** Why a request was held back last; undefined if it was not. */
+  /** Why a request was held back last; undefined if it is refused for something else. */
   tryHoldFacts(
     inFlight: InFlightRequest,
+    reason: RefusalName,
     now: number,
   ): HoldFacts | undefined {
     const drawn = this.#drawn.get(inFlight);
-    if (drawn?.room === undefined) return undefined;
+    if (reason !== "GROUP_BUSY" || drawn?.room === undefined) return undefined;
     const freeInMs = getAdmissionReturnMs({
       leftMs: Math.max(0, inFlight.deadlineAt - now),
       heldPart: drawn.heldPart,
@@ -118,6 +128,14 @@
     return { room: drawn.room, freeInMs };
   }
 
+  /** Load and capacity of the groups that requests were lately meant for, by name. */
+  roomsAt(now: number): ReadonlyMap<string, GroupRoom> {
+    for (const [name, { at }] of this.#rooms) {
+      if (now - at >= ROOM_SHOWN_MS) this.#rooms.delete(name);
+    }
+    return new Map([...this.#rooms].map(([name, { room }]) => [name, room]));
+  }
+
   /** Counts and lines of the log since they were last taken. */
   takeNotes(): readonly EntryEffect[] {
     const notes = this.#notes;
--- a/src/entry/admission_gate_test.ts
+++ b/src/entry/admission_gate_test.ts
@@ -204,6 +204,16 @@
     assert.equal(fixture.sentOf(2, 10), 100);
   });
 
+  it("shows load and capacity for some seconds", () => {
+    const fixture = new GateFixture();
+    fixture.tellLoad(1.2 * CAPACITY);
+    fixture.request(0);
+    const { gate } = fixture.entry;
+    const room = { load: 1.2 * CAPACITY, capacity: CAPACITY, ageMs: 0 };
+    assert.deepEqual(gate.roomsAt(4999), new Map([["group", room]]));
+    assert.equal(gate.roomsAt(5000).size, 0);
+  });
+
   it("holds back nothing in a pool whose services have one priority", () => {
     const fixture = new GateFixture([7, 7, 7]);
     fixture.tellLoad(1.2 * CAPACITY);
--- a/src/entry/entry_reducer.ts
+++ b/src/entry/entry_reducer.ts
@@ -25,6 +25,7 @@
   createSentNote,
   createWaitsNote,
 } from "./decision_notes.ts";
+import type { AdmissionGate } from "./admission_gate.ts";
 import { Admission } from "./admission.ts";
 import {
   type AttemptEnd,
@@ -142,6 +143,11 @@
     return this.#selection.permits;
   }
 
+  /** Holds back requests from rank groups near their capacity. */
+  get gate(): AdmissionGate {
+    return this.#selection.gate;
+  }
+
   /** The targets that are known. */
   get registry(): TargetRegistry {
     return this.#selection.registry;
@@ -250,14 +256,14 @@
     });
     this.#inFlight.set(request.id, inFlight);
     this.#retries.countRequest(inFlight, now);
-    this.#selection.gate.noteArrival(inFlight, now);
+    this.gate.noteArrival(inFlight, now);
     this.#submitOrWait(inFlight, now);
   }
 
   #submitOrWait(inFlight: InFlightRequest, now: number): void {
     if (this.#tryRefuseCrashing(inFlight, now)) return;
     const selected = this.#selection.select(inFlight, now);
-    this.#effects.push(...this.#selection.gate.takeNotes());
+    this.#effects.push(...this.gate.takeNotes());
     if (selected.isOk()) return this.#submit(inFlight, selected.value, now);
     const reason = selected.error;
     if (reason === "TARGETS_LIMITED" && !this.#tryAskFor(inFlight, now)) return;
@@ -339,9 +345,7 @@
   ): void {
     const isKeyed = inFlight.request.idempotencyKey !== undefined;
     const failure = createUnsent(reason, isKeyed);
-    const hold = reason === "GROUP_BUSY"
-      ? this.#selection.gate.tryHoldFacts(inFlight, now)
-      : undefined;
+    const hold = this.gate.tryHoldFacts(inFlight, reason, now);
     this.#fail(inFlight, { ...failure, ...hold }, now);
   }
 
@@ -544,7 +548,7 @@
 
   #settingsInForce(event: SettingsInForce): void {
     const { routes, changed, now, groups } = event;
-    if (groups !== undefined) this.#selection.gate.setGroups(groups);
+    if (groups !== undefined) this.gate.setGroups(groups);
     this.#admission.setRoutes(routes);
     this.registry.setLeavingBySettings(event.leavingTargets ?? new Set());
     const concerned = changed === undefined
--- a/src/process/metrics.ts
+++ b/src/process/metrics.ts
@@ -7,6 +7,7 @@
 import type { EventLog } from "../events/event_log.ts";
 import type { LinkFault } from "../messages/codec.ts";
 import type { Priority } from "../messages/priority.ts";
+import type { GroupRoom } from "../policy/group_capacity.ts";
 import type { RefusalName } from "../refusals/catalogue.ts";
 import { ProcessMetrics } from "./process_metrics.ts";
 
@@ -16,6 +17,8 @@
   readonly queued: number;
   readonly settingsRevision: number;
   readonly olderOffers: number;
+  /** Load and capacity of rank groups, in requests, by name. */
+  readonly rooms?: ReadonlyMap<string, GroupRoom>;
 }
 
 /** Counters and quantiles of a process that serves callers. */
@@ -97,6 +100,22 @@
       "Settings that were older and ignored",
       () => source().olderOffers,
     );
+    const readRooms = (read: (room: GroupRoom) => number) => () =>
+      new Map(
+        [...source().rooms ?? []].map(([group, room]) => [group, read(room)]),
+      );
+    this.metricsPage.gauges({
+      name: "group_load",
+      help: "Requests that run and wait in rank groups, by the last report",
+      label: "group",
+      read: readRooms(({ load }) => load),
+    });
+    this.metricsPage.gauges({
+      name: "group_capacity",
+      help: "Requests that rank groups can process in time",
+      label: "group",
+      read: readRooms(({ capacity }) => Math.round(capacity)),
+    });
   }
 
   /** A request was taken in. */
--- a/src/process/metrics_page.ts
+++ b/src/process/metrics_page.ts
@@ -11,7 +11,7 @@
 const QUANTILES = [50, 95, 99] as const;
 const LONGEST_MS = 3_600_000;
 
-/** How often something was seen, by one label. */
+/** Numbers that are told apart by one label. */
 export interface CountsByLabel {
   readonly name: string;
   readonly help: string;
@@ -64,6 +64,22 @@
     });
   }
 
+  /** Gauges told apart by one label, read when the page is asked for. */
+  gauges({ name, help, label, read }: CountsByLabel): void {
+    new Gauge({
+      name: PREFIX + name,
+      help,
+      labelNames: [label],
+      registers: [this.#registry],
+      collect() {
+        this.reset();
+        for (const [value, number] of read()) {
+          this.set({ [label]: value }, number);
+        }
+      },
+    });
+  }
+
   /** Quantiles since the process started. */
   quantiles(name: string, help: string): Milliseconds {
     const milliseconds = new Milliseconds();
