--- a/src/direct/direct_entry_driver.ts
+++ b/src/direct/direct_entry_driver.ts
@@ -107,6 +107,7 @@
       olderOffers: 0,
       coldTargets: this.#reducer.warmUp.limits.coldCount,
       coldRequests: this.#reducer.warmUp.sentByPool,
+      rooms: this.#reducer.gate.roomsAt(performance.now()),
     }), log);
     this.#server = new RequestServer({
       reducer: this.#reducer,
@@ -322,6 +323,7 @@
 
   #onSettings(settings: OperatorSettings): void {
     this.#peers.knowledgeChanged();
+    this.#metrics.countWrongFields(settings.findings?.length ?? 0);
     const routes = new RoutingTable(settings.documents);
     this.#server.setIdleLimit(settings.idleLimitMs + IDLE_MARGIN_MS);
     this.#server.dispatch({
@@ -329,6 +331,7 @@
       now: performance.now(),
       routes,
       coldPools: settings.coldPools,
+      groups: settings.groups,
     });
   }
 
--- a/src/entry/decision_notes.ts
+++ b/src/entry/decision_notes.ts
@@ -7,6 +7,7 @@
 import type { GroupSightMessage } from "../messages/formed_group_types.ts";
 import type { SendLimit } from "../policy/send_limits.ts";
 import type { TargetLimit } from "../policy/target_limits.ts";
+import type { GroupRoom } from "../policy/group_capacity.ts";
 import type { RefusalName } from "../refusals/catalogue.ts";
 import type { Outcome } from "../refusals/types.ts";
 import type { DrainFacts } from "./drain_watch.ts";
@@ -39,6 +40,8 @@
   readonly returnMs?: number;
   /** The drains that it is due to. */
   readonly drains?: DrainFacts;
+  /** Load of the rank group from which it was held back. */
+  readonly room?: GroupRoom;
 }
 
 /** A request goes to a target, for the first time or once more. */
@@ -234,6 +237,9 @@
       ...facts.drains,
       isRepeated: inFlight.isRepeated,
       returnMs: facts.returnMs && Math.round(facts.returnMs),
+      load: facts.room?.load,
+      capacity: facts.room && Math.round(facts.room.capacity),
+      reportAgeMs: facts.room && Math.round(facts.room.ageMs),
       leftMs: Math.round(inFlight.deadlineAt - facts.now),
     },
   };
--- a/src/entry/entry_reducer.ts
+++ b/src/entry/entry_reducer.ts
@@ -26,6 +26,7 @@
   createSentNote,
   createWaitsNote,
 } from "./decision_notes.ts";
+import type { AdmissionGate } from "./admission_gate.ts";
 import { Admission } from "./admission.ts";
 import { DrainWatch } from "./drain_watch.ts";
 import {
@@ -155,6 +156,11 @@
     return this.#selection.permits;
   }
 
+  /** Holds back requests from rank groups near their capacity. */
+  get gate(): AdmissionGate {
+    return this.#selection.gate;
+  }
+
   /** The targets that are known. */
   get registry(): TargetRegistry {
     return this.#selection.registry;
@@ -262,17 +268,20 @@
       arrivedAt: readAt,
       deadlineAt: readAt + deadlineMs,
       pool,
+      mix: this.#admission.tryMix(pool),
       isRepeated: this.#returning.observe(request, route, now),
       digestKey: this.#digestKey,
     });
     this.#inFlight.set(request.id, inFlight);
     this.#retries.countRequest(inFlight, now);
+    this.gate.noteArrival(inFlight, now);
     this.#submitOrWait(inFlight, now);
   }
 
   #submitOrWait(inFlight: InFlightRequest, now: number): void {
     if (this.#tryRefuseCrashing(inFlight, now)) return;
     const selected = this.#selection.select(inFlight, now);
+    this.#effects.push(...this.gate.takeNotes());
     if (selected.isOk()) return this.#submit(inFlight, selected.value, now);
     const reason = selected.error;
     if (reason === "TARGETS_LIMITED" && !this.#tryAskFor(inFlight, now)) return;
@@ -293,9 +302,9 @@
     return true;
   }
 
-  /** Tries again for those that wait, the oldest first. */
+  /** Tries again for those that wait, in the order in which they are due. */
   #submitWaiting(now: number): void {
-    for (const inFlight of this.#waiting.all()) {
+    for (const inFlight of this.#waiting.all(now)) {
       if (this.#tryRefuseCrashing(inFlight, now)) continue;
       const { id } = inFlight.request;
       const selected = this.#selection.select(inFlight, now);
@@ -305,7 +314,7 @@
         this.#waiting.noteReason(id, reason);
         continue;
       }
-      this.#waiting.remove(id);
+      this.#waiting.take(id);
       this.#submit(inFlight, selected.value, now);
     }
   }
@@ -356,7 +365,9 @@
     const drains = reason === "DOMAINS_DRAINED"
       ? this.#drains.getFacts(now)
       : undefined;
-    this.#fail(inFlight, { ...createUnsent(reason, isKeyed), drains }, now);
+    const failure = createUnsent(reason, isKeyed);
+    const hold = this.gate.tryHoldFacts(inFlight, reason, now);
+    this.#fail(inFlight, { ...failure, ...hold, drains }, now);
   }
 
   #messageReceived(event: TargetMessageReceived): void {
@@ -556,7 +567,8 @@
   }
 
   #settingsInForce(event: SettingsInForce): void {
-    const { routes, changed, now } = event;
+    const { routes, changed, now, groups } = event;
+    if (groups !== undefined) this.gate.setGroups(groups);
     this.#admission.setRoutes(routes);
     this.#effects.push(...this.warmUp.noteSettings(event));
     this.registry.setLeavingBySettings(event.leavingTargets ?? new Set());
--- a/src/entry/failures.ts
+++ b/src/entry/failures.ts
@@ -3,6 +3,7 @@
  *
  * @module
  */
+import type { GroupRoom } from "../policy/group_capacity.ts";
 import type { RefusalName } from "../refusals/catalogue.ts";
 import type { Outcome } from "../refusals/types.ts";
 import type { DrainFacts } from "./drain_watch.ts";
@@ -18,6 +19,8 @@
   readonly freeInMs?: number;
   /** The drains that it is due to. */
   readonly drains?: DrainFacts;
+  /** Load of the rank group from which it was held back. */
+  readonly room?: GroupRoom;
 }
 
 /** Lowest status of an answer that says that the back end failed. */
--- /dev/null
+++ b/src/entry/priority_burst_test.ts
@@ -0,0 +1,72 @@
+import assert from "node:assert/strict";
+import { describe, it } from "node:test";
+import {
+  assertBetter,
+  BURST_FROM_MS,
+  createWorld,
+  LEAST_URGENT,
+  LONGEST_CALL_MS,
+  meanScore,
+  MOST_URGENT,
+  play,
+  SEEDS,
+} from "../testing/burst_cases.ts";
+import { scoreCalls } from "../testing/burst_score.ts";
+
+describe("a burst before a rank group", () => {
+  for (const burst of [LEAST_URGENT, MOST_URGENT]) {
+    const { name } = burst;
+    const without = meanScore(
+      SEEDS.map((seed) => play(burst, { seed, isPrioritised: false })),
+    );
+
+    it(`of ${name} makes answers late for all alike if there is one priority`, () => {
+      const { late, onTime } = without;
+      assert.ok(late >= 0.4 && late <= 0.5, `${late} late`);
+      const spread = Math.max(...onTime) - Math.min(...onTime);
+      assert.ok(spread < 0.1, `${onTime} on time`);
+    });
+
+    it(`of ${name} leaves the most urgent on time`, () => {
+      const scores = SEEDS.map((seed) => play(burst, { seed }));
+      assertBetter(without, meanScore(scores));
+    });
+  }
+
+  it("leaves nothing stuck when the decider or all entries restart in it", () => {
+    const until = BURST_FROM_MS + LEAST_URGENT.lastsMs;
+    const faults = [
+      { silence: { from: BURST_FROM_MS + 1000, until: until + 1000 } },
+      { restartAt: BURST_FROM_MS + 2500 },
+    ];
+    for (const fault of faults) {
+      const world = createWorld(LEAST_URGENT, { seed: 1, ...fault });
+      const end = until + 3 * LONGEST_CALL_MS;
+      const ended = world.run(end);
+      assert.ok(world.oldestCallMs < LONGEST_CALL_MS, `${world.oldestCallMs}`);
+      const from = until + LONGEST_CALL_MS;
+      const after = scoreCalls(ended, { from, until: end - LONGEST_CALL_MS });
+      const served = after.kinds.map((kind) => kind.served);
+      assert.ok(Math.min(...served) > 0.97, `${served} served`);
+    }
+  });
+});
+
+describe("a rank group whose services have one priority", () => {
+  it("gets every request as if its settings were not known", () => {
+    const record = (knowsGroup: boolean) => {
+      const effects: string[] = [];
+      const world = createWorld(MOST_URGENT, {
+        seed: 1,
+        isPrioritised: false,
+        knowsGroup,
+        onEffect: (effect) => effects.push(JSON.stringify(effect)),
+      });
+      world.run(BURST_FROM_MS + 2 * MOST_URGENT.lastsMs);
+      return effects;
+    };
+    const effects = record(true);
+    assert.ok(effects.length > 1000);
+    assert.deepEqual(effects, record(false));
+  });
+});
--- a/src/entry/return_facts.ts
+++ b/src/entry/return_facts.ts
@@ -23,6 +23,7 @@
   NO_KEY_OWNER: "owner_away",
   DOMAINS_DRAINED: "drain",
   POOL_FULL: "overload",
+  GROUP_BUSY: "overload",
   BACK_END_FULL: "overload",
   TARGETS_LIMITED: "limit",
 };
--- a/src/entry/target_selection.ts
+++ b/src/entry/target_selection.ts
@@ -24,6 +24,7 @@
 import type { SendLimits } from "../policy/send_limits.ts";
 import { chooseSubset } from "../policy/target_subset.ts";
 import type { RefusalName } from "../refusals/catalogue.ts";
+import { AdmissionGate } from "./admission_gate.ts";
 import type { InFlightRequest } from "./in_flight_request.ts";
 import type { TargetRecord } from "./target_record.ts";
 import { TargetRegistry } from "./target_registry.ts";
@@ -37,6 +38,7 @@
   | "GROUP_STALLED"
   | "TARGETS_UNREACHABLE"
   | "POOL_FULL"
+  | "GROUP_BUSY"
   | "TARGETS_LIMITED";
 
 /** Options of a {@link TargetSelection}. */
@@ -80,6 +82,8 @@
   readonly reachability = new DomainReachability();
   /** Which failure domains are drained or return. */
   readonly drains: DomainDrains;
+  /** Holds back the least urgent requests from groups near their capacity. */
+  readonly gate: AdmissionGate;
   readonly #failureDomain: string;
   readonly #entryName: string;
   /** Names of the targets in view. */
@@ -99,6 +103,7 @@
     this.#choice = options.choice ?? new ScoredChoice(options.random);
     this.#limits = options.limits;
     this.drains = new DomainDrains(options.random);
+    this.gate = new AdmissionGate(options);
     this.permits = new SendPermits(this.#entryName, options.limits);
   }
 
@@ -116,7 +121,9 @@
     if (open.length === 0) return Err(this.#closedReasonOf(serving));
     const reachable = this.reachability.filter(open, now);
     if (reachable.length === 0) return Err("TARGETS_UNREACHABLE");
-    const free = reachable.filter((target) =>
+    const admitted = this.gate.admit(inFlight, reachable, now);
+    if (admitted.length === 0) return Err("GROUP_BUSY");
+    const free = admitted.filter((target) =>
       !isFull(target, now) && mayBeSent(inFlight, target, now)
     );
     if (free.length === 0) return Err("POOL_FULL");
--- a/src/entry/types.ts
+++ b/src/entry/types.ts
@@ -7,14 +7,15 @@
   CancelMessage,
   Header,
   Message,
-  Priority,
   SubmitMessage,
 } from "../messages/types.ts";
+import type { Priority } from "../messages/priority.ts";
 import type { VirtualMachine } from "../external/virtual_machine_list.ts";
 import type {
   GroupLoad,
   GroupSightMessage,
 } from "../messages/formed_group_types.ts";
+import type { GroupSettings } from "../external/operator_settings.ts";
 import type { CrashedRequest } from "../policy/crash_history.ts";
 import type { PermitOutcome, PermitQuestion } from "../policy/send_permits.ts";
 import type { TargetLimit } from "../policy/target_limits.ts";
@@ -121,6 +122,8 @@
   readonly changed?: readonly string[];
   /** Pools whose targets can be cold; none unless given. */
   readonly coldPools?: ColdPools;
+  /** Settings of rank groups, by the pool that they serve; undefined: as before. */
+  readonly groups?: ReadonlyMap<string, GroupSettings>;
 }
 
 /** The old scripts answered, or failed to. */
@@ -316,6 +319,12 @@
   readonly reason: RefusalName;
 }
 
+/** Count a request that is held back from a rank group near its capacity. */
+export interface CountHeldBack {
+  readonly kind: "count_held_back";
+  readonly priority: Priority;
+}
+
 /** Count a message that belongs to no attempt under way. */
 export interface CountStale {
   readonly kind: "count_stale_message";
@@ -376,6 +385,7 @@
   | RefuseRequest
   | CountRefusal
   | CountRetry
+  | CountHeldBack
   | CountStale
   | CountReturn
   | CountPause
--- a/src/events/catalogue.ts
+++ b/src/events/catalogue.ts
@@ -439,6 +439,20 @@
       "Settings say of a pool's cold targets what cannot be read; the pool stays as it was",
     action: "See `text`, and write settings that this version reads.",
   },
+  SETTINGS_FIELDS_WRONG: {
+    code: 2841,
+    level: "warn",
+    text:
+      "Fields of the settings have a wrong value; their previous values stay in force",
+    action: "See `findings`, and write the fields anew.",
+  },
+  GROUP_HOLDS_BACK: {
+    code: 2842,
+    level: "info",
+    text: "Requests are held back from a rank group that is near its capacity",
+    action:
+      "If it lasts, add capacity. `heldPart` is the part of all requests, `held` the requests since the last line.",
+  },
   INTERNAL_FAULT: {
     code: 2901,
     level: "error",
--- a/src/external/operator_settings.ts
+++ b/src/external/operator_settings.ts
@@ -21,6 +21,8 @@
   readonly groups: ReadonlyMap<string, GroupSettings>;
   /** Pools whose back ends can be cold; none unless given. */
   readonly coldPools?: ColdPools;
+  /** Fields whose value is wrong; their previous values stay in force. */
+  readonly findings?: readonly string[];
 }
 
 /** What the settings say of the rank groups of a pool. */
@@ -38,6 +40,8 @@
   readonly pauseObjectiveMs?: number;
   /** Milliseconds of one step of an idle rank. */
   readonly stepMs: number;
+  /** Steps of one pass; 1 unless given. */
+  readonly stride?: number;
 }
 
 /** The key asks to drain a failure domain. */
--- a/src/policy/fair_queue_test.ts
+++ b/src/policy/fair_queue_test.ts
@@ -1,6 +1,6 @@
 import assert from "node:assert/strict";
 import { describe, it } from "node:test";
-import type { Priority } from "../messages/types.ts";
+import { PRIORITIES_BY_NAME } from "../messages/priority.ts";
 import { FairQueue, type QueuedItem } from "./fair_queue.ts";
 
 interface Item extends QueuedItem {
@@ -15,7 +15,7 @@
     name,
     organisation: "a",
     weight: 1,
-    priority: "normal" as Priority,
+    priority: PRIORITIES_BY_NAME.normal,
     startBy: 1000,
     ...changes,
   };
@@ -57,11 +57,35 @@
     assert.ok(ofSingle <= 31, `${ofSingle} of 60`);
   });
 
+  it("tells the order in which items would be taken, and takes none", () => {
+    const queue = new FairQueue<Item>(10);
+    queue.add(createItem("last", { priority: 8 }));
+    for (const name of ["a1", "a2"]) queue.add(createItem(name));
+    queue.add(createItem("b1", { organisation: "b" }));
+    queue.add(createItem("first", { priority: 0 }));
+    const order = ["first", "a1", "b1", "a2", "last"];
+    assert.deepEqual(queue.inOrder().map(({ name }) => name), order);
+    assert.deepEqual(drain(queue).map(({ name }) => name), order);
+  });
+
+  it("counts an item that goes ahead as its organisation's turn", () => {
+    const queue = new FairQueue<Item>(10);
+    const items = ["a1", "a2"].map((name) => createItem(name));
+    for (const item of items) queue.add(item);
+    queue.add(createItem("b1", { organisation: "b" }));
+    queue.take(items[1] as Item);
+    const names = drain(queue).map(({ name }) => name);
+    assert.deepEqual(names, ["b1", "a1"]);
+    assert.equal(queue.length, 0);
+  });
+
   it("takes quick work first", () => {
     const queue = new FairQueue<Item>(10);
-    queue.add(createItem("background", { priority: "background" }));
+    queue.add(
+      createItem("background", { priority: PRIORITIES_BY_NAME.background }),
+    );
     queue.add(createItem("normal"));
-    queue.add(createItem("quick", { priority: "quick" }));
+    queue.add(createItem("quick", { priority: PRIORITIES_BY_NAME.quick }));
     const names = drain(queue).map((item) => item.name);
     assert.deepEqual(names, ["quick", "normal", "background"]);
   });
--- a/src/process/metrics.ts
+++ b/src/process/metrics.ts
@@ -6,6 +6,8 @@
 import type { ReturnOutcome } from "../entry/types.ts";
 import type { EventLog } from "../events/event_log.ts";
 import type { LinkFault } from "../messages/codec.ts";
+import type { Priority } from "../messages/priority.ts";
+import type { GroupRoom } from "../policy/group_capacity.ts";
 import type { RefusalName } from "../refusals/catalogue.ts";
 import { ProcessMetrics } from "./process_metrics.ts";
 
@@ -19,6 +21,8 @@
   readonly coldTargets?: number;
   /** Requests sent to targets that warmed up, by pool. */
   readonly coldRequests?: ReadonlyMap<string, number>;
+  /** Load and capacity of rank groups, in requests, by name. */
+  readonly rooms?: ReadonlyMap<string, GroupRoom>;
 }
 
 /** Counters and quantiles of a process that serves callers. */
@@ -55,6 +59,15 @@
     "Callers told when to return, and what became of those who did",
     "outcome",
   );
+  readonly #wrongFields = this.metricsPage.counter(
+    "settings_fields_wrong_total",
+    "Fields of settings that had a wrong value",
+  );
+  readonly #heldBack = this.metricsPage.counter(
+    "held_back_total",
+    "Requests held back from rank groups near their capacity, by priority",
+    "priority",
+  );
   readonly #milliseconds = this.metricsPage.quantiles(
     "answer_milliseconds",
     "Time to the whole answer",
@@ -109,6 +122,22 @@
       label: "pool",
       read: () => source().coldRequests ?? new Map(),
     });
+    const readRooms = (read: (room: GroupRoom) => number) => () =>
+      new Map(
+        [...source().rooms ?? []].map(([group, room]) => [group, read(room)]),
+      );
+    this.metricsPage.gauges({
+      name: "group_load",
+      help: "Requests that run and wait in rank groups, by the last report",
+      label: "group",
+      read: readRooms(({ load }) => load),
+    });
+    this.metricsPage.gauges({
+      name: "group_capacity",
+      help: "Requests that rank groups can process in time",
+      label: "group",
+      read: readRooms(({ capacity }) => Math.round(capacity)),
+    });
   }
 
   /** So many failure domains are drained from now on. */
@@ -142,6 +171,16 @@
     this.#pauses.record(milliseconds);
   }
 
+  /** Fields of settings had a wrong value. */
+  countWrongFields(count: number): void {
+    this.#wrongFields.inc(count);
+  }
+
+  /** A request was held back from a rank group that is near its capacity. */
+  countHeldBack(priority: Priority): void {
+    this.#heldBack.inc({ priority: String(priority) });
+  }
+
   /** A message belonged to no attempt under way. */
   countStale(): void {
     this.#stale.inc();
--- a/src/refusals/catalogue.ts
+++ b/src/refusals/catalogue.ts
@@ -41,7 +41,8 @@
   BAD_PRIORITY: {
     code: 4008,
     status: 400,
-    title: "The priority header is not one of quick, normal, background",
+    title:
+      "The priority header is neither quick, normal, background nor 0 to 9",
   },
   UNKNOWN_CALLER: {
     code: 4009,
@@ -243,6 +244,12 @@
     title: "All targets that could serve this request are being drained",
     retryAfterSeconds: 2,
   },
+  GROUP_BUSY: {
+    code: 5035,
+    status: 503,
+    title: "The rank group has as much work as it can process in time",
+    retryAfterSeconds: 1,
+  },
   GROUP_CLOSED: {
     code: 5030,
     status: 503,
