Back end calls: pause and resume reading without the client library's pause

Cause: a caller that reads slowly needs back pressure on its call.

Change: BackEndCall gains pause, resume and unreadBytes. The socket's read gives nothing while paused, so the parser is never paused and bytes and the end keep their order. A write of no bytes each 500 ms finds a reset while Node.js does not read. At each end of a connection the same write tells a reset that libuv reported as an end.

--- a/src/direct/direct_target.ts
+++ b/src/direct/direct_target.ts
@@ -14,7 +14,11 @@
   isNotRun,
 } from "../external/back_end.ts";
 import type { BackEndInstance } from "../external/back_end_directory.ts";
-import type { TargetLink } from "../entry/target_links.ts";
+import type {
+  AttemptName,
+  PausableAnswers,
+  TargetLink,
+} from "../entry/target_links.ts";
 import type {
   AttemptMessage,
   CancelMessage,
@@ -38,6 +42,11 @@
 export class DirectTarget implements TargetLink {
   readonly #options: DirectTargetOptions;
   readonly #attempts = new Map<string, DirectAttempt>();
+  readonly answers: PausableAnswers = {
+    pause: (attempt) => this.#tryCall(attempt)?.pause(),
+    resume: (attempt) => this.#tryCall(attempt)?.resume(),
+    getUnreadBytes: (attempt) => this.#tryCall(attempt)?.unreadBytes ?? 0,
+  };
 
   /** Calls nothing yet. */
   constructor(options: DirectTargetOptions) {
@@ -65,6 +74,10 @@
     attempt.start(backEnd, instance.name);
   }
 
+  #tryCall(attempt: AttemptName): BackEndCall | undefined {
+    return this.#attempts.get(keyOf(attempt))?.call;
+  }
+
   /** Closes the connections; attempts under way fail. */
   async close(): Promise<void> {
     await this.#options.backEnd.close();
@@ -94,6 +107,11 @@
     this.#options = options;
   }
 
+  /** The call under way; undefined before the start. */
+  get call(): BackEndCall | undefined {
+    return this.#call;
+  }
+
   start(backEnd: BackEnd, instance: string): void {
     const { method, path, headers, body, remainingMs, organisation, priority } =
       this.#submit;
@@ -188,6 +206,6 @@
   }
 }
 
-function keyOf(message: SubmitMessage | CancelMessage): string {
-  return `${message.requestId}.${message.attempt}`;
+function keyOf({ requestId, attempt }: AttemptName): string {
+  return `${requestId}.${attempt}`;
 }
--- a/src/external/back_end.ts
+++ b/src/external/back_end.ts
@@ -84,6 +84,15 @@
 export interface BackEndCall {
   /** Breaks the call off; `onFailed` follows unless it had ended. */
   cancel(): void;
+  /**
+   * Reads no more of the answer until {@link BackEndCall.resume}. Some pieces may still
+   * come. The end is not lost, a reset fails the call, and its limit keeps running.
+   */
+  pause(): void;
+  /** Reads on. */
+  resume(): void;
+  /** Bytes of the answer that the process holds unread while the call is paused. */
+  readonly unreadBytes: number;
 }
 
 /** The model engine or plain service behind a target. */
--- a/src/external/http_back_end.ts
+++ b/src/external/http_back_end.ts
@@ -21,6 +21,7 @@
   type HttpConnection,
   HttpConnections,
 } from "./http_connections.ts";
+import { isReset } from "./pausable_reading.ts";
 
 const CONNECT_LIMIT_MS = 2000;
 /**
@@ -107,12 +108,25 @@
     return (options, callback) =>
       connect(options, (...result) => {
         const [, socket] = result;
-        socket?.on("error", () => this.#noteError());
-        if (socket) resetWhenBrokenOff(socket);
+        if (socket) {
+          socket.on("error", () => this.#noteError());
+          this.#watchEnd(socket);
+          resetWhenBrokenOff(socket);
+        }
         callback(...result);
       });
   }
 
+  /**
+   * A reset that is found together with unread bytes is told as an orderly end
+   * (libuv, on `POLLHUP` after a partial read).
+   */
+  #watchEnd(socket: Socket): void {
+    socket.prependListener("end", () => {
+      if (isReset(socket)) this.#noteError();
+    });
+  }
+
   #noteError(): void {
     this.#isResetting = true;
     queueMicrotask(() => this.#isResetting = false);
@@ -166,6 +180,7 @@
   #hasHead = false;
   #isCancelled = false;
   #isLate = false;
+  #isPaused = false;
   #isOver = false;
 
   constructor(listener: BackEndListener, options: HttpBackEndCallOptions) {
@@ -183,6 +198,26 @@
     this.#controller?.abort(new Error("The call was cancelled"));
   }
 
+  pause(): void {
+    this.#isPaused = true;
+    if (this.#isAnswering) this.#options.connection.reading?.pause();
+  }
+
+  resume(): void {
+    this.#isPaused = false;
+    if (this.#isAnswering) this.#options.connection.reading?.resume();
+  }
+
+  get unreadBytes(): number {
+    if (!this.#isPaused || !this.#isAnswering) return 0;
+    return this.#options.connection.reading?.unreadBytes ?? 0;
+  }
+
+  /** Whether what the connection receives is this call's answer. */
+  get #isAnswering(): boolean {
+    return this.#hasHead && !this.#isOver;
+  }
+
   onRequestStart(controller: Dispatcher.DispatchController): void {
     // A connection that took longer was made while the process stood still, and whoever
     // asked may have left meanwhile: the timers that say so fire after this.
@@ -201,6 +236,7 @@
     // Informational answers come before the real one.
     if (status < 200 || this.#isOver) return;
     this.#hasHead = true;
+    if (this.#isPaused) this.pause();
     this.#usableMs = this.#getUsableMs(headers);
     this.#listener.onKept?.(this.#usableMs);
     const endsWithConnection = headers["content-length"] === undefined &&
@@ -273,6 +309,8 @@
 
   #finish(): boolean {
     if (this.#isOver) return false;
+    // The connection may serve another call.
+    if (this.#isPaused) this.resume();
     this.#isOver = true;
     clearTimeout(this.#limit);
     return true;
--- a/src/external/http_connections.ts
+++ b/src/external/http_connections.ts
@@ -8,9 +8,11 @@
  *
  * @module
  */
+import type { Socket } from "node:net";
 import { Client } from "undici";
 import type { buildConnector } from "undici";
 import type { IdleLifetime } from "../policy/idle_lifetime.ts";
+import { PausableReading } from "./pausable_reading.ts";
 
 /** Options of {@link HttpConnections}. */
 export interface HttpConnectionsOptions {
@@ -46,6 +48,7 @@
   #restsSince = 0;
   #usableMs = 0;
   #isLost = false;
+  #reading: PausableReading | undefined;
 
   /** Nothing was sent on it. */
   constructor(client: Client) {
@@ -56,6 +59,16 @@
     return this.#calls === 0;
   }
 
+  /** Reading from its socket; undefined before it is connected. */
+  get reading(): PausableReading | undefined {
+    return this.#reading;
+  }
+
+  /** It is connected by a socket that nobody has read from. */
+  noteConnected(socket: Socket): void {
+    this.#reading = new PausableReading(socket);
+  }
+
   /** Whether the server closed it while a call was under way. */
   get isLost(): boolean {
     return this.#isLost;
@@ -160,7 +173,12 @@
     const { address, connect } = this.#options;
     const client = new Client(`http://${address}`, {
       pipelining: 1,
-      connect,
+      connect: (options, callback) =>
+        connect(options, (...result) => {
+          const [, socket] = result;
+          if (socket !== null) connection.noteConnected(socket);
+          callback(...result);
+        }),
       keepAliveTimeout: UNPROMISED_MS,
       keepAliveTimeoutThreshold: PROMISE_MARGIN_MS,
       // Deadlines are ours, not the client's.
--- a/src/external/whole_call_test.ts
+++ b/src/external/whole_call_test.ts
@@ -33,6 +33,9 @@
         this.isCancelled = true;
         listener.onFailed("broken");
       },
+      pause: () => undefined,
+      resume: () => undefined,
+      unreadBytes: 0,
     };
   }
 
