Entry: bound what is held for callers that read slowly

Cause: a caller could leave 4 MiB unread, whole request bodies were read whatever else was held, and nothing bounded the sum over callers.

It takes effect with heldBytesLimit only. An answer that ends with its connection is reset when it is cut, as an orderly close would end it as whole.

--- a/src/direct/direct_entry_driver.ts
+++ b/src/direct/direct_entry_driver.ts
@@ -109,6 +109,7 @@
       protocol: options.protocol,
       metrics: this.#metrics,
       log,
+      heldBytesLimit: settings.heldBytesLimit,
       onPaused: () => this.#catchUp(),
       onMemoriesChanged: () => this.#peers.memoriesChanged(),
       onPermitsWanted: (question) => this.#peers.askPermits(question),
--- a/src/entry/caller_connection.ts
+++ b/src/entry/caller_connection.ts
@@ -9,6 +9,7 @@
 import type { Header } from "../messages/types.ts";
 import type { RefusalName } from "../refusals/catalogue.ts";
 import type { ProblemDetails } from "../refusals/types.ts";
+import { resetWhenClosed } from "../core/socket_reset.ts";
 import type { CallerProtocol } from "./caller_protocol.ts";
 import type { CallerRequest } from "./types.ts";
 
@@ -17,11 +18,21 @@
 /** Unsent bytes at which a caller counts as too slow. */
 const MAX_UNSENT_BYTES = 4 * 1024 * 1024;
 
+/** Counts a request body against the memory that bodies may take. */
+export interface BodyMeter {
+  /** Whether a body of this length, 0 if it is not known, may be read. */
+  mayRead(declaredBytes: number): boolean;
+  /** Counts bytes that were read; false: the rest may not be read. */
+  take(bytes: number): boolean;
+}
+
 /** One caller's HTTP exchange. */
 export class CallerConnection {
   readonly #incoming: IncomingMessage;
   readonly #outgoing: ServerResponse;
   readonly #protocol: CallerProtocol;
+  #endsWithConnection = false;
+  #onBufferChange: (() => void) | undefined;
 
   /** Takes over an exchange of which nothing was read. */
   constructor(
@@ -55,6 +66,24 @@
     });
   }
 
+  /** Bytes that were written for the caller and are not sent. */
+  get unsentBytes(): number {
+    return this.#outgoing.writableLength;
+  }
+
+  /**
+   * Calls back before and after each write, when all is sent, and at last when the answer
+   * is sent or the connection closed.
+   */
+  onBufferChange(onChange: () => void, onClosed: () => void): void {
+    this.#onBufferChange = onChange;
+    this.#outgoing.on("drain", onChange);
+    this.#outgoing.once("close", () => {
+      this.#onBufferChange = undefined;
+      onClosed();
+    });
+  }
+
   /** Whether the request names an idempotency key, usable or not. */
   get isKeyed(): boolean {
     return this.#incoming.headers["idempotency-key"] !== undefined;
@@ -77,8 +106,11 @@
    * const request = await connection.read(id);
    * ```
    */
-  async read(id: number): Promise<Result<CallerRequest, RefusalName>> {
-    const body = await this.#readBody();
+  async read(
+    id: number,
+    meter?: BodyMeter,
+  ): Promise<Result<CallerRequest, RefusalName>> {
+    const body = await this.#readBody(meter);
     if (body.isErr()) return body;
     const facts = this.#protocol.read(this.#incoming.headers, body.value);
     if (facts.isErr()) return facts;
@@ -97,6 +129,7 @@
    * our own making would tell the caller that it is whole.
    */
   endWithConnection(): void {
+    this.#endsWithConnection = true;
     this.#outgoing.useChunkedEncodingByDefault = false;
     this.#outgoing.shouldKeepAlive = false;
   }
@@ -109,7 +142,9 @@
 
   /** Sends a piece; false when the caller takes them too slowly. */
   write(bytes: Uint8Array): boolean {
+    this.#onBufferChange?.();
     this.#outgoing.write(bytes);
+    this.#onBufferChange?.();
     return this.#outgoing.writableLength <= MAX_UNSENT_BYTES;
   }
 
@@ -126,10 +161,14 @@
   ): void {
     this.#outgoing.writeHead(status, rawHeaders(headers));
     this.#outgoing.end(Buffer.concat(body));
+    this.#onBufferChange?.();
   }
 
   /** Breaks the connection, so that the caller sees no shorter whole answer. */
   cut(): void {
+    // An orderly close would be the end of a whole answer.
+    const { socket } = this.#outgoing;
+    if (this.#endsWithConnection && socket !== null) resetWhenClosed(socket);
     this.#outgoing.destroy();
   }
 
@@ -154,13 +193,23 @@
     this.#outgoing.end(body);
   }
 
-  async #readBody(): Promise<Result<Uint8Array, RefusalName>> {
+  async #readBody(
+    meter: BodyMeter | undefined,
+  ): Promise<Result<Uint8Array, RefusalName>> {
     const chunks: Uint8Array[] = [];
     let length = 0;
+    if (meter?.mayRead(this.#declaredBytes) === false) {
+      return Err("BODIES_FILL_MEMORY");
+    }
     try {
-      for await (const chunk of this.#incoming) {
+      // A request that is destroyed would take the refusal with it.
+      const pieces = this.#incoming.iterator({ destroyOnReturn: false });
+      for await (const chunk of pieces) {
         length += chunk.length;
         if (length > MAX_BODY_BYTES) return Err("BODY_TOO_LARGE");
+        if (meter?.take(chunk.length) === false) {
+          return Err("BODIES_FILL_MEMORY");
+        }
         chunks.push(chunk);
       }
     } catch {
@@ -168,6 +217,12 @@
     }
     return Ok(Buffer.concat(chunks));
   }
+
+  /** Length of the body as its headers say; 0: they say none, or it is too large anyway. */
+  get #declaredBytes(): number {
+    const bytes = Number(this.#incoming.headers["content-length"] ?? 0);
+    return bytes <= MAX_BODY_BYTES ? bytes : 0;
+  }
 }
 
 function hostnameOf(host: string | undefined): string | undefined {
--- a/src/entry/entry_driver.ts
+++ b/src/entry/entry_driver.ts
@@ -89,6 +89,7 @@
       protocol: new OwnCallerProtocol(),
       metrics: this.#metrics,
       log: options.log,
+      heldBytesLimit: options.settings.heldBytesLimit,
       onPaused: () => this.#catchUp(),
     });
     this.#administration = createHonoListener(
--- a/src/entry/request_server.ts
+++ b/src/entry/request_server.ts
@@ -15,6 +15,7 @@
 import type { PermitQuestion } from "../policy/send_permits.ts";
 import type { RefusalName } from "../refusals/catalogue.ts";
 import { createProblem } from "../refusals/problem.ts";
+import { CallerBuffers } from "./caller_buffers.ts";
 import { CallerConnection } from "./caller_connection.ts";
 import type { CallerProtocol } from "./caller_protocol.ts";
 import type { EntryReducer } from "./entry_reducer.ts";
@@ -26,6 +27,7 @@
   EntryEffect,
   EntryEvent,
   ForwardToScripts,
+  SendToTarget,
   StartAnswer,
 } from "./types.ts";
 
@@ -44,6 +46,8 @@
   readonly protocol: CallerProtocol;
   readonly metrics: Metrics;
   readonly log: EventLog;
+  /** Bytes that may be held for all callers; undefined: only each caller has a bound. */
+  readonly heldBytesLimit?: number;
   /** Called after the process stood still; requests wait for the result. */
   readonly onPaused: (gapMs: number) => Promise<void>;
   /** Called when other entries are to hear what this one remembers. */
@@ -68,6 +72,7 @@
   readonly #options: RequestServerOptions;
   readonly #exchanges = new Map<number, CallerExchange>();
   readonly #listener: HttpListener;
+  readonly #buffers: CallerBuffers | undefined;
   readonly #stalls = new StallGuard({
     now: () => performance.now(),
     turn: turnEventLoop,
@@ -85,6 +90,14 @@
   constructor(options: RequestServerOptions) {
     this.#options = options;
     this.#tick = new MeasuredTimer(options.metrics.loopDelays);
+    const { heldBytesLimit } = options;
+    this.#buffers = heldBytesLimit === undefined
+      ? undefined
+      : new CallerBuffers({
+        ...options,
+        limitBytes: heldBytesLimit,
+        onCut: (caller, connection) => void this.#cutSlow(caller, connection),
+      });
     this.#listener = new HttpListener((incoming, outgoing) =>
       this.#onRequest(incoming, outgoing)
     );
@@ -162,6 +175,7 @@
       this.#catchUp = this.#options.onPaused(gap)
         .finally(() => this.#catchUp = undefined);
     }
+    this.#buffers?.refresh();
     this.dispatch({ kind: "tick", now });
   }
 
@@ -178,8 +192,14 @@
     const startedAt = performance.now();
     this.#options.metrics.countRequest();
     if (this.#closesConnections) connection.closeAfterAnswer();
-    const request = await connection.read(this.#nextRequestId++);
-    if (request.isErr()) return this.#refuseUnread(connection, request.error);
+    const id = this.#nextRequestId++;
+    this.#buffers?.open(id, connection);
+    const meter = this.#buffers?.createMeter(id);
+    const request = await connection.read(id, meter);
+    if (request.isErr()) {
+      this.#buffers?.finish(id);
+      return this.#refuseUnread(connection, request.error);
+    }
     if (performance.now() - this.#tickedAt > PAUSE_MS) this.#onTick();
     await this.#catchUp;
     // A caller may have left while its request lay unread; its close is read after it.
@@ -190,6 +210,7 @@
 
   #refuseUnread(connection: CallerConnection, reason: RefusalName): void {
     this.#options.metrics.countRefusal(reason);
+    if (reason === "BODIES_FILL_MEMORY") connection.closeAfterAnswer();
     const problem = createProblem(reason, {
       outcome: connection.isKeyed ? "unknown" : "not-run",
       submission: "not-run",
@@ -198,6 +219,7 @@
   }
 
   #noteLeft({ id, correlationId }: CallerRequest, startedAt: number): void {
+    this.#buffers?.finish(id);
     this.#options.log.write("CALLER_LEFT", {
       request: id,
       correlation: correlationId,
@@ -233,8 +255,7 @@
   #perform(effect: EntryEffect): void {
     switch (effect.kind) {
       case "send":
-        this.#links?.tryLink(effect.targetName)?.send(effect.message);
-        return;
+        return this.#send(effect);
       case "forward_to_scripts":
         return void this.#forward(effect);
       case "start_answer":
@@ -278,6 +299,14 @@
     }
   }
 
+  #send({ targetName, message }: SendToTarget): void {
+    const link = this.#links?.tryLink(targetName);
+    link?.send(message);
+    if (message.kind === "submit") {
+      this.#buffers?.setSource(message, link?.answers);
+    }
+  }
+
   #startAnswer(effect: StartAnswer): void {
     const exchange = this.#exchanges.get(effect.requestId);
     if (exchange === undefined) return;
@@ -305,13 +334,22 @@
     const exchange = this.#exchanges.get(requestId);
     if (exchange === undefined || exchange.connection.write(bytes)) return;
     // Not from within the reducer's own effects.
-    setImmediate(() =>
-      this.dispatch({
-        kind: "caller_too_slow",
-        now: performance.now(),
-        requestId,
-      })
-    );
+    setImmediate(() => this.#noteTooSlow(requestId));
+  }
+
+  #noteTooSlow(requestId: number): void {
+    const now = performance.now();
+    this.dispatch({ kind: "caller_too_slow", now, requestId });
+  }
+
+  async #cutSlow(
+    requestId: number,
+    connection: CallerConnection,
+  ): Promise<void> {
+    this.#noteTooSlow(requestId);
+    // Then only answers are left that are complete here or come from the old scripts.
+    await turnEventLoop();
+    connection.cut();
   }
 
   #answered(requestId: number): void {
@@ -331,6 +369,7 @@
   #finish(requestId: number): void {
     const exchange = this.#exchanges.get(requestId);
     this.#exchanges.delete(requestId);
+    this.#buffers?.finish(requestId);
     exchange?.close();
   }
 }
--- /dev/null
+++ b/src/entry/slow_callers_test.ts
@@ -0,0 +1,284 @@
+import assert from "node:assert/strict";
+import { once } from "node:events";
+import { type AddressInfo, connect, createServer, type Socket } from "node:net";
+import { performance } from "node:perf_hooks";
+import { afterEach, describe, it } from "node:test";
+import { setTimeout as delay } from "node:timers/promises";
+import { RandomSource } from "../core/random_source.ts";
+import { DirectTargetPool } from "../direct/direct_target_pool.ts";
+import { EventLog } from "../events/event_log.ts";
+import { HttpBackEnd } from "../external/http_back_end.ts";
+import { isReset } from "../external/pausable_reading.ts";
+import { Metrics } from "../process/metrics.ts";
+import { createInstance, createRoutes } from "../testing/fixtures.ts";
+import { findFreeAddress } from "../testing/free_address.ts";
+import { waitUntil } from "../testing/process_cluster.ts";
+import { OwnCallerProtocol } from "./caller_protocol.ts";
+import { EntryReducer } from "./entry_reducer.ts";
+import { RequestServer } from "./request_server.ts";
+
+const MIB = 1024 * 1024;
+/** More than the buffers of two connections take on this machine, and the old bound. */
+const SIZE = 16 * MIB;
+const CLOSING = "HTTP/1.1 200 OK\r\nConnection: close\r\n";
+const FRAMINGS = {
+  "known length": `HTTP/1.1 200 OK\r\nContent-Length: ${SIZE}\r\n\r\n`,
+  chunks: `HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n${
+    SIZE.toString(16)
+  }\r\n`,
+  "the end of its connection": `${CLOSING}\r\n`,
+} as const;
+
+type FramingName = keyof typeof FRAMINGS;
+const NAMES = Object.keys(FRAMINGS) as readonly FramingName[];
+
+/** An entry before one back end, over real sockets. */
+class SlowCallersFixture {
+  /** Connections to the back end. */
+  readonly calls: Socket[] = [];
+  readonly callers: Socket[] = [];
+  #address = "";
+  readonly #metrics: Metrics;
+  readonly #server: RequestServer;
+  readonly #pool: DirectTargetPool;
+  readonly #backEnd = createServer((socket) => {
+    this.calls.push(socket);
+    socket.on("error", () => {/* Some tests reset it. */});
+    socket.once("data", () => this.#answer(socket));
+  });
+  readonly #framing: FramingName;
+
+  constructor(framing: FramingName, heldBytesLimit: number) {
+    this.#framing = framing;
+    const log = new EventLog({ role: "entry", processName: "test" });
+    const source = { queued: 0, settingsRevision: 0, olderOffers: 0 };
+    this.#metrics = new Metrics(() => ({ inFlight: 0, ...source }), log);
+    this.#server = new RequestServer({
+      reducer: new EntryReducer({
+        failureDomain: "a",
+        random: new RandomSource(1),
+      }),
+      protocol: new OwnCallerProtocol(),
+      metrics: this.#metrics,
+      log,
+      heldBytesLimit,
+      onPaused: async () => {},
+    });
+    this.#pool = new DirectTargetPool({
+      createBackEnd: ({ address }) =>
+        new HttpBackEnd({ address, connections: 40 }),
+      onMessage: (targetName, message) =>
+        this.#server.dispatch({
+          kind: "message_received",
+          now: performance.now(),
+          targetName,
+          message,
+        }),
+    });
+  }
+
+  get openExchanges(): number {
+    return this.#server.openExchanges;
+  }
+
+  async start(): Promise<void> {
+    this.#backEnd.listen(0, "127.0.0.1");
+    await once(this.#backEnd, "listening");
+    const { port } = this.#backEnd.address() as AddressInfo;
+    const address = `127.0.0.1:${port}`;
+    const instances = [createInstance("i-1", { address, concurrency: 100 })];
+    const now = performance.now();
+    this.#pool.setInstances(instances);
+    this.#server.setLinks(this.#pool);
+    this.#server.dispatch({
+      kind: "settings_in_force",
+      now,
+      routes: createRoutes(),
+    });
+    this.#server.dispatch({ kind: "instances_listed", now, instances });
+    this.#address = await findFreeAddress();
+    await this.#server.listen(this.#address);
+  }
+
+  stop(): void {
+    for (const socket of [...this.callers, ...this.calls]) socket.destroy();
+    this.#server.close();
+    this.#pool.close();
+    this.#backEnd.close();
+  }
+
+  /** A caller that sends a request and reads nothing. */
+  call(headers = "", body = ""): Socket {
+    const [host, port] = this.#address.split(":");
+    const socket = connect(Number(port), host);
+    socket.on("error", () => {/* Callers that are cut may be reset. */});
+    socket.pause();
+    socket.write(`POST /confirm HTTP/1.1\r\nHost: a\r\n${headers}\r\n${body}`);
+    this.callers.push(socket);
+    return socket;
+  }
+
+  /** The value of a counter or gauge. */
+  async read(name: string): Promise<number> {
+    const { text: page } = await this.#metrics.pages["/metrics"]!();
+    return Number(
+      new RegExp(`^lagoonwharf_${name} (.*)$`, "m").exec(page)?.[1],
+    );
+  }
+
+  /** Waits until so many back ends are paused. */
+  async waitForPaused(count: number): Promise<void> {
+    await waitUntil(
+      `${count} back ends are paused`,
+      async () => await this.read("paused_callers") >= count,
+    );
+  }
+
+  #answer(socket: Socket): void {
+    socket.write(FRAMINGS[this.#framing]);
+    socket.write(Buffer.alloc(SIZE, "~"));
+    if (this.#framing === "chunks") socket.write("\r\n0\r\n\r\n");
+    if (this.#framing === "the end of its connection") socket.end();
+  }
+}
+
+/** How an answer looks to its caller, who reads it to the end. */
+async function readAll(socket: Socket, framing: FramingName): Promise<string> {
+  const endsItself = framing === "the end of its connection";
+  let bodyBytes = 0;
+  const isEnded = await new Promise<boolean>((resolve) => {
+    socket.on("data", (chunk) => {
+      const headEnd = bodyBytes === 0 ? chunk.indexOf("\r\n\r\n") + 4 : 0;
+      bodyBytes += chunk.length - headEnd;
+      const isLast = framing === "chunks"
+        ? chunk.subarray(-LAST_CHUNK.length).equals(LAST_CHUNK)
+        : !endsItself && bodyBytes === SIZE;
+      if (isLast) resolve(true);
+    });
+    // Node.js tells a reset that is found with unread bytes as an end.
+    socket.prependListener("end", () => {
+      resolve(endsItself && !isReset(socket));
+    });
+    socket.once("close", () => resolve(false));
+    socket.resume();
+  });
+  if (!isEnded) return "cut";
+  // The lines of chunks count as well.
+  return bodyBytes >= SIZE ? "whole" : "short, but taken as whole";
+}
+
+const LAST_CHUNK = Buffer.from("0\r\n\r\n");
+
+let fixture: SlowCallersFixture;
+
+async function start(
+  framing: FramingName,
+  limit = 32 * MIB,
+): Promise<SlowCallersFixture> {
+  fixture = new SlowCallersFixture(framing, limit);
+  await fixture.start();
+  return fixture;
+}
+
+describe("callers that read slowly", () => {
+  afterEach(() => fixture.stop());
+
+  for (const framing of NAMES) {
+    it(`get an answer with ${framing} whole, and the entry holds little of it`, async () => {
+      await start(framing);
+      const caller = fixture.call();
+      await fixture.waitForPaused(1);
+      await delay(300);
+      assert.ok(await fixture.read("held_answer_bytes") < MIB);
+      assert.equal(await readAll(caller, framing), "whole");
+    });
+
+    it(`are cut, never ended as whole, when answers with ${framing} exceed the limit`, async () => {
+      await start(framing, MIB);
+      for (let count = 0; count < 8; count++) fixture.call();
+      await waitUntil(
+        "a caller is cut",
+        async () => await fixture.read("slow_callers_cut_total") > 0,
+      );
+      await delay(300);
+      assert.ok(await fixture.read("held_answer_bytes") <= MIB);
+      const cut = await fixture.read("slow_callers_cut_total");
+      const seen: string[] = [];
+      for (const caller of fixture.callers) {
+        seen.push(await readAll(caller, framing));
+      }
+      const cutSeen = seen.filter((outcome) => outcome === "cut").length;
+      assert.ok(cutSeen >= cut, `${cutSeen} of ${cut}`);
+      assert.ok(!seen.some((outcome) => outcome.startsWith("short")));
+    });
+
+    it(`are cut when the back end of an answer with ${framing} is reset`, async () => {
+      await start(framing);
+      const caller = fixture.call();
+      await fixture.waitForPaused(1);
+      Object.assign(fixture.calls[0] ?? {}, { resetAndClosing: true });
+      fixture.calls[0]?.destroy();
+      await waitUntil(
+        "the reset is noticed",
+        async () => await Promise.resolve(fixture.openExchanges === 0),
+      );
+      assert.equal(await readAll(caller, framing), "cut");
+    });
+  }
+
+  it("are cut at their deadline though they are paused", async () => {
+    await start("known length");
+    const caller = fixture.call("lagoonwharf-deadline-ms: 900\r\n");
+    await fixture.waitForPaused(1);
+    await waitUntil(
+      "the deadline has passed",
+      async () => await Promise.resolve(fixture.openExchanges === 0),
+    );
+    assert.equal(await readAll(caller, "known length"), "cut");
+    assert.equal(await fixture.read("held_answer_bytes"), 0);
+  });
+
+  it("free their back end when they leave while it is paused", async () => {
+    await start("known length");
+    const caller = fixture.call();
+    await fixture.waitForPaused(1);
+    const [call] = fixture.calls;
+    assert.ok(call !== undefined);
+    const closed = new Promise((resolve) => call.once("close", resolve));
+    caller.destroy();
+    await closed;
+    await waitUntil(
+      "nothing is held",
+      async () => await fixture.read("held_answer_bytes") === 0,
+    );
+  });
+});
+
+describe("callers with bodies that do not fit", () => {
+  afterEach(() => fixture.stop());
+
+  const length = 900 * 1024;
+  const large = "b".repeat(length);
+  const FORMS = {
+    "is known": [`Content-Length: ${length}\r\n`, ""],
+    "is not known": [
+      "Transfer-Encoding: chunked\r\n",
+      `${length.toString(16)}\r\n${large}\r\n`,
+    ],
+  } as const;
+  for (const [name, [headers, body]] of Object.entries(FORMS)) {
+    it(`are refused, and nothing is sent on, where the length ${name}`, async () => {
+      await start("known length", MIB);
+      const caller = fixture.call(headers, body);
+      let text = "";
+      caller.setEncoding("latin1").on("data", (chunk) => text += chunk);
+      caller.resume();
+      await once(caller, "close");
+      assert.match(text, /^HTTP\/1.1 503 /);
+      assert.match(text, /connection: close/i);
+      assert.match(text, /5038/);
+      assert.equal(fixture.calls.length, 0);
+      assert.equal(await fixture.read("held_body_bytes"), 0);
+    });
+  }
+});
--- a/src/events/catalogue.ts
+++ b/src/events/catalogue.ts
@@ -367,6 +367,27 @@
     text: "A target named a limit that is no number, which changes nothing",
     action: "See `text`, and mend what names it.",
   },
+  ANSWER_PAUSED: {
+    code: 2851,
+    level: "info",
+    text:
+      "A caller reads slowly, and its back end is paused until it has caught up; said once for each request",
+    action: NOTHING,
+  },
+  SLOW_CALLER_CUT: {
+    code: 2852,
+    level: "warn",
+    text: "A caller was cut, since more is held for all callers than may be",
+    action:
+      "See `stalledMs`: above 1000 it took nothing. Where callers that read are cut, add entries, or raise `heldBytesLimit` if the machine has memory.",
+  },
+  BODY_REFUSED: {
+    code: 2853,
+    level: "warn",
+    text: "A request body was not read, or not whole, for the bytes held",
+    action:
+      "Where `bodyBytes` is large, see which callers send large bodies; add entries.",
+  },
   INTERNAL_FAULT: {
     code: 2901,
     level: "error",
--- a/src/external/http_back_end.ts
+++ b/src/external/http_back_end.ts
@@ -15,6 +15,7 @@
   type BackEndRequest,
 } from "./back_end.ts";
 import { endToEndHeadersOf } from "../core/http_headers.ts";
+import { resetWhenClosed } from "../core/socket_reset.ts";
 import {
   type AnswerHeaders,
   getUsableMs,
@@ -136,24 +137,18 @@
 /** Code of the error with which the client library ends a call's connection. */
 const BROKEN_OFF_CODE = "UND_ERR_INFO";
 
-/** A socket with the flag by which Node.js ends it with a reset. */
-interface ResettableSocket {
-  resetAndClosing?: boolean;
-}
-
 /**
  * A call that is broken off resets its connection. After an orderly close its request
  * stays on the way, and a back end that stood still, or was cut off, begins it seconds
  * after its caller has left; a reset takes it back.
- *
- * Node.js has `resetAndDestroy` for it, but that closes the socket a turn later, in which
- * the library would put the next request on it.
+ * `resetAndDestroy` would close the socket a turn later, in which the library would put
+ * the next request on it.
  */
 function resetWhenBrokenOff(socket: Socket): void {
   const destroy = socket.destroy.bind(socket);
   socket.destroy = (error?: Error & { readonly code?: string }) => {
     const isBrokenOff = error?.code === BROKEN_OFF_CODE;
-    if (isBrokenOff) (socket as ResettableSocket).resetAndClosing = true;
+    if (isBrokenOff) resetWhenClosed(socket);
     return destroy(error);
   };
 }
--- a/src/process/metrics.ts
+++ b/src/process/metrics.ts
@@ -17,6 +17,14 @@
   readonly olderOffers: number;
 }
 
+/** What the process holds for its callers. */
+export interface HeldBytesSource {
+  readonly answerBytes: number;
+  readonly bodyBytes: number;
+  readonly limitBytes: number;
+  readonly pausedCallers: number;
+}
+
 /** Counters and quantiles of a process that serves callers. */
 export class Metrics extends ProcessMetrics {
   readonly #requests = this.metricsPage.counter(
@@ -64,6 +72,19 @@
     "Time to the first byte of streamed answers",
   );
 
+  readonly #pausedAnswers = this.metricsPage.counter(
+    "paused_answers_total",
+    "Times that a back end was paused for a caller that reads slowly",
+  );
+  readonly #slowCallersCut = this.metricsPage.counter(
+    "slow_callers_cut_total",
+    "Callers that were cut for the bytes held for all",
+  );
+  readonly #answerPauses = this.metricsPage.quantiles(
+    "paused_answer_milliseconds",
+    "How long back ends were paused for callers that read slowly",
+  );
+
   /** Reads the gauges from `source` when the page is asked for. */
   constructor(source: () => MetricsSource, log: EventLog) {
     super(log);
@@ -115,6 +136,46 @@
     this.#pauses.record(milliseconds);
   }
 
+  /** Shows the bytes held for callers when the page is asked for. */
+  watchHeldBytes(held: HeldBytesSource): void {
+    const { metricsPage } = this;
+    metricsPage.gauge(
+      "held_answer_bytes",
+      "Bytes of answers that callers have not taken",
+      () => held.answerBytes,
+    );
+    metricsPage.gauge(
+      "held_body_bytes",
+      "Bytes of request bodies",
+      () => held.bodyBytes,
+    );
+    metricsPage.gauge(
+      "held_limit_bytes",
+      "Bytes that may be held for all callers",
+      () => held.limitBytes,
+    );
+    metricsPage.gauge(
+      "paused_callers",
+      "Callers that are behind, whose back ends are paused where that can be done",
+      () => held.pausedCallers,
+    );
+  }
+
+  /** A back end was paused for its caller. */
+  countPausedAnswer(): void {
+    this.#pausedAnswers.inc();
+  }
+
+  /** A back end was resumed after so many milliseconds. */
+  countAnswerPause(milliseconds: number): void {
+    this.#answerPauses.record(milliseconds);
+  }
+
+  /** A caller was cut for the bytes held for all. */
+  countSlowCallerCut(): void {
+    this.#slowCallersCut.inc();
+  }
+
   /** A message belonged to no attempt under way. */
   countStale(): void {
     this.#stale.inc();
--- a/src/process/process_settings.ts
+++ b/src/process/process_settings.ts
@@ -19,6 +19,10 @@
 );
 const SHA_256 = z.string().regex(/^[0-9a-f]{64}$/, "Expected a SHA-256 in hex");
 
+/** Bytes that an entry may hold for all its callers; without it there is no such bound. */
+const HELD_BYTES_LIMIT = z.number().int().min(1_048_576).max(17_179_869_184)
+  .optional();
+
 const COMMON = {
   name: NAME,
   deployment: NAME,
@@ -42,6 +46,7 @@
   targetsInView: z.number().int().min(1).max(10_000).default(200),
   /** SHA-256 of the token that may write every path. */
   administratorTokenSha256: SHA_256.optional(),
+  heldBytesLimit: HELD_BYTES_LIMIT,
 });
 
 /** Shape of the process settings of a target. */
@@ -106,6 +111,7 @@
   metricsAddress: ADDRESS.optional(),
   /** Milliseconds for which a back end that leaves may be sent work. */
   leavingLimitMs: z.number().int().min(100).max(600_000).default(2000),
+  heldBytesLimit: HELD_BYTES_LIMIT,
   /** Limits on the retries of all entries together. */
   poolRetries: z.strictObject({
     share: z.number().min(0).max(1),
--- a/src/refusals/catalogue.ts
+++ b/src/refusals/catalogue.ts
@@ -224,6 +224,12 @@
     title: "All targets of this service are in need and take few requests now",
     retryAfterSeconds: 1,
   },
+  BODIES_FILL_MEMORY: {
+    code: 5038,
+    status: 503,
+    title: "This entry holds as much of requests and answers as it may",
+    retryAfterSeconds: 1,
+  },
   GROUP_STALLED: {
     code: 5033,
     status: 503,
