Entry: pause answers while events wait for a turn of the event loop

Cause: a caller that stalled the process was cut (4 MiB unsent). After a stall events wait for a turn; what arrives meanwhile is not written and so not counted, and the burst that follows exceeds the bounds. Found by a slow test whose caller and entry shared a process.

Change: an answer whose piece is held back is paused until events are delivered again.

--- a/src/entry/caller_buffers.ts
+++ b/src/entry/caller_buffers.ts
@@ -5,7 +5,9 @@
  * @module
  */
 import { performance } from "node:perf_hooks";
+import { turnEventLoop } from "../core/event_loop.ts";
 import type { EventLog } from "../events/event_log.ts";
+import type { AnswerDataMessage } from "../messages/types.ts";
 import type { Metrics } from "../process/metrics.ts";
 import type { BodyMeter, CallerConnection } from "./caller_connection.ts";
 import {
@@ -16,6 +18,7 @@
   type ResumeAnswer,
 } from "./held_bytes.ts";
 import type { AttemptName, PausableAnswers } from "./target_links.ts";
+import type { EntryEvent } from "./types.ts";
 
 /** What {@link CallerBuffers} work with. */
 export interface CallerBuffersOptions {
@@ -45,6 +48,8 @@
   readonly #options: CallerBuffersOptions;
   readonly #held: HeldBytes;
   readonly #callers = new Map<number, OpenCaller>();
+  /** Callers whose answers are paused until events are delivered again. */
+  readonly #heldBack = new Set<number>();
 
   /** Begins without callers. */
   constructor(options: CallerBuffersOptions) {
@@ -95,6 +100,33 @@
     if (this.#held.isPaused(attempt.requestId)) answers?.pause(attempt);
   }
 
+  /**
+   * An event waits until the event loop has turned. Answers that arrive meanwhile are
+   * not written, and so not counted: in one turn 2 MiB of each may arrive.
+   */
+  noteHeldBack(event: EntryEvent): void {
+    const isAnswer = event.kind === "message_received" &&
+      event.message.kind === "answer_data";
+    if (!isAnswer) return;
+    const { requestId } = event.message as AnswerDataMessage;
+    const source = this.#callers.get(requestId)?.source;
+    if (source === undefined || this.#heldBack.has(requestId)) return;
+    if (this.#heldBack.size === 0) void this.#resumeAfterTurn();
+    this.#heldBack.add(requestId);
+    source.answers.pause(source.attempt);
+  }
+
+  async #resumeAfterTurn(): Promise<void> {
+    await turnEventLoop();
+    const callers = [...this.#heldBack];
+    this.#heldBack.clear();
+    for (const caller of callers) {
+      const source = this.#callers.get(caller)?.source;
+      const isBehind = this.#held.isPaused(caller);
+      if (!isBehind) source?.answers.resume(source.attempt);
+    }
+  }
+
   /** The request is over; what is unsent of its answer still counts. */
   finish(caller: number): void {
     this.#held.forgetBody(caller);
--- a/src/entry/request_server.ts
+++ b/src/entry/request_server.ts
@@ -149,7 +149,8 @@
 
   /** Feeds the reducer and performs what it asks for. */
   dispatch(event: EntryEvent): void {
-    if (!this.#stalls.tryHold(event)) this.#reduce(event);
+    if (this.#stalls.tryHold(event)) this.#buffers?.noteHeldBack(event);
+    else this.#reduce(event);
   }
 
   #reduce(event: EntryEvent): void {
--- a/src/entry/slow_callers_test.ts
+++ b/src/entry/slow_callers_test.ts
@@ -16,6 +16,7 @@
 import { OwnCallerProtocol } from "./caller_protocol.ts";
 import { EntryReducer } from "./entry_reducer.ts";
 import { RequestServer } from "./request_server.ts";
+import { LONGEST_GAP_MS } from "./stall_guard.ts";
 
 const MIB = 1024 * 1024;
 /** More than the buffers of two connections take on this machine, and the old bound. */
@@ -169,6 +170,12 @@
 
 const LAST_CHUNK = Buffer.from("0\r\n\r\n");
 
+/** Stands still as a process without a processor does. */
+function standStill(milliseconds: number): void {
+  const end = performance.now() + milliseconds;
+  while (performance.now() < end) { /* Nothing else runs. */ }
+}
+
 let fixture: SlowCallersFixture;
 
 async function start(
@@ -226,6 +233,22 @@
     });
   }
 
+  // After a stall, events wait for a turn of the event loop, and nothing is written.
+  it("get their answer whole though the process stands still at times", async () => {
+    await start("known length", MIB);
+    const caller = fixture.call();
+    await fixture.waitForPaused(1);
+    let bytesUntilStall = 0;
+    caller.on("data", (chunk) => {
+      bytesUntilStall -= chunk.length;
+      if (bytesUntilStall > 0) return;
+      bytesUntilStall = 3 * MIB;
+      standStill(LONGEST_GAP_MS + 100);
+    });
+    caller.pause();
+    assert.equal(await readAll(caller, "known length"), "whole");
+  });
+
   it("are cut at their deadline though they are paused", async () => {
     await start("known length");
     const caller = fixture.call("lagoonwharf-deadline-ms: 900\r\n");
