--- a/src/external/http_connections.ts
+++ b/src/external/http_connections.ts
@@ -176,7 +176,7 @@
       connect: (options, callback) =>
         connect(options, (...result) => {
           const [, socket] = result;
-          if (socket !== null) connection.noteConnected(socket);
+          if (socket) connection.noteConnected(socket);
           callback(...result);
         }),
       keepAliveTimeout: UNPROMISED_MS,
