--- a/src/external/http_back_end.ts
+++ b/src/external/http_back_end.ts
@@ -15,12 +15,14 @@
   type BackEndRequest,
 } from "./back_end.ts";
 import { endToEndHeadersOf } from "../messages/http_headers.ts";
+import { resetWhenClosed } from "../core/socket_reset.ts";
 import {
   type AnswerHeaders,
   getUsableMs,
   type HttpConnection,
   HttpConnections,
 } from "./http_connections.ts";
+import { isReset } from "./pausable_reading.ts";
 
 const CONNECT_LIMIT_MS = 2000;
 /**
@@ -107,12 +109,25 @@
     return (options, callback) =>
       connect(options, (...result) => {
         const [, socket] = result;
-        socket?.on("error", () => this.#noteError());
-        if (socket) resetWhenBrokenOff(socket);
+        if (socket) {
+          socket.on("error", () => this.#noteError());
+          this.#watchEnd(socket);
+          resetWhenBrokenOff(socket);
+        }
         callback(...result);
       });
   }
 
+  /**
+   * A reset that is found together with unread bytes is told as an orderly end
+   * (libuv, on `POLLHUP` after a partial read).
+   */
+  #watchEnd(socket: Socket): void {
+    socket.prependListener("end", () => {
+      if (isReset(socket)) this.#noteError();
+    });
+  }
+
   #noteError(): void {
     this.#isResetting = true;
     queueMicrotask(() => this.#isResetting = false);
@@ -122,24 +137,18 @@
 /** Code of the error with which the client library ends a call's connection. */
 const BROKEN_OFF_CODE = "UND_ERR_INFO";
 
-/** A socket with the flag by which Node.js ends it with a reset. */
-interface ResettableSocket {
-  resetAndClosing?: boolean;
-}
-
 /**
  * A call that is broken off resets its connection. After an orderly close its request
  * stays on the way, and a back end that stood still, or was cut off, begins it seconds
  * after its caller has left; a reset takes it back.
- *
- * Node.js has `resetAndDestroy` for it, but that closes the socket a turn later, in which
- * the library would put the next request on it.
+ * `resetAndDestroy` would close the socket a turn later, in which the library would put
+ * the next request on it.
  */
 function resetWhenBrokenOff(socket: Socket): void {
   const destroy = socket.destroy.bind(socket);
   socket.destroy = (error?: Error & { readonly code?: string }) => {
     const isBrokenOff = error?.code === BROKEN_OFF_CODE;
-    if (isBrokenOff) (socket as ResettableSocket).resetAndClosing = true;
+    if (isBrokenOff) resetWhenClosed(socket);
     return destroy(error);
   };
 }
@@ -166,6 +175,7 @@
   #hasHead = false;
   #isCancelled = false;
   #isLate = false;
+  #isPaused = false;
   #isOver = false;
 
   constructor(listener: BackEndListener, options: HttpBackEndCallOptions) {
@@ -183,6 +193,26 @@
     this.#controller?.abort(new Error("The call was cancelled"));
   }
 
+  pause(): void {
+    this.#isPaused = true;
+    if (this.#isAnswering) this.#options.connection.reading?.pause();
+  }
+
+  resume(): void {
+    this.#isPaused = false;
+    if (this.#isAnswering) this.#options.connection.reading?.resume();
+  }
+
+  get unreadBytes(): number {
+    if (!this.#isPaused || !this.#isAnswering) return 0;
+    return this.#options.connection.reading?.unreadBytes ?? 0;
+  }
+
+  /** Whether what the connection receives is this call's answer. */
+  get #isAnswering(): boolean {
+    return this.#hasHead && !this.#isOver;
+  }
+
   onRequestStart(controller: Dispatcher.DispatchController): void {
     // A connection that took longer was made while the process stood still, and whoever
     // asked may have left meanwhile: the timers that say so fire after this.
@@ -201,6 +231,7 @@
     // Informational answers come before the real one.
     if (status < 200 || this.#isOver) return;
     this.#hasHead = true;
+    if (this.#isPaused) this.pause();
     this.#usableMs = this.#getUsableMs(headers);
     this.#listener.onKept?.(this.#usableMs);
     const endsWithConnection = headers["content-length"] === undefined &&
@@ -273,6 +304,8 @@
 
   #finish(): boolean {
     if (this.#isOver) return false;
+    // The connection may serve another call.
+    if (this.#isPaused) this.resume();
     this.#isOver = true;
     clearTimeout(this.#limit);
     return true;
--- a/src/refusals/catalogue.ts
+++ b/src/refusals/catalogue.ts
@@ -232,6 +232,12 @@
       "The targets of this service are in failure domains that cannot be reached",
     retryAfterSeconds: 2,
   },
+  BODIES_FILL_MEMORY: {
+    code: 5038,
+    status: 503,
+    title: "This entry holds as much of requests and answers as it may",
+    retryAfterSeconds: 1,
+  },
   GROUP_STALLED: {
     code: 5033,
     status: 503,
