Reports without a formation read back as they were written; tests of priorities

Cause: a report of a decider of an earlier version got a field epoch without a value, which load_columns_test found.

Change: the field is left out then. Tests of what engines are told, of names of earlier versions in messages and of the epoch in reports.

--- a/src/group/formed/load_columns.ts
+++ b/src/group/formed/load_columns.ts
@@ -55,7 +55,8 @@
       queued: queued[row] as number,
       pace: Math.max(1, pacePercents[row] as number) / PERCENT,
     }));
-    return { pool, group, isOpen, ageMs, passMs, epoch, loads };
+    const formation = epoch === undefined ? {} : { epoch };
+    return { pool, group, isOpen, ageMs, passMs, ...formation, loads };
   }
 }
 
--- a/src/group/formed/load_columns_test.ts
+++ b/src/group/formed/load_columns_test.ts
@@ -34,6 +34,13 @@
     }
   });
 
+  it("tell the formation of the group, whose costs are kept apart by it", () => {
+    const load = createLoad(4, { epoch: 7 });
+    const message = new LoadWriter().write(load);
+    assert.deepEqual(new LoadReader().tryRead(message), load);
+    assert.equal(new LoadReader().tryRead(message)?.epoch, 7);
+  });
+
   it("tell addresses again when a rank came or went", () => {
     const writer = new LoadWriter();
     writer.write(createLoad(4));
--- /dev/null
+++ b/src/messages/priority_test.ts
@@ -0,0 +1,29 @@
+import assert from "node:assert/strict";
+import { describe, it } from "node:test";
+import { createSubmit } from "../testing/fixtures.ts";
+import { getLatePriority, tryReadPriority } from "./priority.ts";
+import { MESSAGE_SCHEMA } from "./schema.ts";
+
+describe("priorities", () => {
+  it("are read from names and single digits, and from nothing else", () => {
+    const texts = ["quick", "normal", "background", "0", "9"];
+    assert.deepEqual(texts.map(tryReadPriority), [3, 5, 7, 0, 9]);
+    for (const text of ["", "10", "-1", "1.5", "highest", "toString"]) {
+      assert.equal(tryReadPriority(text), undefined, text);
+    }
+  });
+
+  it("of late requests stay within the least urgent", () => {
+    assert.deepEqual([0, 5, 9].map(getLatePriority), [1, 6, 9]);
+  });
+
+  it("of entries of earlier versions are understood", () => {
+    const read = (priority: unknown) =>
+      MESSAGE_SCHEMA.safeParse({ ...createSubmit(), priority });
+    const submit = read("background").data;
+    assert.equal(submit?.kind === "submit" && submit.priority, 7);
+    for (const wrong of [10, -1, 0.5, "soon"]) {
+      assert.equal(read(wrong).success, false, `${wrong}`);
+    }
+  });
+});
