Read what servers say of themselves: pauses and leaving, beside limits

Hypotheses on the incident could not be told apart: no log said which answers bore Retry-After or Server-Leaving, or when an entry heard of it.

What a back end says with an answer is one notice of three words now, in place of the limit alone. The words of a limit are read as before. The effects crashes_changed and limits_changed, which did the same, are one.

--- a/src/direct/direct_target.ts
+++ b/src/direct/direct_target.ts
@@ -23,10 +23,10 @@
   AttemptMessage,
   CancelMessage,
   Header,
-  RateLimitWord,
   SubmitMessage,
 } from "../messages/types.ts";
 import { getReasonOf } from "../external/back_end_failures.ts";
+import type { BackEndNotice } from "../messages/back_end_notice.ts";
 
 /** Hears what becomes of attempts. */
 export type AttemptListener = (message: AttemptMessage) => void;
@@ -99,7 +99,7 @@
   /** Nothing is kept of a connection that gave no answer. */
   #keptMs = 0;
   #lostPeer: string | undefined;
-  #rateLimit: RateLimitWord | undefined;
+  #notice: BackEndNotice | undefined;
   #isOver = false;
 
   constructor(submit: SubmitMessage, options: DirectAttemptOptions) {
@@ -128,7 +128,7 @@
     this.#call = backEnd.start(request, {
       onLoad: (load) => this.#load = load,
       onLostPeer: (id) => this.#lostPeer = id,
-      onRateLimit: (word) => this.#rateLimit = word,
+      onNotice: (notice) => this.#notice = notice,
       onKept: (milliseconds) => this.#keptMs = milliseconds,
       onHead: (status, answerHeaders, framing) =>
         this.#onHead(status, answerHeaders, framing),
@@ -155,7 +155,7 @@
       status,
       headers,
       endsWithConnection: framing?.endsWithConnection,
-      rateLimit: this.#rateLimit,
+      notice: this.#notice,
     });
   }
 
@@ -192,7 +192,7 @@
       outcome: submission,
       submission,
       lostPeer: this.#lostPeer,
-      rateLimit: this.#rateLimit,
+      notice: this.#notice,
     });
   }
 
--- a/src/entry/crash_watch.ts
+++ b/src/entry/crash_watch.ts
@@ -12,7 +12,7 @@
 import { createCrashNote } from "./decision_notes.ts";
 import type { InFlightRequest } from "./in_flight_request.ts";
 import type { LostAttempt } from "./lost_attempt.ts";
-import type { CrashesChanged, CrashesTold, EntryEffect } from "./types.ts";
+import type { CrashesTold, EntryEffect, MemoriesChanged } from "./types.ts";
 
 /**
  * Milliseconds in which it is heard that a target is gone: its entry lapses after three
@@ -32,7 +32,7 @@
 /** Milliseconds within which attempts end together. */
 const AT_ONCE_MS = 100;
 
-const CRASHES_CHANGED: CrashesChanged = { kind: "crashes_changed" };
+const MEMORIES_CHANGED: MemoriesChanged = { kind: "memories_changed" };
 
 /** How an attempt ended. */
 export interface AttemptEnd {
@@ -112,12 +112,12 @@
   noteServed(inFlight: InFlightRequest, now: number): readonly EntryEffect[] {
     const isNews = this.hasCrashed(inFlight) &&
       this.#history.noteServed(inFlight.digest, now);
-    return isNews ? [CRASHES_CHANGED] : [];
+    return isNews ? [MEMORIES_CHANGED] : [];
   }
 
   /** Another entry told what it remembers. */
   noteTold({ requests, now }: CrashesTold): readonly EntryEffect[] {
-    return this.#history.merge(requests, now) ? [CRASHES_CHANGED] : [];
+    return this.#history.merge(requests, now) ? [MEMORIES_CHANGED] : [];
   }
 
   #note(lost: readonly LostAttempt[], now: number): readonly EntryEffect[] {
@@ -128,7 +128,7 @@
         const refusedMs = this.#history.getRefusedMs(one.digest, now);
         return createCrashNote({ ...one, refusedMs });
       });
-    return notes.length === 0 ? [] : [...notes, CRASHES_CHANGED];
+    return notes.length === 0 ? [] : [...notes, MEMORIES_CHANGED];
   }
 
   /** Whether attempts at many targets ended with this one. */
--- a/src/entry/decision_notes.ts
+++ b/src/entry/decision_notes.ts
@@ -6,7 +6,6 @@
  */
 import type { GroupSightMessage } from "../messages/formed_group_types.ts";
 import type { SendLimit } from "../policy/send_limits.ts";
-import type { TargetLimit } from "../policy/target_limits.ts";
 import type { GroupUtilization } from "../policy/group_capacity.ts";
 import type { RefusalName } from "../refusals/catalogue.ts";
 import type { Outcome } from "../refusals/types.ts";
@@ -263,37 +262,6 @@
   };
 }
 
-/** How a limit was heard of. */
-export interface LimitFacts {
-  readonly source: "answer" | "entry";
-  readonly now: number;
-}
-
-/** A target named another limit, or none any more. */
-export function createLimitNote(
-  { target, perSecond, version, heardAt }: TargetLimit,
-  { source, now }: LimitFacts,
-): LogDecision {
-  const ageMs = Math.round(now - heardAt);
-  return {
-    kind: "log_decision",
-    name: "TARGET_LIMITED",
-    details: { target, perSecond, version, source, ageMs },
-  };
-}
-
-/** A target named a limit that cannot be read. */
-export function createUnreadableLimitNote(
-  target: string,
-  text: string,
-): LogDecision {
-  return {
-    kind: "log_decision",
-    name: "LIMIT_UNREADABLE",
-    details: { target, text },
-  };
-}
-
 function identityOf(request: CallerRequest) {
   return { request: request.id, correlation: request.correlationId };
 }
--- a/src/entry/entry_reducer.ts
+++ b/src/entry/entry_reducer.ts
@@ -51,12 +51,12 @@
   createForward,
 } from "./request_effects.ts";
 import { InFlightRequest } from "./in_flight_request.ts";
-import { LimitWatch } from "./limit_watch.ts";
+import { NoticeWatch } from "./notice_watch.ts";
 import { createSubmit } from "./submit_message.ts";
 import { ReturningCallers } from "./returning_callers.ts";
 import type { Route } from "./routing_table.ts";
 import type { TargetRecord } from "./target_record.ts";
-import type { TargetRegistry } from "./target_registry.ts";
+import { TargetRegistry } from "./target_registry.ts";
 import { type TargetMoment, TargetNews } from "./target_news.ts";
 import { type NoTargetReason, TargetSelection } from "./target_selection.ts";
 import { RetryPolicy } from "./retry_policy.ts";
@@ -102,7 +102,7 @@
   readonly #returning = new ReturningCallers();
   readonly #digestKey: string;
   readonly #crashes: CrashWatch;
-  readonly #limits = new LimitWatch();
+  readonly #notices: NoticeWatch;
   readonly #drains: DrainWatch;
   /** Which targets warm up. */
   readonly warmUp = new WarmUpWatch();
@@ -115,10 +115,13 @@
 
   /** Begins without settings or targets. */
   constructor(options: EntryReducerOptions) {
-    const { limits } = this.#limits;
+    const registry = new TargetRegistry();
+    this.#notices = new NoticeWatch(registry.leaving);
+    const { limits } = this.#notices;
     this.#sendLimits = new CombinedLimits(limits, this.warmUp.limits);
     this.#selection = new TargetSelection({
       ...options,
+      registry,
       limits: this.#sendLimits,
     });
     this.#drains = new DrainWatch(this.#selection.drains, this.registry);
@@ -148,7 +151,12 @@
 
   /** What is remembered of the limits that targets name. */
   get limits(): TargetLimits {
-    return this.#limits.limits;
+    return this.#notices.limits;
+  }
+
+  /** What targets say of themselves with their answers. */
+  get notices(): NoticeWatch {
+    return this.#notices;
   }
 
   /** Who may send to targets that have limits. */
@@ -220,8 +228,11 @@
         this.#effects.push(...this.#crashes.noteTold(event));
         return;
       case "limits_told":
-        this.#effects.push(...this.#limits.noteTold(event));
+        this.#effects.push(...this.#notices.noteLimitsTold(event));
         return this.#submitWaiting(event.now);
+      case "leaving_told":
+        this.#effects.push(...this.#notices.noteLeavingTold(event));
+        return;
       case "failure_domains_drained":
         this.#effects.push(...this.#drains.noteDrained(event));
         this.#submitWaiting(event.now);
@@ -393,11 +404,8 @@
       this.#effects.push({ kind: "count_stale_message" });
       return;
     }
-    this.#effects.push(...this.#limits.noteAnswer(message, {
-      target: target.name,
-      sentAt: inFlight.attemptStartedAt,
-      now,
-    }));
+    const place = { inFlight, target, now };
+    this.#effects.push(...this.#notices.noteAnswer(message, place));
     if (message.kind === "refused") {
       const sentAt = inFlight.attemptStartedAt;
       return this.#attemptRefused(inFlight, message, { target, sentAt, now });
@@ -595,6 +603,7 @@
 
   #tick(now: number): void {
     this.#effects.push(...this.warmUp.noteTime(now));
+    this.#effects.push(...this.#notices.noteTime(now));
     if (now - this.#comparedAt >= COMPARE_INTERVAL_MS) {
       this.#comparedAt = now;
       this.registry.updateSlowness(now);
--- a/src/entry/request_server.ts
+++ b/src/entry/request_server.ts
@@ -288,8 +288,7 @@
         return this.#options.metrics.countReturn(effect.outcome);
       case "count_pause":
         return this.#options.metrics.countPause(effect.milliseconds);
-      case "crashes_changed":
-      case "limits_changed":
+      case "memories_changed":
         return this.#options.onMemoriesChanged?.();
       case "ask_permits":
         return this.#options.onPermitsWanted?.(effect.question);
--- a/src/entry/target_news.ts
+++ b/src/entry/target_news.ts
@@ -53,7 +53,9 @@
   noteListed(event: InstancesListed): readonly EntryEffect[] {
     const { instances, now } = event;
     const { selection, limits, warmUp } = this.#options;
-    limits.setListed(new Set(instances.map(({ id }) => id)), now);
+    const listed = new Set(instances.map(({ id }) => id));
+    limits.setListed(listed, now);
+    this.#registry.leaving.setListed(listed, now);
     const warmUpNotes = warmUp.noteListed(event);
     selection.permits.forgetUnlimited();
     const ended = selection.setInstances(instances, now).flatMap((target) => [
--- a/src/entry/target_registry.ts
+++ b/src/entry/target_registry.ts
@@ -7,6 +7,7 @@
 import type { VirtualMachine } from "../external/virtual_machine_list.ts";
 import type { BackEndInstance } from "../external/back_end_directory.ts";
 import type { GroupLoad } from "../messages/formed_group_types.ts";
+import { LeavingTargets } from "../policy/leaving_targets.ts";
 import { RankGroups } from "./rank_groups.ts";
 import { TargetRecord } from "./target_record.ts";
 import type { ListedRank, TargetIdentity } from "./types.ts";
@@ -27,6 +28,8 @@
 export class TargetRegistry {
   /** The rank groups that targets belong to. */
   readonly groups = new RankGroups();
+  /** The targets that have said with an answer that they leave. */
+  readonly leaving = new LeavingTargets();
   readonly #byName = new Map<string, TargetRecord>();
   readonly #byPool = new Map<string, TargetRecord[]>();
   /** Newest claim of each slot, by pool; kept when the claimant is lost. */
--- a/src/entry/target_selection.ts
+++ b/src/entry/target_selection.ts
@@ -27,7 +27,7 @@
 import { AdmissionGate } from "./admission_gate.ts";
 import type { InFlightRequest } from "./in_flight_request.ts";
 import type { TargetRecord } from "./target_record.ts";
-import { TargetRegistry } from "./target_registry.ts";
+import type { TargetRegistry } from "./target_registry.ts";
 
 /** Why no target can be sent a request now. */
 export type NoTargetReason =
@@ -49,6 +49,8 @@
   readonly choice?: TargetChoice;
   /** Tells entries apart; needed for a view of part of a pool, and for limits of targets. */
   readonly entryName?: string;
+  /** The targets that are known. */
+  readonly registry: TargetRegistry;
   /** The limits on what targets are sent. */
   readonly limits: SendLimits;
 }
@@ -75,7 +77,7 @@
 
 /** Finds the target of a request. */
 export class TargetSelection {
-  readonly registry = new TargetRegistry();
+  readonly registry: TargetRegistry;
   /** Who may send to targets that have limits. */
   readonly permits: SendPermits;
   /** Which failure domains this entry cannot reach. */
@@ -98,6 +100,7 @@
 
   /** Begins without targets. */
   constructor(options: TargetSelectionOptions) {
+    this.registry = options.registry;
     this.#failureDomain = options.failureDomain;
     this.#entryName = options.entryName ?? "";
     this.#choice = options.choice ?? new ScoredChoice(options.random);
--- a/src/entry/types.ts
+++ b/src/entry/types.ts
@@ -18,6 +18,7 @@
 import type { GroupSettings } from "../external/operator_settings.ts";
 import type { CrashedRequest } from "../policy/crash_history.ts";
 import type { PermitOutcome, PermitQuestion } from "../policy/send_permits.ts";
+import type { LeavingTarget } from "../policy/leaving_targets.ts";
 import type { TargetLimit } from "../policy/target_limits.ts";
 import type { ColdPools } from "../policy/warm_up_limits.ts";
 import type { PoolRetryLimits } from "../policy/pool_retry_budgets.ts";
@@ -204,6 +205,13 @@
   readonly limits: readonly TargetLimit[];
 }
 
+/** Another entry told which targets it knows to leave. */
+export interface LeavingTold {
+  readonly kind: "leaving_told";
+  readonly now: number;
+  readonly targets: readonly LeavingTarget[];
+}
+
 /** An entry that was asked for permits answered, or did not. */
 export interface PermitsTold {
   readonly kind: "permits_told";
@@ -242,6 +250,7 @@
   | GroupSeen
   | CrashesTold
   | LimitsTold
+  | LeavingTold
   | PermitsTold
   | PoolRetriesLimited
   | EntryTick
@@ -345,14 +354,9 @@
   readonly milliseconds: number;
 }
 
-/** What is remembered of targets that ended under requests has changed. */
-export interface CrashesChanged {
-  readonly kind: "crashes_changed";
-}
-
-/** What is remembered of the limits that targets name has changed. */
-export interface LimitsChanged {
-  readonly kind: "limits_changed";
+/** What is remembered and told to other entries has changed. */
+export interface MemoriesChanged {
+  readonly kind: "memories_changed";
 }
 
 /** Ask another entry for permits; the outcome comes back as {@link PermitsTold}. */
@@ -389,8 +393,7 @@
   | CountStale
   | CountReturn
   | CountPause
-  | CrashesChanged
-  | LimitsChanged
+  | MemoriesChanged
   | AskPermits
   | LogDecision
   | EntryDrained;
--- a/src/events/catalogue.ts
+++ b/src/events/catalogue.ts
@@ -367,6 +367,40 @@
     text: "A target named a limit that is no number, which changes nothing",
     action: "See `text`, and mend what names it.",
   },
+  TARGET_BACKS_OFF: {
+    code: 2812,
+    level: "warn",
+    text: "A target asked this entry to send it nothing for a time",
+    action:
+      "See why the target is in need. `leftMs` is how long it gets nothing from this entry; if that is far too long, restart the entry.",
+  },
+  TARGET_RETURNS: {
+    code: 2813,
+    level: "info",
+    text: "The pause that a target asked for is over; its load comes back",
+    action: NOTHING,
+  },
+  BACKOFF_UNREADABLE: {
+    code: 2814,
+    level: "warn",
+    text:
+      "A target asked for a pause that is no number of seconds, and gets none",
+    action: "See `text`, and mend what sends it.",
+  },
+  TARGET_SAYS_LEAVING: {
+    code: 2815,
+    level: "info",
+    text: "A target said with an answer that it leaves; it gets no new work",
+    action:
+      "If it does not leave, restart it: under another name it is used again.",
+  },
+  LEAVING_UNREADABLE: {
+    code: 2816,
+    level: "warn",
+    text:
+      "A target said of leaving what cannot be understood, which changes nothing",
+    action: "See `text`, and mend what sends it.",
+  },
   DOMAIN_UNREACHABLE: {
     code: 2861,
     level: "warn",
--- a/src/external/back_end.ts
+++ b/src/external/back_end.ts
@@ -4,7 +4,8 @@
  * @module
  */
 import type { Priority } from "../messages/priority.ts";
-import type { Header, RateLimitWord } from "../messages/types.ts";
+import type { BackEndNotice } from "../messages/back_end_notice.ts";
+import type { Header } from "../messages/types.ts";
 
 /** A request to a back end. */
 export interface BackEndRequest {
@@ -73,7 +74,7 @@
   /** Comes before `onFailed`: the back end whose loss kept this one from its work, by id. */
   onLostPeer?(id: string): void;
   /** Comes before `onHead` or `onFailed` when the back end itself answered. */
-  onRateLimit?(word: RateLimitWord): void;
+  onNotice?(notice: BackEndNotice): void;
   /**
    * Comes before `onHead`: milliseconds for which the connection can carry another call
    * once this one has ended; 0 if it ends with it.
--- a/src/messages/types.ts
+++ b/src/messages/types.ts
@@ -14,6 +14,7 @@
 } from "./group_types.ts";
 import type { RefusalName } from "../refusals/catalogue.ts";
 import type { Outcome } from "../refusals/types.ts";
+import type { BackEndNotice } from "./back_end_notice.ts";
 import type { Priority } from "./priority.ts";
 
 /** Version of the messages; processes of another version are refused. */
@@ -90,14 +91,6 @@
   readonly attempt: number;
 }
 
-/** What a back end says with an answer of the requests that it takes from all entries. */
-export type RateLimitWord =
-  /** It names no limit, so none holds. */
-  | { readonly kind: "none" }
-  | { readonly kind: "limit"; readonly perSecond: number }
-  /** It names something that is no limit, which changes nothing. */
-  | { readonly kind: "unreadable"; readonly text: string };
-
 /** Status and headers of an answer; its sequence number is always 0. */
 export interface AnswerHeadMessage {
   readonly kind: "answer_head";
@@ -109,7 +102,7 @@
   /** Its end cannot be told from its sender's crash; see `AnswerFraming`. */
   readonly endsWithConnection?: boolean;
   /** Of a back end that is called without a target process. */
-  readonly rateLimit?: RateLimitWord;
+  readonly notice?: BackEndNotice;
 }
 
 /** A piece of an answer's body. */
@@ -146,7 +139,7 @@
   /** As in {@link AnswerEndMessage}. */
   readonly keptMs?: number;
   /** As in {@link AnswerHeadMessage}; undefined where the back end said nothing. */
-  readonly rateLimit?: RateLimitWord;
+  readonly notice?: BackEndNotice;
   /** The back end whose loss kept this one from its work, by id, where it said so. */
   readonly lostPeer?: string;
   readonly reason: RefusalName;
--- a/src/testing/fixtures.ts
+++ b/src/testing/fixtures.ts
@@ -8,6 +8,7 @@
 import { RoutingTable } from "../entry/routing_table.ts";
 import type { CallerRequest } from "../entry/types.ts";
 import type { BackEndInstance } from "../external/back_end_directory.ts";
+import type { BackEndNotice } from "../messages/back_end_notice.ts";
 import type {
   AttemptMessage,
   RefusedMessage,
@@ -65,6 +66,14 @@
 /** Which attempt a message belongs to. */
 export type AttemptPlace = Pick<AttemptMessage, "requestId" | "attempt">;
 
+/** What a back end says of itself with an answer, nothing unless given. */
+export function createNotice(
+  changes: Partial<BackEndNotice> = {},
+): BackEndNotice {
+  const none = { kind: "none" } as const;
+  return { rateLimit: none, backoff: none, leaving: none, ...changes };
+}
+
 /** The messages of a whole answer without a body, on a connection that ends with it. */
 export function createEmptyAnswer(
   place: AttemptPlace,
--- a/src/testing/limited_entries.ts
+++ b/src/testing/limited_entries.ts
@@ -7,13 +7,15 @@
 import { RandomSource } from "../core/random_source.ts";
 import { EntryReducer } from "../entry/entry_reducer.ts";
 import type { EntryEffect, EntryEvent } from "../entry/types.ts";
-import type { AttemptMessage, RateLimitWord } from "../messages/types.ts";
+import type { RateLimitWord } from "../messages/back_end_notice.ts";
+import type { AttemptMessage } from "../messages/types.ts";
 import { ASK_LIMIT_MS, type PermitQuestion } from "../policy/send_permits.ts";
 import { type ColdPlan, ColdTargets } from "./cold_targets.ts";
 import { EventQueue } from "./event_queue.ts";
 import {
   createCallerRequest,
   createEmptyAnswer,
+  createNotice,
   createRoutes,
 } from "./fixtures.ts";
 
@@ -290,7 +292,7 @@
         return;
       case "refuse_request":
         return this.#refused(effect.requestId, effect.problem);
-      case "limits_changed":
+      case "memories_changed":
         return this.#tellLimits(entry);
       case "ask_permits":
         return this.#ask(entry, effect.question);
@@ -332,7 +334,10 @@
       ? { kind: "none" }
       : { kind: "limit", perSecond };
     return createEmptyAnswer({ requestId, attempt })
-      .map((message) => ({ ...message, rateLimit }));
+      .map((message) => ({
+        ...message,
+        notice: createNotice({ rateLimit }),
+      }));
   }
 
   #refused(
--- a/src/testing/poison_fleet.ts
+++ b/src/testing/poison_fleet.ts
@@ -279,7 +279,7 @@
           effect.requestId,
           effect.problem.reason as RefusalName,
         );
-      case "crashes_changed":
+      case "memories_changed":
         return this.#tellCrashes(entry);
       default:
         return;
