One place says whether a target may be sent a request

Four methods of TargetSelection each put together their own part of what forbids a send, and the owner of a key was looked up beside all of them. What is added to one was missing in the others.

TargetAvailability asks for everything that forbids or limits sends: leaving, drains, the rank group, reachability and limits. First attempts, repeats, requests that wait, owners of keys and plans for permits ask it; TargetSelection keeps load and choice.

--- a/src/entry/entry_reducer.ts
+++ b/src/entry/entry_reducer.ts
@@ -58,7 +58,11 @@
 import type { TargetRecord } from "./target_record.ts";
 import { TargetRegistry } from "./target_registry.ts";
 import { type TargetMoment, TargetNews } from "./target_news.ts";
-import { type NoTargetReason, TargetSelection } from "./target_selection.ts";
+import type {
+  NoTargetReason,
+  TargetAvailability,
+} from "./target_availability.ts";
+import { TargetSelection } from "./target_selection.ts";
 import { RetryPolicy } from "./retry_policy.ts";
 import { WaitingRequests } from "./waiting_requests.ts";
 import { WarmUpWatch } from "./warm_up_watch.ts";
@@ -124,7 +128,7 @@
       registry,
       limits: this.#sendLimits,
     });
-    this.#drains = new DrainWatch(this.#selection.drains, this.registry);
+    this.#drains = new DrainWatch(this.#availability.drains, this.registry);
     this.#pools = new PoolChoice(options.random);
     this.#retries = new RetryPolicy(options.poolRetries);
     this.#digestKey = options.digestKey ?? "";
@@ -161,7 +165,7 @@
 
   /** Who may send to targets that have limits. */
   get permits(): SendPermits {
-    return this.#selection.permits;
+    return this.#availability.permits;
   }
 
   /** Holds back requests from rank groups near their capacity. */
@@ -189,6 +193,10 @@
     return this.#effects;
   }
 
+  get #availability(): TargetAvailability {
+    return this.#selection.availability;
+  }
+
   #reduce(event: EntryEvent): void {
     switch (event.kind) {
       case "request_arrived":
@@ -363,7 +371,7 @@
       targetName: target.name,
       message: createSubmit(inFlight, now),
     });
-    const ahead = this.#selection.tryPlanAhead(inFlight, now);
+    const ahead = this.#availability.tryPlanAhead(inFlight.pool, now);
     if (ahead !== undefined) this.#askPermits(ahead);
   }
 
@@ -514,7 +522,7 @@
     now: number,
   ): boolean {
     if (inFlight.isStreaming) return false;
-    const reason = this.#selection.tryWaitReasonOf(
+    const reason = this.#availability.tryWaitReasonOf(
       inFlight,
       failure.reason,
       now,
@@ -538,7 +546,8 @@
     // Its caller may ask again; one attempt of it ends no second target.
     const isSuspect = failure.submission === "unknown" &&
       this.#crashes.hasCrashed(inFlight);
-    const mayTryAgain = !isSuspect && this.#selection.hasOther(inFlight, now) &&
+    const mayTryAgain = !isSuspect &&
+      this.#availability.hasOther(inFlight, now) &&
       this.#retries.tryTake(inFlight, failure, now);
     if (!mayTryAgain) return false;
     this.#leaveTarget(inFlight);
@@ -640,7 +649,7 @@
     const serving = this.registry.servingOf(inFlight.pool).length;
     const limit = this.#sendLimits.tryGet(target.name);
     this.warmUp.noteSent(target.name, inFlight.pool);
-    const share = this.#selection.drains.getShare(target.failureDomain, now);
+    const share = this.#availability.drains.getShare(target.failureDomain, now);
     const facts = { target, now, serving, limit, share };
     this.#effects.push(createSentNote(inFlight, facts));
   }
--- a/src/entry/target_news.ts
+++ b/src/entry/target_news.ts
@@ -57,7 +57,7 @@
     limits.setListed(listed, now);
     this.#registry.leaving.setListed(listed, now);
     const warmUpNotes = warmUp.noteListed(event);
-    selection.permits.forgetUnlimited();
+    selection.availability.permits.forgetUnlimited();
     const ended = selection.setInstances(instances, now).flatMap((target) => [
       createTargetEndedNote(target),
       ...this.#noteGone({ target, now }),
@@ -97,7 +97,7 @@
 
   /** A target began to answer an attempt. */
   noteReached(target: TargetRecord): readonly EntryEffect[] {
-    const { reachability } = this.#options.selection;
+    const { reachability } = this.#options.selection.availability;
     return reachability.noteReached(target)
       ? [createReachNote(target, true)]
       : [];
@@ -120,7 +120,7 @@
     { target, now, sentAt = now }: TargetMoment,
   ): readonly EntryEffect[] {
     if (reason === "BACK_END_UNREACHABLE") {
-      const { reachability } = this.#options.selection;
+      const { reachability } = this.#options.selection.availability;
       return reachability.noteFailed(target, { tookMs: now - sentAt, now })
         ? [createReachNote(target, false)]
         : [];
--- a/src/entry/target_selection.ts
+++ b/src/entry/target_selection.ts
@@ -8,39 +8,24 @@
 import type { RandomSource } from "../core/random_source.ts";
 import type { BackEndInstance } from "../external/back_end_directory.ts";
 import { getBlindLimit } from "../policy/blind_limit.ts";
-import { DomainReachability } from "../policy/domain_reachability.ts";
-import { DomainDrains } from "../policy/domain_drains.ts";
 import { PrefixIndex } from "../policy/prefix_index.ts";
 import {
   estimateLoad,
   ScoredChoice,
   type TargetChoice,
 } from "../policy/target_choice.ts";
-import {
-  type PermitPlan,
-  type PermitQuestion,
-  SendPermits,
-} from "../policy/send_permits.ts";
+import type { PermitPlan } from "../policy/send_permits.ts";
 import type { SendLimits } from "../policy/send_limits.ts";
 import { chooseSubset } from "../policy/target_subset.ts";
-import type { RefusalName } from "../refusals/catalogue.ts";
 import { AdmissionGate } from "./admission_gate.ts";
 import type { InFlightRequest } from "./in_flight_request.ts";
+import {
+  type NoTargetReason,
+  TargetAvailability,
+} from "./target_availability.ts";
 import type { TargetRecord } from "./target_record.ts";
 import type { TargetRegistry } from "./target_registry.ts";
 
-/** Why no target can be sent a request now. */
-export type NoTargetReason =
-  | "NO_TARGET"
-  | "NO_KEY_OWNER"
-  | "DOMAINS_DRAINED"
-  | "GROUP_CLOSED"
-  | "GROUP_STALLED"
-  | "TARGETS_UNREACHABLE"
-  | "POOL_FULL"
-  | "GROUP_BUSY"
-  | "TARGETS_LIMITED";
-
 /** Options of a {@link TargetSelection}. */
 export interface TargetSelectionOptions {
   readonly failureDomain: string;
@@ -78,12 +63,8 @@
 /** Finds the target of a request. */
 export class TargetSelection {
   readonly registry: TargetRegistry;
-  /** Who may send to targets that have limits. */
-  readonly permits: SendPermits;
-  /** Which failure domains this entry cannot reach. */
-  readonly reachability = new DomainReachability();
-  /** Which failure domains are drained or return. */
-  readonly drains: DomainDrains;
+  /** Which targets may be sent a request now. */
+  readonly availability: TargetAvailability;
   /** Holds back the least urgent requests from groups near their capacity. */
   readonly gate: AdmissionGate;
   readonly #failureDomain: string;
@@ -95,7 +76,6 @@
   readonly #choice: TargetChoice;
   /** Entries of the fleet, this one included. */
   #entries: number | undefined;
-  readonly #limits: SendLimits;
   readonly #prefixes = new PrefixIndex();
 
   /** Begins without targets. */
@@ -104,10 +84,9 @@
     this.#failureDomain = options.failureDomain;
     this.#entryName = options.entryName ?? "";
     this.#choice = options.choice ?? new ScoredChoice(options.random);
-    this.#limits = options.limits;
-    this.drains = new DomainDrains(options.random);
     this.gate = new AdmissionGate(options);
-    this.permits = new SendPermits(this.#entryName, options.limits);
+    const entryName = this.#entryName;
+    this.availability = new TargetAvailability({ ...options, entryName });
   }
 
   /** The target that the request goes to next. */
@@ -118,13 +97,9 @@
     if (inFlight.request.idempotencyKey !== undefined) {
       return this.#selectOwner(inFlight);
     }
-    const serving = this.#untriedOf(inFlight);
-    if (serving.length === 0) return Err(this.#absenceReasonOf(inFlight.pool));
-    const open = serving.filter((target) => !target.isGroupClosed(now));
-    if (open.length === 0) return Err(this.#closedReasonOf(serving));
-    const reachable = this.reachability.filter(open, now);
-    if (reachable.length === 0) return Err("TARGETS_UNREACHABLE");
-    const admitted = this.gate.admit(inFlight, reachable, {
+    const open = this.availability.listOpen(inFlight, now);
+    if (open.isErr()) return open;
+    const admitted = this.gate.admit(inFlight, open.value, {
       now,
       members: this.registry.servingOf(inFlight.pool),
     });
@@ -133,17 +108,16 @@
       !isFull(target, now) && mayBeSent(inFlight, target, now)
     );
     if (free.length === 0) return Err("POOL_FULL");
-    if (this.#isBlindlyFull(inFlight, serving, now)) return Err("POOL_FULL");
-    const permitted = free.filter(({ name }) =>
-      this.permits.maySend(name, now)
-    );
+    if (this.#isBlindlyFull(inFlight, now)) return Err("POOL_FULL");
+    const permitted = this.availability.filterPermitted(free, now);
     if (permitted.length === 0) return Err("TARGETS_LIMITED");
     const brisk = permitted.filter((target) => !target.isStraggler);
-    const candidates = this.drains.limitReturning(
+    const { drains, permits } = this.availability;
+    const candidates = drains.limitReturning(
       brisk.length > 0 ? brisk : permitted,
       now,
     );
-    const due = candidates.find(({ name }) => this.permits.isDue(name, now));
+    const due = candidates.find(({ name }) => permits.isDue(name, now));
     if (due !== undefined) return Ok(due);
     const inView = candidates.filter(({ name }) => this.#inView.has(name));
     const target = this.#choose(
@@ -154,52 +128,10 @@
     return target === undefined ? Err("NO_TARGET") : Ok(target);
   }
 
-  /**
-   * Reason for which a request whose attempt was refused may wait for a target; undefined
-   * where the refusal concerns that target only.
-   */
-  tryWaitReasonOf(
-    inFlight: InFlightRequest,
-    refusal: RefusalName,
-    now: number,
-  ): NoTargetReason | undefined {
-    if (refusal === "BACK_END_UNREACHABLE") return "TARGETS_UNREACHABLE";
-    if (refusal !== "GROUP_CLOSED") return undefined;
-    return this.#isStalled(inFlight, now) ? "GROUP_STALLED" : refusal;
-  }
-
-  /** Whether all that could serve it stand still, though none is known to be lost. */
-  #isStalled(inFlight: InFlightRequest, now: number): boolean {
-    const serving = this.#untriedOf(inFlight);
-    return serving.length > 0 &&
-      serving.every((target) => target.isGroupClosed(now)) &&
-      this.#closedReasonOf(serving) === "GROUP_STALLED";
-  }
-
-  #absenceReasonOf(pool: string): "NO_TARGET" | "DOMAINS_DRAINED" {
-    return this.registry.isDrainedWhole(pool) ? "DOMAINS_DRAINED" : "NO_TARGET";
-  }
-
-  #untriedOf(inFlight: InFlightRequest): readonly TargetRecord[] {
-    return this.registry.servingOf(inFlight.pool)
-      .filter(({ name }) => !inFlight.hasTried(name));
-  }
-
-  /** Why targets cannot be sent a request whose groups are all known not to run. */
-  #closedReasonOf(
-    closed: readonly TargetRecord[],
-  ): "GROUP_CLOSED" | "GROUP_STALLED" {
-    const groups = new Set(closed.flatMap(({ group }) => group?.name ?? []));
-    const mayRunSoon = [...groups].some((name) =>
-      this.registry.groups.isWhole(name)
-    );
-    return mayRunSoon ? "GROUP_STALLED" : "GROUP_CLOSED";
-  }
-
   /** These entries send requests, this one included. */
   setEntries(entries: readonly string[], now: number): void {
     this.#entries = entries.length;
-    this.permits.setEntries(entries, now);
+    this.availability.permits.setEntries(entries, now);
   }
 
   /** How some requests like this one may be sent to targets all of which have limits. */
@@ -208,23 +140,21 @@
     count: number,
     now: number,
   ): PermitPlan {
-    const open = this.#untriedOf(inFlight)
-      .filter((target) => !target.isGroupClosed(now) && !isFull(target, now));
-    const targets = [...this.reachability.filter(open, now)]
+    const open = this.availability.listOpen(inFlight, now).unwrapOr([]);
+    const targets = open.filter((target) => !isFull(target, now))
       .sort((left, right) => estimateLoad(left) - estimateLoad(right));
-    return this.permits.plan(targets.map(({ name }) => name), count, now);
+    const names = targets.map(({ name }) => name);
+    return this.availability.permits.plan(names, count, now);
   }
 
   /**
    * Whether this entry has its share of a pool of rank groups none of which has told its
    * load lately. Only there one request more delays all others.
    */
-  #isBlindlyFull(
-    { route }: InFlightRequest,
-    serving: readonly TargetRecord[],
-    now: number,
-  ): boolean {
-    if (route.service.pauseObjectiveMs === undefined) return false;
+  #isBlindlyFull(inFlight: InFlightRequest, now: number): boolean {
+    const { pauseObjectiveMs } = inFlight.route.service;
+    if (pauseObjectiveMs === undefined) return false;
+    const serving = this.availability.listServing(inFlight);
     const areRanks = serving.some(({ group }) => group !== undefined);
     const isKnown = serving.some((target) =>
       wasLoadTold(target, { withinMs: BLIND_AFTER_MS, now })
@@ -239,19 +169,6 @@
     return sumOf(({ ownInFlight }) => ownInFlight) >= limit;
   }
 
-  /** Whom to ask for permits that later requests like this one may need. */
-  tryPlanAhead(
-    { pool }: InFlightRequest,
-    now: number,
-  ): PermitQuestion | undefined {
-    if (this.#limits.isEmpty) return undefined;
-    for (const { name } of this.registry.servingOf(pool)) {
-      const question = this.permits.tryPlanAhead(name, now);
-      if (question !== undefined) return question;
-    }
-    return undefined;
-  }
-
   /** The back ends that are called directly were listed; returns those that are gone. */
   setInstances(
     instances: readonly BackEndInstance[],
@@ -281,20 +198,12 @@
     this.#inView = new Set(viewed.map(({ name }) => name));
   }
 
-  /** Whether some target that was not tried serves the request's pool. */
-  hasOther(inFlight: InFlightRequest, now: number): boolean {
-    const open = this.#untriedOf(inFlight)
-      .filter((target) => !target.isGroupClosed(now));
-    return this.reachability.filter(open, now).length > 0;
-  }
-
   /** A target was sent a request, and has its prompt from now on. */
   noteSent(inFlight: InFlightRequest, target: TargetRecord, now: number): void {
     const blocks = inFlight.request.prefixBlocks ?? [];
     this.#prefixes.remember(blocks, target.name);
     if (inFlight.isLateAt(now)) target.group?.lateAdmission.count();
-    this.permits.noteSent(target.name, now);
-    this.reachability.noteSent(target, now);
+    this.availability.noteSent(target, now);
   }
 
   /** A target was lost, and with it the prompts that it had. */
@@ -317,7 +226,7 @@
     return chosen && this.registry.tryGet(chosen.name);
   }
 
-  /** A key may run only at its owner, leaving or not, but not drained. */
+  /** A key may run only at its owner. */
   #selectOwner(
     inFlight: InFlightRequest,
   ): Result<TargetRecord, NoTargetReason> {
@@ -328,8 +237,7 @@
       idempotencyKey: request.idempotencyKey as string,
     }));
     const owner = this.registry.tryOwner(route.service.pool, slot);
-    if (owner === undefined) return Err("NO_KEY_OWNER");
-    return owner.isDrained ? Err("DOMAINS_DRAINED") : Ok(owner);
+    return this.availability.checkOwner(owner);
   }
 }
 
--- a/src/entry/waiting_requests.ts
+++ b/src/entry/waiting_requests.ts
@@ -8,7 +8,7 @@
 import { getLongestWaitMs } from "../policy/return_time.ts";
 import type { InFlightRequest } from "./in_flight_request.ts";
 import { tryReturnFacts } from "./return_facts.ts";
-import type { NoTargetReason } from "./target_selection.ts";
+import type { NoTargetReason } from "./target_availability.ts";
 
 /** Requests that wait at one entry, at most. */
 const MOST_WAITING = 256;
