Send a target nothing while it asks for a pause

Callers' requests reached a server that had answered this entry 503 with Retry-After: 12, 22 and 6 in the time of rest where 2 are allowed, 24 where it was the only server; with little work in hand the server was left alone for over twice as long as it had asked. Cause: the header was read nowhere, so what the server got followed from load, and from a failed attempt that counts as 0.8 of its load for seconds.

TargetBackoffs keeps the pauses by the target's name, for this entry alone. TargetAvailability asks it for first attempts, retries, waiting requests, resumed streams, owners of keys, permits and probes; HttpBackEnd asks once more when the connection of a call is ready. A later word prolongs a pause and never shortens it; an hour is the most. A refusal that names a pause counts as no failure. After it the load comes back over as long, three seconds at most. Where all targets rest the caller is refused at once with the earliest end, spread.

--- a/src/direct/direct_entry_driver.ts
+++ b/src/direct/direct_entry_driver.ts
@@ -107,6 +107,9 @@
       olderOffers: 0,
       coldTargets: this.#reducer.warmUp.limits.coldCount,
       coldRequests: this.#reducer.warmUp.sentByPool,
+      backingOffTargets: this.#reducer.notices.backoffs.size,
+      backoffs: this.#reducer.notices.backoffs.count,
+      unreadableNotices: this.#reducer.notices.unreadable,
       utilizations: this.#reducer.gate.utilizationsAt(performance.now()),
     }), log);
     this.#server = new RequestServer({
@@ -128,6 +131,8 @@
           targetName,
           message,
         }),
+      mayBegin: (targetName) =>
+        this.#reducer.mayBegin(targetName, performance.now()),
     });
     this.#drains = new DrainFollower({
       format,
--- a/src/direct/direct_target.ts
+++ b/src/direct/direct_target.ts
@@ -11,6 +11,7 @@
   type BackEndCall,
   type BackEndFailure,
   type BackEndLoad,
+  type BackEndRequest,
   isNotRun,
 } from "../external/back_end.ts";
 import type { BackEndInstance } from "../external/back_end_directory.ts";
@@ -36,6 +37,8 @@
   readonly instance: BackEndInstance;
   readonly backEnd: BackEnd;
   readonly onMessage: AttemptListener;
+  /** Whether an attempt may still be sent, asked before its first byte. */
+  readonly mayBegin: () => boolean;
 }
 
 /** A back end that is called without a target process. */
@@ -65,13 +68,13 @@
       this.#attempts.delete(key);
       return;
     }
-    const { instance, backEnd, onMessage } = this.#options;
+    const { instance, backEnd, onMessage, mayBegin } = this.#options;
     const attempt = new DirectAttempt(message, {
       onMessage,
       onOver: () => this.#attempts.delete(key),
     });
     this.#attempts.set(key, attempt);
-    attempt.start(backEnd, instance.name);
+    attempt.start(backEnd, { instance: instance.name, mayBegin });
   }
 
   #tryCall(attempt: AttemptName): BackEndCall | undefined {
@@ -112,7 +115,10 @@
     return this.#call;
   }
 
-  start(backEnd: BackEnd, instance: string): void {
+  start(
+    backEnd: BackEnd,
+    options: Pick<BackEndRequest, "instance" | "mayBegin">,
+  ): void {
     const { method, path, headers, body, remainingMs, organisation, priority } =
       this.#submit;
     const request = {
@@ -123,7 +129,7 @@
       limitMs: remainingMs,
       organisation,
       priority,
-      instance,
+      ...options,
     };
     this.#call = backEnd.start(request, {
       onLoad: (load) => this.#load = load,
--- a/src/direct/direct_target_pool.ts
+++ b/src/direct/direct_target_pool.ts
@@ -14,6 +14,8 @@
   /** Makes the adapter of one back end. */
   readonly createBackEnd: (instance: BackEndInstance) => BackEnd;
   readonly onMessage: (targetName: string, message: AttemptMessage) => void;
+  /** Whether an attempt may still be sent to a target, asked before its first byte. */
+  readonly mayBegin: (targetName: string) => boolean;
 }
 
 /** The way to each back end that the directory lists. */
@@ -50,11 +52,12 @@
   }
 
   #add(instance: BackEndInstance): void {
-    const { createBackEnd, onMessage } = this.#options;
+    const { createBackEnd, onMessage, mayBegin } = this.#options;
     const target = new DirectTarget({
       instance,
       backEnd: createBackEnd(instance),
       onMessage: (message) => onMessage(instance.id, message),
+      mayBegin: () => mayBegin(instance.id),
     });
     this.#targets.set(instance.id, target);
   }
--- a/src/entry/entry_reducer.ts
+++ b/src/entry/entry_reducer.ts
@@ -59,8 +59,8 @@
 import { TargetRegistry } from "./target_registry.ts";
 import { type TargetMoment, TargetNews } from "./target_news.ts";
 import type {
-  NoTargetReason,
   TargetAvailability,
+  Unavailability,
 } from "./target_availability.ts";
 import { TargetSelection } from "./target_selection.ts";
 import { RetryPolicy } from "./retry_policy.ts";
@@ -90,6 +90,11 @@
   readonly poolRetries?: PoolRetryLimits;
 }
 
+/** A request that is sent nowhere, as targets have ended under it. */
+interface CrashingRequest {
+  readonly reason: "CRASHES_TARGETS";
+}
+
 /** Milliseconds between two comparisons of the targets of a pool. */
 const COMPARE_INTERVAL_MS = 500;
 
@@ -126,6 +131,7 @@
     this.#selection = new TargetSelection({
       ...options,
       registry,
+      backoffs: this.#notices.backoffs,
       limits: this.#sendLimits,
     });
     this.#drains = new DrainWatch(this.#availability.drains, this.registry);
@@ -268,6 +274,11 @@
     if (hasOpened) this.#submitWaiting(event.now);
   }
 
+  /** Whether a request that was chosen for a target earlier may still be sent there. */
+  mayBegin(targetName: string, now: number): boolean {
+    return this.#availability.mayBegin(targetName, now);
+  }
+
   #requestArrived({ request, now, readAt = now }: RequestArrived): void {
     if (this.#isDraining) return this.#refuseAtDoor(request, "ENTRY_DRAINING");
     const admitted = this.#admission.admit(request, now);
@@ -304,11 +315,12 @@
     if (selected.isOk()) return this.#submit(inFlight, selected.value, now);
     const reason = selected.error;
     if (reason === "TARGETS_LIMITED" && !this.#tryAskFor(inFlight, now)) return;
-    if (this.#waiting.tryAdd(inFlight, reason, now)) {
+    const unavailability = this.#availability.describe(inFlight, reason, now);
+    if (this.#waiting.tryAdd(inFlight, unavailability, now)) {
       this.#effects.push(createWaitsNote(inFlight, { reason, now }));
       return;
     }
-    this.#failUnsent(inFlight, reason, now);
+    this.#failUnsent(inFlight, unavailability, now);
   }
 
   /**
@@ -317,7 +329,7 @@
    */
   #tryRefuseCrashing(inFlight: InFlightRequest, now: number): boolean {
     if (this.#crashes.mayRun(inFlight, now)) return false;
-    this.#failUnsent(inFlight, "CRASHES_TARGETS", now);
+    this.#failUnsent(inFlight, { reason: "CRASHES_TARGETS" }, now);
     return true;
   }
 
@@ -330,7 +342,8 @@
       if (selected.isErr()) {
         const reason = selected.error;
         if (reason === "TARGETS_LIMITED") this.#tryAskFor(inFlight, now);
-        this.#waiting.noteReason(id, reason, now);
+        const why = this.#availability.describe(inFlight, reason, now);
+        this.#waiting.noteReason(id, why, now);
         continue;
       }
       this.#waiting.take(id);
@@ -377,16 +390,20 @@
 
   #failUnsent(
     inFlight: InFlightRequest,
-    reason: NoTargetReason | "CRASHES_TARGETS",
+    unavailability: Unavailability | CrashingRequest,
     now: number,
   ): void {
+    const { reason } = unavailability;
     const isKeyed = inFlight.request.idempotencyKey !== undefined;
     const drains = reason === "DOMAINS_DRAINED"
       ? this.#drains.getFacts(now)
       : undefined;
     const failure = createUnsent(reason, isKeyed);
     const hold = this.gate.tryHoldFacts(inFlight, reason, now);
-    this.#fail(inFlight, { ...failure, ...hold, drains }, now);
+    const freeInMs = reason === "TARGETS_BACKING_OFF"
+      ? this.#availability.tryDrawReturnMs(unavailability)
+      : undefined;
+    this.#fail(inFlight, { ...failure, freeInMs, ...hold, drains }, now);
   }
 
   #messageReceived(event: TargetMessageReceived): void {
@@ -454,7 +471,12 @@
   ): void {
     const status = inFlight.head?.status ?? 0;
     const isServerError = status >= SERVER_ERROR_STATUS;
-    at.target.countAttempt(isServerError, at.now);
+    const hasPause =
+      this.#notices.backoffs.getRemainingMs(at.target.name, at.now) > 0;
+    // The pause itself says for how long the target gets nothing.
+    if (!isServerError || !hasPause) {
+      at.target.countAttempt(isServerError, at.now);
+    }
     at.target.noteConnection(message.keptMs, at.now);
     at.target.setReportedLoad(message.queued + message.running, at.now);
     if (isServerError && this.#tryAgain(inFlight, SERVER_ERROR, at.now)) return;
@@ -528,11 +550,11 @@
       now,
     );
     if (reason === undefined) return false;
-    if (!this.#waiting.mayWait(inFlight, reason, now)) return false;
+    if (!this.#waiting.mayWait(inFlight, { reason }, now)) return false;
     if (!this.#retries.tryTake(inFlight, failure, now)) return false;
     // The target that could not be reached may be the only one, and come back.
     if (reason === "TARGETS_UNREACHABLE") inFlight.forgetLastTarget();
-    if (!this.#waiting.tryAdd(inFlight, reason, now)) return false;
+    if (!this.#waiting.tryAdd(inFlight, { reason }, now)) return false;
     this.#effects.push(createWaitsNote(inFlight, { reason, now }));
     return true;
   }
@@ -630,7 +652,8 @@
 
   #refuseExpired(now: number): void {
     for (const { inFlight, reason } of this.#waiting.takeExpired(now)) {
-      this.#failUnsent(inFlight, reason, now);
+      const why = this.#availability.describe(inFlight, reason, now);
+      this.#failUnsent(inFlight, why, now);
     }
   }
 
@@ -649,7 +672,7 @@
     const serving = this.registry.servingOf(inFlight.pool).length;
     const limit = this.#sendLimits.tryGet(target.name);
     this.warmUp.noteSent(target.name, inFlight.pool);
-    const share = this.#availability.drains.getShare(target.failureDomain, now);
+    const share = this.#availability.getShare(target, now);
     const facts = { target, now, serving, limit, share };
     this.#effects.push(createSentNote(inFlight, facts));
   }
--- a/src/entry/retry_rules.ts
+++ b/src/entry/retry_rules.ts
@@ -17,6 +17,7 @@
   "ANSWER_BROKEN",
   "WRONG_INSTANCE",
   "BACK_END_FULL",
+  "TARGET_WITHHELD",
   "GROUP_CLOSED",
   "BACK_END_ERROR",
   "TARGET_SLOW",
--- a/src/entry/return_facts.ts
+++ b/src/entry/return_facts.ts
@@ -26,6 +26,8 @@
   GROUP_BUSY: "overload",
   BACK_END_FULL: "overload",
   TARGETS_LIMITED: "limit",
+  TARGETS_BACKING_OFF: "backoff",
+  TARGET_WITHHELD: "overload",
 };
 
 /** Why a request is not sent on, and for how long as far as that is known. */
--- a/src/entry/slow_callers_test.ts
+++ b/src/entry/slow_callers_test.ts
@@ -75,6 +75,7 @@
           targetName,
           message,
         }),
+      mayBegin: () => true,
     });
   }
 
--- a/src/entry/target_availability.ts
+++ b/src/entry/target_availability.ts
@@ -3,22 +3,28 @@
  *
  * Everything that forbids or limits sends to a target is asked here, and by every kind of
  * send: what lists, settings and the target itself say of its leaving, drains of its failure
- * domain, its rank group, what cannot be reached, and limits of what it takes. Load and
- * preference among the targets that are left are the matter of `target_selection.ts`.
+ * domain, its rank group, pauses that it asked for, what cannot be reached, and limits of
+ * what it takes. Load and preference among the targets that are left are the matter of
+ * `target_selection.ts`.
  *
  * @module
  */
 import { Err, Ok, type Result } from "ts-results-es";
+import { fingerprintOf, slotOf } from "../core/idempotency_key.ts";
 import type { RandomSource } from "../core/random_source.ts";
 import { DomainDrains } from "../policy/domain_drains.ts";
 import { DomainReachability } from "../policy/domain_reachability.ts";
 import type { SendLimits } from "../policy/send_limits.ts";
 import { type PermitQuestion, SendPermits } from "../policy/send_permits.ts";
+import type { TargetBackoffs } from "../policy/target_backoffs.ts";
 import type { RefusalName } from "../refusals/catalogue.ts";
 import type { InFlightRequest } from "./in_flight_request.ts";
 import type { TargetRecord } from "./target_record.ts";
 import type { TargetRegistry } from "./target_registry.ts";
 
+/** Steps between 0 and 1 in which a share is drawn. */
+const DRAW_STEPS = 1_000_000;
+
 /** Why no target can be sent a request now. */
 export type NoTargetReason =
   | "NO_TARGET"
@@ -29,8 +35,18 @@
   | "TARGETS_UNREACHABLE"
   | "POOL_FULL"
   | "GROUP_BUSY"
+  | "TARGETS_BACKING_OFF"
   | "TARGETS_LIMITED";
 
+/** Why no target can be sent a request now, and for how long as far as that is known. */
+export interface Unavailability {
+  readonly reason: NoTargetReason;
+  /** Milliseconds after which a target may take it. */
+  readonly freeInMs?: number;
+  /** Milliseconds from then on over which those who were refused are to return. */
+  readonly spreadMs?: number;
+}
+
 /** What a {@link TargetAvailability} works with. */
 export interface TargetAvailabilityOptions {
   /** The targets that are known. */
@@ -40,6 +56,8 @@
   readonly entryName: string;
   /** The limits on what targets are sent. */
   readonly limits: SendLimits;
+  /** The pauses that targets ask this entry for. */
+  readonly backoffs: TargetBackoffs;
 }
 
 /** Says which targets may be sent a request now. */
@@ -49,17 +67,19 @@
   /** Which failure domains this entry cannot reach. */
   readonly reachability = new DomainReachability();
   /** Which failure domains are drained or return. */
-  readonly drains: DomainDrains;
+  readonly drains = new DomainDrains();
   readonly #registry: TargetRegistry;
   readonly #limits: SendLimits;
+  readonly #backoffs: TargetBackoffs;
+  readonly #random: RandomSource;
 
   /** Asks about the targets of a registry. */
-  constructor(
-    { registry, random, entryName, limits }: TargetAvailabilityOptions,
-  ) {
+  constructor(options: TargetAvailabilityOptions) {
+    const { registry, random, entryName, limits, backoffs } = options;
     this.#registry = registry;
     this.#limits = limits;
-    this.drains = new DomainDrains(random);
+    this.#backoffs = backoffs;
+    this.#random = random;
     this.permits = new SendPermits(entryName, limits);
   }
 
@@ -78,7 +98,11 @@
     if (serving.length === 0) return Err(this.#absenceReasonOf(inFlight.pool));
     const running = serving.filter((target) => !target.isGroupClosed(now));
     if (running.length === 0) return Err(this.#closedReasonOf(serving));
-    const reachable = this.reachability.filter(running, now);
+    const willing = running.filter(({ name }) =>
+      this.#backoffs.getRemainingMs(name, now) === 0
+    );
+    if (willing.length === 0) return Err("TARGETS_BACKING_OFF");
+    const reachable = this.reachability.filter(willing, now);
     return reachable.length === 0 ? Err("TARGETS_UNREACHABLE") : Ok(reachable);
   }
 
@@ -91,11 +115,96 @@
   }
 
   /** The owner of a request's key, leaving or not: a key may run nowhere else. */
-  checkOwner(
-    owner: TargetRecord | undefined,
+  findOwner(
+    inFlight: InFlightRequest,
+    now: number,
   ): Result<TargetRecord, NoTargetReason> {
+    const owner = this.#tryOwner(inFlight);
     if (owner === undefined) return Err("NO_KEY_OWNER");
-    return owner.isDrained ? Err("DOMAINS_DRAINED") : Ok(owner);
+    if (owner.isDrained) return Err("DOMAINS_DRAINED");
+    const pauseMs = this.#backoffs.getRemainingMs(owner.name, now);
+    return pauseMs > 0 ? Err("TARGETS_BACKING_OFF") : Ok(owner);
+  }
+
+  /**
+   * Whether a request that was chosen for a target earlier may still be sent there. Asked
+   * before its first byte, as its connection may have taken long to make.
+   */
+  mayBegin(targetName: string, now: number): boolean {
+    const target = this.#registry.tryGet(targetName);
+    return target !== undefined && target.isServing &&
+      this.#backoffs.getRemainingMs(targetName, now) === 0;
+  }
+
+  /**
+   * The targets that one request may go to while others take up their load again: each that
+   * returns from a drain or a pause only for its share of requests, unless there are no
+   * others.
+   */
+  limitReturning(
+    targets: readonly TargetRecord[],
+    now: number,
+  ): readonly TargetRecord[] {
+    const shares = targets.map((target) => this.getShare(target, now));
+    if (shares.every((share) => share >= 1)) return targets;
+    const drawn = this.#random.nextBelow(DRAW_STEPS) / DRAW_STEPS;
+    const admitted = targets.filter((_, index) => drawn < (shares[index] ?? 1));
+    return admitted.length > 0 ? admitted : targets;
+  }
+
+  /** Fraction of requests for which a target is a candidate, from 0 to 1. */
+  getShare({ name, failureDomain }: TargetRecord, now: number): number {
+    return Math.min(
+      this.drains.getShare(failureDomain, now),
+      this.#backoffs.getShare(name, now),
+    );
+  }
+
+  /** What the reason for which a request found no target says of when one may take it. */
+  describe(
+    inFlight: InFlightRequest,
+    reason: NoTargetReason,
+    now: number,
+  ): Unavailability {
+    if (reason !== "TARGETS_BACKING_OFF") return { reason };
+    const pauses = this.#listCandidates(inFlight)
+      .map(({ name }) => ({
+        freeInMs: this.#backoffs.getRemainingMs(name, now),
+        spreadMs: this.#backoffs.getReturnMs(name),
+      }))
+      .filter(({ freeInMs }) => freeInMs > 0)
+      .sort((left, right) => left.freeInMs - right.freeInMs);
+    return { reason, ...pauses[0] };
+  }
+
+  /**
+   * Milliseconds after which a caller is told to return, where it is known when a target is
+   * free: all who are told of one end come back over as long as the load does.
+   */
+  tryDrawReturnMs(
+    { freeInMs, spreadMs = 0 }: Unavailability,
+  ): number | undefined {
+    if (freeInMs === undefined) return undefined;
+    return freeInMs +
+      spreadMs * this.#random.nextBelow(DRAW_STEPS) / DRAW_STEPS;
+  }
+
+  /** Targets that may run it: of a keyed request its owner alone. */
+  #listCandidates(inFlight: InFlightRequest): readonly TargetRecord[] {
+    if (inFlight.request.idempotencyKey === undefined) {
+      return this.listServing(inFlight);
+    }
+    const owner = this.#tryOwner(inFlight);
+    return owner === undefined ? [] : [owner];
+  }
+
+  #tryOwner({ request, route }: InFlightRequest): TargetRecord | undefined {
+    const slot = slotOf(fingerprintOf({
+      organisation: route.organisation,
+      service: route.servicePath,
+      idempotencyKey: request.idempotencyKey as string,
+    }));
+    return this.#registry.tryOwner(route.service.pool, slot);
   }
 
   /** Whether some target that was not tried may be sent the request. */
@@ -107,6 +216,7 @@
   tryPlanAhead(pool: string, now: number): PermitQuestion | undefined {
     if (this.#limits.isEmpty) return undefined;
     for (const { name } of this.#registry.servingOf(pool)) {
+      if (this.#backoffs.getRemainingMs(name, now) > 0) continue;
       const question = this.permits.tryPlanAhead(name, now);
       if (question !== undefined) return question;
     }
--- a/src/entry/target_news.ts
+++ b/src/entry/target_news.ts
@@ -129,11 +129,14 @@
   }
 
   #noteRefusal(
-    { reason, submission, keptMs, lostPeer }: RefusedMessage,
+    { reason, submission, keptMs, lostPeer, notice }: RefusedMessage,
     at: TargetMoment,
   ): readonly EntryEffect[] {
     const { target, now } = at;
-    target.countAttempt(isTargetsFault(reason), now);
+    // A pause itself says for how long the target gets nothing.
+    if (notice?.backoff.kind !== "backoff") {
+      target.countAttempt(isTargetsFault(reason), now);
+    }
     if (submission === "unknown") target.forgetConnections();
     else target.noteConnection(keptMs, now);
     switch (reason) {
--- a/src/entry/target_selection.ts
+++ b/src/entry/target_selection.ts
@@ -4,7 +4,6 @@
  * @module
  */
 import { Err, Ok, type Result } from "ts-results-es";
-import { fingerprintOf, slotOf } from "../core/idempotency_key.ts";
 import type { RandomSource } from "../core/random_source.ts";
 import type { BackEndInstance } from "../external/back_end_directory.ts";
 import { getBlindLimit } from "../policy/blind_limit.ts";
@@ -16,6 +15,7 @@
 } from "../policy/target_choice.ts";
 import type { PermitPlan } from "../policy/send_permits.ts";
 import type { SendLimits } from "../policy/send_limits.ts";
+import type { TargetBackoffs } from "../policy/target_backoffs.ts";
 import { chooseSubset } from "../policy/target_subset.ts";
 import { AdmissionGate } from "./admission_gate.ts";
 import type { InFlightRequest } from "./in_flight_request.ts";
@@ -38,6 +38,8 @@
   readonly registry: TargetRegistry;
   /** The limits on what targets are sent. */
   readonly limits: SendLimits;
+  /** The pauses that targets ask this entry for. */
+  readonly backoffs: TargetBackoffs;
 }
 
 /**
@@ -95,7 +97,7 @@
     now: number,
   ): Result<TargetRecord, NoTargetReason> {
     if (inFlight.request.idempotencyKey !== undefined) {
-      return this.#selectOwner(inFlight);
+      return this.availability.findOwner(inFlight, now);
     }
     const open = this.availability.listOpen(inFlight, now);
     if (open.isErr()) return open;
@@ -112,8 +114,8 @@
     const permitted = this.availability.filterPermitted(free, now);
     if (permitted.length === 0) return Err("TARGETS_LIMITED");
     const brisk = permitted.filter((target) => !target.isStraggler);
-    const { drains, permits } = this.availability;
-    const candidates = drains.limitReturning(
+    const { permits } = this.availability;
+    const candidates = this.availability.limitReturning(
       brisk.length > 0 ? brisk : permitted,
       now,
     );
@@ -225,20 +227,6 @@
     });
     return chosen && this.registry.tryGet(chosen.name);
   }
-
-  /** A key may run only at its owner. */
-  #selectOwner(
-    inFlight: InFlightRequest,
-  ): Result<TargetRecord, NoTargetReason> {
-    const { request, route } = inFlight;
-    const slot = slotOf(fingerprintOf({
-      organisation: route.organisation,
-      service: route.servicePath,
-      idempotencyKey: request.idempotencyKey as string,
-    }));
-    const owner = this.registry.tryOwner(route.service.pool, slot);
-    return this.availability.checkOwner(owner);
-  }
 }
 
 /** Requests that are late already leave room for those that are not. */
--- a/src/entry/waiting_requests.ts
+++ b/src/entry/waiting_requests.ts
@@ -8,7 +8,7 @@
 import { getLongestWaitMs } from "../policy/return_time.ts";
 import type { InFlightRequest } from "./in_flight_request.ts";
 import { tryReturnFacts } from "./return_facts.ts";
-import type { NoTargetReason } from "./target_availability.ts";
+import type { NoTargetReason, Unavailability } from "./target_availability.ts";
 
 /** Requests that wait at one entry, at most. */
 const MOST_WAITING = 256;
@@ -17,6 +17,7 @@
   "GROUP_CLOSED",
   "TARGETS_UNREACHABLE",
   "DOMAINS_DRAINED",
+  "TARGETS_BACKING_OFF",
 ]);
 
 interface Waiting extends QueuedItem {
@@ -52,20 +53,21 @@
   /** Whether waiting can help a request, if there is a place. */
   mayWait(
     inFlight: InFlightRequest,
-    reason: NoTargetReason,
+    unavailability: Unavailability,
     now: number,
   ): boolean {
-    return getWaitEnd(inFlight, reason, now) > now;
+    return getWaitEnd(inFlight, unavailability, now) > now;
   }
 
   /** Lets a request wait; false when it is to be refused at once. */
   tryAdd(
     inFlight: InFlightRequest,
-    reason: NoTargetReason,
+    unavailability: Unavailability,
     now: number,
   ): boolean {
-    if (!this.mayWait(inFlight, reason, now)) return false;
-    const until = getWaitEnd(inFlight, reason, now);
+    if (!this.mayWait(inFlight, unavailability, now)) return false;
+    const { reason } = unavailability;
+    const until = getWaitEnd(inFlight, unavailability, now);
     const waiting = createWaiting(inFlight, { until, reason, now });
     if (this.#byId.size >= MOST_WAITING && !this.#tryReplace(waiting)) {
       return false;
@@ -110,12 +112,17 @@
    * There still was no target. Once something is known to be gone, the request waits no
    * longer than one that comes now.
    */
-  noteReason(requestId: number, reason: NoTargetReason, now: number): void {
+  noteReason(
+    requestId: number,
+    unavailability: Unavailability,
+    now: number,
+  ): void {
     const waiting = this.#byId.get(requestId);
     if (waiting === undefined) return;
+    const { reason } = unavailability;
     waiting.reason = reason;
     if (!OUTAGE_REASONS.has(reason)) return;
-    const until = getWaitEnd(waiting.inFlight, reason, now);
+    const until = getWaitEnd(waiting.inFlight, unavailability, now);
     waiting.until = Math.min(waiting.until, until);
   }
 
@@ -186,16 +193,19 @@
   };
 }
 
-/** When a request has waited as long as it may, in milliseconds. */
+/**
+ * When a request has waited as long as it may, in milliseconds. One that is known to find no
+ * target until then does not wait.
+ */
 function getWaitEnd(
   inFlight: InFlightRequest,
-  reason: NoTargetReason,
+  { reason, freeInMs = 0 }: Unavailability,
   now: number,
 ): number {
   // A permit is asked for now, however long the request has been here.
   const startAt = reason === "TARGETS_LIMITED" ? now : inFlight.arrivedAt;
   const facts = tryReturnFacts(inFlight, { reason }, startAt);
-  return facts === undefined
-    ? Number.NEGATIVE_INFINITY
-    : startAt + getLongestWaitMs(facts);
+  if (facts === undefined) return Number.NEGATIVE_INFINITY;
+  const end = startAt + getLongestWaitMs(facts);
+  return now + freeInMs < end ? end : Number.NEGATIVE_INFINITY;
 }
--- a/src/entry/waiting_requests_test.ts
+++ b/src/entry/waiting_requests_test.ts
@@ -46,12 +46,14 @@
   });
 }
 
+const STALLED = { reason: "GROUP_STALLED" } as const;
+
 function addAll(
   waiting: WaitingRequests,
   callers: readonly Caller[],
 ): readonly boolean[] {
   return callers.map((caller, place) =>
-    waiting.tryAdd(createRequest(place + 1, caller), "GROUP_STALLED", 0)
+    waiting.tryAdd(createRequest(place + 1, caller), STALLED, 0)
   );
 }
 
@@ -109,7 +111,7 @@
     );
     addAll(waiting, callers);
     const add = (id: number, caller: Caller) =>
-      waiting.tryAdd(createRequest(id, caller), "GROUP_STALLED", 0);
+      waiting.tryAdd(createRequest(id, caller), STALLED, 0);
     assert.equal(add(1000, { service: 2 }), false);
     assert.equal(add(1001, { isMixed: false }), false);
     assert.equal(add(1002, { service: 0 }), true);
--- a/src/external/back_end.ts
+++ b/src/external/back_end.ts
@@ -21,17 +21,24 @@
   readonly priority?: Priority;
   /** Incarnation that alone may run it; undefined: whichever answers. */
   readonly instance?: string;
+  /**
+   * Whether it may still be sent. Asked once its connection is ready, before the first byte;
+   * undefined: it may.
+   */
+  readonly mayBegin?: () => boolean;
 }
 
 /**
  * Why a call gave no whole answer: `not_begun` only if no byte of the request
- * can have reached the back end, `full` if the back end said that it did not run
+ * can have reached the back end, `withheld` if it was not to be sent any more once its
+ * connection was ready, `full` if the back end said that it did not run
  * the request, `group_lost` if it did not since another rank of its group is gone,
  * `wrong_instance` if another incarnation has its address, `late`
  * if the limit passed, `broken` otherwise.
  */
 export type BackEndFailure =
   | "not_begun"
+  | "withheld"
   | "full"
   | "group_lost"
   | "wrong_instance"
@@ -40,8 +47,9 @@
 
 /** Whether a failure means that the back end did not run the request. */
 export function isNotRun(failure: BackEndFailure): boolean {
-  return failure === "not_begun" || failure === "full" ||
-    failure === "group_lost" || failure === "wrong_instance";
+  return failure === "not_begun" || failure === "withheld" ||
+    failure === "full" || failure === "group_lost" ||
+    failure === "wrong_instance";
 }
 
 /** Load of a back end, as it told with an answer. */
--- a/src/external/back_end_failures.ts
+++ b/src/external/back_end_failures.ts
@@ -8,6 +8,7 @@
 
 const REASON_BY_FAILURE: Readonly<Record<BackEndFailure, RefusalName>> = {
   not_begun: "BACK_END_UNREACHABLE",
+  withheld: "TARGET_WITHHELD",
   full: "BACK_END_FULL",
   group_lost: "GROUP_CLOSED",
   wrong_instance: "WRONG_INSTANCE",
--- a/src/external/http_back_end.ts
+++ b/src/external/http_back_end.ts
@@ -70,6 +70,7 @@
     const connection = this.#connections.take(performance.now());
     const call = new HttpBackEndCall(listener, {
       limitMs: request.limitMs,
+      mayBegin: request.mayBegin,
       beginLimitMs: this.#connectLimitMs,
       connection,
       connections: this.#connections,
@@ -155,6 +156,8 @@
 
 interface HttpBackEndCallOptions {
   readonly limitMs: number;
+  /** Whether its request may still be sent; undefined: it may. */
+  readonly mayBegin: (() => boolean) | undefined;
   /** Milliseconds in which its request must be on its way. */
   readonly beginLimitMs: number;
   readonly connection: HttpConnection;
@@ -174,6 +177,7 @@
   #usableMs = 0;
   #hasHead = false;
   #isCancelled = false;
+  #isWithheld = false;
   #isLate = false;
   #isPaused = false;
   #isOver = false;
@@ -217,7 +221,8 @@
     // A connection that took longer was made while the process stood still, and whoever
     // asked may have left meanwhile: the timers that say so fire after this.
     const isOverdue = performance.now() - this.#startedAt >= this.#beginLimitMs;
-    if (this.#isCancelled || isOverdue) {
+    this.#isWithheld = this.#options.mayBegin?.() === false;
+    if (this.#isCancelled || isOverdue || this.#isWithheld) {
       return controller.abort(new Error("The call is not begun any more"));
     }
     this.#controller = controller;
@@ -293,6 +298,7 @@
   }
 
   #getFailure(): BackEndFailure {
+    if (this.#isWithheld) return "withheld";
     if (this.#isNotBegun) return "not_begun";
     return this.#isLate ? "late" : "broken";
   }
--- a/src/external/http_back_end_test.ts
+++ b/src/external/http_back_end_test.ts
@@ -147,6 +147,29 @@
   while (performance.now() < end) { /* Nothing else runs. */ }
 }
 
+describe("a call that is not to be sent any more once its connection is ready", () => {
+  // Guards against a request that reaches a back end after that has asked for none.
+  it("sends nothing, and says so", async () => {
+    let received = 0;
+    const { server, backEnd } = await startServer((socket) => {
+      socket.on("error", () => {/* It is reset, as nothing was sent. */});
+      socket.on("data", (bytes) => received += bytes.length);
+    });
+    const failure = await new Promise<string>((resolve) => {
+      backEnd.start({ ...REQUEST, mayBegin: () => false }, {
+        onHead: () => undefined,
+        onData: () => undefined,
+        onEnd: () => resolve("whole"),
+        onFailed: resolve,
+      });
+    });
+    await backEnd.close();
+    server.close();
+    assert.equal(failure, "withheld");
+    assert.equal(received, 0);
+  });
+});
+
 describe("a call whose connection was made while the process stood still", () => {
   it("sends nothing, and says so", async () => {
     const connectLimitMs = 30;
--- a/src/policy/domain_drains.ts
+++ b/src/policy/domain_drains.ts
@@ -5,12 +5,8 @@
  *
  * @module
  */
-import type { RandomSource } from "../core/random_source.ts";
-
 /** Milliseconds in which a failure domain takes up its whole load after a drain. */
 export const RETURN_MS = 3000;
-/** Steps between 0 and 1 in which a share of requests is drawn. */
-const DRAW_STEPS = 1_000_000;
 
 /** What a set of drained failure domains has changed. */
 export interface DrainChange {
@@ -20,24 +16,13 @@
   readonly ended: readonly string[];
 }
 
-/** Something that lies in a failure domain. */
-export interface Located {
-  readonly failureDomain: string;
-}
-
 /** Which failure domains are drained. */
 export class DomainDrains {
-  readonly #random: RandomSource;
   #drained: ReadonlySet<string> = new Set();
   #changedAt = Number.NEGATIVE_INFINITY;
   /** When the drains of those ended that do not take their whole load yet. */
   readonly #endedAt = new Map<string, number>();
 
-  /** Draws the requests of returning failure domains from `random`. */
-  constructor(random: RandomSource) {
-    this.#random = random;
-  }
-
   /** The drained failure domains. */
   get drained(): ReadonlySet<string> {
     return this.#drained;
@@ -74,23 +59,4 @@
     if (endedAt === undefined) return 1;
     return Math.min(1, Math.max(0, (now - endedAt) / RETURN_MS));
   }
-
-  /**
-   * The candidates of one request: those in a failure domain that returns only for its
-   * share of requests, unless there are no others.
-   */
-  limitReturning<T extends Located>(
-    candidates: readonly T[],
-    now: number,
-  ): readonly T[] {
-    for (const [name, endedAt] of this.#endedAt) {
-      if (now - endedAt >= RETURN_MS) this.#endedAt.delete(name);
-    }
-    if (this.#endedAt.size === 0) return candidates;
-    const drawn = this.#random.nextBelow(DRAW_STEPS) / DRAW_STEPS;
-    const admitted = candidates.filter(({ failureDomain }) =>
-      drawn < this.getShare(failureDomain, now)
-    );
-    return admitted.length > 0 ? admitted : candidates;
-  }
 }
--- a/src/policy/return_time.ts
+++ b/src/policy/return_time.ts
@@ -37,6 +37,8 @@
   | "overload"
   /** All targets that could serve it have named limits, and take no more now. */
   | "limit"
+  /** All targets that could serve it asked for a pause, whose end is known. */
+  | "backoff"
   /** Only one target is known that may run it, and it is not reached. */
   | "owner_away";
 
@@ -129,6 +131,10 @@
  * ```
  */
 export function getReturnMs(facts: ReturnFacts): number {
+  // The end is known: nothing is gained by a return before it, however long that is.
+  if (facts.obstacle === "backoff" && facts.freeInMs !== undefined) {
+    return facts.freeInMs;
+  }
   const longest = getLatestReturnMs(facts.leftMs);
   if (facts.obstacle === "overload" || facts.obstacle === "limit") {
     return Math.min(longest, facts.freeInMs ?? OVERLOAD_RETURN_MS);
--- /dev/null
+++ b/src/policy/target_backoffs_test.ts
@@ -0,0 +1,67 @@
+/**
+ * The pattern that these tests tell of: a target in trouble asks for pauses again and again,
+ * with answers that come late or name other times.
+ */
+import assert from "node:assert/strict";
+import { describe, it } from "node:test";
+import { LONGEST_BACKOFF_MS, TargetBackoffs } from "./target_backoffs.ts";
+
+const TARGET = "i-1";
+
+/** Pauses asked for at some times, each given as when and for how long. */
+function createBackoffs(
+  ...asked: readonly (readonly [now: number, askedMs: number])[]
+): TargetBackoffs {
+  const backoffs = new TargetBackoffs();
+  for (const [now, askedMs] of asked) {
+    backoffs.note({ target: TARGET, askedMs, now });
+  }
+  return backoffs;
+}
+
+describe("the pause that a target asks for", () => {
+  it("lasts as long as it asked for, and concerns that target alone", () => {
+    const backoffs = createBackoffs([100, 3000]);
+    assert.equal(backoffs.getRemainingMs(TARGET, 3099), 1);
+    assert.equal(backoffs.getRemainingMs(TARGET, 3100), 0);
+    assert.equal(backoffs.getRemainingMs("i-2", 100), 0);
+  });
+
+  it("is prolonged and never shortened by a later word", () => {
+    const shorter = createBackoffs([0, 3000], [1000, 500]);
+    assert.equal(shorter.getRemainingMs(TARGET, 1000), 2000);
+    const longer = createBackoffs([0, 3000], [1000, 3000]);
+    assert.equal(longer.getRemainingMs(TARGET, 1000), 3000);
+  });
+
+  it("is none where no time is asked for", () => {
+    const backoffs = createBackoffs([0, 0]);
+    assert.equal(backoffs.getRemainingMs(TARGET, 0), 0);
+    assert.equal(backoffs.count, 0);
+  });
+
+  it("is bounded whatever one word says", () => {
+    const backoffs = createBackoffs([0, 999_999_999_000]);
+    assert.equal(backoffs.getRemainingMs(TARGET, 0), LONGEST_BACKOFF_MS);
+  });
+
+  it("is told once as it ends, and gives the load back over time", () => {
+    const backoffs = createBackoffs([0, 2000]);
+    assert.equal(backoffs.getShare(TARGET, 1999), 0);
+    assert.deepEqual(backoffs.takeEnded(1999), []);
+    assert.equal(backoffs.takeEnded(2000).length, 1);
+    assert.deepEqual(backoffs.takeEnded(2100), []);
+    assert.equal(backoffs.getShare(TARGET, 3000), 0.5);
+    assert.equal(backoffs.getShare(TARGET, 4000), 1);
+    backoffs.takeEnded(4000);
+    assert.equal(backoffs.getShare(TARGET, 4000), 1);
+  });
+
+  it("counts as one while it is prolonged", () => {
+    const backoffs = createBackoffs([0, 1000], [500, 1000], [1400, 1000]);
+    assert.equal(backoffs.count, 1);
+    assert.equal(backoffs.size, 1);
+    backoffs.takeEnded(2400);
+    assert.equal(backoffs.size, 0);
+  });
+});
--- a/src/process/metrics.ts
+++ b/src/process/metrics.ts
@@ -21,6 +21,12 @@
   readonly coldTargets?: number;
   /** Requests sent to targets that warmed up, by pool. */
   readonly coldRequests?: ReadonlyMap<string, number>;
+  /** Targets that asked this process to send them nothing now. */
+  readonly backingOffTargets?: number;
+  /** Pauses that targets asked for, over the life of the process. */
+  readonly backoffs?: number;
+  /** What targets said of themselves that could not be understood, by the word. */
+  readonly unreadableNotices?: ReadonlyMap<string, number>;
   /** Load and capacity of rank groups, in requests, by name. */
   readonly utilizations?: ReadonlyMap<string, GroupUtilization>;
 }
@@ -142,6 +148,18 @@
       label: "pool",
       read: () => source().coldRequests ?? new Map(),
     });
+    this.metricsPage.gauge(
+      "backing_off_targets",
+      "Targets that asked this entry to send them nothing now",
+      () => source().backingOffTargets ?? 0,
+    );
+    this.metricsPage.counts({
+      name: "notices_total",
+      help:
+        "What targets said of themselves: pauses, and what could not be read",
+      label: "word",
+      read: () => readNotices(source()),
+    });
     const readUtilizations =
       (read: (utilization: GroupUtilization) => number) => () =>
         new Map(
@@ -264,3 +282,12 @@
     this.#faults.inc({ reason });
   }
 }
+
+function readNotices(
+  { backoffs = 0, unreadableNotices = new Map() }: MetricsSource,
+): ReadonlyMap<string, number> {
+  const unreadable = [...unreadableNotices].map(([word, count]) =>
+    [`unreadable_${word}`, count] as const
+  );
+  return new Map([["backoff", backoffs], ...unreadable]);
+}
--- a/src/refusals/catalogue.ts
+++ b/src/refusals/catalogue.ts
@@ -225,6 +225,18 @@
     title: "All targets of this service take few requests now",
     retryAfterSeconds: 1,
   },
+  TARGETS_BACKING_OFF: {
+    code: 5040,
+    status: 503,
+    title: "All targets that could serve this request asked for a pause",
+    retryAfterSeconds: 1,
+  },
+  TARGET_WITHHELD: {
+    code: 5041,
+    status: 503,
+    title: "The target takes no new work any more; nothing was sent to it",
+    retryAfterSeconds: 0.3,
+  },
   TARGETS_UNREACHABLE: {
     code: 5039,
     status: 503,
