Send nothing to targets that have said that they leave

Callers' requests reached a server that says in its answers that it leaves for as long as the list named it, from every entry that it had told. Cause: the header was read nowhere, and leaving was known from the list alone.

TargetAvailability asks for it, so it holds for each kind of send and once more when a connection is ready. It is true for all entries, so they tell each other, as of limits and crashes. Where all targets of a service leave, callers are refused at once.

--- a/src/direct/direct_entry_driver.ts
+++ b/src/direct/direct_entry_driver.ts
@@ -30,10 +30,11 @@
 import { DrainFollower } from "./drain_follower.ts";
 import { DirectTargetPool } from "./direct_target_pool.ts";
 import { GroupLoadFollower } from "./group_load_follower.ts";
-import { EntryMemories } from "./peers/entry_memories.ts";
 import { EntryPeers } from "./peers/entry_peers.ts";
 import type { ListedProcess } from "./listed_process.ts";
 import { ProcessRegistry } from "./process_registry.ts";
+import { readReducerGauges } from "./reducer_gauges.ts";
+import { createReducerMemories } from "./reducer_memories.ts";
 import { SettingsFollower } from "./settings_follower.ts";
 
 /**
@@ -105,12 +106,7 @@
       queued: 0,
       settingsRevision: this.#settings.inUse?.settings.version ?? 0,
       olderOffers: 0,
-      coldTargets: this.#reducer.warmUp.limits.coldCount,
-      coldRequests: this.#reducer.warmUp.sentByPool,
-      backingOffTargets: this.#reducer.notices.backoffs.size,
-      backoffs: this.#reducer.notices.backoffs.count,
-      unreadableNotices: this.#reducer.notices.unreadable,
-      utilizations: this.#reducer.gate.utilizationsAt(performance.now()),
+      ...readReducerGauges(this.#reducer, performance.now()),
     }), log);
     this.#server = new RequestServer({
       reducer: this.#reducer,
@@ -201,22 +197,10 @@
           processes: this.#registry.processes,
         },
       }),
-      memories: new EntryMemories({
-        crashes: this.#reducer.crashes,
-        limits: this.#reducer.limits,
-        onCrashes: (requests) =>
-          this.#server.dispatch({
-            kind: "crashes_told",
-            now: performance.now(),
-            requests,
-          }),
-        onLimits: (limits) =>
-          this.#server.dispatch({
-            kind: "limits_told",
-            now: performance.now(),
-            limits,
-          }),
-      }),
+      memories: createReducerMemories(
+        this.#reducer,
+        (event) => this.#server.dispatch(event),
+      ),
       givePermits: (target, count) =>
         this.#reducer.permits.give(target, count, performance.now()),
       onPermits: (outcome) =>
--- a/src/direct/peers/entry_memories.ts
+++ b/src/direct/peers/entry_memories.ts
@@ -1,11 +1,15 @@
 /**
  * What entries remember that is in no store, and tell each other: requests under which
- * targets ended, and the limits that targets name.
+ * targets ended, the limits that targets name, and targets that have said that they leave.
  *
  * @module
  */
 import type { CrashMemory } from "../../entry/crash_watch.ts";
 import type { CrashedRequest } from "../../policy/crash_history.ts";
+import type {
+  LeavingTarget,
+  LeavingTargets,
+} from "../../policy/leaving_targets.ts";
 import type { TargetLimit, TargetLimits } from "../../policy/target_limits.ts";
 import {
   MemoryTeller,
@@ -14,6 +18,7 @@
 } from "./memory_teller.ts";
 import type {
   CrashedRequestNews,
+  LeavingTargetNews,
   MemoriesNews,
   TargetLimitNews,
 } from "./types.ts";
@@ -22,21 +27,25 @@
 export interface MemoryContents {
   readonly crashes: string;
   readonly limits: string;
+  readonly leaving: string;
 }
 
 /** Contents of memories that hold nothing. */
 export const NO_MEMORIES: MemoryContents = {
   crashes: NOTHING_REMEMBERED,
   limits: NOTHING_REMEMBERED,
+  leaving: NOTHING_REMEMBERED,
 };
 
 /** Options of {@link EntryMemories}. */
 export interface EntryMemoriesOptions {
   readonly crashes: CrashMemory;
   readonly limits: Pick<TargetLimits, "content" | "list">;
+  readonly leaving: Pick<LeavingTargets, "content" | "list">;
   /** Another entry told what it remembers, on this process's clock. */
   readonly onCrashes: (requests: readonly CrashedRequest[]) => void;
   readonly onLimits: (limits: readonly TargetLimit[]) => void;
+  readonly onLeaving: (targets: readonly LeavingTarget[]) => void;
 }
 
 /** What an entry remembers that other entries are to know. */
@@ -50,13 +59,17 @@
 
   /** What is remembered now. */
   get contents(): MemoryContents {
-    const { crashes, limits } = this.#options;
-    return { crashes: crashes.content, limits: limits.content };
+    const { crashes, limits, leaving } = this.#options;
+    return {
+      crashes: crashes.content,
+      limits: limits.content,
+      leaving: leaving.content,
+    };
   }
 
   /** For one other entry. */
   createTeller(): MemoriesTeller {
-    const { crashes, limits } = this.#options;
+    const { crashes, limits, leaving } = this.#options;
     return new MemoriesTeller({
       crashes: {
         get content() {
@@ -70,35 +83,47 @@
         },
         list: (now) => limits.list().map((one) => toLimitNews(one, now)),
       },
+      leaving: {
+        get content() {
+          return leaving.content;
+        },
+        list: (now) => leaving.list().map((one) => toLeavingNews(one, now)),
+      },
     });
   }
 
   /** Another entry told what it remembers; `now` in milliseconds. */
-  take({ crashes, limits }: MemoriesNews, now: number): void {
-    const { onCrashes, onLimits } = this.#options;
+  take({ crashes, limits, leaving }: MemoriesNews, now: number): void {
+    const { onCrashes, onLimits, onLeaving } = this.#options;
     if (crashes?.items !== undefined) {
       onCrashes(crashes.items.map((one) => readCrashNews(one, now)));
     }
     if (limits?.items !== undefined) {
       onLimits(limits.items.map((one) => readLimitNews(one, now)));
     }
+    if (leaving?.items !== undefined) {
+      onLeaving(leaving.items.map((one) => readLeavingNews(one, now)));
+    }
   }
 }
 
 interface TellableMemories {
   readonly crashes: TellableMemory<CrashedRequestNews>;
   readonly limits: TellableMemory<TargetLimitNews>;
+  readonly leaving: TellableMemory<LeavingTargetNews>;
 }
 
 /** Tells one other entry what this one remembers. */
 export class MemoriesTeller {
   readonly #crashes: MemoryTeller<CrashedRequestNews>;
   readonly #limits: MemoryTeller<TargetLimitNews>;
+  readonly #leaving: MemoryTeller<LeavingTargetNews>;
 
   /** Has told nothing yet. */
-  constructor({ crashes, limits }: TellableMemories) {
+  constructor({ crashes, limits, leaving }: TellableMemories) {
     this.#crashes = new MemoryTeller(crashes);
     this.#limits = new MemoryTeller(limits);
+    this.#leaving = new MemoryTeller(leaving);
   }
 
   /**
@@ -113,6 +138,7 @@
     return {
       crashes: this.#crashes.tryTell(other.crashes, now),
       limits: this.#limits.tryTell(other.limits, now),
+      leaving: this.#leaving.tryTell(other.leaving, now),
     };
   }
 }
@@ -129,6 +155,7 @@
   return {
     crashes: news.crashes?.content ?? NOTHING_REMEMBERED,
     limits: news.limits?.content ?? NOTHING_REMEMBERED,
+    leaving: news.leaving?.content ?? NOTHING_REMEMBERED,
   };
 }
 
@@ -141,7 +168,8 @@
  * ```
  */
 export function areSame(left: MemoryContents, right: MemoryContents): boolean {
-  return left.crashes === right.crashes && left.limits === right.limits;
+  return left.crashes === right.crashes && left.limits === right.limits &&
+    left.leaving === right.leaving;
 }
 
 function toCrashNews(
@@ -188,6 +216,20 @@
   return { target, perSecond, version, heardAt: now - ageMs };
 }
 
+function toLeavingNews(
+  { target, knownAt }: LeavingTarget,
+  now: number,
+): LeavingTargetNews {
+  return { target, ageMs: getAge(knownAt, now) };
+}
+
+function readLeavingNews(
+  { target, ageMs }: LeavingTargetNews,
+  now: number,
+): LeavingTarget {
+  return { target, knownAt: now - ageMs };
+}
+
 function getAge(at: number, now: number): number {
   return Math.max(0, Math.round(now - at));
 }
--- a/src/direct/peers/entry_memories_test.ts
+++ b/src/direct/peers/entry_memories_test.ts
@@ -2,6 +2,10 @@
 import { describe, it } from "node:test";
 import { MESSAGE_SCHEMA } from "../../messages/schema.ts";
 import type { CrashedRequest } from "../../policy/crash_history.ts";
+import {
+  type LeavingTarget,
+  LeavingTargets,
+} from "../../policy/leaving_targets.ts";
 import { type TargetLimit, TargetLimits } from "../../policy/target_limits.ts";
 import { EntryMemories, getContents, NO_MEMORIES } from "./entry_memories.ts";
 
@@ -16,6 +20,8 @@
   readonly limits = new TargetLimits();
   readonly crashes: CrashedRequest[] = [];
   readonly heardLimits: TargetLimit[] = [];
+  readonly leaving = new LeavingTargets();
+  readonly heardLeaving: LeavingTarget[] = [];
   readonly heardCrashes: CrashedRequest[] = [];
   readonly memories: EntryMemories;
 
@@ -29,8 +35,10 @@
         list: () => crashes,
       },
       limits: this.limits,
+      leaving: this.leaving,
       onCrashes: (requests) => this.heardCrashes.push(...requests),
       onLimits: (limits) => this.heardLimits.push(...limits),
+      onLeaving: (targets) => this.heardLeaving.push(...targets),
     });
   }
 
@@ -44,6 +52,7 @@
     const from = new EntryFixture();
     from.crashes.push(CRASHED);
     from.name(2);
+    from.leaving.note("i-3", 900);
     const news = from.memories.createTeller().tell(NO_MEMORIES, 1000);
     const to = new EntryFixture();
     to.memories.take(news, 91_000);
@@ -54,6 +63,7 @@
     assert.deepEqual(to.heardLimits, [
       { target: "i-2", perSecond: 2, version: 1, heardAt: 90_600 },
     ]);
+    assert.deepEqual(to.heardLeaving, [{ target: "i-3", knownAt: 90_900 }]);
   });
 
   it("are left out where neither remembers any", () => {
@@ -61,6 +71,7 @@
     assert.deepEqual(memories.createTeller().tell(NO_MEMORIES, 0), {
       crashes: undefined,
       limits: undefined,
+      leaving: undefined,
     });
   });
 
--- a/src/direct/peers/schema.ts
+++ b/src/direct/peers/schema.ts
@@ -40,6 +40,11 @@
   ageMs: AGE_MS,
 });
 
+const LEAVING_TARGET_SCHEMA = z.object({
+  target: z.string().min(1),
+  ageMs: AGE_MS,
+});
+
 const MEMORIES_SCHEMA = z.object({
   crashes: z.object({
     content: z.string(),
@@ -49,6 +54,10 @@
     content: z.string(),
     items: z.array(TARGET_LIMIT_SCHEMA).optional(),
   }).optional(),
+  leaving: z.object({
+    content: z.string(),
+    items: z.array(LEAVING_TARGET_SCHEMA).optional(),
+  }).optional(),
 });
 
 /** Shapes of all messages between entries. */
--- a/src/direct/peers/types.ts
+++ b/src/direct/peers/types.ts
@@ -1,6 +1,7 @@
 /**
  * What entries tell each other: of the platform's store, which one reads for many, of
- * requests under which targets ended, and of the limits that targets name.
+ * requests under which targets ended, of the limits that targets name, and of targets that
+ * have said that they leave.
  *
  * @module
  */
@@ -37,6 +38,13 @@
   readonly ageMs: number;
 }
 
+/** A target that has said that it leaves, as another entry remembers it. */
+export interface LeavingTargetNews {
+  readonly target: string;
+  /** Milliseconds since it was last heard of. */
+  readonly ageMs: number;
+}
+
 /** What an entry remembers of one matter. */
 export interface MemoryNews<Item> {
   /** In short: the same for the same memory. */
@@ -49,6 +57,7 @@
 export interface MemoriesNews {
   readonly crashes?: MemoryNews<CrashedRequestNews>;
   readonly limits?: MemoryNews<TargetLimitNews>;
+  readonly leaving?: MemoryNews<LeavingTargetNews>;
 }
 
 /** What an entry has already, so that only news is told. */
--- a/src/entry/return_facts.ts
+++ b/src/entry/return_facts.ts
@@ -15,6 +15,7 @@
 /** Refusals after which the same request may be served later. */
 const OBSTACLES: Partial<Readonly<Record<RefusalName, Obstacle>>> = {
   NO_TARGET: "absence",
+  TARGETS_LEAVING: "outage",
   GROUP_CLOSED: "outage",
   GROUP_STALLED: "stall",
   TARGETS_UNREACHABLE: "outage",
--- a/src/entry/target_availability.ts
+++ b/src/entry/target_availability.ts
@@ -32,6 +32,7 @@
   | "DOMAINS_DRAINED"
   | "GROUP_CLOSED"
   | "GROUP_STALLED"
+  | "TARGETS_LEAVING"
   | "TARGETS_UNREACHABLE"
   | "POOL_FULL"
   | "GROUP_BUSY"
@@ -132,7 +133,7 @@
    */
   mayBegin(targetName: string, now: number): boolean {
     const target = this.#registry.tryGet(targetName);
-    return target !== undefined && target.isServing &&
+    return target !== undefined && this.#registry.isServing(target) &&
       this.#backoffs.getRemainingMs(targetName, now) === 0;
   }
 
@@ -251,9 +252,10 @@
       this.#closedReasonOf(serving) === "GROUP_STALLED";
   }
 
-  #absenceReasonOf(pool: string): "NO_TARGET" | "DOMAINS_DRAINED" {
-    return this.#registry.isDrainedWhole(pool)
-      ? "DOMAINS_DRAINED"
+  #absenceReasonOf(pool: string): NoTargetReason {
+    if (this.#registry.isDrainedWhole(pool)) return "DOMAINS_DRAINED";
+    return this.#registry.isLeavingWhole(pool)
+      ? "TARGETS_LEAVING"
       : "NO_TARGET";
   }
 
--- a/src/entry/target_registry.ts
+++ b/src/entry/target_registry.ts
@@ -58,14 +58,26 @@
   /** The targets of a pool that may be sent new work. */
   servingOf(pool: string): readonly TargetRecord[] {
     const targets = this.#byPool.get(pool) ?? [];
-    return targets.filter((target) => target.isServing);
+    return targets.filter((target) => this.isServing(target));
+  }
+
+  /** Whether a target may be sent new work, as far as its leaving and drains go. */
+  isServing(target: TargetRecord): boolean {
+    return target.isServing && !this.leaving.has(target.name);
+  }
+
+  /** Whether targets of a pool are listed as serving though all of them said they leave. */
+  isLeavingWhole(pool: string): boolean {
+    const targets = this.#byPool.get(pool) ?? [];
+    return targets.some((target) => target.isServing) &&
+      !targets.some((target) => this.isServing(target));
   }
 
   /** Whether all targets of a pool that would serve are in drained failure domains. */
   isDrainedWhole(pool: string): boolean {
     const targets = this.#byPool.get(pool) ?? [];
     return targets.some((target) => target.isHeldByDrain) &&
-      !targets.some((target) => target.isServing);
+      !targets.some((target) => this.isServing(target));
   }
 
   /** A target was connected to. Its load and failures start anew. */
--- a/src/entry/waiting_requests.ts
+++ b/src/entry/waiting_requests.ts
@@ -17,6 +17,7 @@
   "GROUP_CLOSED",
   "TARGETS_UNREACHABLE",
   "DOMAINS_DRAINED",
+  "TARGETS_LEAVING",
   "TARGETS_BACKING_OFF",
 ]);
 
--- a/src/process/metrics.ts
+++ b/src/process/metrics.ts
@@ -23,6 +23,8 @@
   readonly coldRequests?: ReadonlyMap<string, number>;
   /** Targets that asked this process to send them nothing now. */
   readonly backingOffTargets?: number;
+  /** Targets that are listed though they have said that they leave. */
+  readonly leavingTargets?: number;
   /** Pauses that targets asked for, over the life of the process. */
   readonly backoffs?: number;
   /** What targets said of themselves that could not be understood, by the word. */
@@ -153,6 +155,11 @@
       "Targets that asked this entry to send them nothing now",
       () => source().backingOffTargets ?? 0,
     );
+    this.metricsPage.gauge(
+      "leaving_targets",
+      "Targets that are listed though they have said that they leave",
+      () => source().leavingTargets ?? 0,
+    );
     this.metricsPage.counts({
       name: "notices_total",
       help:
--- a/src/refusals/catalogue.ts
+++ b/src/refusals/catalogue.ts
@@ -231,6 +231,12 @@
     title: "All targets that could serve this request asked for a pause",
     retryAfterSeconds: 1,
   },
+  TARGETS_LEAVING: {
+    code: 5042,
+    status: 503,
+    title: "All targets that could serve this request are leaving",
+    retryAfterSeconds: 2,
+  },
   TARGET_WITHHELD: {
     code: 5041,
     status: 503,
