Target processes keep the pauses that their back ends ask for, and pass them on

A back end behind a target process of ours that answers 503 with Retry-After got whatever entries sent to the target: the word went to callers only.

The target begins nothing at its back end until the end of the pause, refuses at once what waits or comes as not run, and tells entries how long it lasts, so that they hold back from it as from a back end that they call themselves. A limit and a word of leaving have no header outside the platform, so there is nothing to pass on.

What a target says to entries has moved to TargetReplies.

--- a/src/messages/schema.ts
+++ b/src/messages/schema.ts
@@ -33,6 +33,35 @@
 ]);
 const REASON = z.enum(REFUSAL_NAMES as [RefusalName, ...RefusalName[]]);
 
+const NO_WORD = z.object({ kind: z.literal("none") });
+const UNREADABLE_WORD = z.object({
+  kind: z.literal("unreadable"),
+  text: z.string(),
+});
+const NOTICE = z.object({
+  rateLimit: z.discriminatedUnion("kind", [
+    NO_WORD,
+    z.object({
+      kind: z.literal("limit"),
+      perSecond: z.number().nonnegative(),
+    }),
+    UNREADABLE_WORD,
+  ]),
+  backoff: z.discriminatedUnion("kind", [
+    NO_WORD,
+    z.object({
+      kind: z.literal("backoff"),
+      milliseconds: z.number().nonnegative(),
+    }),
+    UNREADABLE_WORD,
+  ]),
+  leaving: z.discriminatedUnion("kind", [
+    NO_WORD,
+    z.object({ kind: z.literal("leaving") }),
+    UNREADABLE_WORD,
+  ]),
+});
+
 /** Shape of every message between processes. */
 export const MESSAGE_SCHEMA: z.ZodType<Message> = z.discriminatedUnion("kind", [
   z.object({ kind: z.literal("challenge"), protocol: COUNT, nonce: NAME }),
@@ -78,6 +107,7 @@
     status: COUNT,
     headers: HEADERS,
     endsWithConnection: z.boolean().optional(),
+    notice: NOTICE.optional(),
   }),
   z.object({ kind: z.literal("answer_data"), ...SEQUENCED, bytes: BYTES }),
   z.object({
@@ -93,6 +123,7 @@
     reason: REASON,
     outcome: OUTCOME,
     submission: OUTCOME,
+    notice: NOTICE.optional(),
   }),
   z.object({
     kind: z.literal("report"),
--- a/src/messages/types.ts
+++ b/src/messages/types.ts
@@ -101,7 +101,7 @@
   readonly headers: readonly Header[];
   /** Its end cannot be told from its sender's crash; see `AnswerFraming`. */
   readonly endsWithConnection?: boolean;
-  /** Of a back end that is called without a target process. */
+  /** Undefined where the back end said nothing of itself. */
   readonly notice?: BackEndNotice;
 }
 
--- a/src/target/target_reducer.ts
+++ b/src/target/target_reducer.ts
@@ -9,21 +9,26 @@
  */
 import { assertNever } from "../core/debug.ts";
 import { SLOT_COUNT } from "../core/idempotency_key.ts";
+import type {
+  BackEndNotice,
+  BackoffWord,
+} from "../messages/back_end_notice.ts";
+import { readBackoff } from "../messages/notice_reader.ts";
 import type {
   CancelMessage,
   Message,
-  RefusedMessage,
   SubmitMessage,
 } from "../messages/types.ts";
+import { TargetBackoffs } from "../policy/target_backoffs.ts";
 import { FairQueue, latestStart } from "../policy/fair_queue.ts";
 import { isNotRun } from "../external/back_end.ts";
 import { getReasonOf } from "../external/back_end_failures.ts";
 import type { RefusalName } from "../refusals/catalogue.ts";
-import type { Outcome } from "../refusals/types.ts";
-import { type KeptAnswer, type KeyLedger } from "./key_ledger.ts";
+import type { KeyLedger } from "./key_ledger.ts";
 import { KeyGate } from "./key_gate.ts";
 import { LoadReporter } from "./load_reporter.ts";
 import { Run, type RunOwner } from "./run.ts";
+import { TargetReplies } from "./target_replies.ts";
 import type {
   BackEndData,
   BackEndEnd,
@@ -37,6 +42,9 @@
   TargetLimits,
 } from "./types.ts";
 
+/** Name of the back end among those that may ask this target for pauses. */
+const BACK_END = "back_end";
+
 interface Waiting {
   readonly owner: RunOwner;
   readonly request: SubmitMessage;
@@ -48,13 +56,6 @@
   readonly deadlineAt: number;
 }
 
-interface Refusal {
-  readonly reason: RefusalName;
-  readonly isKeyed: boolean;
-  /** What is known of this submission. */
-  readonly submission: Outcome;
-}
-
 /** Options of a {@link TargetReducer}. */
 export interface TargetReducerOptions {
   readonly limits: TargetLimits;
@@ -76,7 +77,8 @@
   /** Leaving by the word of the platform's list or of the settings. */
   #isSetLeaving = false;
   #saidDrained = false;
-  #effects: TargetEffect[] = [];
+  readonly #replies = new TargetReplies();
+  readonly #backoffs = new TargetBackoffs();
 
   /** Starts empty, owning no key slots. */
   constructor(options: TargetReducerOptions) {
@@ -114,16 +116,16 @@
    * ```
    */
   reduce(event: TargetEvent): readonly TargetEffect[] {
-    this.#effects = [];
     if (this.#gate.notePassing(event.now)) {
-      this.#effects.push({ kind: "confirm_claims" });
+      this.#replies.push({ kind: "confirm_claims" });
     }
     const wasLeaving = this.isLeaving;
     this.#reduce(event);
     if (this.isLeaving !== wasLeaving) this.#tellLeaving();
+    this.#refuseInPause(event.now);
     this.#startWork(event.now);
     this.#checkDrained();
-    return this.#effects;
+    return this.#replies.take();
   }
 
   #reduce(event: TargetEvent): void {
@@ -164,9 +166,9 @@
   #linkOpened(linkId: number, now: number): void {
     this.#openLinks.add(linkId);
     this.#reporter.noteTold(linkId, { load: this.#load(), now });
-    this.#reply(linkId, this.#claims());
-    this.#reply(linkId, this.#reporter.createReport(this.#load()));
-    if (this.isLeaving) this.#reply(linkId, { kind: "leaving" });
+    this.#replies.reply(linkId, this.#claims());
+    this.#replies.reply(linkId, this.#reporter.createReport(this.#load()));
+    if (this.isLeaving) this.#replies.reply(linkId, { kind: "leaving" });
   }
 
   /**
@@ -207,7 +209,7 @@
     };
     const isKeyed = request.idempotencyKey !== undefined;
     if (this.isLeaving) {
-      return this.#refuse(owner, {
+      return this.#replies.refuse(owner, {
         reason: "TARGET_LEAVING",
         isKeyed,
         submission: "not-run",
@@ -231,9 +233,9 @@
           fingerprint: decision.fingerprint,
         });
       case "replay":
-        return this.#replay(owner, decision.answer);
+        return this.#replies.replay(owner, decision.answer, this.#load());
       case "refused":
-        return this.#refuse(owner, {
+        return this.#replies.refuse(owner, {
           reason: decision.reason,
           isKeyed: true,
           submission: "not-run",
@@ -276,7 +278,7 @@
   #abandon(run: Run): void {
     run.abandon();
     if (run.fingerprint !== undefined) return;
-    this.#effects.push({ kind: "cancel_back_end", runId: run.id });
+    this.#replies.push({ kind: "cancel_back_end", runId: run.id });
   }
 
   #startWork(now: number): void {
@@ -297,7 +299,7 @@
     const { fingerprint } = item;
     if (fingerprint !== undefined && !this.#gate.mayBegin(fingerprint)) {
       this.#forgetKey(fingerprint);
-      return this.#refuse(item.owner, {
+      return this.#replies.refuse(item.owner, {
         reason: "OWNER_UNCERTAIN",
         isKeyed: true,
         submission: "not-run",
@@ -312,7 +314,7 @@
       gatherMs: this.#limits.gatherMs,
     });
     this.#runs.set(run.id, run);
-    this.#effects.push({
+    this.#replies.push({
       kind: "start_back_end",
       runId: run.id,
       request: { ...item.request, remainingMs: item.deadlineAt - now },
@@ -322,13 +324,19 @@
   #backEndHead(event: BackEndHead): void {
     const run = this.#runs.get(event.runId);
     if (run === undefined) return;
-    this.#replyTo(run, run.createHead(event));
+    const word = readBackoff(event.status, event.headers);
+    if (word.kind === "backoff") {
+      const askedMs = word.milliseconds;
+      this.#backoffs.note({ target: BACK_END, askedMs, now: event.now });
+    }
+    const notice = word.kind === "none" ? undefined : createBackoffNotice(word);
+    this.#replies.replyTo(run, { ...run.createHead(event), notice });
   }
 
   #backEndData(event: BackEndData): void {
     const run = this.#runs.get(event.runId);
     if (run === undefined) return;
-    this.#replyTo(run, run.addData(event.bytes, event.now));
+    this.#replies.replyTo(run, run.addData(event.bytes, event.now));
   }
 
   #backEndEnd(event: BackEndEnd): void {
@@ -336,8 +344,8 @@
     if (run === undefined) return;
     this.#runs.delete(run.id);
     this.#reporter.countRun(event.now - run.startedAt);
-    this.#replyTo(run, run.tryRest(event.now));
-    this.#replyTo(run, run.createEnd(this.#load()));
+    this.#replies.replyTo(run, run.tryRest(event.now));
+    this.#replies.replyTo(run, run.createEnd(this.#load()));
     if (this.#openLinks.has(run.owner.linkId)) {
       this.#reporter.noteTold(run.owner.linkId, {
         load: this.#load(),
@@ -358,7 +366,7 @@
       else this.#forgetKey(run.fingerprint);
     }
     if (run.isAbandoned) return;
-    this.#refuse(run.owner, {
+    this.#replies.refuse(run.owner, {
       reason: getReasonOf(event.failure),
       isKeyed: run.fingerprint !== undefined,
       submission: isBegun ? "unknown" : "not-run",
@@ -370,94 +378,75 @@
     if (!this.#gate.confirm(event.claims, event.askedAt)) return;
     const claims = this.#claims();
     if (JSON.stringify(claims) === before) return;
-    this.#effects.push({ kind: "broadcast", message: claims });
+    this.#replies.push({ kind: "broadcast", message: claims });
   }
 
   /** Only a target that will run nothing more knows all there is to know. */
   #handOver(event: HandOverAsked): void {
     if (!this.#saidDrained) return;
-    this.#reply(event.linkId, this.#gate.handOver(event.slot, event.now));
+    this.#replies.reply(
+      event.linkId,
+      this.#gate.handOver(event.slot, event.now),
+    );
   }
 
   #tick(now: number): void {
     this.#dropLate(now);
     for (const run of this.#runs.values()) {
-      this.#replyTo(run, run.tryGathered(now));
+      this.#replies.replyTo(run, run.tryGathered(now));
     }
     const load = this.#load();
     for (const linkId of this.#reporter.dueLinks(load, now)) {
-      this.#reply(linkId, this.#reporter.createReport(load));
+      this.#replies.reply(linkId, this.#reporter.createReport(load));
       this.#reporter.noteTold(linkId, { load, now });
     }
   }
 
   #tellLeaving(): void {
     const kind = this.isLeaving ? "leaving" : "serving";
-    this.#effects.push({ kind: "broadcast", message: { kind } });
+    this.#replies.push({ kind: "broadcast", message: { kind } });
   }
 
   #checkDrained(): void {
     if (!this.#isDraining || this.#saidDrained) return;
     if (this.#runs.size > 0 || this.#queue.length > 0) return;
     this.#saidDrained = true;
-    this.#effects.push({ kind: "drained" });
-  }
-
-  #replay(owner: RunOwner, answer: KeptAnswer): void {
-    const run = new Run({
-      id: 0,
-      owner,
-      startedAt: 0,
-      keptAnswerBytes: 0,
-      gatherMs: 0,
-    });
-    this.#replyTo(run, run.createHead(answer));
-    if (answer.body.length > 0) {
-      this.#replyTo(run, run.addData(answer.body, 0));
-    }
-    this.#replyTo(run, run.createEnd(this.#load()));
+    this.#replies.push({ kind: "drained" });
   }
 
   /** What waited was never handed to the back end, and never will be. */
-  #refuseWaiting(item: Waiting, reason: RefusalName): void {
+  #refuseWaiting(
+    item: Waiting,
+    reason: RefusalName,
+    notice?: BackEndNotice,
+  ): void {
     this.#forgetKey(item.fingerprint);
-    this.#refuse(item.owner, {
+    this.#replies.refuse(item.owner, {
       reason,
       isKeyed: item.fingerprint !== undefined,
       submission: "not-run",
+      notice,
     });
   }
 
   /**
-   * Of a key it is never said that it has not run: another submission of it may
-   * run before the word arrives.
+   * While the back end wants nothing, other targets may serve what would wait here; entries
+   * are told for how long.
    */
-  #refuse(owner: RunOwner, refusal: Refusal): void {
-    const { linkId, ...attempt } = owner;
-    const message: RefusedMessage = {
-      kind: "refused",
-      ...attempt,
-      reason: refusal.reason,
-      outcome: refusal.isKeyed ? "unknown" : refusal.submission,
-      submission: refusal.submission,
-    };
-    this.#effects.push({ kind: "count_refusal", reason: refusal.reason });
-    this.#reply(linkId, message);
+  #refuseInPause(now: number): void {
+    const milliseconds = this.#backoffs.getRemainingMs(BACK_END, now);
+    if (milliseconds === 0) return;
+    const notice = createBackoffNotice({ kind: "backoff", milliseconds });
+    const waiting = this.#queue.removeWhere(() => true);
+    for (const item of waiting) {
+      this.#refuseWaiting(item, "TARGET_WITHHELD", notice);
+    }
   }
 
   #forgetKey(fingerprint: string | undefined): void {
     if (fingerprint !== undefined) this.#gate.ledger.forget(fingerprint);
   }
 
-  #replyTo(run: Run, message: Message | undefined): void {
-    if (message === undefined || run.isAbandoned) return;
-    this.#reply(run.owner.linkId, message);
-  }
-
-  #reply(linkId: number, message: Message): void {
-    this.#effects.push({ kind: "reply", linkId, message });
-  }
-
   #claims(): Extract<Message, { kind: "claims" }> {
     return {
       kind: "claims",
@@ -471,3 +460,9 @@
     return { queued: this.#queue.length, running: this.#runs.size };
   }
 }
+
+/** What is passed on to entries of a pause that the back end asks for. */
+function createBackoffNotice(backoff: BackoffWord): BackEndNotice {
+  const none = { kind: "none" } as const;
+  return { rateLimit: none, backoff, leaving: none };
+}
--- a/src/target/target_reducer_test.ts
+++ b/src/target/target_reducer_test.ts
@@ -241,3 +241,46 @@
     );
   });
 });
+
+describe("a target whose back end asks for a pause", () => {
+  /** The back end answers the first request with 503, and asks for three seconds. */
+  function askForPause(target: TargetReducer): readonly TargetEffect[] {
+    receive(target, createSubmit({ requestId: 1 }));
+    return target.reduce({
+      kind: "back_end_head",
+      now: 100,
+      runId: 1,
+      status: 503,
+      headers: [["retry-after", "3"]],
+    });
+  }
+
+  // Guards against a target that sends on to a back end that wants nothing from it.
+  it("begins nothing until its end, and refuses what waits at once", () => {
+    const paused = createTarget();
+    const asked = askForPause(paused);
+    assert.ok(
+      asked.some((effect) =>
+        effect.kind === "reply" && effect.message.kind === "answer_head" &&
+        effect.message.notice?.backoff.kind === "backoff"
+      ),
+    );
+    const [refusal] = refusalsOf(
+      receive(paused, createSubmit({ requestId: 3 }), 1100),
+    );
+    assert.equal(refusal?.reason, "TARGET_WITHHELD");
+    assert.equal(refusal?.submission, "not-run");
+    assert.deepEqual(refusal?.notice?.backoff, {
+      kind: "backoff",
+      milliseconds: 2000,
+    });
+  });
+
+  it("begins work again after it", () => {
+    const target = createTarget();
+    askForPause(target);
+    target.reduce({ kind: "back_end_end", now: 110, runId: 1 });
+    const later = receive(target, createSubmit({ requestId: 4 }), 3100);
+    assert.deepEqual(startsOf(later), [4]);
+  });
+});
