--- a/src/entry/answer_receiver.ts
+++ b/src/entry/answer_receiver.ts
@@ -100,10 +100,10 @@
   ): void {
     const status = inFlight.head?.status ?? 0;
     const isServerError = status >= SERVER_ERROR_STATUS;
-    const hasPause =
+    const isBackingOff =
       this.#options.notices.backoffs.getRemainingMs(at.target.name, at.now) > 0;
-    // The pause itself says for how long the target gets nothing.
-    if (!isServerError || !hasPause) {
+    // The backoff itself says for how long the target gets nothing.
+    if (!isServerError || !isBackingOff) {
       at.target.countAttempt(isServerError, at.now);
     }
     at.target.noteConnection(message.keptMs, at.now);
--- a/src/entry/backing_off_targets_test.ts
+++ b/src/entry/backing_off_targets_test.ts
@@ -1,5 +1,5 @@
 /**
- * The failure that these tests guard against: a target in need asks the entry for a pause, and
+ * The failure that these tests guard against: a target in need asks the entry for a backoff, and
  * requests reach it as first attempts, retries, resumed streams, after a wait, for the owner
  * of a key, by a permit, as probes, or over a connection that took long to make.
  */
@@ -20,7 +20,7 @@
 import { EntryReducer } from "./entry_reducer.ts";
 import type { CallerRequest, EntryEffect, EntryEvent } from "./types.ts";
 
-const PAUSE_MS = 3000;
+const BACKOFF_MS = 3000;
 const REQUESTS = 40;
 const SERVICE = [
   "resumable: true",
@@ -78,22 +78,22 @@
     throw new Error(`No request went to ${target}`);
   }
 
-  /** The target refuses a request and asks for a pause. */
-  askForPause(
+  /** The target refuses a request and asks for a backoff. */
+  askForBackoff(
     target: string,
     now: number,
-    milliseconds = PAUSE_MS,
+    milliseconds = BACKOFF_MS,
   ): readonly EntryEffect[] {
     return this.#turnAway(target, this.sendTo(target, now), now, milliseconds);
   }
 
-  /** All targets refuse a request each and ask for a pause. */
-  askForPauseOfAll(now: number): void {
+  /** All targets refuse a request each and ask for a backoff. */
+  askForBackoffOfAll(now: number): void {
     const sent = this.#names.map((target) =>
       [target, this.sendTo(target, now)] as const
     );
     for (const [target, submit] of sent) {
-      this.#turnAway(target, submit, now, PAUSE_MS);
+      this.#turnAway(target, submit, now, BACKOFF_MS);
     }
   }
 
@@ -147,44 +147,44 @@
   return undefined;
 }
 
-describe("a target that asked for a pause", () => {
+describe("a target that asked for a backoff", () => {
   it("gets neither first attempts nor retries until its end", () => {
     const fixture = new BackoffFixture();
-    const effects = fixture.askForPause("one", 0);
+    const effects = fixture.askForBackoff("one", 0);
     assert.notEqual(targetsOf(effects), "one");
     assert.equal(fixture.targetsOfRequests(10), "three two");
-    assert.equal(fixture.targetsOfRequests(PAUSE_MS - 1), "three two");
-    assert.equal(fixture.targetsOfRequests(2 * PAUSE_MS), "one three two");
+    assert.equal(fixture.targetsOfRequests(BACKOFF_MS - 1), "three two");
+    assert.equal(fixture.targetsOfRequests(2 * BACKOFF_MS), "one three two");
   });
 
   it("gets nothing though it drops out of the list for a moment", () => {
     const fixture = new BackoffFixture();
-    fixture.askForPause("one", 0);
+    fixture.askForBackoff("one", 0);
     fixture.list(["two", "three"], 100);
     fixture.list(["one", "two", "three"], 200);
     assert.equal(fixture.targetsOfRequests(300), "three two");
   });
 
-  it("is not held to have failed once the pause is over", () => {
+  it("is not held to have failed once the backoff is over", () => {
     const fixture = new BackoffFixture();
-    fixture.askForPause("one", 0);
+    fixture.askForBackoff("one", 0);
     assert.equal(fixture.entry.registry.tryGet("one")?.failureShare, 0);
   });
 
   it("gets its load back over time", () => {
     const fixture = new BackoffFixture(["one", "two"]);
-    fixture.askForPause("one", 0);
+    fixture.askForBackoff("one", 0);
     const countAt = (now: number) =>
       Array.from({ length: 200 }, () => sentOf(fixture.request(now)))
         .flat().filter(({ target }) => target === "one").length;
-    const early = countAt(PAUSE_MS + 100);
+    const early = countAt(BACKOFF_MS + 100);
     assert.ok(early < 20, `${early} of 200`);
   });
 
   it("does not get a stream that goes on elsewhere", () => {
     const fixture = new BackoffFixture(["one", "two", "three"]);
     const submit = fixture.sendTo("two", 0);
-    fixture.askForPause("one", 0);
+    fixture.askForBackoff("one", 0);
     const headers = [["content-type", "text/event-stream"]] as const;
     const head = { kind: "answer_head", sequence: 0, status: 200 } as const;
     fixture.receive("two", { ...head, ...placeOf(submit), headers }, 10);
@@ -198,7 +198,7 @@
   it("does not get the error of another one in place of the caller", () => {
     const fixture = new BackoffFixture(["one", "two"]);
     const submit = fixture.sendTo("two", 0);
-    fixture.askForPause("one", 0);
+    fixture.askForBackoff("one", 0);
     const [head, end] = createEmptyAnswer(submit) as [
       AttemptMessage,
       AttemptMessage,
@@ -227,7 +227,7 @@
       message: { kind: "claims", version: 1, slotCount: 64, slots: [slot] },
     });
     assert.equal(targetsOf(fixture.request(0, { idempotencyKey })), "one");
-    fixture.askForPause("one", 0);
+    fixture.askForBackoff("one", 0);
     const refusal = refusalOf(fixture.request(10, { idempotencyKey }));
     assert.equal(refusal?.reason, "TARGETS_BACKING_OFF");
   });
@@ -235,16 +235,16 @@
   it("is not sent what was chosen for it before", () => {
     const fixture = new BackoffFixture();
     assert.ok(fixture.entry.mayBegin("one", 0));
-    fixture.askForPause("one", 0);
+    fixture.askForBackoff("one", 0);
     assert.ok(!fixture.entry.mayBegin("one", 10));
     assert.ok(fixture.entry.mayBegin("two", 10));
-    assert.ok(fixture.entry.mayBegin("one", PAUSE_MS));
+    assert.ok(fixture.entry.mayBegin("one", BACKOFF_MS));
   });
 
   it("loses what was chosen for it before to another one", () => {
     const fixture = new BackoffFixture(["one", "two"]);
     const submit = fixture.sendTo("one", 0);
-    fixture.askForPause("one", 0);
+    fixture.askForBackoff("one", 0);
     const withheld = createRefused(submit, "TARGET_WITHHELD");
     assert.equal(targetsOf(fixture.receive("one", withheld, 600)), "two");
   });
@@ -258,15 +258,15 @@
       now: 0,
       limits: [{ target: "one", perSecond: 5, version: 1, heardAt: 0 }],
     });
-    fixture.askForPause("one", 6000);
+    fixture.askForBackoff("one", 6000);
     assert.equal(fixture.targetsOfRequests(8000), "");
   });
 });
 
-describe("targets all of which asked for a pause", () => {
+describe("targets all of which asked for a backoff", () => {
   it("are sent nothing, and callers are told the end at once", () => {
     const fixture = new BackoffFixture(["one", "two"]);
-    fixture.askForPauseOfAll(0);
+    fixture.askForBackoffOfAll(0);
     const effects = fixture.request(1000);
     const refusal = refusalOf(effects);
     assert.equal(targetsOf(effects), "");
@@ -277,15 +277,15 @@
 
   it("get a request that can wait for the end as it comes", () => {
     const fixture = new BackoffFixture(["one", "two"]);
-    fixture.askForPauseOfAll(0);
-    assert.equal(refusalOf(fixture.request(PAUSE_MS - 50)), undefined);
-    const later = fixture.reduce({ kind: "tick", now: PAUSE_MS });
+    fixture.askForBackoffOfAll(0);
+    assert.equal(refusalOf(fixture.request(BACKOFF_MS - 50)), undefined);
+    const later = fixture.reduce({ kind: "tick", now: BACKOFF_MS });
     assert.equal(sentOf(later).length, 1);
   });
 
   it("are told of with times that spread", () => {
     const fixture = new BackoffFixture(["one", "two"]);
-    fixture.askForPauseOfAll(0);
+    fixture.askForBackoffOfAll(0);
     const times = Array.from(
       { length: REQUESTS },
       () => refusalOf(fixture.request(1000))?.retryAfterSeconds ?? 0,
--- a/src/entry/notice_notes.ts
+++ b/src/entry/notice_notes.ts
@@ -25,7 +25,7 @@
   };
 }
 
-/** A target asked for a pause, or for a longer one than before. */
+/** A target asked for a backoff, or for a longer one than before. */
 export function createBackoffNote(
   { id, correlationId }: CallerRequest,
   { target, askedMs, since, until }: Backoff,
@@ -45,7 +45,7 @@
   };
 }
 
-/** The pause of a target is over. */
+/** The backoff of a target is over. */
 export function createBackoffEndedNote(
   { target, askedMs, since, until }: Backoff,
   now: number,
@@ -56,7 +56,7 @@
     details: {
       target,
       askedMs: Math.round(askedMs),
-      pausedMs: Math.round(until - since),
+      backoffMs: Math.round(until - since),
       ageMs: Math.round(now - until),
     },
   };
--- a/src/entry/notice_watch.ts
+++ b/src/entry/notice_watch.ts
@@ -1,6 +1,6 @@
 /**
  * Hears what targets say of themselves with their answers, and what other entries heard:
- * limits, pauses, and that they leave.
+ * limits, backoffs, and that they leave.
  *
  * @module
  */
--- a/src/entry/target_availability.ts
+++ b/src/entry/target_availability.ts
@@ -3,7 +3,7 @@
  *
  * Everything that forbids or limits sends to a target is asked here, and by every kind of
  * send: what lists, settings and the target itself say of its leaving, drains of its failure
- * domain, its rank group, pauses that it asked for, what cannot be reached, and limits of
+ * domain, its rank group, backoffs that it asked for, what cannot be reached, and limits of
  * what it takes. Load and preference among the targets that are left are the matter of
  * `target_selection.ts`.
  *
@@ -57,7 +57,7 @@
   readonly entryName: string;
   /** The limits on what targets are sent. */
   readonly limits: SendLimits;
-  /** The pauses that targets ask this entry for. */
+  /** The backoffs that targets ask this entry for. */
   readonly backoffs: TargetBackoffs;
 }
 
@@ -101,7 +101,7 @@
     if (running.length === 0) return Err(this.#closedReasonOf(serving));
     const willing = this.#backoffs.isIdle
       ? running
-      : running.filter(({ name }) => !this.#isPaused(name, now));
+      : running.filter(({ name }) => !this.#isBackingOff(name, now));
     if (willing.length === 0) return Err("TARGETS_BACKING_OFF");
     const reachable = this.reachability.filter(willing, now);
     return reachable.length === 0 ? Err("TARGETS_UNREACHABLE") : Ok(reachable);
@@ -123,8 +123,8 @@
     const owner = this.#tryOwner(inFlight);
     if (owner === undefined) return Err("NO_KEY_OWNER");
     if (owner.isDrained) return Err("DOMAINS_DRAINED");
-    const isPaused = this.#isPaused(owner.name, now);
-    return isPaused ? Err("TARGETS_BACKING_OFF") : Ok(owner);
+    const isBackingOff = this.#isBackingOff(owner.name, now);
+    return isBackingOff ? Err("TARGETS_BACKING_OFF") : Ok(owner);
   }
 
   /**
@@ -134,12 +134,12 @@
   mayBegin(targetName: string, now: number): boolean {
     const target = this.#registry.tryGet(targetName);
     return target !== undefined && this.#registry.isServing(target) &&
-      !this.#isPaused(targetName, now);
+      !this.#isBackingOff(targetName, now);
   }
 
   /**
    * The targets that one request may go to while others take up their load again: each that
-   * returns from a drain or a pause only for its share of requests, unless there are no
+   * returns from a drain or a backoff only for its share of requests, unless there are no
    * others.
    */
   limitReturning(
@@ -170,14 +170,14 @@
     now: number,
   ): Unavailability {
     if (reason !== "TARGETS_BACKING_OFF") return { reason };
-    const pauses = this.#listCandidates(inFlight)
+    const backoffs = this.#listCandidates(inFlight)
       .map(({ name }) => ({
         freeInMs: this.#backoffs.getRemainingMs(name, now),
         spreadMs: this.#backoffs.getReturnMs(name),
       }))
       .filter(({ freeInMs }) => freeInMs > 0)
       .sort((left, right) => left.freeInMs - right.freeInMs);
-    return { reason, ...pauses[0] };
+    return { reason, ...backoffs[0] };
   }
 
   /**
@@ -201,7 +201,7 @@
     return owner === undefined ? [] : [owner];
   }
 
-  #isPaused(targetName: string, now: number): boolean {
+  #isBackingOff(targetName: string, now: number): boolean {
     return this.#backoffs.getRemainingMs(targetName, now) > 0;
   }
 
@@ -223,7 +223,7 @@
   tryPlanAhead(pool: string, now: number): PermitQuestion | undefined {
     if (this.#limits.isEmpty) return undefined;
     for (const { name } of this.#registry.servingOf(pool)) {
-      if (this.#isPaused(name, now)) continue;
+      if (this.#isBackingOff(name, now)) continue;
       const question = this.permits.tryPlanAhead(name, now);
       if (question !== undefined) return question;
     }
--- a/src/entry/target_news.ts
+++ b/src/entry/target_news.ts
@@ -133,7 +133,7 @@
     at: TargetMoment,
   ): readonly EntryEffect[] {
     const { target, now } = at;
-    // A pause itself says for how long the target gets nothing.
+    // A backoff itself says for how long the target gets nothing.
     if (notice?.backoff.kind !== "backoff") {
       target.countAttempt(isTargetsFault(reason), now);
     }
--- a/src/entry/target_selection.ts
+++ b/src/entry/target_selection.ts
@@ -38,7 +38,7 @@
   readonly registry: TargetRegistry;
   /** The limits on what targets are sent. */
   readonly limits: SendLimits;
-  /** The pauses that targets ask this entry for. */
+  /** The backoffs that targets ask this entry for. */
   readonly backoffs: TargetBackoffs;
 }
 
--- a/src/events/catalogue.ts
+++ b/src/events/catalogue.ts
@@ -377,14 +377,14 @@
   TARGET_RETURNS: {
     code: 2813,
     level: "info",
-    text: "The pause that a target asked for is over; its load comes back",
+    text: "The backoff that a target asked for is over; its load comes back",
     action: NOTHING,
   },
   BACKOFF_UNREADABLE: {
     code: 2814,
     level: "warn",
     text:
-      "A target asked for a pause that is no number of seconds, and gets none",
+      "A target asked for a backoff that is no number of seconds, and gets none",
     action: "See `text`, and mend what sends it.",
   },
   TARGET_SAYS_LEAVING: {
--- a/src/messages/notice_reader.ts
+++ b/src/messages/notice_reader.ts
@@ -16,7 +16,7 @@
 const RETRY_AFTER = "retry-after";
 
 /**
- * What an answer says of a pause. Only one of status 503 speaks of the back end as a whole;
+ * What an answer says of a backoff. Only one of status 503 speaks of the back end as a whole;
  * with another status the header concerns the caller. A date is unreadable: the time of
  * day here and there may differ by seconds.
  *
--- a/src/policy/return_time.ts
+++ b/src/policy/return_time.ts
@@ -37,7 +37,7 @@
   | "overload"
   /** All targets that could serve it have named limits, and take no more now. */
   | "limit"
-  /** All targets that could serve it asked for a pause, whose end is known. */
+  /** All targets that could serve it asked for a backoff, whose end is known. */
   | "backoff"
   /** Only one target is known that may run it, and it is not reached. */
   | "owner_away";
--- a/src/policy/target_backoffs.ts
+++ b/src/policy/target_backoffs.ts
@@ -1,24 +1,24 @@
 /**
- * The pauses that targets ask this entry for.
+ * The backoffs that targets ask this entry for.
  *
  * The pattern: a target in trouble refuses a request and names a time in which it wants
- * nothing from whoever sent it. Others may go on sending to it, so each entry keeps the pauses
+ * nothing from whoever sent it. Others may go on sending to it, so each entry keeps the backoffs
  * that it was told itself, and nobody else's.
  *
- * A pause is kept by the target's name and not with what else is known of the target, which
+ * A backoff is kept by the target's name and not with what else is known of the target, which
  * goes when the target drops out of a list for a moment. It runs on the monotonic clock, from
  * when it was heard. A later word prolongs it and never shortens it: the time that was asked
- * for first holds on. An answer of the target within the pause does not end it, either, since
+ * for first holds on. An answer of the target within the backoff does not end it, either, since
  * its request was sent before.
  *
- * Once it is over the load comes back over time: other entries were told of pauses that end
+ * Once it is over the load comes back over time: other entries were told of backoffs that end
  * at about the same moment, and so were the callers that were sent away meanwhile.
  *
  * @module
  */
 
 /**
- * Longest pause that one word can bring about, in milliseconds. A target that is in need for
+ * Longest backoff that one word can bring about, in milliseconds. A target that is in need for
  * longer says so again, and a mistaken word costs no target more than an hour.
  */
 export const LONGEST_BACKOFF_MS = 3_600_000;
@@ -34,7 +34,7 @@
   readonly now: number;
 }
 
-/** A pause of a target. */
+/** A backoff of a target. */
 export interface Backoff {
   readonly target: string;
   /** How long the target asked for, in milliseconds, with the word that holds. */
@@ -45,13 +45,13 @@
   readonly until: number;
 }
 
-/** A pause that has ended, and a target whose load comes back. */
+/** A backoff that has ended, and a target whose load comes back. */
 interface Return {
   readonly since: number;
   readonly until: number;
 }
 
-/** The pauses that targets ask this entry for. */
+/** The backoffs that targets ask this entry for. */
 export class TargetBackoffs {
   readonly #active = new Map<string, Backoff>();
   readonly #returning = new Map<string, Return>();
@@ -62,18 +62,18 @@
     return this.#active.size;
   }
 
-  /** Whether no target is in a pause or returns from one, as of the last {@link takeEnded}. */
+  /** Whether no target is in a backoff or returns from one, as of the last {@link takeEnded}. */
   get isIdle(): boolean {
     return this.#active.size + this.#returning.size === 0;
   }
 
-  /** Pauses that have begun, over the life of the process. */
+  /** Backoffs that have begun, over the life of the process. */
   get count(): number {
     return this.#count;
   }
 
   /**
-   * A target asked for a pause; returns it where it ends later than was known.
+   * A target asked for a backoff; returns it where it ends later than was known.
    *
    * @example
    * ```ts
@@ -109,7 +109,7 @@
     return Math.min(1, Math.max(0, (now - since) / (until - since)));
   }
 
-  /** Milliseconds over which the load of a target comes back once its pause has ended. */
+  /** Milliseconds over which the load of a target comes back once its backoff has ended. */
   getReturnMs(target: string): number {
     const active = this.#active.get(target);
     if (active === undefined) return 0;
@@ -117,7 +117,7 @@
     return until - since;
   }
 
-  /** Time passed; returns the pauses that have ended since the last time. */
+  /** Time passed; returns the backoffs that have ended since the last time. */
   takeEnded(now: number): readonly Backoff[] {
     for (const [target, { until }] of this.#returning) {
       if (until <= now) this.#returning.delete(target);
@@ -138,7 +138,7 @@
   }
 }
 
-/** The load comes back over as long as the pause was. */
+/** The load comes back over as long as the backoff was. */
 function createReturn({ since, until }: Backoff): Return {
   const forMs = Math.min(until - since, LONGEST_RETURN_MS);
   return { since: until, until: until + forMs };
--- a/src/policy/target_backoffs_test.ts
+++ b/src/policy/target_backoffs_test.ts
@@ -1,5 +1,5 @@
 /**
- * The pattern that these tests tell of: a target in trouble asks for pauses again and again,
+ * The pattern that these tests tell of: a target in trouble asks for backoffs again and again,
  * with answers that come late or name other times.
  */
 import assert from "node:assert/strict";
@@ -8,7 +8,7 @@
 
 const TARGET = "i-1";
 
-/** Pauses asked for at some times, each given as when and for how long. */
+/** Backoffs asked for at some times, each given as when and for how long. */
 function createBackoffs(
   ...asked: readonly (readonly [now: number, askedMs: number])[]
 ): TargetBackoffs {
@@ -19,7 +19,7 @@
   return backoffs;
 }
 
-describe("the pause that a target asks for", () => {
+describe("the backoff that a target asks for", () => {
   it("lasts as long as it asked for, and concerns that target alone", () => {
     const backoffs = createBackoffs([100, 3000]);
     assert.equal(backoffs.getRemainingMs(TARGET, 3099), 1);
--- a/src/process/metrics.ts
+++ b/src/process/metrics.ts
@@ -25,7 +25,7 @@
   readonly backingOffTargets?: number;
   /** Targets that are listed though they have said that they leave. */
   readonly leavingTargets?: number;
-  /** Pauses that targets asked for, over the life of the process. */
+  /** Backoffs that targets asked for, over the life of the process. */
   readonly backoffs?: number;
   /** What targets said of themselves that could not be understood, by the word. */
   readonly unreadableNotices?: ReadonlyMap<string, number>;
@@ -163,7 +163,7 @@
     this.metricsPage.counts({
       name: "notices_total",
       help:
-        "What targets said of themselves: pauses, and what could not be read",
+        "What targets said of themselves: backoffs, and what could not be read",
       label: "word",
       read: () => readNotices(source()),
     });
--- a/src/refusals/catalogue.ts
+++ b/src/refusals/catalogue.ts
@@ -228,7 +228,7 @@
   TARGETS_BACKING_OFF: {
     code: 5040,
     status: 503,
-    title: "All targets that could serve this request asked for a pause",
+    title: "All targets that could serve this request asked for a backoff",
     retryAfterSeconds: 1,
   },
   TARGETS_LEAVING: {
--- a/src/target/target_reducer.ts
+++ b/src/target/target_reducer.ts
@@ -42,7 +42,7 @@
   TargetLimits,
 } from "./types.ts";
 
-/** Name of the back end among those that may ask this target for pauses. */
+/** Name of the back end among those that may ask this target for backoffs. */
 const BACK_END = "back_end";
 
 interface Waiting {
@@ -122,7 +122,7 @@
     const wasLeaving = this.isLeaving;
     this.#reduce(event);
     if (this.isLeaving !== wasLeaving) this.#tellLeaving();
-    this.#refuseInPause(event.now);
+    this.#refuseInBackoff(event.now);
     this.#startWork(event.now);
     this.#checkDrained();
     return this.#replies.take();
@@ -433,7 +433,7 @@
    * While the back end wants nothing, other targets may serve what would wait here; entries
    * are told for how long.
    */
-  #refuseInPause(now: number): void {
+  #refuseInBackoff(now: number): void {
     const milliseconds = this.#backoffs.getRemainingMs(BACK_END, now);
     if (milliseconds === 0) return;
     const notice = createBackoffNotice({ kind: "backoff", milliseconds });
@@ -461,7 +461,7 @@
   }
 }
 
-/** What is passed on to entries of a pause that the back end asks for. */
+/** What is passed on to entries of a backoff that the back end asks for. */
 function createBackoffNotice(backoff: BackoffWord): BackEndNotice {
   const none = { kind: "none" } as const;
   return { rateLimit: none, backoff, leaving: none };
