Tell the end of a backoff to the caller whose request was refused last, too

Where the last target of a service refuses a request and asks for a backoff as the others did, its caller was told to come back after a second, or a third of its time; the end was known.

--- a/src/entry/backing_off_targets_test.ts
+++ b/src/entry/backing_off_targets_test.ts
@@ -275,6 +275,14 @@
     assert.ok(seconds >= 1.99 && seconds <= 5, `${seconds}`);
   });
 
+  it("tell the end to those whose requests they refused, too", () => {
+    const fixture = new BackoffFixture(["one"]);
+    const refusal = refusalOf(fixture.askForBackoff("one", 0));
+    assert.equal(refusal?.reason, "TARGETS_BACKING_OFF");
+    const seconds = refusal?.retryAfterSeconds ?? 0;
+    assert.ok(seconds >= 3 && seconds <= 6, `${seconds}`);
+  });
+
   it("get a request that can wait for the end as it comes", () => {
     const fixture = new BackoffFixture(["one", "two"]);
     fixture.askForBackoffOfAll(0);
--- a/src/entry/request_dispatcher.ts
+++ b/src/entry/request_dispatcher.ts
@@ -201,6 +201,7 @@
     inFlight.endAttempt(failure.submission);
     if (this.tryAgain(inFlight, failure, now)) return;
     if (this.#tryWaitAgain(inFlight, failure, now)) return;
+    if (this.#tryTellBackoff(inFlight, failure, now)) return;
     this.fail(inFlight, failure, now);
   }
 
@@ -211,6 +212,21 @@
     );
   }
 
+  /** Where the last target asked for a backoff as all others did, its end is known. */
+  #tryTellBackoff(
+    inFlight: InFlightRequest,
+    failure: Failure,
+    now: number,
+  ): boolean {
+    const isKnown = failure.submission === "not-run" &&
+      this.#availability.isBackingOffWhole(inFlight.pool, now);
+    if (!isKnown) return false;
+    const reason = "TARGETS_BACKING_OFF";
+    const why = this.#availability.describe(inFlight, reason, now);
+    this.#failUnsent(inFlight, why, now);
+    return true;
+  }
+
   /** Lets it wait for what was lost, as if it had not been sent there. */
   #tryWaitAgain(
     inFlight: InFlightRequest,
--- a/src/entry/target_availability.ts
+++ b/src/entry/target_availability.ts
@@ -192,13 +192,27 @@
       spreadMs * this.#random.nextBelow(DRAW_STEPS) / DRAW_STEPS;
   }
 
-  /** Targets that may run it: of a keyed request its owner alone. */
+  /** Whether all targets that serve a pool back off, those that were tried, too. */
+  isBackingOffWhole(pool: string, now: number): boolean {
+    if (this.#backoffs.isIdle) return false;
+    const serving = this.#registry.servingOf(pool);
+    return serving.length > 0 &&
+      serving.every(({ name }) => this.#isBackingOff(name, now));
+  }
+
+  /**
+   * Targets that may run it when its caller returns: of a keyed request its owner alone. Those
+   * that were tried may, too, where no other is left.
+   */
   #listCandidates(inFlight: InFlightRequest): readonly TargetRecord[] {
-    if (inFlight.request.idempotencyKey === undefined) {
-      return this.listServing(inFlight);
+    if (inFlight.request.idempotencyKey !== undefined) {
+      const owner = this.#tryOwner(inFlight);
+      return owner === undefined ? [] : [owner];
     }
-    const owner = this.#tryOwner(inFlight);
-    return owner === undefined ? [] : [owner];
+    const untried = this.listServing(inFlight);
+    return untried.length > 0
+      ? untried
+      : this.#registry.servingOf(inFlight.pool);
   }
 
   #isBackingOff(targetName: string, now: number): boolean {
