Types of messages between entries are in the folder of messages

messages/types.ts and schema.ts imported from src/direct, two of the imports up that were allowed by name. What entries tell each other, the instance of a back end and the listed process are in src/messages now; the two exceptions are gone.

--- a/scripts/check_layers.ts
+++ b/scripts/check_layers.ts
@@ -14,20 +14,9 @@
 const METRICS = "drivers count what the pages of their process show";
 const SETTINGS = "drivers take the settings of their process as parsed there";
 const SHUTDOWN = "drivers implement the interface that drains a process";
-const PEERS = "the types of messages between entries are in src/direct";
 const STAND_INS = "tests of whole processes start stand-ins";
 
 const EXCEPTIONS: readonly LayerException[] = [
-  {
-    from: "src/messages/types.ts",
-    to: "src/direct/peers/types.ts",
-    reason: PEERS,
-  },
-  {
-    from: "src/messages/schema.ts",
-    to: "src/direct/peers/schema.ts",
-    reason: PEERS,
-  },
   ...["entry", "target", "direct"].flatMap((role) => [
     exceptionOf(role, "http_listener", SHARED),
     exceptionOf(role, "metrics", METRICS),
--- a/src/direct/direct_entry_driver.ts
+++ b/src/direct/direct_entry_driver.ts
@@ -14,7 +14,7 @@
 import { RoutingTable } from "../entry/routing_table.ts";
 import type { EventLog } from "../events/event_log.ts";
 import type { BackEnd } from "../external/back_end.ts";
-import type { BackEndInstance } from "../external/back_end_directory.ts";
+import type { BackEndInstance } from "../messages/back_end_instance.ts";
 import type {
   OperatorSettings,
   StoreFormat,
@@ -31,7 +31,7 @@
 import { DirectTargetPool } from "./direct_target_pool.ts";
 import { GroupLoadFollower } from "./group_load_follower.ts";
 import { EntryPeers } from "./peers/entry_peers.ts";
-import type { ListedProcess } from "./listed_process.ts";
+import type { ListedProcess } from "../messages/listed_process.ts";
 import { ProcessRegistry } from "./process_registry.ts";
 import { readReducerGauges } from "./reducer_gauges.ts";
 import { createReducerMemories } from "./reducer_memories.ts";
--- a/src/direct/direct_target.ts
+++ b/src/direct/direct_target.ts
@@ -14,7 +14,7 @@
   type BackEndRequest,
   isNotRun,
 } from "../external/back_end.ts";
-import type { BackEndInstance } from "../external/back_end_directory.ts";
+import type { BackEndInstance } from "../messages/back_end_instance.ts";
 import type {
   AttemptName,
   PausableAnswers,
--- a/src/direct/direct_target_pool.ts
+++ b/src/direct/direct_target_pool.ts
@@ -5,7 +5,7 @@
  */
 import type { TargetLink, TargetLinks } from "../entry/target_links.ts";
 import type { BackEnd } from "../external/back_end.ts";
-import type { BackEndInstance } from "../external/back_end_directory.ts";
+import type { BackEndInstance } from "../messages/back_end_instance.ts";
 import type { AttemptMessage } from "../messages/types.ts";
 import { DirectTarget } from "./direct_target.ts";
 
--- a/src/direct/directory_follower.ts
+++ b/src/direct/directory_follower.ts
@@ -6,7 +6,7 @@
 import { createHash } from "node:crypto";
 import { performance } from "node:perf_hooks";
 import type { EventLog } from "../events/event_log.ts";
-import type { BackEndInstance } from "../external/back_end_directory.ts";
+import type { BackEndInstance } from "../messages/back_end_instance.ts";
 import type { StoreFormat } from "../external/operator_settings.ts";
 import { splitRevision } from "../external/store_revision.ts";
 import type { StoreListing, WatchedStore } from "../external/watched_store.ts";
--- a/src/direct/directory_follower_test.ts
+++ b/src/direct/directory_follower_test.ts
@@ -9,7 +9,7 @@
 import { describe, it } from "node:test";
 import { Err } from "ts-results-es";
 import { EventLog } from "../events/event_log.ts";
-import type { BackEndInstance } from "../external/back_end_directory.ts";
+import type { BackEndInstance } from "../messages/back_end_instance.ts";
 import { StoreFormat } from "../external/operator_settings.ts";
 import { joinRevision } from "../external/store_revision.ts";
 import type { StoreItem, StoreListing } from "../external/watched_store.ts";
--- a/src/direct/drain_follower.ts
+++ b/src/direct/drain_follower.ts
@@ -13,7 +13,8 @@
   StoreItem,
   StoreListing,
 } from "../external/watched_store.ts";
-import { areSame, DrainedDomains, type DrainSet } from "./drained_domains.ts";
+import type { DrainSet } from "../messages/peer_types.ts";
+import { areSame, DrainedDomains } from "./drained_domains.ts";
 
 /** Drains that are in force at once, at most: news to other entries holds all of them. */
 export const MOST_DRAINS = 256;
--- a/src/direct/drained_domains.ts
+++ b/src/direct/drained_domains.ts
@@ -8,16 +8,9 @@
  *
  * @module
  */
+import type { DrainSet } from "../messages/peer_types.ts";
 import { splitRevision } from "../external/store_revision.ts";
 
-/** The drained failure domains, as the store held them at a revision. */
-export interface DrainSet {
-  /** Revision of the store at which this was the set; higher is newer. */
-  readonly revision: number;
-  /** In alphabetical order. */
-  readonly failureDomains: readonly string[];
-}
-
 /** What a newer set changed. */
 export interface DrainsTaken {
   /** Drains that the store lost and that stay in force for now. */
--- a/src/direct/group_load_follower.ts
+++ b/src/direct/group_load_follower.ts
@@ -14,7 +14,7 @@
 import { LinkClient } from "../links/link_client.ts";
 import type { LinkIdentity } from "../links/link_server.ts";
 import { chooseSubset } from "../policy/target_subset.ts";
-import type { ListedProcess } from "./listed_process.ts";
+import type { ListedProcess } from "../messages/listed_process.ts";
 
 /**
  * Ranks of each group in the own failure domain that an entry hears. The loss of one
--- a/src/direct/listed_back_ends_test.ts
+++ b/src/direct/listed_back_ends_test.ts
@@ -1,7 +1,7 @@
 import assert from "node:assert/strict";
 import { describe, it } from "node:test";
 import { Err, type Result } from "ts-results-es";
-import type { BackEndInstance } from "../external/back_end_directory.ts";
+import type { BackEndInstance } from "../messages/back_end_instance.ts";
 import {
   type OperatorSettings,
   StoreFormat,
--- a/src/direct/listed_coldness.ts
+++ b/src/direct/listed_coldness.ts
@@ -5,7 +5,7 @@
  *
  * @module
  */
-import type { BackEndInstance } from "../external/back_end_directory.ts";
+import type { BackEndInstance } from "../messages/back_end_instance.ts";
 import type { StoreFormat } from "../external/operator_settings.ts";
 import type { StoreItem } from "../external/watched_store.ts";
 
--- a/src/direct/listed_coldness_test.ts
+++ b/src/direct/listed_coldness_test.ts
@@ -5,7 +5,7 @@
 import assert from "node:assert/strict";
 import { describe, it } from "node:test";
 import { Err } from "ts-results-es";
-import type { ColdnessWord } from "../external/back_end_directory.ts";
+import type { ColdnessWord } from "../messages/back_end_instance.ts";
 import { StoreFormat } from "../external/operator_settings.ts";
 import { createInstance } from "../testing/fixtures.ts";
 import { ListedColdness } from "./listed_coldness.ts";
--- a/src/direct/peers/entry_memories.ts
+++ b/src/direct/peers/entry_memories.ts
@@ -21,7 +21,7 @@
   LeavingTargetNews,
   MemoriesNews,
   TargetLimitNews,
-} from "./types.ts";
+} from "../../messages/peer_types.ts";
 
 /** What an entry remembers of each matter, in short. */
 export interface MemoryContents {
--- a/src/direct/peers/entry_peers.ts
+++ b/src/direct/peers/entry_peers.ts
@@ -14,7 +14,7 @@
   PermitQuestion,
 } from "../../policy/send_permits.ts";
 import type { Directory } from "../directory_follower.ts";
-import type { DrainSet } from "../drained_domains.ts";
+import type { DrainSet } from "../../messages/peer_types.ts";
 import type { EntryMemories } from "./entry_memories.ts";
 import { type ListedEntry, listReaderCandidates } from "./peer_choice.ts";
 import { PeerFollower } from "./peer_follower.ts";
@@ -27,7 +27,7 @@
   KnownNews,
   ProcessNews,
   StoreNewsMessage,
-} from "./types.ts";
+} from "../../messages/peer_types.ts";
 
 /** Milliseconds between two looks whether something is to be asked. */
 const TURN_MS = 50;
--- a/src/direct/peers/memory_teller.ts
+++ b/src/direct/peers/memory_teller.ts
@@ -5,7 +5,7 @@
  *
  * @module
  */
-import type { MemoryNews } from "./types.ts";
+import type { MemoryNews } from "../../messages/peer_types.ts";
 
 /** Content of a memory that holds nothing. */
 export const NOTHING_REMEMBERED = "";
--- a/src/direct/peers/peer_client.ts
+++ b/src/direct/peers/peer_client.ts
@@ -13,7 +13,7 @@
   type MemoriesTeller,
   NO_MEMORIES,
 } from "./entry_memories.ts";
-import type { KnownNews, StoreNewsMessage } from "./types.ts";
+import type { KnownNews, StoreNewsMessage } from "../../messages/peer_types.ts";
 
 /** Options of a {@link PeerClient}. */
 export interface PeerClientOptions {
--- a/src/direct/peers/peer_follower.ts
+++ b/src/direct/peers/peer_follower.ts
@@ -9,7 +9,7 @@
 import type { EntryMemories } from "./entry_memories.ts";
 import { PeerClient } from "./peer_client.ts";
 import { choosePeers } from "./peer_choice.ts";
-import type { KnownNews, StoreNewsMessage } from "./types.ts";
+import type { KnownNews, StoreNewsMessage } from "../../messages/peer_types.ts";
 
 /**
  * Milliseconds between two rounds of questions. A back end that leaves may be sent
--- a/src/direct/peers/peer_server.ts
+++ b/src/direct/peers/peer_server.ts
@@ -9,7 +9,7 @@
 import { type LinkIdentity, LinkServer } from "../../links/link_server.ts";
 import { HttpListener } from "../../process/http_listener.ts";
 import type { Directory } from "../directory_follower.ts";
-import type { DrainSet } from "../drained_domains.ts";
+import type { DrainSet } from "../../messages/peer_types.ts";
 import type { SettingsInUse } from "../settings_follower.ts";
 import type { PermitAnswer } from "../../policy/send_permits.ts";
 import {
@@ -25,7 +25,7 @@
   SendPermitQueryMessage,
   StoreNewsMessage,
   StoreNewsQueryMessage,
-} from "./types.ts";
+} from "../../messages/peer_types.ts";
 
 /** Bytes on their way to a follower beyond which it is told nothing more. */
 const MOST_UNSENT_BYTES = 65_536;
--- a/src/direct/peers/reader_follower.ts
+++ b/src/direct/peers/reader_follower.ts
@@ -6,7 +6,7 @@
 import type { LinkIdentity } from "../../links/link_server.ts";
 import type { EntryMemories } from "./entry_memories.ts";
 import { PeerClient } from "./peer_client.ts";
-import type { KnownNews, StoreNewsMessage } from "./types.ts";
+import type { KnownNews, StoreNewsMessage } from "../../messages/peer_types.ts";
 
 /** Options of {@link ReaderFollower}. */
 export interface ReaderFollowerOptions {
--- a/src/direct/process_registry.ts
+++ b/src/direct/process_registry.ts
@@ -13,7 +13,10 @@
   StoreLease,
   WatchedStore,
 } from "../external/watched_store.ts";
-import { type ListedProcess, PROCESS_SCHEMA } from "./listed_process.ts";
+import {
+  type ListedProcess,
+  PROCESS_SCHEMA,
+} from "../messages/listed_process.ts";
 import { Reachability } from "./reachability.ts";
 import { StoreWatch } from "./store_watch.ts";
 
--- a/src/direct/process_registry_test.ts
+++ b/src/direct/process_registry_test.ts
@@ -5,7 +5,7 @@
 import type { StoreListing } from "../external/watched_store.ts";
 import { ListedStore } from "../testing/listed_store.ts";
 import { waitUntil } from "../testing/process_cluster.ts";
-import type { ListedProcess } from "./listed_process.ts";
+import type { ListedProcess } from "../messages/listed_process.ts";
 import { ProcessRegistry } from "./process_registry.ts";
 
 function createProcess(name: string): ListedProcess {
--- a/src/direct/rank_driver.ts
+++ b/src/direct/rank_driver.ts
@@ -30,7 +30,7 @@
 import { createTextPages } from "../process/text_pages.ts";
 import { CountedStore } from "./counted_store.ts";
 import { EntryAudience } from "./entry_audience.ts";
-import type { ListedProcess } from "./listed_process.ts";
+import type { ListedProcess } from "../messages/listed_process.ts";
 import { ProcessRegistry } from "./process_registry.ts";
 import { RankMetrics, type RankMetricsSource } from "./rank_metrics.ts";
 import { SettingsFollower } from "./settings_follower.ts";
--- a/src/direct/superseded_instances.ts
+++ b/src/direct/superseded_instances.ts
@@ -8,7 +8,7 @@
  *
  * @module
  */
-import type { BackEndInstance } from "../external/back_end_directory.ts";
+import type { BackEndInstance } from "../messages/back_end_instance.ts";
 
 /** A back end with the revision of the store at which its entry came to be. */
 export interface ListedInstance {
--- a/src/direct/superseded_instances_test.ts
+++ b/src/direct/superseded_instances_test.ts
@@ -1,6 +1,6 @@
 import assert from "node:assert/strict";
 import { describe, it } from "node:test";
-import type { BackEndInstance } from "../external/back_end_directory.ts";
+import type { BackEndInstance } from "../messages/back_end_instance.ts";
 import { type ListedInstance, markSuperseded } from "./superseded_instances.ts";
 
 function createListed(
--- a/src/entry/direct_requests_test.ts
+++ b/src/entry/direct_requests_test.ts
@@ -2,7 +2,7 @@
 import { Buffer } from "node:buffer";
 import { describe, it } from "node:test";
 import { RandomSource } from "../core/random_source.ts";
-import type { BackEndInstance } from "../external/back_end_directory.ts";
+import type { BackEndInstance } from "../messages/back_end_instance.ts";
 import type { RankLoadRow } from "../messages/formed_group_types.ts";
 import { PRIORITIES_BY_NAME } from "../messages/priority.ts";
 import type { Message, SubmitMessage } from "../messages/types.ts";
--- a/src/entry/ended_targets_test.ts
+++ b/src/entry/ended_targets_test.ts
@@ -1,7 +1,7 @@
 import assert from "node:assert/strict";
 import { describe, it } from "node:test";
 import { RandomSource } from "../core/random_source.ts";
-import type { BackEndInstance } from "../external/back_end_directory.ts";
+import type { BackEndInstance } from "../messages/back_end_instance.ts";
 import { createInstance } from "../testing/fixtures.ts";
 import { EntryReducer } from "./entry_reducer.ts";
 
--- a/src/entry/target_registry.ts
+++ b/src/entry/target_registry.ts
@@ -5,7 +5,7 @@
  */
 import type { ClaimsMessage } from "../messages/types.ts";
 import type { VirtualMachine } from "../external/virtual_machine_list.ts";
-import type { BackEndInstance } from "../external/back_end_directory.ts";
+import type { BackEndInstance } from "../messages/back_end_instance.ts";
 import type { GroupLoad } from "../messages/formed_group_types.ts";
 import { LeavingTargets } from "../policy/leaving_targets.ts";
 import { RankGroups } from "./rank_groups.ts";
--- a/src/entry/target_selection.ts
+++ b/src/entry/target_selection.ts
@@ -5,7 +5,7 @@
  */
 import { Err, Ok, type Result } from "ts-results-es";
 import type { RandomSource } from "../core/random_source.ts";
-import type { BackEndInstance } from "../external/back_end_directory.ts";
+import type { BackEndInstance } from "../messages/back_end_instance.ts";
 import { getBlindLimit } from "../policy/blind_limit.ts";
 import { PrefixIndex } from "../policy/prefix_index.ts";
 import {
--- a/src/entry/types.ts
+++ b/src/entry/types.ts
@@ -24,7 +24,7 @@
 import type { PoolRetryLimits } from "../policy/pool_retry_budgets.ts";
 import type { RefusalName } from "../refusals/catalogue.ts";
 import type { ProblemDetails } from "../refusals/types.ts";
-import type { BackEndInstance } from "../external/back_end_directory.ts";
+import type { BackEndInstance } from "../messages/back_end_instance.ts";
 import type { EventName } from "../events/catalogue.ts";
 import type { EventDetails } from "../events/event_log.ts";
 import type { RoutingTable } from "./routing_table.ts";
--- a/src/external/operator_settings.ts
+++ b/src/external/operator_settings.ts
@@ -6,7 +6,10 @@
 import type { Result } from "ts-results-es";
 import type { SettingsDocument } from "../messages/settings_documents.ts";
 import type { ColdPools } from "../policy/warm_up_limits.ts";
-import type { BackEndInstance, ColdnessWord } from "./back_end_directory.ts";
+import type {
+  BackEndInstance,
+  ColdnessWord,
+} from "../messages/back_end_instance.ts";
 
 /** Settings as operators wrote them, in this system's own documents. */
 export interface OperatorSettings {
--- a/src/direct/peers/schema.ts
+++ b/src/messages/peer_schema.ts
@@ -4,7 +4,7 @@
  * @module
  */
 import * as z from "zod";
-import { PROCESS_SCHEMA } from "../listed_process.ts";
+import { PROCESS_SCHEMA } from "./listed_process.ts";
 
 const COUNT = z.number().int().nonnegative();
 
--- a/src/direct/peers/types.ts
+++ b/src/messages/peer_types.ts
@@ -5,9 +5,16 @@
  *
  * @module
  */
-import type { BackEndInstance } from "../../external/back_end_directory.ts";
-import type { DrainSet } from "../drained_domains.ts";
-import type { ListedProcess } from "../listed_process.ts";
+import type { BackEndInstance } from "./back_end_instance.ts";
+import type { ListedProcess } from "./listed_process.ts";
+
+/** The drained failure domains, as the store held them at a revision. */
+export interface DrainSet {
+  /** Revision of the store at which this was the set; higher is newer. */
+  readonly revision: number;
+  /** In alphabetical order. */
+  readonly failureDomains: readonly string[];
+}
 
 /** A target that ended under a request, as another entry heard of it. */
 export interface CrashNews {
--- a/src/messages/schema.ts
+++ b/src/messages/schema.ts
@@ -4,7 +4,7 @@
  * @module
  */
 import * as z from "zod";
-import { PEER_SCHEMAS } from "../direct/peers/schema.ts";
+import { PEER_SCHEMAS } from "./peer_schema.ts";
 import { FORMED_GROUP_SCHEMAS } from "./formed_group_schema.ts";
 import {
   COORDINATOR_MESSAGE_SCHEMA,
--- a/src/messages/types.ts
+++ b/src/messages/types.ts
@@ -5,7 +5,7 @@
  *
  * @module
  */
-import type { PeerMessage } from "../direct/peers/types.ts";
+import type { PeerMessage } from "./peer_types.ts";
 import type { FormedGroupMessage } from "./formed_group_types.ts";
 import type {
   CoordinatorMessage,
--- a/src/policy/warm_up_limits.ts
+++ b/src/policy/warm_up_limits.ts
@@ -8,7 +8,7 @@
  *
  * @module
  */
-import type { BackEndInstance } from "../external/back_end_directory.ts";
+import type { BackEndInstance } from "../messages/back_end_instance.ts";
 
 /**
  * Milliseconds for which a list's word that a target is cold holds without another list,
--- a/src/policy/warm_up_limits_test.ts
+++ b/src/policy/warm_up_limits_test.ts
@@ -3,7 +3,7 @@
  */
 import assert from "node:assert/strict";
 import { describe, it } from "node:test";
-import type { BackEndInstance } from "../external/back_end_directory.ts";
+import type { BackEndInstance } from "../messages/back_end_instance.ts";
 import { createInstance } from "../testing/fixtures.ts";
 import { CombinedLimits } from "./send_limits.ts";
 import { TargetLimits } from "./target_limits.ts";
--- a/src/testing/cold_targets.ts
+++ b/src/testing/cold_targets.ts
@@ -4,7 +4,7 @@
  * @module
  */
 import type { InstancesListed } from "../entry/types.ts";
-import type { BackEndInstance } from "../external/back_end_directory.ts";
+import type { BackEndInstance } from "../messages/back_end_instance.ts";
 import type { ColdPools } from "../policy/warm_up_limits.ts";
 import { createInstance } from "./fixtures.ts";
 
--- a/src/testing/crashing_pool.ts
+++ b/src/testing/crashing_pool.ts
@@ -9,7 +9,7 @@
 import { RandomSource } from "../core/random_source.ts";
 import { EntryReducer } from "../entry/entry_reducer.ts";
 import type { EntryEffect } from "../entry/types.ts";
-import type { BackEndInstance } from "../external/back_end_directory.ts";
+import type { BackEndInstance } from "../messages/back_end_instance.ts";
 import type { AttemptMessage } from "../messages/types.ts";
 import type { CrashedRequest } from "../policy/crash_history.ts";
 import type { RefusalName } from "../refusals/catalogue.ts";
--- a/src/testing/fixtures.ts
+++ b/src/testing/fixtures.ts
@@ -7,7 +7,7 @@
 import { Buffer } from "node:buffer";
 import { RoutingTable } from "../entry/routing_table.ts";
 import type { CallerRequest } from "../entry/types.ts";
-import type { BackEndInstance } from "../external/back_end_directory.ts";
+import type { BackEndInstance } from "../messages/back_end_instance.ts";
 import type { BackEndNotice } from "../messages/back_end_notice.ts";
 import type {
   AttemptMessage,
