Let what waited for the end of a backoff in as the target's load comes back

In the model with 3 entries and two targets that both ask for backoffs, 42, 43 and 34 requests went to one target within a quarter of a second each as the first backoffs ended, 99 to both in the worst such span (12 are usual): all that had waited at the entries went to the target that was back first, and then to the other one. Cause: the share of a target that returns does not hold where no other target is left, and those that wait are tried again at one moment.

A request that has waited goes to a target that returns from a backoff only while this entry has fewer requests there than its share of the places, one at least. First attempts are let in as before.

The model of entries before targets learns backoffs and leaving (3, 41 and 720 entries): no entry sends anything in a backoff that it was told of, and none to a target that leaves 2 s after the first word.

--- a/src/entry/request_dispatcher.ts
+++ b/src/entry/request_dispatcher.ts
@@ -116,7 +116,9 @@
     for (const inFlight of this.#waiting.all(now)) {
       if (this.#tryRefuseCrashing(inFlight, now)) continue;
       const { id } = inFlight.request;
-      const selected = this.#selection.select(inFlight, now);
+      const selected = this.#selection.select(inFlight, now, {
+        hasWaited: true,
+      });
       if (selected.isErr()) {
         const reason = selected.error;
         if (reason === "TARGETS_LIMITED") this.#tryAskFor(inFlight, now);
--- a/src/entry/target_availability.ts
+++ b/src/entry/target_availability.ts
@@ -155,6 +155,22 @@
     return admitted.length > 0 ? admitted : targets;
   }
 
+  /**
+   * Those of the targets to which a request may go that has waited. All that waited for the end
+   * of a backoff would go at that moment, to the target that is back first; it takes them as its
+   * share grows, one at a time at first.
+   */
+  filterRoomy(
+    targets: readonly TargetRecord[],
+    now: number,
+  ): readonly TargetRecord[] {
+    if (this.#backoffs.isIdle) return targets;
+    return targets.filter(({ name, concurrency, ownInFlight }) => {
+      const share = this.#backoffs.getShare(name, now);
+      return share >= 1 || ownInFlight < Math.max(1, share * concurrency);
+    });
+  }
+
   /** Fraction of requests for which a target is a candidate, from 0 to 1. */
   getShare({ name, failureDomain }: TargetRecord, now: number): number {
     return Math.min(
--- a/src/entry/target_selection.ts
+++ b/src/entry/target_selection.ts
@@ -91,10 +91,11 @@
     this.availability = new TargetAvailability({ ...options, entryName });
   }
 
-  /** The target that the request goes to next. */
+  /** The target that the request goes to next; it may be one that waited for a target. */
   select(
     inFlight: InFlightRequest,
     now: number,
+    { hasWaited = false }: { readonly hasWaited?: boolean } = {},
   ): Result<TargetRecord, NoTargetReason> {
     if (inFlight.request.idempotencyKey !== undefined) {
       return this.availability.findOwner(inFlight, now);
@@ -113,10 +114,14 @@
     if (this.#isBlindlyFull(inFlight, now)) return Err("POOL_FULL");
     const permitted = this.availability.filterPermitted(free, now);
     if (permitted.length === 0) return Err("TARGETS_LIMITED");
-    const brisk = permitted.filter((target) => !target.isStraggler);
+    const roomy = hasWaited
+      ? this.availability.filterRoomy(permitted, now)
+      : permitted;
+    if (roomy.length === 0) return Err("POOL_FULL");
+    const brisk = roomy.filter((target) => !target.isStraggler);
     const { permits } = this.availability;
     const candidates = this.availability.limitReturning(
-      brisk.length > 0 ? brisk : permitted,
+      brisk.length > 0 ? brisk : roomy,
       now,
     );
     const due = candidates.find(({ name }) => permits.isDue(name, now));
--- a/src/testing/limited_entries.ts
+++ b/src/testing/limited_entries.ts
@@ -1,23 +1,17 @@
 /**
- * Entries before targets that name limits, in virtual time. Entries hear of limits, lists and
- * permits with delays, stand still, restart, and are cut off from each other.
+ * Entries before targets that say something of themselves, in virtual time. Entries hear of it,
+ * of lists and of permits with delays, stand still, restart, and are cut off from each other.
  *
  * @module
  */
 import { RandomSource } from "../core/random_source.ts";
 import { EntryReducer } from "../entry/entry_reducer.ts";
 import type { EntryEffect, EntryEvent } from "../entry/types.ts";
-import type { RateLimitWord } from "../messages/back_end_notice.ts";
-import type { AttemptMessage } from "../messages/types.ts";
 import { ASK_LIMIT_MS, type PermitQuestion } from "../policy/send_permits.ts";
 import { type ColdPlan, ColdTargets } from "./cold_targets.ts";
 import { EventQueue } from "./event_queue.ts";
-import {
-  createCallerRequest,
-  createEmptyAnswer,
-  createNotice,
-  createRoutes,
-} from "./fixtures.ts";
+import { type NoticePlan, SpokenNotices } from "./spoken_notices.ts";
+import { createCallerRequest, createRoutes } from "./fixtures.ts";
 
 /** Milliseconds that a message between entries takes: least, and spread. */
 const MESSAGE_MS = { least: 2, spread: 30 } as const;
@@ -31,16 +25,6 @@
 /** Milliseconds before the callers come. */
 const START_MS = 6000;
 
-/** A target names another limit, or none. */
-export interface LimitChange {
-  /** Milliseconds since callers came. */
-  readonly at: number;
-  /** Number of the target, from 0. */
-  readonly target: number;
-  /** Requests a second; undefined: its limit ends. */
-  readonly perSecond: number | undefined;
-}
-
 /** Something happens to an entry for a while. */
 export interface EntryTrouble {
   readonly at: number;
@@ -55,13 +39,12 @@
 }
 
 /** Options of {@link LimitedEntries}. */
-export interface LimitedEntriesOptions {
+export interface LimitedEntriesOptions extends NoticePlan {
   readonly seed: number;
   readonly entries: number;
   readonly targets: number;
   /** Requests of all callers together. */
   readonly requestsPerSecond: number;
-  readonly changes: readonly LimitChange[];
   readonly troubles: readonly EntryTrouble[];
   /** Lists of the targets change, and targets in them warm up. */
   readonly cold?: ColdPlan;
@@ -108,7 +91,7 @@
   readonly #queue = new EventQueue();
   readonly #random: RandomSource;
   readonly #entries: readonly EntryState[];
-  readonly #limits: (number | undefined)[];
+  readonly #notices: SpokenNotices;
   readonly #targets: ColdTargets;
   readonly #startedAt = new Map<number, number>();
   readonly #arrivals: Arrival[] = [];
@@ -121,7 +104,7 @@
   constructor(options: LimitedEntriesOptions) {
     this.#options = options;
     this.#random = new RandomSource(options.seed);
-    this.#limits = Array.from({ length: options.targets }, () => undefined);
+    this.#notices = new SpokenNotices(options);
     this.#targets = new ColdTargets({
       count: options.targets,
       plan: options.cold,
@@ -149,7 +132,6 @@
     for (const entry of this.#options.cold ? this.#entries : []) {
       this.#planList(entry, this.#random.nextBelow(LIST_MS));
     }
-    for (const change of this.#options.changes) this.#planChange(change);
     for (const trouble of this.#options.troubles) this.#planTrouble(trouble);
     const end = START_MS + milliseconds;
     this.#queue.after(START_MS, () => this.#planCaller(end));
@@ -214,10 +196,6 @@
     });
   }
 
-  #planChange({ at, target, perSecond }: LimitChange): void {
-    this.#queue.after(START_MS + at, () => this.#limits[target] = perSecond);
-  }
-
   #planTrouble({ at, forMs, kind, entry }: EntryTrouble): void {
     this.#queue.after(START_MS + at, () => {
       const concerned = this.#entries[entry ?? this.#findGiver()] as EntryState;
@@ -313,7 +291,8 @@
     this.#queue.after(this.#random.nextExponential(WORK_MS), () => {
       // A process that ended meanwhile hears no answer.
       if (entry.reducer !== reducer) return;
-      for (const message of this.#answer(place, target)) {
+      const now = this.#queue.now - START_MS;
+      for (const message of this.#notices.answer(place, target, now)) {
         const { now } = this.#queue;
         this.#reduce(entry, {
           kind: "message_received",
@@ -325,21 +304,6 @@
     });
   }
 
-  #answer(
-    { requestId, attempt }: Parameters<typeof createEmptyAnswer>[0],
-    target: number,
-  ): readonly AttemptMessage[] {
-    const perSecond = this.#limits[target];
-    const rateLimit: RateLimitWord = perSecond === undefined
-      ? { kind: "none" }
-      : { kind: "limit", perSecond };
-    return createEmptyAnswer({ requestId, attempt })
-      .map((message) => ({
-        ...message,
-        notice: createNotice({ rateLimit }),
-      }));
-  }
-
   #refused(
     requestId: number,
     { reason, retryAfterSeconds }: {
@@ -361,6 +325,7 @@
   }
 
   #tell(from: EntryState, to: EntryState): void {
+    this.#tellLeaving(from, to);
     if (from.reducer.limits.content === to.reducer.limits.content) return;
     const limits = from.reducer.limits.list();
     this.#deliver(from, to, () => {
@@ -369,6 +334,16 @@
     });
   }
 
+  #tellLeaving(from: EntryState, to: EntryState): void {
+    const { leaving } = from.reducer.registry;
+    if (leaving.content === to.reducer.registry.leaving.content) return;
+    const targets = leaving.list();
+    this.#deliver(from, to, () => {
+      const { now } = this.#queue;
+      this.#reduce(to, { kind: "leaving_told", now, targets });
+    });
+  }
+
   #ask(asker: EntryState, question: PermitQuestion): void {
     this.#questions++;
     const { target, entry, count } = question;
