--- a/src/entry/target_availability.ts
+++ b/src/entry/target_availability.ts
@@ -160,7 +160,7 @@
    * of a backoff would go at that moment, to the target that is back first; it takes them as its
    * share grows, one at a time at first.
    */
-  filterRoomy(
+  filterForWaiting(
     targets: readonly TargetRecord[],
     now: number,
   ): readonly TargetRecord[] {
--- a/src/entry/target_selection.ts
+++ b/src/entry/target_selection.ts
@@ -114,14 +114,14 @@
     if (this.#isBlindlyFull(inFlight, now)) return Err("POOL_FULL");
     const permitted = this.availability.filterPermitted(free, now);
     if (permitted.length === 0) return Err("TARGETS_LIMITED");
-    const roomy = hasWaited
-      ? this.availability.filterRoomy(permitted, now)
+    const available = hasWaited
+      ? this.availability.filterForWaiting(permitted, now)
       : permitted;
-    if (roomy.length === 0) return Err("POOL_FULL");
-    const brisk = roomy.filter((target) => !target.isStraggler);
+    if (available.length === 0) return Err("POOL_FULL");
+    const brisk = available.filter((target) => !target.isStraggler);
     const { permits } = this.availability;
     const candidates = this.availability.limitReturning(
-      brisk.length > 0 ? brisk : roomy,
+      brisk.length > 0 ? brisk : available,
       now,
     );
     const due = candidates.find(({ name }) => permits.isDue(name, now));
