Review case 1: an answer without a length looks complete after a kill

The entry passes the framing of an answer that ends with its connection on to its caller. When the entry is killed, its connections end in order, so that half of an answer is a complete one for the caller (MIXED).

--- /dev/null
+++ b/review/build.sh
@@ -0,0 +1,8 @@
+#!/bin/sh
+# Builds the scripts of the cases with the stand-ins that they start. Needs `npm ci`, as
+# the build of the deploy file has done it. Writes to target/review only.
+set -e
+cd "$(dirname "$0")/.."
+npx --no-install esbuild review/lib/unframed_answer.ts review/lib/split_route.ts \
+  --bundle --platform=node --target=node20 --format=cjs --out-extension:.js=.cjs \
+  --log-level=warning --outdir=target/review
