Review case 1: tell a reset from an orderly end at the client

Node.js may report a reset that arrives with unread bytes as an orderly end. The client of the case now checks for that.

--- a/review/lib/unframed_answer.ts
+++ b/review/lib/unframed_answer.ts
@@ -111,6 +111,14 @@
       answer.on("error", () => finish(false));
     });
     request.on("error", () => finish(false));
+    // Node.js may take a reset that arrives with unread bytes for an orderly end. A write
+    // of no bytes fails on a connection that was reset.
+    request.on("socket", (socket) => {
+      socket.prependListener("end", () => {
+        socket.write("");
+        if (socket.errored !== null) finish(false);
+      });
+    });
   });
 }
 
