--- a/review/build.sh
+++ b/review/build.sh
@@ -4,6 +4,6 @@
 set -e
 cd "$(dirname "$0")/.."
 npx --no-install esbuild review/lib/unframed_answer.ts review/lib/split_route.ts \
-  review/lib/spoiled_answer.ts \
+  review/lib/spoiled_answer.ts review/lib/stuck_configuration.ts review/lib/two_issuers.ts \
   --bundle --platform=node --target=node20 --format=cjs --out-extension:.js=.cjs \
   --log-level=warning --outdir=target/review
--- a/review/lib/small_deployment.ts
+++ b/review/lib/small_deployment.ts
@@ -67,6 +67,7 @@
   store: StoreStandIn,
   version: number,
   routes: readonly RouteRow[],
+  keys: readonly string[] = [ACCESS_KEY],
 ): void {
   const services = new Set(routes.map(({ service }) => service));
   store.write(
@@ -81,7 +82,7 @@
         header_timeout_ms: 5000,
         idle_timeout_ms: 10000,
       },
-      tenants: [{ name: "hule930", api_keys: [ACCESS_KEY] }],
+      tenants: [{ name: "hule930", api_keys: keys }],
     }),
   );
 }
@@ -124,6 +125,8 @@
 
 /** One entry as a process of its own. */
 export class Entry {
+  /** Address for other entries. */
+  readonly control: string;
   readonly callerPort: number;
   readonly #readyPort: number;
   readonly #folder: string;
@@ -131,24 +134,31 @@
   #child: ChildProcess | undefined;
   log = "";
 
-  private constructor(callerPort: number, readyPort: number) {
+  private constructor(
+    control: string,
+    callerPort: number,
+    readyPort: number,
+  ) {
+    this.control = control;
     this.callerPort = callerPort;
     this.#readyPort = readyPort;
     this.#folder = mkdtempSync(join(tmpdir(), "lagoonwharf-review-"));
     this.#file = join(this.#folder, "boot.yaml");
   }
 
+  /** Writes the settings; `seeds` are the seeds in place of its own address. */
   static async create(
     storePort: number,
-    bounds: Readonly<Record<string, number>> = {},
+    name = "front-lima-a-1",
+    seeds?: readonly string[],
   ): Promise<Entry> {
-    const entry = new Entry(await takePort(), await takePort());
     const control = `${HOST}:${await takePort()}`;
+    const entry = new Entry(control, await takePort(), await takePort());
     const text = fillTemplate({
-      node: "front-lima-a-1",
+      node: name,
       zone: "lima-a",
       bind_ip: HOST,
-      seed_addrs: [control],
+      seed_addrs: seeds ?? [control],
       listen: {
         front: `${HOST}:${entry.callerPort}`,
         ready: `${HOST}:${entry.#readyPort}`,
@@ -161,7 +171,6 @@
         retry_ratio: 0.2,
         retry_slack: 94,
         retry_window_s: 10,
-        ...bounds,
       },
     });
     const metrics = `${HOST}:${await takePort()}`;
@@ -174,8 +183,14 @@
     return this.#child;
   }
 
-  /** Starts the process with the command of the deploy file. */
+  /** Starts the process and waits until it is ready. */
   async start(): Promise<void> {
+    this.#spawn();
+    await this.waitUntilReady();
+  }
+
+  /** Starts the process with the command of the deploy file. */
+  #spawn(): void {
     const deploy = readFileSync("deploy/system.toml", "utf8");
     const line = /\[roles\.entry\]\s+run = "([^"]+)"/.exec(deploy)?.[1];
     if (line === undefined) throw new Error("no run line");
@@ -185,15 +200,27 @@
     this.#child = child;
     child.stdout?.on("data", (chunk) => this.log += chunk);
     child.stderr?.on("data", (chunk) => this.log += chunk);
-    await this.waitUntilReady();
   }
 
   async waitUntilReady(): Promise<void> {
-    const end = Date.now() + 20_000;
+    if (await this.#becomesReady(20_000)) return;
+    throw new Error(`not ready: ${this.log}`);
+  }
+
+  async #becomesReady(limitMs: number): Promise<boolean> {
+    const end = Date.now() + limitMs;
     while (await this.#getReadyStatus() !== 200) {
-      if (Date.now() > end) throw new Error(`not ready: ${this.log}`);
+      if (Date.now() > end) return false;
       await sleep(50);
     }
+    return true;
+  }
+
+  /** Kills and starts the process; returns whether it is ready within the limit. */
+  async restart(limitMs: number): Promise<boolean> {
+    await this.#kill();
+    this.#spawn();
+    return await this.#becomesReady(limitMs);
   }
 
   async #getReadyStatus(): Promise<number> {
@@ -206,13 +233,16 @@
     });
   }
 
-  async close(): Promise<void> {
+  async #kill(): Promise<void> {
     const child = this.#child;
-    if (child !== undefined && child.exitCode === null) {
-      child.kill("SIGCONT");
-      child.kill("SIGKILL");
-      if (child.signalCode === null) await once(child, "exit");
-    }
+    if (child === undefined || child.exitCode !== null) return;
+    child.kill("SIGCONT");
+    child.kill("SIGKILL");
+    if (child.signalCode === null) await once(child, "exit");
+  }
+
+  async close(): Promise<void> {
+    await this.#kill();
     rmSync(this.#folder, { recursive: true, force: true });
   }
 }
--- a/review/lib/split_route.ts
+++ b/review/lib/split_route.ts
@@ -1,5 +1,5 @@
 /**
- * Case 2: a new version of the configuration splits a route.
+ * A new version of the configuration splits a route.
  *
  * @module
  */
--- a/review/lib/spoiled_answer.ts
+++ b/review/lib/spoiled_answer.ts
@@ -1,5 +1,5 @@
 /**
- * Case 3: one of three servers spoils one byte of one answer.
+ * One of three servers spoils one byte of one answer.
  *
  * @module
  */
--- a/review/lib/unframed_answer.ts
+++ b/review/lib/unframed_answer.ts
@@ -1,5 +1,5 @@
 /**
- * Case 1: answers that end with their connection, while the entry that relays them is
+ * Answers that end with their connection, while the entry that relays them is
  * killed.
  *
  * @module
