--- a/review/lib/small_deployment.ts
+++ b/review/lib/small_deployment.ts
@@ -68,8 +68,13 @@
   version: number,
   routes: readonly RouteRow[],
   keys: readonly string[] = [ACCESS_KEY],
+  limits: Readonly<Record<string, number>> = {},
 ): void {
-  const services = new Set(routes.map(({ service }) => service));
+  const services = new Set(
+    routes.flatMap(({ service, backends }) =>
+      Array.isArray(backends) ? backends.map((one) => one.service) : [service]
+    ),
+  );
   store.write(
     "op/config",
     JSON.stringify({
@@ -81,6 +86,7 @@
         max_body_bytes: 4194304,
         header_timeout_ms: 5000,
         idle_timeout_ms: 10000,
+        ...limits,
       },
       tenants: [{ name: "hule930", api_keys: keys }],
     }),
--- a/review/lib/stuck_configuration.ts
+++ b/review/lib/stuck_configuration.ts
@@ -1,11 +1,13 @@
 /**
  * A new version of the configuration adds a route that may be tried at twelve servers;
- * later versions change other things.
+ * later versions change other things. `VARIANT` puts another value in place of that one:
+ * `weight` (a share of 0 at one of two services), `body` (bodies of up to 16 MiB).
  *
  * @module
  */
 import { once } from "node:events";
 import { createServer, request as sendRequest } from "node:http";
+import process from "node:process";
 import { setTimeout as sleep } from "node:timers/promises";
 import {
   ACCESS_KEY,
@@ -56,6 +58,36 @@
   return port;
 }
 
+/** The row that the new version adds, and its limits. */
+function createChange(common: Readonly<Record<string, unknown>>) {
+  const variant = process.env.VARIANT ?? "attempts";
+  const has = (name: string) => HAS_TROUBLE && variant === name;
+  const weight = has("weight") ? 0 : 1;
+  const target = variant === "weight"
+    ? {
+      backends: [
+        { service: BOOKINGS, weight },
+        { service: REPORTS, weight: 100 },
+      ],
+    }
+    : { service: REPORTS };
+  const max_attempts = has("attempts") ? REPORT_SERVERS : 2;
+  const limits: Record<string, number> = has("body")
+    ? { max_body_bytes: 16_777_216 }
+    : {};
+  return {
+    row: {
+      ...common,
+      ...target,
+      name: "r-3",
+      prefix: "/lohu930/",
+      kind: "safe",
+      max_attempts,
+    },
+    limits,
+  };
+}
+
 interface Call {
   readonly id: string;
   readonly path: string;
@@ -109,14 +141,7 @@
     kind: "unsafe",
     max_attempts: 1,
   };
-  const added = {
-    ...common,
-    name: "r-3",
-    prefix: "/lohu930/",
-    kind: "safe",
-    service: REPORTS,
-    max_attempts: HAS_TROUBLE ? REPORT_SERVERS : 2,
-  };
+  const { row: added, limits } = createChange(common);
   const keys = [ACCESS_KEY, OTHER_KEY];
   const atBookings = { ...booking, service: BOOKINGS };
   writeConfiguration(store, 7, [atBookings], keys);
@@ -124,11 +149,12 @@
   try {
     await entry.start();
     await sleep(SETTLED_MS);
-    writeConfiguration(store, 12, [atBookings, added], keys);
-    record.add(`version 12 adds /lohu930/, max_attempts ${added.max_attempts}`);
+    writeConfiguration(store, 12, [atBookings, added], keys, limits);
+    const row = JSON.stringify({ ...added, ...limits });
+    record.add(`version 12 adds ${row}`);
     await sleep(SETTLED_MS);
     const atReports = { ...booking, service: REPORTS };
-    writeConfiguration(store, 17, [atReports, added], [ACCESS_KEY]);
+    writeConfiguration(store, 17, [atReports, added], [ACCESS_KEY], limits);
     record.add(`version 17 moves /puxa403/ to ${REPORTS}, removes a key`);
     await sleep(SETTLED_MS);
     const { callerPort } = entry;
