--- a/review/build.sh
+++ b/review/build.sh
@@ -3,7 +3,7 @@
 # the build of the deploy file has done it. Writes to target/review only.
 set -e
 cd "$(dirname "$0")/.."
-npx --no-install esbuild review/lib/unframed_answer.ts review/lib/split_route.ts \
-  review/lib/spoiled_answer.ts review/lib/stuck_configuration.ts review/lib/two_issuers.ts \
+npx --no-install esbuild review/unframed_answer.ts review/split_route.ts \
+  review/spoiled_answer.ts review/stuck_configuration.ts review/two_issuers.ts \
   --bundle --platform=node --target=node20 --format=cjs --out-extension:.js=.cjs \
   --log-level=warning --outdir=target/review
--- a/review/lib/small_deployment.ts
+++ b/review/small_deployment.ts
@@ -19,7 +19,7 @@
 import { join } from "node:path";
 import process from "node:process";
 import { setTimeout as sleep } from "node:timers/promises";
-import { StoreStandIn } from "../../platform/testing/store_stand_in.ts";
+import { StoreStandIn } from "../platform/testing/store_stand_in.ts";
 
 /** Host of all addresses. */
 export const HOST = "127.0.0.1";
--- a/review/lib/two_issuers.ts
+++ b/review/two_issuers.ts
@@ -12,7 +12,7 @@
   type Socket,
 } from "node:net";
 import { setTimeout as sleep } from "node:timers/promises";
-import { getRendezvousRank } from "../../src/core/rendezvous_hash.ts";
+import { getRendezvousRank } from "../src/core/rendezvous_hash.ts";
 import {
   ACCESS_KEY,
   Entry,
