Put a configuration in force whatever one of its rows holds

Callers of an entry saw an old configuration for as long as the newest one held one value beyond the bounds of our own settings documents: the added route was 404, a moved route was run by the old service, a removed key was accepted. An entry that was started again had no settings and was never ready.

Cause: the adapter of the platform's store built settings documents with `SERVICE_SCHEMA.parse`, whose bounds suit documents that our operators write (at most 10 attempts, weights above 0, whole milliseconds, bodies up to 8 MiB, lower-case names). The platform's pages set no such bounds. One value beyond them threw for the whole version, and each later version held the row, too. A row that the format itself could not read (`kind` unknown, a number missing) cost the whole version as well, as an error.

A field that cannot be read gets its previous value or its default; a value beyond what the program supports gets the nearest one (deadlines and objectives up to an hour, bodies up to 8 MiB, which entries hold in memory). A row that does not say where its requests are served refuses them (503, 5043), since without it a shorter prefix would get them; one that does not say for which requests it is, is left out. Each finding in 2841 names the row, the field and what applies. Versions may be any number between entries.

--- a/src/direct/settings_follower.ts
+++ b/src/direct/settings_follower.ts
@@ -20,8 +20,8 @@
  * settings may take effect two seconds late.
  */
 const RETRY_PAUSE_MS = 400;
-/** Maximum number of wrong fields named in one log line. */
-const MAX_LOGGED_FINDINGS = 5;
+/** Maximum number of findings in one log line. */
+const MAX_LOGGED_FINDINGS = 20;
 
 /** Settings in force, with the text that they were parsed from. */
 export interface SettingsInUse {
--- a/src/entry/admission.ts
+++ b/src/entry/admission.ts
@@ -54,6 +54,7 @@
     const admitted = this.#tryRouteOf(request, this.#routes);
     if (admitted.isErr()) return admitted;
     const route = admitted.value;
+    if (route.service.isUnservable) return Err("SERVICE_UNSERVABLE");
     if (request.body.length > route.service.largestBodyBytes) {
       return Err("BODY_TOO_LARGE");
     }
--- a/src/events/catalogue.ts
+++ b/src/events/catalogue.ts
@@ -505,8 +505,9 @@
     code: 2841,
     level: "warn",
     text:
-      "Fields of the settings are not valid; their previous values stay in force",
-    action: "Correct the fields named in `findings`.",
+      "Rows or fields of the settings do not apply as written; the others are in force",
+    action:
+      "Correct those named in `findings`; each says what applies until then.",
   },
   GROUP_HOLDS_BACK: {
     code: 2842,
--- a/src/messages/peer_schema.ts
+++ b/src/messages/peer_schema.ts
@@ -66,7 +66,7 @@
   z.object({
     kind: z.literal("store_news_query"),
     queryId: COUNT,
-    settingsVersion: COUNT.optional(),
+    settingsVersion: z.number().optional(),
     directoryContent: z.string().optional(),
     processesRevision: COUNT.optional(),
     drainsRevision: COUNT.optional(),
--- a/src/messages/settings_documents.ts
+++ b/src/messages/settings_documents.ts
@@ -43,6 +43,11 @@
   readonly pool: string;
   /** Pools among which the requests are divided; undefined: `pool` gets all of them. */
   readonly split?: readonly PoolShare[];
+  /**
+   * Whether all requests are refused, because the operators' settings do not say which
+   * pool serves them. Without the service, a shorter prefix would get its requests.
+   */
+  readonly isUnservable?: boolean;
   /**
    * Whose requests are admitted: those of anyone, counted against the limits of the
    * organisation that owns the service, or those with an access key, counted against the
--- a/src/refusals/catalogue.ts
+++ b/src/refusals/catalogue.ts
@@ -61,6 +61,12 @@
     title: "No settings are in force yet",
     retryAfterSeconds: 2,
   },
+  SERVICE_UNSERVABLE: {
+    code: 5043,
+    status: 503,
+    title: "The settings do not say which pool serves these requests",
+    retryAfterSeconds: 10,
+  },
   NO_TARGET: {
     code: 5003,
     status: 503,
--- a/src/settings/schema.ts
+++ b/src/settings/schema.ts
@@ -26,6 +26,19 @@
 
 const SHA_256 = z.string().regex(/^[0-9a-f]{64}$/, "Expected a SHA-256 in hex");
 const MAX_ATTEMPTS = 10;
+/** Bounds of objectives in milliseconds. */
+export const OBJECTIVE_BOUNDS = { min: 1, max: 3_600_000 };
+/** Bounds of deadlines in milliseconds. */
+export const DEADLINE_BOUNDS = { min: 10, max: 3_600_000 };
+/** Bounds of the size of request bodies, which entries hold in memory. */
+export const BODY_BOUNDS = { min: 0, max: 8_388_608 };
+
+/** An integer within bounds. */
+function integerWithin(
+  { min, max }: { readonly min: number; readonly max: number },
+): z.ZodNumber {
+  return z.number().int().min(min).max(max);
+}
 const PRIORITY = z.union([
   z.number().int().min(0).max(LOWEST_PRIORITY),
   z.enum(PRIORITY_NAMES).transform((name) => PRIORITIES_BY_NAME[name]),
@@ -58,14 +71,14 @@
   mostAttempts: z.number().int().min(1).max(MAX_ATTEMPTS)
     .default(MAX_ATTEMPTS),
   resumable: z.boolean().default(false),
-  objectiveMs: z.number().int().min(1).max(3_600_000).optional(),
-  pauseObjectiveMs: z.number().int().min(1).max(3_600_000).optional(),
+  objectiveMs: integerWithin(OBJECTIVE_BOUNDS).optional(),
+  pauseObjectiveMs: integerWithin(OBJECTIVE_BOUNDS).optional(),
   handover: z.enum(["lagoonwharf", "scripts"]).default("lagoonwharf"),
   scriptsAddress: ADDRESS.optional(),
   priority: PRIORITY.default(DEFAULT_PRIORITY),
-  defaultDeadlineMs: z.number().int().min(10).max(3_600_000).default(60_000),
-  longestDeadlineMs: z.number().int().min(10).max(3_600_000).default(600_000),
-  largestBodyBytes: z.number().int().min(0).max(8_388_608).default(1_048_576),
+  defaultDeadlineMs: integerWithin(DEADLINE_BOUNDS).default(60_000),
+  longestDeadlineMs: integerWithin(DEADLINE_BOUNDS).default(600_000),
+  largestBodyBytes: integerWithin(BODY_BOUNDS).default(1_048_576),
   retryShare: z.number().min(0).max(1).default(0.1),
   idempotentMethods: z.array(z.string().regex(/^[A-Z]+$/))
     .default(["GET", "HEAD", "OPTIONS", "PUT", "DELETE"]),
