Log exceptions of our own handlers as internal faults, not as a lost store

Operators saw PLATFORM_UNREACHABLE for a store that answered each call, while an entry kept old settings: the log sent them to the wrong machine.

Cause: `StoreWatch` caught exceptions around the call and the handling of its answer together. Whatever a handler threw counted as a failed call: the watch paused and listed again without end, and no later change of any key below the prefix was handled (settings, drains, processes).

Change: only the call decides whether the store is reached. A handler's exception is logged as 2901 INTERNAL_FAULT with its stack, and the store is followed on from the revision that was read, since another listing would bring the same. An exception in the handling of drains does not cost the settings that were read with them.

Evidence: store_watch_test, "is logged as an internal fault while the store is followed".

--- a/src/direct/process_registry.ts
+++ b/src/direct/process_registry.ts
@@ -83,6 +83,7 @@
       // exist.
       listsOnStart: true,
       reachability: this.#reachability,
+      log: options.log,
       onListed: (items) => this.#applyListing(items),
       onChanged: (changed) => this.#applyChanges(changed),
     });
--- a/src/direct/settings_follower.ts
+++ b/src/direct/settings_follower.ts
@@ -4,6 +4,7 @@
  * @module
  */
 import type { EventLog } from "../events/event_log.ts";
+import { tryHandle } from "../events/internal_faults.ts";
 import type {
   OperatorSettings,
   StoreFormat,
@@ -70,12 +71,14 @@
       listsOnStart: true,
       listsOnReaderLoss: true,
       reachability: new Reachability("settings", log),
+      log,
       onListed: (items) => {
-        drains?.onListed({ items, revision: this.#watch.revision });
+        const { revision } = this.#watch;
+        this.#handleDrains(() => drains?.onListed({ items, revision }));
         this.#offerItems(items);
       },
       onChanged: (changed) => {
-        drains?.onChanged(changed);
+        this.#handleDrains(() => drains?.onChanged(changed));
         this.#offerItems(changed.written);
       },
     });
@@ -158,6 +161,11 @@
     });
   }
 
+  /** Handles drains so that an exception does not cost the settings read with them. */
+  #handleDrains(handle: () => void): void {
+    tryHandle(this.#options.log, "drains", handle);
+  }
+
   /** Applies the newest readable version of those that arrived together. */
   #offerItems(items: readonly StoreItem[]): void {
     const { settingsKey } = this.#options.format;
--- a/src/direct/store_watch.ts
+++ b/src/direct/store_watch.ts
@@ -6,9 +6,13 @@
  */
 import { performance } from "node:perf_hooks";
 import { setTimeout as sleep } from "node:timers/promises";
+import type { EventLog } from "../events/event_log.ts";
+import { tryHandle } from "../events/internal_faults.ts";
 import type {
   StoreChanged,
   StoreItem,
+  StoreListing,
+  StoreWatchOutcome,
   WatchedStore,
 } from "../external/watched_store.ts";
 import type { Reachability } from "./reachability.ts";
@@ -45,12 +49,30 @@
   /** Whether all keys are listed at once when the reader is lost. */
   readonly listsOnReaderLoss?: boolean;
   readonly reachability: Reachability;
-  /** Called with all keys after a listing. */
+  readonly log: EventLog;
+  /**
+   * Called with all keys after a listing. An exception is logged as an error of this
+   * program; the store is followed on.
+   */
   readonly onListed: (items: readonly StoreItem[]) => void;
-  /** Called when keys were written or removed. */
+  /** Called when keys were written or removed; exceptions as in `onListed`. */
   readonly onChanged: (changed: StoreChanged) => void;
 }
 
+/** All keys. */
+interface Listed {
+  readonly kind: "listed";
+  readonly listing: StoreListing;
+}
+
+/** The keys are due to be listed again. */
+interface RereadDue {
+  readonly kind: "reread_due";
+}
+
+/** What a call to the store returned. */
+type ReadOutcome = Listed | RereadDue | StoreWatchOutcome;
+
 /** Follows all keys below a prefix. */
 export class StoreWatch {
   readonly #options: StoreWatchOptions;
@@ -142,20 +164,31 @@
    * follow.
    */
   async #tryCall(isCurrent: boolean): Promise<boolean> {
-    const { reachability } = this.#options;
     this.#abortController = new AbortController();
     const startedAt = performance.now();
+    const outcome = await this.#tryRead(isCurrent);
+    if (outcome === undefined) return false;
+    const isNowCurrent = await this.#handle(outcome);
+    this.#checkedAt = startedAt;
+    return isNowCurrent;
+  }
+
+  /**
+   * Reads changes, or all keys unless the known ones are current. Waits before it returns
+   * undefined after a failure of the store.
+   */
+  async #tryRead(isCurrent: boolean): Promise<ReadOutcome | undefined> {
+    const { reachability } = this.#options;
     try {
-      const isNowCurrent = isCurrent ? await this.#watch() : await this.#list();
-      this.#checkedAt = startedAt;
+      const outcome = isCurrent ? await this.#watch() : await this.#list();
       this.#failures = 0;
       reachability.recordAnswer(performance.now());
-      return isNowCurrent;
+      return outcome;
     } catch (error) {
-      if (this.#isStopped || this.#isFollowingReader) return false;
+      if (this.#isStopped || this.#isFollowingReader) return undefined;
       reachability.recordFailure(performance.now(), error);
       await sleep(this.#nextRetryPauseMs(), undefined, { ref: false });
-      return false;
+      return undefined;
     }
   }
 
@@ -168,43 +201,55 @@
     return getRetryPauseMs(this.#options.retryPauseMs, failures);
   }
 
-  async #list(): Promise<boolean> {
-    const { store, prefix, onListed } = this.#options;
-    const listing = await store.list(prefix);
-    this.#revision = listing.revision;
-    onListed(listing.items);
-    return true;
+  async #list(): Promise<Listed> {
+    const { store, prefix } = this.#options;
+    return { kind: "listed", listing: await store.list(prefix) };
   }
 
-  /**
-   * Returns false when the store no longer has all changes, or when the keys are due to
-   * be listed again.
-   */
-  async #watch(): Promise<boolean> {
-    const {
-      store,
-      prefix,
-      waitMs,
-      gatherMs,
-      rereadIntervalMs,
-      onChanged,
-    } = this.#options;
+  async #watch(): Promise<RereadDue | StoreWatchOutcome> {
+    const { store, prefix, waitMs, rereadIntervalMs } = this.#options;
     if (rereadIntervalMs !== undefined) {
       await this.#pause(rereadIntervalMs);
-      return false;
+      return { kind: "reread_due" };
     }
-    const outcome = await store.watch({
+    return await store.watch({
       prefix,
       afterRevision: this.#revision,
       waitMs,
       signal: this.#abortController.signal,
     });
-    if (outcome.kind === "history_lost") return false;
-    this.#revision = outcome.revision;
-    if (outcome.removed.length + outcome.written.length === 0) return true;
-    onChanged(outcome);
+  }
+
+  /**
+   * Handles what the store returned. Returns whether the known keys are current, which
+   * does not depend on exceptions of the handlers: another listing would bring the same.
+   */
+  async #handle(outcome: ReadOutcome): Promise<boolean> {
+    switch (outcome.kind) {
+      case "listed":
+        this.#revision = outcome.listing.revision;
+        this.#run(() => this.#options.onListed(outcome.listing.items));
+        return true;
+      case "changed":
+        this.#revision = outcome.revision;
+        await this.#handleChange(outcome);
+        return true;
+      case "reread_due":
+      case "history_lost":
+        return false;
+    }
+  }
+
+  async #handleChange(changed: StoreChanged): Promise<void> {
+    const { gatherMs, onChanged } = this.#options;
+    if (changed.removed.length + changed.written.length === 0) return;
+    this.#run(() => onChanged(changed));
     if (gatherMs !== undefined) await this.#pause(gatherMs);
-    return true;
+  }
+
+  #run(handle: () => void): void {
+    const { log, prefix } = this.#options;
+    tryHandle(log, `keys below ${prefix}`, handle);
   }
 
   async #pause(milliseconds: number): Promise<void> {
--- a/src/direct/store_watch_test.ts
+++ b/src/direct/store_watch_test.ts
@@ -3,6 +3,7 @@
 import { setTimeout as sleep } from "node:timers/promises";
 import { EventLog } from "../events/event_log.ts";
 import {
+  type StoreItem,
   type StoreListing,
   type StoreWatchOptions,
   type StoreWatchOutcome,
@@ -53,6 +54,7 @@
     listsOnStart: listsAtOnce,
     listsOnReaderLoss: listsAtOnce,
     reachability: new Reachability("test", log),
+    log,
     onListed: () => undefined,
     onChanged: () => undefined,
   });
@@ -101,6 +103,75 @@
   });
 });
 
+/** Lists one key, and then returns one change at each watch. */
+class ChangingStore extends UnregisteredStore {
+  lists = 0;
+  readonly #changes: number;
+  #revision = 1;
+
+  /** `changes` is the number of watches that return a change. */
+  constructor(changes: number) {
+    super();
+    this.#changes = changes;
+  }
+
+  override list(): Promise<StoreListing> {
+    this.lists++;
+    return Promise.resolve({
+      items: [createItem(this.#revision)],
+      revision: this.#revision,
+    });
+  }
+
+  override async watch(): Promise<StoreWatchOutcome> {
+    if (this.#revision > this.#changes) await sleep(60_000);
+    const revision = ++this.#revision;
+    const written = [createItem(revision)];
+    return { kind: "changed", written, removed: [], revision };
+  }
+}
+
+function createItem(revision: number): StoreItem {
+  return { key: "any/a", value: "", revision, createdRevision: 1 };
+}
+
+/**
+ * Guards against a store that is reported as unreachable, and listed again and again
+ * without any further change being handled, because this program's own handler of its
+ * answers throws.
+ */
+describe("an exception in the handler of a store's answers", () => {
+  it("is logged as an internal fault while the store is followed", async () => {
+    const log = new EventLog({ role: "entry", processName: "test" });
+    const reachability = new Reachability("test", log);
+    const store = new ChangingStore(3);
+    const handled: number[] = [];
+    const handle = (items: readonly StoreItem[]) => {
+      const revision = items[0]?.revision ?? 0;
+      handled.push(revision);
+      if (revision < 3) throw new TypeError("unexpected value");
+    };
+    const watch = new StoreWatch({
+      store,
+      prefix: "any/",
+      waitMs: 1000,
+      retryPauseMs: 10,
+      reachability,
+      log,
+      onListed: handle,
+      onChanged: ({ written }) => handle(written),
+    });
+    watch.start();
+    await sleep(READ_MS);
+    watch.stop();
+    assert.deepEqual(handled, [1, 2, 3, 4]);
+    assert.equal(store.lists, 1);
+    assert.equal(log.counts.get("INTERNAL_FAULT"), 2);
+    assert.equal(log.counts.get("PLATFORM_UNREACHABLE"), undefined);
+    assert.ok(reachability.isReached);
+  });
+});
+
 /**
  * Guards against overloading a store that is busy for some seconds and is called again
  * and again by every process of a fleet. Rejected calls are work for the store as well.
