Do not fail a store call whose count throws

The store would have counted as unreachable although it had answered: `CountedStore` reported each call inside the `try` around it, so that an exception of the listener failed an answered call and counted it twice.

An exception of the listener is now logged as an internal fault. Test: "returns an answer whose count throws, and logs the exception", which failed before with the listener's exception.

--- a/src/direct/counted_store.ts
+++ b/src/direct/counted_store.ts
@@ -5,6 +5,7 @@
  * @module
  */
 import type { EventLog } from "../events/event_log.ts";
+import { tryHandle } from "../events/internal_faults.ts";
 import {
   type LeasedRegistration,
   type StoreCallKind,
@@ -27,7 +28,7 @@
 export interface CountedStoreOptions {
   readonly store: WatchedStore;
   readonly log: EventLog;
-  /** Called for each call when it completes. */
+  /** Called for each call when it completes. An exception does not fail the call. */
   readonly onCall?: (kind: StoreCallKind, hasFailed: boolean) => void;
 }
 
@@ -70,19 +71,23 @@
   }
 
   async #count<T>(kind: StoreCallKind, call: Promise<T>): Promise<T> {
-    const { onCall } = this.#options;
     this.#counts[kind]++;
     try {
       const answer = await call;
-      onCall?.(kind, false);
+      this.#report(kind, false);
       return answer;
     } catch (error) {
       this.#counts.failed++;
-      onCall?.(kind, true);
+      this.#report(kind, true);
       throw error;
     }
   }
 
+  #report(kind: StoreCallKind, hasFailed: boolean): void {
+    const { log, onCall } = this.#options;
+    tryHandle(log, `a ${kind} call`, () => onCall?.(kind, hasFailed));
+  }
+
   #logCounts(): void {
     const counts = this.#counts;
     const isIdle = Object.values(counts).every((count) => count === 0);
--- a/src/direct/counted_store_test.ts
+++ b/src/direct/counted_store_test.ts
@@ -49,4 +49,18 @@
     await assert.rejects(counted.list("any/"), StoreUnavailableError);
     assert.deepEqual(calls, ["list false", "list true"]);
   });
+
+  // Guards against an answered call that counts as a failure of the store.
+  it("returns an answer whose count throws, and logs the exception", async () => {
+    const log = new EventLog({ role: "entry", processName: "test" });
+    const counted = new CountedStore({
+      store: new ListingStore(),
+      log,
+      onCall: () => {
+        throw new TypeError("unexpected value");
+      },
+    });
+    assert.equal((await counted.list("any/")).revision, 7);
+    assert.equal(log.counts.get("INTERNAL_FAULT"), 1);
+  });
 });
