Do not take exceptions in handling an answer for a broken back end

An exception of this program while it handled an answer would have looked to callers and operators like a back end that broke off its answer, and that back end would have been avoided or taken for crashed. Nothing in the log named the exception.

Cause: the HTTP client library calls the listener inside a `try` and aborts the call when it throws, which the adapter reports as `broken`.

Change: entries that call back ends themselves, and target processes, handle messages of a call apart from it, and log an exception as 2901 INTERNAL_FAULT. A request whose message was lost fails by the gap in its sequence or by its deadline, as before.

--- a/src/direct/direct_entry_driver.ts
+++ b/src/direct/direct_entry_driver.ts
@@ -125,6 +125,7 @@
     });
     this.#targets = new DirectTargetPool({
       createBackEnd: options.createBackEnd,
+      log,
       onMessage: (targetName, message) =>
         this.#server.dispatch({
           kind: "message_received",
--- a/src/direct/direct_target_pool.ts
+++ b/src/direct/direct_target_pool.ts
@@ -4,6 +4,8 @@
  * @module
  */
 import type { TargetLink, TargetLinks } from "../entry/target_links.ts";
+import type { EventLog } from "../events/event_log.ts";
+import { tryHandle } from "../events/internal_faults.ts";
 import type { BackEnd } from "../external/back_end.ts";
 import type { BackEndInstance } from "../messages/back_end_instance.ts";
 import type { AttemptMessage } from "../messages/types.ts";
@@ -13,6 +15,8 @@
 export interface DirectTargetPoolOptions {
   /** Creates the adapter of one back end. */
   readonly createBackEnd: (instance: BackEndInstance) => BackEnd;
+  readonly log: EventLog;
+  /** Called for each message; an exception is logged as an error of this program. */
   readonly onMessage: (targetName: string, message: AttemptMessage) => void;
   /**
    * Whether an attempt may still be sent to a target. Checked before its first byte is
@@ -58,11 +62,17 @@
   }
 
   #add(instance: BackEndInstance): void {
-    const { createBackEnd, onMessage, mayBegin } = this.#options;
+    const { createBackEnd, log, onMessage, mayBegin } = this.#options;
     const target = new DirectTarget({
       instance,
       backEnd: createBackEnd(instance),
-      onMessage: (message) => onMessage(instance.id, message),
+      // The client library would fail the call, as if the back end had broken it off.
+      onMessage: (message) =>
+        tryHandle(
+          log,
+          `an answer of ${instance.id}`,
+          () => onMessage(instance.id, message),
+        ),
       mayBegin: () => mayBegin(instance.id),
     });
     this.#targets.set(instance.id, target);
--- a/src/entry/slow_callers_test.ts
+++ b/src/entry/slow_callers_test.ts
@@ -72,6 +72,7 @@
     this.#pool = new DirectTargetPool({
       createBackEnd: ({ address }) =>
         new HttpBackEnd({ address, maxConnections: 40 }),
+      log,
       onMessage: (targetName, message) =>
         this.#server.dispatch({
           kind: "message_received",
--- a/src/target/back_end_calls.ts
+++ b/src/target/back_end_calls.ts
@@ -5,6 +5,8 @@
  */
 import { performance } from "node:perf_hooks";
 import { getForwardedHeaders } from "../messages/http_headers.ts";
+import type { EventLog } from "../events/event_log.ts";
+import { tryHandle } from "../events/internal_faults.ts";
 import type { BackEnd, BackEndCall } from "../external/back_end.ts";
 import type { Metrics } from "../process/metrics.ts";
 import type { StartBackEnd, TargetEvent } from "./types.ts";
@@ -13,6 +15,8 @@
 export interface BackEndCallsOptions {
   readonly backEnd: BackEnd;
   readonly metrics: Metrics;
+  readonly log: EventLog;
+  /** Called for each event; an exception is logged as an error of this program. */
   readonly onEvent: (event: TargetEvent) => void;
 }
 
@@ -29,7 +33,12 @@
   /** Sends a request to the back end and reports its answer as events. */
   start(effect: StartBackEnd): void {
     const { runId, request } = effect;
-    const { backEnd, metrics, onEvent } = this.#options;
+    const { backEnd, log, metrics } = this.#options;
+    // The client library would fail the call, as if the back end had broken it off.
+    const onEvent = (event: TargetEvent) =>
+      tryHandle(log, "an answer of the back end", () => {
+        this.#options.onEvent(event);
+      });
     const startedAt = performance.now();
     metrics.countRequest();
     const backEndCall = backEnd.start({
--- a/src/target/target_driver.ts
+++ b/src/target/target_driver.ts
@@ -108,6 +108,7 @@
     this.#calls = new BackEndCalls({
       backEnd: options.backEnd,
       metrics: this.#metrics,
+      log: options.log,
       onEvent: (event) => this.#dispatch(event),
     });
     this.#listener = createHonoListener(createTargetPages({
