Separate calls from the handling of their answers in three more readers

A key-value service, a list of VMs and an engine that had answered would have counted as unreachable when this program threw while it handled the answer: the reader of settings and of VMs reported the service as lost without naming the exception, and the member of a rank sent the engine an order again that it had executed.

Found by reading each `catch` of src and platform; no such exception was seen in use.

Change: only the call decides whether the service is reached; exceptions of our own are logged as 2901 INTERNAL_FAULT.

--- a/src/entry/entry_driver.ts
+++ b/src/entry/entry_driver.ts
@@ -6,6 +6,7 @@
 import { performance } from "node:perf_hooks";
 import { RandomSource } from "../core/random_source.ts";
 import type { EventLog } from "../events/event_log.ts";
+import { logInternalFault } from "../events/internal_faults.ts";
 import type { Link } from "../links/link.ts";
 import { PeerBodySource } from "../settings/peer_body_source.ts";
 import type { LinkFault } from "../messages/codec.ts";
@@ -224,6 +225,7 @@
     if (machineList === undefined) return;
     this.#virtualMachineReader = new VirtualMachineListReader({
       list: machineList,
+      onFault: (error) => logInternalFault(log, "the list of VMs", error),
       onList: (virtualMachines) => {
         this.#virtualMachines = virtualMachines;
         this.#dialler?.setVirtualMachines(virtualMachines);
--- a/src/entry/entry_settings.ts
+++ b/src/entry/entry_settings.ts
@@ -67,6 +67,7 @@
     const { keyValueService } = this.#options;
     if (keyValueService === undefined) return;
     this.#watcher = new SettingsWatcher(keyValueService, this.keeper, {
+      log: this.#options.log,
       listener: {
         onBehind: (revision) => void this.#restore(revision),
         onReachable: (isReachable) => this.#onReachable(isReachable),
--- a/src/external/virtual_machine_list_reader.ts
+++ b/src/external/virtual_machine_list_reader.ts
@@ -13,7 +13,10 @@
 /** Options of a {@link VirtualMachineListReader}. */
 export interface VirtualMachineListReaderOptions {
   readonly list: VirtualMachineList;
+  /** Called with each list. */
   readonly onList: (virtualMachines: readonly VirtualMachine[]) => void;
+  /** Called with an exception of `onList`. */
+  readonly onFault: (error: unknown) => void;
   /** Called when the list becomes reachable or unreachable. */
   readonly onReachable: (isReachable: boolean) => void;
 }
@@ -47,12 +50,21 @@
   }
 
   async #read(): Promise<void> {
+    const virtualMachines = await this.#tryRead();
+    this.#setReachable(virtualMachines !== undefined);
+    if (virtualMachines === undefined || this.#isStopped) return;
     try {
-      const virtualMachines = await this.#options.list.read();
-      this.#setReachable(true);
-      if (!this.#isStopped) this.#options.onList(virtualMachines);
+      this.#options.onList(virtualMachines);
+    } catch (error) {
+      this.#options.onFault(error);
+    }
+  }
+
+  async #tryRead(): Promise<readonly VirtualMachine[] | undefined> {
+    try {
+      return await this.#options.list.read();
     } catch {
-      this.#setReachable(false);
+      return undefined;
     }
   }
 
--- a/src/group/group_participant.ts
+++ b/src/group/group_participant.ts
@@ -41,6 +41,7 @@
     const { group } = options;
     this.#member = new MemberDriver({
       engine: options.engine,
+      log: options.log,
       send: (report) => this.#link?.send({ kind: "group_report", report }),
     });
     if (group.rank !== 0) return;
--- a/src/group/member_driver.ts
+++ b/src/group/member_driver.ts
@@ -6,10 +6,13 @@
  */
 import { performance } from "node:perf_hooks";
 import { setTimeout as sleep } from "node:timers/promises";
+import type { EventLog } from "../events/event_log.ts";
+import { tryHandle } from "../events/internal_faults.ts";
 import type { RankEngine } from "../external/rank_engine.ts";
 import type {
   CoordinatorMessage,
   EngineOrder,
+  EngineState,
   MemberMessage,
   RankLoad,
 } from "../messages/group_types.ts";
@@ -21,6 +24,7 @@
 /** Options of a {@link MemberDriver}. */
 export interface MemberDriverOptions {
   readonly engine: RankEngine;
+  readonly log: EventLog;
   /** Sends a message to rank 0 if it is connected. */
   readonly send: (message: MemberMessage) => void;
 }
@@ -67,25 +71,39 @@
   }
 
   async #readState(): Promise<void> {
+    const engine = await this.#tryReadState();
+    if (engine === undefined) return;
+    this.#dispatch({ kind: "engine_said", now: performance.now(), engine });
+  }
+
+  /** Returns undefined if the engine does not answer; the next poll retries. */
+  async #tryReadState(): Promise<EngineState | undefined> {
     try {
-      const engine = await this.#options.engine.readState();
-      this.#dispatch({ kind: "engine_said", now: performance.now(), engine });
+      return await this.#options.engine.readState();
     } catch {
-      // The next poll retries.
+      return undefined;
     }
   }
 
   async #sendOrder(order: EngineOrder, fencingNumber: number): Promise<void> {
     while (!this.#isStopped) {
-      try {
-        const engine = await this.#options.engine
-          .execute(order, fencingNumber);
+      const engine = await this.#tryExecute(order, fencingNumber);
+      if (engine !== undefined) {
         const now = performance.now();
-        this.#dispatch({ kind: "engine_said", now, engine, order });
-        return;
-      } catch {
-        await sleep(RETRY_DELAY_MS, undefined, { ref: false });
+        return this.#dispatch({ kind: "engine_said", now, engine, order });
       }
+      await sleep(RETRY_DELAY_MS, undefined, { ref: false });
+    }
+  }
+
+  async #tryExecute(
+    order: EngineOrder,
+    fencingNumber: number,
+  ): Promise<EngineState | undefined> {
+    try {
+      return await this.#options.engine.execute(order, fencingNumber);
+    } catch {
+      return undefined;
     }
   }
 
@@ -94,8 +112,11 @@
     return this.#lastEngineCall;
   }
 
+  /** An exception must not count as an engine that does not answer. */
   #dispatch(event: MemberEvent): void {
-    for (const effect of this.#member.reduce(event)) this.#perform(effect);
+    tryHandle(this.#options.log, `${event.kind} at a rank`, () => {
+      for (const effect of this.#member.reduce(event)) this.#perform(effect);
+    });
   }
 
   #perform(effect: MemberEffect): void {
--- a/src/settings/settings_watcher.ts
+++ b/src/settings/settings_watcher.ts
@@ -4,7 +4,12 @@
  * @module
  */
 import { setTimeout as sleep } from "node:timers/promises";
-import type { KeyValueService } from "../external/key_value_service.ts";
+import type { EventLog } from "../events/event_log.ts";
+import { logInternalFault } from "../events/internal_faults.ts";
+import type {
+  KeyValueEntry,
+  KeyValueService,
+} from "../external/key_value_service.ts";
 import type { OfferOutcome, SettingsKeeper } from "./settings_keeper.ts";
 import { HEAD_KEY } from "./tree.ts";
 
@@ -24,11 +29,24 @@
   onReachable(isReachable: boolean): void;
 }
 
+/** Options of a {@link SettingsWatcher}. */
+export interface SettingsWatcherOptions {
+  readonly listener: SettingsWatcherListener;
+  readonly log: EventLog;
+}
+
+/** What a call to the service returned. */
+interface ReadHead {
+  /** Undefined: the service has no head. */
+  readonly entry: KeyValueEntry | undefined;
+}
+
 /** Follows the settings head in the key-value service. */
 export class SettingsWatcher {
   readonly #service: KeyValueService;
   readonly #keeper: SettingsKeeper;
   readonly #listener: SettingsWatcherListener;
+  readonly #log: EventLog;
   #watchController = new AbortController();
   #isStopped = false;
   #keyRevision = 0;
@@ -37,11 +55,12 @@
   constructor(
     service: KeyValueService,
     keeper: SettingsKeeper,
-    options: { readonly listener: SettingsWatcherListener },
+    { listener, log }: SettingsWatcherOptions,
   ) {
     this.#service = service;
     this.#keeper = keeper;
-    this.#listener = options.listener;
+    this.#listener = listener;
+    this.#log = log;
     void this.#follow();
   }
 
@@ -68,34 +87,51 @@
   }
 
   async #readOnce(): Promise<void> {
+    const read = await this.#tryCall(() => this.#service.tryRead(HEAD_KEY));
+    this.#listener.onReachable(read !== undefined);
+    if (read !== undefined) await this.#tryApplyHead(read);
+  }
+
+  async #watchOnce(): Promise<boolean> {
+    const { signal } = this.#watchController;
+    const knownRevision = this.#keyRevision;
+    const read = await this.#tryCall(() =>
+      this.#service.watch(HEAD_KEY, { knownRevision, signal })
+    );
+    if (read === undefined) {
+      if (!signal.aborted) this.#listener.onReachable(false);
+      return false;
+    }
+    this.#listener.onReachable(true);
+    return await this.#tryApplyHead(read);
+  }
+
+  /** Returns undefined if the service does not answer. */
+  async #tryCall(
+    call: () => Promise<KeyValueEntry | undefined>,
+  ): Promise<ReadHead | undefined> {
     try {
-      const entry = await this.#service.tryRead(HEAD_KEY);
-      this.#listener.onReachable(true);
-      await this.#applyHead(entry);
+      return { entry: await call() };
     } catch {
-      this.#listener.onReachable(false);
+      return undefined;
     }
   }
 
-  async #watchOnce(): Promise<boolean> {
-    const { signal } = this.#watchController;
+  /**
+   * Applies a head; an exception must not count as a service that does not answer.
+   * Returns false if the head must be read again after a delay.
+   */
+  async #tryApplyHead({ entry }: ReadHead): Promise<boolean> {
     try {
-      const entry = await this.#service.watch(HEAD_KEY, {
-        knownRevision: this.#keyRevision,
-        signal,
-      });
-      this.#listener.onReachable(true);
       return await this.#applyHead(entry);
-    } catch {
-      if (!signal.aborted) this.#listener.onReachable(false);
+    } catch (error) {
+      logInternalFault(this.#log, "the head of the settings", error);
       return false;
     }
   }
 
   /** Offers a head to the keeper; false if it must be read again after a delay. */
-  async #applyHead(
-    entry: { readonly value: string; readonly revision: number } | undefined,
-  ): Promise<boolean> {
+  async #applyHead(entry: KeyValueEntry | undefined): Promise<boolean> {
     if (entry === undefined) {
       this.#keyRevision = 0;
       if (this.#keeper.revision > 0) this.#listener.onBehind(0);
--- a/src/target/target_driver.ts
+++ b/src/target/target_driver.ts
@@ -6,6 +6,7 @@
 import { performance } from "node:perf_hooks";
 import { assertNever } from "../core/debug.ts";
 import type { EventLog } from "../events/event_log.ts";
+import { logInternalFault } from "../events/internal_faults.ts";
 import { GroupParticipant } from "../group/group_participant.ts";
 import type { Link } from "../links/link.ts";
 import { LinkServer, type LinkServerListener } from "../links/link_server.ts";
@@ -151,6 +152,7 @@
     if (machineList !== undefined) {
       this.#virtualMachineListReader = new VirtualMachineListReader({
         list: machineList,
+        onFault: (error) => logInternalFault(log, "the list of VMs", error),
         onList: (virtualMachines) => this.#onVirtualMachines(virtualMachines),
         onReachable: (isReachable) =>
           log.write(isReachable ? "PLATFORM_REACHED" : "PLATFORM_UNREACHABLE", {
