Log only engines that did not answer as unreachable

An exception of the decider or a sidecar while it handled the effect of an order was logged as ENGINE_UNREACHABLE, which sends an operator to an engine that works.

Cause: the exception left the report's handler through the promise of the call. The engine's client throws an error type of its own when there is no answer; only that one counts now, anything else is an internal fault with its stack.

Evidence: rank_links_test, "log an exception in the handling of their effect as an internal fault", failed before. No such exception was seen in use.

--- a/src/direct/rank_driver.ts
+++ b/src/direct/rank_driver.ts
@@ -12,6 +12,7 @@
 import type { StoreFormat } from "../external/operator_settings.ts";
 import type { WatchedStore } from "../external/watched_store.ts";
 import { DeciderDriver } from "../group/formed/decider_driver.ts";
+import { logEngineFault } from "../group/formed/engine_faults.ts";
 import { MapDecoder } from "../group/formed/map_changes.ts";
 import { RankAgent, type ReportSender } from "../group/formed/rank_agent.ts";
 import { SwitchRecovery } from "../group/formed/switch_recovery.ts";
@@ -365,7 +366,7 @@
   }
 
   #logEngineFault(error: unknown): void {
-    this.#options.log.write("ENGINE_UNREACHABLE", { cause: String(error) });
+    logEngineFault(this.#options.log, error);
   }
 }
 
--- a/src/group/formed/rank_links.ts
+++ b/src/group/formed/rank_links.ts
@@ -12,6 +12,7 @@
 import type { LinkIdentity } from "../../links/link_server.ts";
 import type { Message } from "../../messages/types.ts";
 import type { SendOrder } from "./decider_types.ts";
+import { logEngineFault } from "./engine_faults.ts";
 import { sendUntilAnswered } from "./send_until_answered.ts";
 import { MapEncoder } from "./map_changes.ts";
 import { RankAgent, REMOTE_ENGINE_POLLING } from "./rank_agent.ts";
@@ -176,9 +177,7 @@
       .execute({ kind: "rank_order", orderId, order }, (report) => {
         onReport(member, report);
       })
-      .catch((error) => {
-        log.write("ENGINE_UNREACHABLE", { rank, cause: String(error) });
-      });
+      .catch((error) => logEngineFault(log, error, { rank }));
   }
 
   #getRemoteAgent(address: string): RankAgent {
--- a/src/group/formed/rank_links_test.ts
+++ b/src/group/formed/rank_links_test.ts
@@ -17,6 +17,11 @@
 class LinksFixture {
   readonly engine = new FormedEngineFixture(RANK, RANKS);
   readonly reports: RankReportMessage[] = [];
+  readonly log = new EventLog({ role: "rank", processName: "test" });
+  /** Called for each report. */
+  onReport = (report: RankReportMessage): void => {
+    this.reports.push(report);
+  };
   readonly links = new RankLinks({
     identity: {
       deployment: "test",
@@ -26,9 +31,9 @@
       failureDomain: "a",
     },
     group: "group",
-    log: new EventLog({ role: "rank", processName: "test" }),
+    log: this.log,
     createEngine: () => this.engine,
-    onReport: (_member, report) => this.reports.push(report),
+    onReport: (_member, report) => this.onReport(report),
   });
 
   /** Adds a rank whose sidecar has ended, so that its address refuses connections. */
@@ -71,4 +76,18 @@
     fixture.links.stop();
     assert.equal(fixture.reports[0]?.state.preparedVersion, 2);
   });
+
+  // Guards against an engine that is logged as unreachable although it answered.
+  it("log an exception in the handling of their effect as an internal fault", async () => {
+    const fixture = new LinksFixture();
+    fixture.onReport = () => {
+      throw new TypeError("unexpected value");
+    };
+    await fixture.start();
+    await fixture.send({ kind: "hold", epoch: 1, pass: 3 });
+    fixture.links.stop();
+    const { counts } = fixture.log;
+    assert.equal(counts.get("INTERNAL_FAULT"), 1);
+    assert.equal(counts.get("ENGINE_UNREACHABLE"), undefined);
+  });
 });
--- a/src/group/formed/switch_recovery.ts
+++ b/src/group/formed/switch_recovery.ts
@@ -15,6 +15,7 @@
   DeciderEvent,
   SendOrder,
 } from "./decider_types.ts";
+import { logEngineFault } from "./engine_faults.ts";
 import { readHeldPass } from "./held_pass.ts";
 import { HeldPassWatch } from "./held_pass_watch.ts";
 import type { RankAgent } from "./rank_agent.ts";
@@ -148,9 +149,6 @@
         { kind: "rank_order", orderId, order },
         (report) => this.#onReport(report),
       )
-      .catch((error) => {
-        const cause = String(error);
-        this.#options.log.write("ENGINE_UNREACHABLE", { rank, cause });
-      });
+      .catch((error) => logEngineFault(this.#options.log, error, { rank }));
   }
 }
