Keep the host of a request apart from its path when routing

A request with the host `one.example/x` and the path `/y/z` was run by the service of `one.example` and `/x/y`, though no route has that host.

Cause: host and prefix were joined into one key without a separator. Found while looking for related paths of the route that a prefix without its last slash selects.

Change: a line feed separates them, which neither a header nor a path can contain.

Evidence: routing_table_test, "keeps the host of a request apart from its path", failed before with the service of the other host.

--- a/src/entry/routing_table.ts
+++ b/src/entry/routing_table.ts
@@ -42,6 +42,8 @@
 
 /** Placeholder for any host in the keys of prefixes; no real host is empty. */
 const ANY_HOST = "";
+/** Separates host and prefix in keys; neither contains it in a request. */
+const KEY_SEPARATOR = "\n";
 
 type Documents = ReadonlyMap<string, SettingsDocument>;
 
@@ -119,7 +121,7 @@
   #tryFindLongestPrefix(path: string, host: string): Route | undefined {
     let prefix = path;
     while (true) {
-      const route = this.#byPrefix.get(`${host}${prefix}`);
+      const route = this.#byPrefix.get(createPrefixKey(host, prefix));
       if (route !== undefined) return route;
       if (prefix === "") return undefined;
       prefix = prefix.slice(0, prefix.lastIndexOf("/"));
@@ -218,5 +220,9 @@
   const prefix = pathPrefix.endsWith("/")
     ? pathPrefix.slice(0, -1)
     : pathPrefix;
-  return `${host ?? ANY_HOST}${prefix}`;
+  return createPrefixKey(host ?? ANY_HOST, prefix);
+}
+
+function createPrefixKey(host: string, prefix: string): string {
+  return `${host}${KEY_SEPARATOR}${prefix}`;
 }
--- a/src/entry/routing_table_test.ts
+++ b/src/entry/routing_table_test.ts
@@ -129,4 +129,21 @@
       assert.equal(table.tryFindRoute({ path })?.servicePath, service, path);
     }
   });
+
+  // Guards against a host that takes over a part of the path of another host's route.
+  it("keeps the host of a request apart from its path", () => {
+    const service = "kind: service\nhost: one.example\npool: p\n";
+    const documents = createDocuments([
+      { path: "/organisations/a", text: "kind: organisation" },
+      {
+        path: "/organisations/a/services/one",
+        text: `${service}pathPrefix: /x/y`,
+      },
+    ]);
+    const table = new RoutingTable(documents);
+    const find = (host: string, path: string) =>
+      table.tryFindRoute({ host, path })?.servicePath;
+    assert.ok(find("one.example", "/x/y/z") !== undefined);
+    assert.equal(find("one.example/x", "/y/z"), undefined);
+  });
 });
