Match a platform route only to paths that its prefix begins

After an operator split /a/ by a route /a/b/, callers of /a/b got the answer of the new route's service: an unsafe request ran at a service to which no configuration sends it. /a was served where no route matches. Behind a `public` route such a request ran without a key. Each such request went wrong for as long as the version was in force.

Cause: the routing table drops the last slash of each prefix and begins its search with the whole path, so that a path that equals a prefix without that slash matches. That is what our own settings documents mean, whose prefixes may end without a slash; the platform's prefixes all end with one, and only a path that they begin matches.

The table then keeps it in the key, and looks a path up at each of its slashes with and without it. Nothing changes for our own documents.

--- a/src/entry/routing_table.ts
+++ b/src/entry/routing_table.ts
@@ -118,13 +118,18 @@
     return this.#callers.get(accessKeySha256);
   }
 
+  /**
+   * Looks up the path, then its prefixes up to each slash, with the slash and without it.
+   */
   #tryFindLongestPrefix(path: string, host: string): Route | undefined {
     let prefix = path;
     while (true) {
       const route = this.#byPrefix.get(createPrefixKey(host, prefix));
       if (route !== undefined) return route;
       if (prefix === "") return undefined;
-      prefix = prefix.slice(0, prefix.lastIndexOf("/"));
+      prefix = prefix.endsWith("/")
+        ? prefix.slice(0, -1)
+        : prefix.slice(0, prefix.lastIndexOf("/") + 1);
     }
   }
 
@@ -214,13 +219,13 @@
   }
 }
 
-/** Combines host and prefix, without a trailing slash, into one key. */
+/** Returns the key of a service, whose prefix keeps its last slash if paths need it. */
 function prefixKeyOf(service: ServiceDocument): string {
-  const { host, pathPrefix } = service;
-  const prefix = pathPrefix.endsWith("/")
+  const { host = ANY_HOST, pathPrefix, requiresLastSlash } = service;
+  const prefix = pathPrefix.endsWith("/") && !requiresLastSlash
     ? pathPrefix.slice(0, -1)
     : pathPrefix;
-  return createPrefixKey(host ?? ANY_HOST, prefix);
+  return createPrefixKey(host, prefix);
 }
 
 function createPrefixKey(host: string, prefix: string): string {
--- a/src/entry/routing_table_test.ts
+++ b/src/entry/routing_table_test.ts
@@ -130,6 +130,23 @@
     }
   });
 
+  // Guards against a service that loses requests for the path of its prefix.
+  it("selects a prefix for its own path, with and without a last slash", () => {
+    for (const pathPrefix of ["/x", "/x/"]) {
+      const documents = createDocuments([
+        { path: "/organisations/a", text: "kind: organisation" },
+        {
+          path: "/organisations/a/services/one",
+          text: `kind: service\npathPrefix: ${pathPrefix}\npool: p`,
+        },
+      ]);
+      const table = new RoutingTable(documents);
+      for (const path of ["/x", "/x/", "/x/y"]) {
+        assert.ok(table.tryFindRoute({ path }) !== undefined, path);
+      }
+    }
+  });
+
   // Guards against a host that takes over a part of the path of another host's route.
   it("keeps the host of a request apart from its path", () => {
     const service = "kind: service\nhost: one.example\npool: p\n";
--- a/src/messages/settings_documents.ts
+++ b/src/messages/settings_documents.ts
@@ -37,6 +37,11 @@
   readonly kind: "service";
   /** The service gets requests for this path and all paths below it. */
   readonly pathPrefix: string;
+  /**
+   * Whether `pathPrefix` ends with a slash that a request's path must have, too;
+   * undefined: the path without that slash belongs to the service as well.
+   */
+  readonly requiresLastSlash?: boolean;
   /** Host for which requests must be sent; undefined: any host. */
   readonly host?: string;
   /** Name of the pool of targets that serves the requests. */
