List the processes again when the store does not answer another call

A server that named a limit of 20 requests a second got 161 requests in 4 s from two entries, 125 allowed, for some 9 s: both issued the whole limit.

Cause: the open connections of the first entry to the store fell silent while another entry joined. Its watch of the registered processes was held by a silent connection until its time limit of 16.5 s. A new issuer takes the whole limit after 5 s, by which time all entries are assumed to know of it. The listing of back ends had failed within 2 s, and made the entry restart the watch of the settings, but not that of the processes.

Ruled out: the shares themselves. Until the new issuer took the whole limit, both together stayed below 125; after the first entry had the new list they did, too.

Change: a failed listing of back ends restarts the watch of the processes as well.

Left: an entry that follows another one hears of processes through that link; if it falls silent, too, its heartbeats end it after 6 to 8 s.

--- a/src/direct/direct_entry_driver.ts
+++ b/src/direct/direct_entry_driver.ts
@@ -164,6 +164,7 @@
       onStoreRestored: () => this.#registry.registerAgain(),
       onListFailed: () => {
         this.#settings.restart();
+        this.#registry.refresh();
         this.#peers.onStoreUnavailable();
       },
     });
--- a/src/direct/process_registry.ts
+++ b/src/direct/process_registry.ts
@@ -120,6 +120,14 @@
     this.#renewalPause.abort();
   }
 
+  /**
+   * Aborts a watch that may never return, and lists the processes again. A connection may
+   * have died unnoticed while other calls are answered or rejected.
+   */
+  refresh(): void {
+    this.#watch.restart();
+  }
+
   /** Sets whether another entry sends updates of the processes. */
   setFollowingReader(isFollowing: boolean): void {
     this.#watch.setFollowingReader(isFollowing);
--- a/src/testing/tcp_relay.ts
+++ b/src/testing/tcp_relay.ts
@@ -66,6 +66,16 @@
     this.#freeze("from_target");
   }
 
+  /**
+   * Makes open connections silent for good, without closing them; new ones are relayed.
+   */
+  silenceOpen(): void {
+    for (const socket of this.#getSockets()) {
+      socket.removeAllListeners("data");
+      socket.pause();
+    }
+  }
+
   /** Delays all data by a number of milliseconds. */
   delay(delayMs: number): void {
     this.#delayMs = delayMs;
