Serve a route whose host has a port

A route of the platform with the host `desk.example:8080` was put in force and answered 404 to each request.

Cause: the port was removed from the `Host` header before the route was looked up.

Change: the table looks up the host as sent, then without its port, then services without a host.

--- a/src/entry/caller_connection.ts
+++ b/src/entry/caller_connection.ts
@@ -118,7 +118,7 @@
       id,
       method: this.#incoming.method ?? "GET",
       path: this.#incoming.url ?? "/",
-      host: hostnameOf(this.#incoming.headers.host),
+      host: this.#incoming.headers.host,
       body: body.value,
       ...fields.value,
     });
@@ -226,10 +226,6 @@
   }
 }
 
-function hostnameOf(host: string | undefined): string | undefined {
-  return host?.replace(/:\d+$/, "");
-}
-
 /** Flattens headers into the list that Node.js takes; a name may occur more than once. */
 function rawHeaders(headers: readonly Header[]): string[] {
   return headers.flatMap(([name, value]) => [name, value]);
--- a/src/entry/routing_table.ts
+++ b/src/entry/routing_table.ts
@@ -31,6 +31,7 @@
 export interface RouteQuery {
   /** Path without query string. */
   readonly path: string;
+  /** Host name, with or without a port. */
   readonly host?: string;
 }
 
@@ -96,8 +97,8 @@
   }
 
   /**
-   * Returns the route of a request. Services of the request's host take precedence over
-   * services without a host.
+   * Returns the route of a request. Services of the request's host and port take
+   * precedence over services of its host, and these over services without a host.
    *
    * @example
    * ```ts
@@ -107,10 +108,11 @@
    */
   tryFindRoute(query: RouteQuery): Route | undefined {
     const { path, host } = query;
-    const hostRoute = host === undefined
-      ? undefined
-      : this.#tryFindLongestPrefix(path, host.toLowerCase());
-    return hostRoute ?? this.#tryFindLongestPrefix(path, ANY_HOST);
+    for (const candidate of host === undefined ? [] : listHosts(host)) {
+      const route = this.#tryFindLongestPrefix(path, candidate);
+      if (route !== undefined) return route;
+    }
+    return this.#tryFindLongestPrefix(path, ANY_HOST);
   }
 
   /** Returns the organisation that owns an access key. */
@@ -228,6 +230,13 @@
   return createPrefixKey(host, prefix);
 }
 
+/** Lists the hosts that a request's host matches: itself, and without its port. */
+function listHosts(host: string): readonly string[] {
+  const requested = host.toLowerCase();
+  const hostname = requested.replace(/:\d+$/, "");
+  return hostname === requested ? [requested] : [requested, hostname];
+}
+
 function createPrefixKey(host: string, prefix: string): string {
   return `${host}${KEY_SEPARATOR}${prefix}`;
 }
--- a/src/entry/routing_table_test.ts
+++ b/src/entry/routing_table_test.ts
@@ -147,6 +147,29 @@
     }
   });
 
+  // Guards against a service whose host has a port and that gets no requests.
+  it("selects a host with its port, then the host, then any host", () => {
+    const createService = (name: string, host: string) => ({
+      path: `/organisations/a/services/${name}`,
+      text: `kind: service\n${host}pathPrefix: /${name}\npool: p`,
+    });
+    const documents = createDocuments([
+      { path: "/organisations/a", text: "kind: organisation" },
+      createService("x", "host: one.example:8080\n"),
+      createService("y", "host: one.example\n"),
+      createService("z", ""),
+    ]);
+    const table = new RoutingTable(documents);
+    const listFound = (host: string) =>
+      ["/x", "/y", "/z"].filter((path) =>
+        table.tryFindRoute({ host, path }) !== undefined
+      );
+    assert.deepEqual(listFound("One.example:8080"), ["/x", "/y", "/z"]);
+    assert.deepEqual(listFound("one.example:9090"), ["/y", "/z"]);
+    assert.deepEqual(listFound("one.example"), ["/y", "/z"]);
+    assert.deepEqual(listFound("two.example:8080"), ["/z"]);
+  });
+
   // Guards against a host that takes over a part of the path of another host's route.
   it("keeps the host of a request apart from its path", () => {
     const service = "kind: service\nhost: one.example\npool: p\n";
