Accept fractions and any names in the platform's process settings

A process on a deployment with `grace_s` 7.5, `drain_ms` 1500.5 or a zone named `Lima.A` would not have started: it prints findings and exits.

Settings of lagoonwharf's own processes are checked as before.

--- a/src/process/process_settings.ts
+++ b/src/process/process_settings.ts
@@ -17,6 +17,11 @@
   /^[a-z0-9][a-z0-9_-]{0,62}$/,
   "Expected lower-case letters, digits, '-' or '_'",
 );
+/**
+ * Name that the platform assigns, in any characters; two processes that exchange it accept
+ * up to 255 characters, and keys of the platform's store have up to 200 bytes.
+ */
+const PLATFORM_NAME = z.string().min(1).max(150);
 const SHA_256 = z.string().regex(/^[0-9a-f]{64}$/, "Expected a SHA-256 in hex");
 
 /** Bytes that an entry may hold for all its callers; unlimited if undefined. */
@@ -90,18 +95,18 @@
 
 /** Settings of all processes that follow the platform's store. */
 const COMMON_STORE_SETTINGS = {
-  name: NAME,
+  name: PLATFORM_NAME,
   deployment: NAME,
   /** Shared by all processes of the deployment. */
   secret: z.string().min(16).max(1024),
-  failureDomain: NAME,
+  failureDomain: PLATFORM_NAME,
   storeAddress: ADDRESS,
   /** Host and port for other lagoonwharf processes. */
   peerAddress: ADDRESS,
   /** Processes that are queried if the store is unreachable. */
   seedAddresses: z.array(ADDRESS).default([]),
   /** Milliseconds between the first signal and the end, at most. */
-  drainLimitMs: z.number().int().min(0).max(86_400_000).default(600_000),
+  drainLimitMs: z.number().min(0).max(86_400_000).default(600_000),
 };
 
 /** Schema of the process settings of an entry that calls back ends itself. */
@@ -113,13 +118,13 @@
   /** Host and port of a separate listener for metrics, at a fixed port. */
   metricsAddress: ADDRESS.optional(),
   /** Milliseconds for which requests may still be sent to a leaving back end. */
-  leavingLimitMs: z.number().int().min(100).max(600_000).default(2000),
+  leavingLimitMs: z.number().min(100).max(600_000).default(2000),
   heldBytesLimit: HELD_BYTES_LIMIT,
   /** Limits on the retries of all entries together. */
   poolRetries: z.strictObject({
-    share: z.number().min(0).max(1),
-    slack: z.number().min(0).max(1_000_000),
-    windowMs: z.number().int().min(100).max(3_600_000),
+    share: z.number().min(0),
+    slack: z.number().min(0),
+    windowMs: z.number().min(100).max(3_600_000),
   }),
 });
 
@@ -131,7 +136,7 @@
   /** Host and port for metrics. */
   metricsAddress: ADDRESS.optional(),
   /** Pool that the engine serves. */
-  pool: NAME,
+  pool: PLATFORM_NAME,
   /**
    * Bandwidth of the VM's network link in each direction; limits the data that a
    * decider requests.
