Send answers without a length in chunks, whatever marks their end at the back end

Callers took half of an answer for the whole one: a server ends an answer with its connection, with neither a length nor chunks, the entry that relays it is killed in the middle, and its connections to callers close in order. Each such answer was a signed, complete 200 by HTTP/1.1. So did a process whose drain time was over.

Change: answers without a length go to callers in chunks. The last one is sent when the server has ended the answer in order, and is missing when the answer breaks off or this process is killed. Callers of HTTP/1.0, which knows no chunks, still get the end of the connection, and a reset if the answer is aborted; a kill remains undetectable to them.

--- a/src/entry/answer_relay.ts
+++ b/src/entry/answer_relay.ts
@@ -64,11 +64,8 @@
   const { head, isStreaming, request } = inFlight;
   if (isStreaming || head === undefined) return [];
   inFlight.startStreaming();
-  const { status, headers, endsWithConnection } = head;
-  const requestId = request.id;
-  return [
-    { kind: "start_answer", requestId, status, headers, endsWithConnection },
-  ];
+  const { status, headers } = head;
+  return [{ kind: "start_answer", requestId: request.id, status, headers }];
 }
 
 function sendBytes(
--- a/src/entry/request_server.ts
+++ b/src/entry/request_server.ts
@@ -323,9 +323,7 @@
     if (exchange === undefined) return;
     const waitedMs = performance.now() - exchange.headReadAt;
     this.#options.metrics.countFirstByte(waitedMs);
-    const { connection } = exchange;
-    if (effect.endsWithConnection) connection.endWithConnection();
-    connection.start(effect.status, effect.headers);
+    exchange.connection.start(effect.status, effect.headers);
   }
 
   async #forward(effect: ForwardToScripts): Promise<void> {
--- a/src/entry/types.ts
+++ b/src/entry/types.ts
@@ -279,8 +279,6 @@
   readonly requestId: number;
   readonly status: number;
   readonly headers: readonly Header[];
-  /** Whether closing the connection marks the end of the answer. */
-  readonly endsWithConnection?: boolean;
 }
 
 /** Sends a chunk of a streamed answer. */
