--- a/src/process/process_settings.ts
+++ b/src/process/process_settings.ts
@@ -18,10 +18,13 @@
   "Expected lower-case letters, digits, '-' or '_'",
 );
 /**
- * Name that the platform assigns, in any characters; two processes that exchange it accept
- * up to 255 characters, and keys of the platform's store have up to 200 bytes.
+ * Name that the platform assigns. Two processes that exchange it accept up to 255
+ * characters, and keys of the platform's store have up to 200 bytes.
  */
-const PLATFORM_NAME = z.string().min(1).max(150);
+const PLATFORM_NAME = z.string().regex(
+  /^\S{1,150}$/,
+  "Expected 1 to 150 characters without white space",
+);
 const SHA_256 = z.string().regex(/^[0-9a-f]{64}$/, "Expected a SHA-256 in hex");
 
 /** Bytes that an entry may hold for all its callers; unlimited if undefined. */
