--- a/src/entry/caller_connection.ts
+++ b/src/entry/caller_connection.ts
@@ -10,11 +10,12 @@
 import type { RefusalName } from "../refusals/catalogue.ts";
 import type { ProblemDetails } from "../refusals/types.ts";
 import { resetWhenClosed } from "../core/socket_reset.ts";
+import { BODY_BOUNDS } from "../settings/schema.ts";
 import type { CallerProtocol } from "./caller_protocol.ts";
 import type { CallerRequest } from "./types.ts";
 
 /** Upper bound on the body size of every service, in bytes; settings can lower it. */
-const MAX_BODY_BYTES = 8 * 1024 * 1024;
+const MAX_BODY_BYTES = BODY_BOUNDS.max;
 /** Unsent bytes above which a caller is too slow. */
 const MAX_UNSENT_BYTES = 4 * 1024 * 1024;
 
