Log how long settings take to read, and to whom a reader sends them

The logs could not tell whether a version is in force late for the work of reading it, for the bytes of its copies, or because a follower was left out. 2101 now has the size of the text and the milliseconds that reading it took; 2824 has the size, the number of followers that were sent new settings, and of those that were skipped.

--- a/src/direct/peers/peer_server.ts
+++ b/src/direct/peers/peer_server.ts
@@ -123,9 +123,15 @@
   updateFollowers(): void {
     const state = this.#options.getStoreState();
     const { digests: own } = this.#options.replicatedState;
+    const sent = { followers: 0, skipped: 0 };
     for (const [link, { known, digests, replicator }] of this.#followers) {
+      const areSettingsNew = hasNewerSettings(state, known);
       // A follower that does not keep up should list the store itself instead.
-      if (link.bufferedBytes > MAX_UNSENT_BYTES) continue;
+      if (link.bufferedBytes > MAX_UNSENT_BYTES) {
+        if (areSettingsNew) sent.skipped++;
+        continue;
+      }
+      if (areSettingsNew) sent.followers++;
       if (!hasUpdate(state, known) && areDigestsEqual(digests, own)) continue;
       const now = performance.now();
       link.send({
@@ -134,6 +140,19 @@
       });
       this.#follow(link, mergeKnown(state, known), replicator);
     }
+    this.#logSettingsSent(state, sent);
+  }
+
+  #logSettingsSent(
+    { settings }: KnownStoreState,
+    sent: { readonly followers: number; readonly skipped: number },
+  ): void {
+    if (settings === undefined || sent.followers + sent.skipped === 0) return;
+    this.#options.log.write("SETTINGS_SENT", {
+      revision: settings.settings.version,
+      bytes: settings.text.length,
+      ...sent,
+    });
   }
 
   #follow(link: Link, known: KnownVersions, replicator: StateReplicator): void {
--- a/src/direct/settings_follower.ts
+++ b/src/direct/settings_follower.ts
@@ -3,6 +3,7 @@
  *
  * @module
  */
+import { performance } from "node:perf_hooks";
 import type { EventLog } from "../events/event_log.ts";
 import { tryHandle } from "../events/internal_faults.ts";
 import type {
@@ -131,6 +132,7 @@
    */
   offer(text: string, source: string): boolean {
     const { format, log, onSettings } = this.#options;
+    const startedAt = performance.now();
     const read = format.readSettings(text);
     if (read.isErr()) {
       log.write("SETTINGS_REFUSED", {
@@ -147,6 +149,8 @@
       revision: settings.version,
       before: inForce,
       source,
+      characters: text.length,
+      readMs: Math.round(performance.now() - startedAt),
     });
     this.#logFindings(settings.findings ?? []);
     onSettings(settings);
--- a/src/events/catalogue.ts
+++ b/src/events/catalogue.ts
@@ -328,6 +328,13 @@
       "This entry starts or stops following another entry that reads the platform's store",
     action: NO_ACTION,
   },
+  SETTINGS_SENT: {
+    code: 2824,
+    level: "info",
+    text: "New settings were sent to the entries that follow this one",
+    action:
+      "If `skipped` stays above 0, compare `bytes` times `followers` with the capacity of this VM's link.",
+  },
   BACK_END_UNREADABLE: {
     code: 2805,
     level: "warn",
