Move the updates for followers out of the server of links

PeerServer keeps the links and the permits; store_update.ts has what an update holds. No behaviour is changed.

--- a/src/direct/peers/entry_peers.ts
+++ b/src/direct/peers/entry_peers.ts
@@ -19,10 +19,11 @@
 import type { ReplicatedState } from "./replicated_state.ts";
 import { type ListedEntry, listReaderCandidates } from "./peer_choice.ts";
 import { PeerFollower } from "./peer_follower.ts";
-import { type KnownStoreState, PeerServer } from "./peer_server.ts";
+import { PeerServer } from "./peer_server.ts";
 import { PermitRequester } from "./permit_requester.ts";
 import { ReaderFollower } from "./reader_follower.ts";
 import { ReaderPolicy } from "./reader_policy.ts";
+import type { KnownStoreState } from "./store_update.ts";
 import type {
   DirectoryUpdate,
   KnownVersions,
--- a/src/direct/peers/peer_server_test.ts
+++ b/src/direct/peers/store_update_test.ts
@@ -1,7 +1,7 @@
 import assert from "node:assert/strict";
 import { describe, it } from "node:test";
 import type { SettingsInUse } from "../settings_follower.ts";
-import { createStoreUpdate, type KnownStoreState } from "./peer_server.ts";
+import { createStoreUpdate, type KnownStoreState } from "./store_update.ts";
 
 function createSettings(version: number): SettingsInUse {
   return {
--- a/src/testing/drain_fleet.ts
+++ b/src/testing/drain_fleet.ts
@@ -9,7 +9,7 @@
 import { RandomSource } from "../core/random_source.ts";
 import { DrainedDomains } from "../direct/drained_domains.ts";
 import { listReaderCandidates } from "../direct/peers/peer_choice.ts";
-import { createStoreUpdate } from "../direct/peers/peer_server.ts";
+import { createStoreUpdate } from "../direct/peers/store_update.ts";
 import { ReaderPolicy } from "../direct/peers/reader_policy.ts";
 import { EntryReducer } from "../entry/entry_reducer.ts";
 import type { EntryEffect, EntryEvent } from "../entry/types.ts";
