--- a/src/direct/peers/store_update_test.ts
+++ b/src/direct/peers/store_update_test.ts
@@ -1,18 +1,13 @@
 import assert from "node:assert/strict";
 import { describe, it } from "node:test";
+import { createOperatorSettings } from "../../testing/fixtures.ts";
 import type { SettingsInUse } from "../settings_follower.ts";
 import { createStoreUpdate, type KnownStoreState } from "./store_update.ts";
 
 function createSettings(version: number): SettingsInUse {
   return {
     text: `settings ${version}`,
-    settings: {
-      version,
-      documents: new Map(),
-      idleLimitMs: 1000,
-      pools: new Set(),
-      groups: new Map(),
-    },
+    settings: createOperatorSettings(version),
   };
 }
 
--- a/src/direct/settings_follower_test.ts
+++ b/src/direct/settings_follower_test.ts
@@ -12,6 +12,7 @@
   type StoreListing,
   type StoreWatchOutcome,
 } from "../external/watched_store.ts";
+import { createOperatorSettings } from "../testing/fixtures.ts";
 import { UnregisteredStore } from "../testing/unregistered_store.ts";
 import { SettingsFollower } from "./settings_follower.ts";
 
@@ -29,13 +30,7 @@
     this.reads++;
     const version = Number(text);
     if (Number.isNaN(version)) return Err(["no number"]);
-    return Ok({
-      version,
-      documents: new Map(),
-      idleLimitMs: 1000,
-      pools: new Set(),
-      groups: new Map(),
-    });
+    return Ok(createOperatorSettings(version));
   }
 
   override tryReadBackEnd(): undefined {
@@ -125,6 +120,20 @@
     assert.deepEqual({ reads, inForce }, { reads: 3, inForce: 2 });
   });
 
+  it("are not parsed again if they are in force already, or older", () => {
+    const format = new NumberFormat();
+    const follower = new SettingsFollower({
+      store: new BatchStore([]),
+      format,
+      log: new EventLog({ role: "entry", processName: "test" }),
+      onSettings: () => undefined,
+    });
+    for (const text of ["5", "5", "4", "5"]) {
+      assert.ok(follower.offer(text, "entry"));
+    }
+    assert.equal(format.reads, 1);
+  });
+
   it("are not watched by a process that reads them at intervals", async () => {
     const { watches, inForce } = await followStore(["1"], 10_000);
     assert.deepEqual({ watches, inForce }, { watches: 0, inForce: 0 });
--- a/src/testing/fixtures.ts
+++ b/src/testing/fixtures.ts
@@ -4,6 +4,7 @@
  *
  * @module
  */
+import type { OperatorSettings } from "../external/operator_settings.ts";
 import assert from "node:assert/strict";
 import { Buffer } from "node:buffer";
 import { RoutingTable } from "../entry/routing_table.ts";
@@ -176,3 +177,14 @@
   ]);
   return new RoutingTable(documents);
 }
+
+/** Creates operators' settings without documents. */
+export function createOperatorSettings(version: number): OperatorSettings {
+  return {
+    version,
+    documents: new Map(),
+    idleLimitMs: 1000,
+    pools: new Set(),
+    groups: new Map(),
+  };
+}
