Compare the version of settings before their rows are read

Callers met settings that came into force late, as an entry read all rows of each copy of a version: of one that it has, and of one that is older. Besides, an older version that arrived late became the one whose values stand in for invalid fields: a field that was invalid in version 4 had its value of version 2, though 3 was in force.

Formats now return an outline with the version, and read the rows of what is put in force only. The text in force is recognised without parsing.

--- a/src/direct/directory_follower_test.ts
+++ b/src/direct/directory_follower_test.ts
@@ -22,7 +22,7 @@
   override readonly settingsKey = "settings";
   override readonly backEndPrefix = "back-ends/";
 
-  override readSettings() {
+  override readOutline() {
     return Err(["none here"]);
   }
 
--- a/src/direct/drain_follower_test.ts
+++ b/src/direct/drain_follower_test.ts
@@ -13,6 +13,7 @@
   StoreUnavailableError,
   type StoreWatchOutcome,
 } from "../external/watched_store.ts";
+import { createOperatorSettings } from "../testing/fixtures.ts";
 import { UnregisteredStore } from "../testing/unregistered_store.ts";
 import { DrainFollower, MAX_DRAINS } from "./drain_follower.ts";
 import { SettingsFollower } from "./settings_follower.ts";
@@ -29,14 +30,9 @@
     return "op/";
   }
 
-  override readSettings(text: string) {
-    return Ok({
-      version: Number(text),
-      documents: new Map(),
-      idleLimitMs: 1000,
-      pools: new Set<string>(),
-      groups: new Map(),
-    });
+  override readOutline(text: string) {
+    const version = Number(text);
+    return Ok({ version, read: () => createOperatorSettings(version) });
   }
 
   override tryReadBackEnd(): undefined {
--- a/src/direct/listed_back_ends_test.ts
+++ b/src/direct/listed_back_ends_test.ts
@@ -3,7 +3,7 @@
 import { Err, type Result } from "ts-results-es";
 import type { BackEndInstance } from "../messages/back_end_instance.ts";
 import {
-  type OperatorSettings,
+  type SettingsOutline,
   StoreFormat,
 } from "../external/operator_settings.ts";
 import type { StoreItem } from "../external/watched_store.ts";
@@ -14,7 +14,7 @@
   override readonly settingsKey = "settings";
   override readonly backEndPrefix = "";
 
-  override readSettings(): Result<OperatorSettings, readonly string[]> {
+  override readOutline(): Result<SettingsOutline, readonly string[]> {
     return Err([]);
   }
 
--- a/src/direct/listed_coldness_test.ts
+++ b/src/direct/listed_coldness_test.ts
@@ -15,7 +15,7 @@
   override readonly settingsKey = "settings";
   override readonly backEndPrefix = "";
 
-  override readSettings() {
+  override readOutline() {
     return Err([]);
   }
 
--- a/src/direct/settings_follower.ts
+++ b/src/direct/settings_follower.ts
@@ -127,23 +127,26 @@
   }
 
   /**
-   * Applies settings from the store or from another process. Ignores older versions and
-   * unreadable settings. Returns whether the settings were readable.
+   * Applies settings from the store or from another process. Ignores unreadable settings,
+   * and reads no rows of a version that is not newer than the one in force. Returns
+   * whether the settings were readable.
    */
   offer(text: string, source: string): boolean {
     const { format, log, onSettings } = this.#options;
+    if (text === this.#inUse?.text) return true;
     const startedAt = performance.now();
-    const read = format.readSettings(text);
-    if (read.isErr()) {
+    const outline = format.readOutline(text);
+    if (outline.isErr()) {
       log.write("SETTINGS_REFUSED", {
         source,
-        findings: read.error.join("; "),
+        findings: outline.error.join("; "),
       });
       return false;
     }
-    const settings = read.value;
     const inForce = this.#inUse?.settings.version;
-    if (inForce !== undefined && settings.version <= inForce) return true;
+    const isNewer = inForce === undefined || outline.value.version > inForce;
+    if (!isNewer) return true;
+    const settings = outline.value.read();
     this.#inUse = { settings, text };
     log.write("SETTINGS_IN_FORCE", {
       revision: settings.version,
--- a/src/direct/settings_follower_test.ts
+++ b/src/direct/settings_follower_test.ts
@@ -4,7 +4,7 @@
 import { Err, Ok, type Result } from "ts-results-es";
 import { EventLog } from "../events/event_log.ts";
 import {
-  type OperatorSettings,
+  type SettingsOutline,
   StoreFormat,
 } from "../external/operator_settings.ts";
 import {
@@ -24,13 +24,19 @@
   override readonly backEndPrefix = "servers/";
   reads = 0;
 
-  override readSettings(
+  override readOutline(
     text: string,
-  ): Result<OperatorSettings, readonly string[]> {
-    this.reads++;
+  ): Result<SettingsOutline, readonly string[]> {
     const version = Number(text);
-    if (Number.isNaN(version)) return Err(["no number"]);
-    return Ok(createOperatorSettings(version));
+    if (Number.isNaN(version)) {
+      this.reads++;
+      return Err(["no number"]);
+    }
+    const read = () => {
+      this.reads++;
+      return createOperatorSettings(version);
+    };
+    return Ok({ version, read });
   }
 
   override tryReadBackEnd(): undefined {
--- a/src/external/operator_settings.ts
+++ b/src/external/operator_settings.ts
@@ -29,6 +29,17 @@
   readonly findings?: readonly string[];
 }
 
+/** Operators' settings of which only the outline has been parsed. */
+export interface SettingsOutline {
+  /** Version number that operators assign; higher is newer. */
+  readonly version: number;
+  /**
+   * Converts all rows, which is most of the work. Must be called only for a version that
+   * is put in force: invalid fields keep their values of the version read before.
+   */
+  readonly read: () => OperatorSettings;
+}
+
 /** Settings of the rank groups of a pool. */
 export interface GroupSettings {
   /** Number of sets of layers; each set has its own expert placement. */
@@ -77,10 +88,15 @@
   /** Prefix of the keys of back ends' registrations. */
   abstract readonly backEndPrefix: string;
 
-  /** Parses settings; an error contains all findings. */
-  abstract readSettings(
+  /** Parses the outline of settings; an error contains all findings. */
+  abstract readOutline(
     text: string,
-  ): Result<OperatorSettings, readonly string[]>;
+  ): Result<SettingsOutline, readonly string[]>;
+
+  /** Parses settings that are put in force; an error contains all findings. */
+  readSettings(text: string): Result<OperatorSettings, readonly string[]> {
+    return this.readOutline(text).map((outline) => outline.read());
+  }
 
   /** Parses the registration of a back end; undefined if it cannot be read. */
   abstract tryReadBackEnd(
