Compress settings between entries, and send a version once on a connection

Callers met settings that came into force late at entries that follow a reader. A version of 360 KB went whole to each follower and once more for each query that arrived before it: 8 MB and more, 2.3 s of a link of 28 Mbit/s. Followers whose queries waited behind these bytes gave their reader up, and asked others that were no further.

A connection gets a version once. While a connection has unsent bytes, newer versions wait, and only the newest is sent; an answer in the meantime is as old as the first version that waits, so a follower does not count its settings as current. Earlier programs get plain text: a query says whether its sender reads the other.

--- a/src/direct/peers/entry_peers.ts
+++ b/src/direct/peers/entry_peers.ts
@@ -16,6 +16,7 @@
 } from "../../policy/send_permits.ts";
 import type { Directory } from "../directory_follower.ts";
 import type { DrainSet } from "../../messages/peer_types.ts";
+import { readSettingsText } from "./compressed_settings.ts";
 import type { ReplicatedState } from "./replicated_state.ts";
 import { type ListedEntry, listReaderCandidates } from "./peer_choice.ts";
 import { PeerFollower } from "./peer_follower.ts";
@@ -298,14 +299,14 @@
     update: StoreUpdateMessage,
     askedAt: number | undefined,
   ): void {
-    const { settingsText, settingsAgeMs, directory, processes, drains } =
-      update;
+    const { settingsAgeMs, directory, processes, drains } = update;
     const { onSettings, onSettingsChecked, onDirectory, onProcesses } =
       this.#options;
     this.#options.replicatedState.apply(update.memories, performance.now());
     if (drains !== undefined) {
       this.#options.onDrains(drains, settingsAgeMs ?? 0);
     }
+    const settingsText = this.#tryReadSettings(update);
     if (settingsText !== undefined) onSettings(settingsText);
     if (askedAt !== undefined && settingsAgeMs !== undefined) {
       onSettingsChecked(askedAt - settingsAgeMs);
@@ -316,6 +317,16 @@
     this.#server.updateFollowers();
   }
 
+  #tryReadSettings(update: StoreUpdateMessage): string | undefined {
+    const text = readSettingsText(update);
+    if (text.isOk()) return text.value;
+    this.#options.log.write("SETTINGS_REFUSED", {
+      source: "entry",
+      findings: text.error.message,
+    });
+    return undefined;
+  }
+
   /**
    * Converts a list to this process's clock. Its age counts from when it was requested.
    */
--- a/src/direct/peers/follower_updates.ts
+++ b/src/direct/peers/follower_updates.ts
@@ -10,6 +10,7 @@
   StoreUpdateMessage,
   StoreUpdateQueryMessage,
 } from "../../messages/peer_types.ts";
+import { SettingsCompressor } from "./compressed_settings.ts";
 import {
   areDigestsEqual,
   EMPTY_DIGESTS,
@@ -24,11 +25,12 @@
   hasUpdate,
   type KnownStoreState,
   mergeKnown,
+  type StoreUpdate,
 } from "./store_update.ts";
 
 /**
- * Maximum number of unsent bytes to a follower. Beyond it, the follower gets no further
- * updates.
+ * Maximum number of unsent bytes on a connection. Beyond it, newer settings wait: only the
+ * newest version is sent as soon as the earlier one has left.
  */
 const MAX_UNSENT_BYTES = 65_536;
 
@@ -50,7 +52,13 @@
 
 /** A connection to another entry, and what was sent over it. */
 interface Connection {
+  readonly link: FollowerLink;
   readonly replicator: StateReplicator;
+  acceptsCompression: boolean;
+  /** Version of the newest settings that were sent; they arrive, as the order is kept. */
+  sentSettings?: number;
+  /** When settings became known here that are newer than those sent, in milliseconds. */
+  unsentSince?: number;
   /** What the other entry knows; undefined unless it follows this entry. */
   known?: KnownVersions;
   /** Digests of this entry's replicated state when it was last sent. */
@@ -61,6 +69,7 @@
 export class FollowerUpdates {
   readonly #options: FollowerUpdatesOptions;
   readonly #connections = new Map<FollowerLink, Connection>();
+  readonly #compressor = new SettingsCompressor();
 
   /** Starts without connections. */
   constructor(options: FollowerUpdatesOptions) {
@@ -70,7 +79,12 @@
   /** Adds a connection from another entry, which does not follow this one yet. */
   add(link: FollowerLink): void {
     const replicator = this.#options.replicatedState.createReplicator();
-    this.#connections.set(link, { replicator, digests: EMPTY_DIGESTS });
+    this.#connections.set(link, {
+      link,
+      replicator,
+      acceptsCompression: false,
+      digests: EMPTY_DIGESTS,
+    });
   }
 
   /** Removes a connection that was closed. A follower reconnects by itself. */
@@ -82,59 +96,87 @@
   answer(link: FollowerLink, query: StoreUpdateQueryMessage): void {
     const connection = this.#connections.get(link);
     if (connection === undefined) return;
-    const { getTime, getStoreState, replicatedState } = this.#options;
+    const { getTime, replicatedState } = this.#options;
     replicatedState.apply(query.memories, getTime());
-    const state = getStoreState();
-    if (query.isFollowing) this.#recordSent(connection, state, query);
-    const now = getTime();
+    connection.acceptsCompression = query.acceptsCompression ?? false;
+    const known = addSentSettings(query, connection);
+    const state = this.#getSendableState(connection, known);
+    const memories = connection.replicator.createUpdate(
+      getDigests(query.memories),
+      getTime(),
+    );
+    const { queryId } = query;
     link.send({
-      ...createStoreUpdate(state, query, now),
-      memories: connection.replicator.createUpdate(
-        getDigests(query.memories),
-        now,
-      ),
-      queryId: query.queryId,
+      ...this.#createUpdate(connection, state, known),
+      memories,
+      queryId,
     });
+    if (query.isFollowing) this.#recordSent(connection, state, known);
   }
 
   /** Sends each follower the changes that it does not know yet. */
   send(): void {
-    const state = this.#options.getStoreState();
     const sent = { followers: 0, skipped: 0 };
-    for (const [link, connection] of this.#connections) {
-      const { known } = connection;
-      if (known === undefined) continue;
-      const areSettingsNew = hasNewerSettings(state, known);
-      // A follower that does not keep up should list the store itself instead.
-      if (link.bufferedBytes > MAX_UNSENT_BYTES) {
-        if (areSettingsNew) sent.skipped++;
-        continue;
-      }
-      if (areSettingsNew) sent.followers++;
-      this.#sendTo(link, connection, { state, known });
+    for (const connection of this.#connections.values()) {
+      if (connection.known === undefined) continue;
+      const { sentSettings, unsentSince } = connection;
+      this.#sendTo(connection, connection.known);
+      if (connection.sentSettings !== sentSettings) sent.followers++;
+      else if (connection.unsentSince !== unsentSince) sent.skipped++;
     }
-    this.#logSettingsSent(state, sent);
+    this.#logSettingsSent(sent);
   }
 
-  #sendTo(
-    link: FollowerLink,
-    connection: Connection,
-    { state, known }: {
-      readonly state: KnownStoreState;
-      readonly known: KnownVersions;
-    },
-  ): void {
-    const { replicator, digests } = connection;
+  #sendTo(connection: Connection, known: KnownVersions): void {
+    const { link, replicator, digests } = connection;
     const { digests: own } = this.#options.replicatedState;
+    const state = this.#getSendableState(connection, known);
+    // A follower that does not keep up should list the store itself instead.
+    if (link.bufferedBytes > MAX_UNSENT_BYTES) return;
     if (!hasUpdate(state, known) && areDigestsEqual(digests, own)) return;
-    const now = this.#options.getTime();
-    link.send({
-      ...createStoreUpdate(state, known, now),
-      memories: replicator.createUpdate(digests, now),
-    });
+    const memories = replicator.createUpdate(digests, this.#options.getTime());
+    link.send({ ...this.#createUpdate(connection, state, known), memories });
     this.#recordSent(connection, state, known);
   }
 
+  /**
+   * Returns the state of the store without settings that the connection cannot take yet,
+   * and as old as these make it.
+   */
+  #getSendableState(
+    connection: Connection,
+    known: KnownVersions,
+  ): KnownStoreState {
+    const state = this.#options.getStoreState();
+    const mustWait = hasNewerSettings(state, known) &&
+      connection.link.bufferedBytes > MAX_UNSENT_BYTES;
+    if (!mustWait) {
+      connection.unsentSince = undefined;
+      return state;
+    }
+    connection.unsentSince ??= this.#options.getTime();
+    const { settingsCheckedAt } = state;
+    return {
+      ...state,
+      settings: undefined,
+      settingsCheckedAt: Math.min(settingsCheckedAt, connection.unsentSince),
+    };
+  }
+
+  #createUpdate(
+    connection: Connection,
+    state: KnownStoreState,
+    known: KnownVersions,
+  ): StoreUpdate {
+    const update = createStoreUpdate(state, known, this.#options.getTime());
+    const { settingsText } = update;
+    if (settingsText === undefined) return update;
+    connection.sentSettings = state.settings?.settings.version;
+    if (!connection.acceptsCompression) return update;
+    const compressedSettings = this.#compressor.compress(settingsText);
+    return { ...update, settingsText: undefined, compressedSettings };
+  }
+
   #recordSent(
     connection: Connection,
     state: KnownStoreState,
@@ -145,14 +187,24 @@
   }
 
   #logSettingsSent(
-    { settings }: KnownStoreState,
     sent: { readonly followers: number; readonly skipped: number },
   ): void {
+    const { settings } = this.#options.getStoreState();
     if (settings === undefined || sent.followers + sent.skipped === 0) return;
     this.#options.log.write("SETTINGS_SENT", {
       revision: settings.settings.version,
-      bytes: settings.text.length,
+      bytes: this.#compressor.compress(settings.text).length,
       ...sent,
     });
   }
 }
+
+/** Returns what a querier knows as soon as it has received all that was sent to it. */
+function addSentSettings(
+  query: KnownVersions,
+  { sentSettings }: Connection,
+): KnownVersions {
+  if (sentSettings === undefined) return query;
+  const settingsVersion = Math.max(sentSettings, query.settingsVersion ?? 0);
+  return { ...query, settingsVersion };
+}
--- a/src/direct/peers/peer_client.ts
+++ b/src/direct/peers/peer_client.ts
@@ -85,6 +85,7 @@
       ...getKnown(),
       queryId: ++this.#queryId,
       isFollowing,
+      acceptsCompression: true,
       memories: this.#replicator.createUpdate(
         this.#peerDigests,
         this.#queriedAt,
--- a/src/messages/peer_schema.ts
+++ b/src/messages/peer_schema.ts
@@ -71,6 +71,7 @@
     processesRevision: COUNT.optional(),
     drainsRevision: COUNT.optional(),
     isFollowing: z.boolean(),
+    acceptsCompression: z.boolean().optional(),
     memories: MEMORIES_SCHEMA.default({}),
   }),
   z.object({
@@ -78,6 +79,7 @@
     queryId: COUNT.optional(),
     isReading: z.boolean(),
     settingsText: z.string().optional(),
+    compressedSettings: z.instanceof(Uint8Array).optional(),
     settingsAgeMs: AGE_MS.optional(),
     drains: z.object({
       revision: COUNT,
--- a/src/messages/peer_types.ts
+++ b/src/messages/peer_types.ts
@@ -88,6 +88,8 @@
   readonly queryId: number;
   /** Whether the receiver is to send further updates as they arrive. */
   readonly isFollowing: boolean;
+  /** Whether the sender reads compressed settings; earlier programs do not. */
+  readonly acceptsCompression?: boolean;
   readonly memories: ReplicatedStateUpdate;
 }
 
@@ -125,6 +127,8 @@
   readonly isReading: boolean;
   /** Text of the settings as written by the operator. */
   readonly settingsText?: string;
+  /** The same text in UTF-8, compressed in the zlib format. */
+  readonly compressedSettings?: Uint8Array;
   /** Milliseconds since the store was last queried for newer settings. */
   readonly settingsAgeMs?: number;
   /** Drained domains, of the same age as the settings, since one watch provides both. */
--- a/src/testing/followed_reader.ts
+++ b/src/testing/followed_reader.ts
@@ -4,6 +4,7 @@
  *
  * @module
  */
+import { readSettingsText } from "../direct/peers/compressed_settings.ts";
 import {
   type FollowerLink,
   FollowerUpdates,
@@ -90,7 +91,7 @@
         directory: undefined,
         processes: { revision: 0, processes: [] },
       }),
-      replicatedState: createEmptyState(),
+      replicatedState: createEmptyReplicatedState(),
     });
     this.#followers = Array.from(
       { length: followers },
@@ -151,6 +152,7 @@
       queryId: 1,
       settingsVersion: follower.version,
       isFollowing: true,
+      acceptsCompression: true,
       memories: {},
     });
   }
@@ -174,11 +176,12 @@
 }
 
 function tryReadVersion(update: StoreUpdateMessage): number | undefined {
-  const text = update.settingsText;
+  const text = readSettingsText(update).unwrap();
   return text === undefined ? undefined : JSON.parse(text).version;
 }
 
-function createEmptyState(): ReplicatedState {
+/** Creates the replicated state of an entry that has none. */
+export function createEmptyReplicatedState(): ReplicatedState {
   const section = { content: "", list: () => [] };
   return new ReplicatedState({
     crashes: section,
