--- a/src/direct/direct_entry_driver.ts
+++ b/src/direct/direct_entry_driver.ts
@@ -11,7 +11,6 @@
 import { EntryReducer } from "../entry/entry_reducer.ts";
 import type { ListedRank } from "../entry/types.ts";
 import { RequestServer } from "../entry/request_server.ts";
-import { RoutingTable } from "../entry/routing_table.ts";
 import type { EventLog } from "../events/event_log.ts";
 import type { BackEnd } from "../external/back_end.ts";
 import type { BackEndInstance } from "../messages/back_end_instance.ts";
@@ -36,6 +35,7 @@
 import { readReducerGauges } from "./reducer_gauges.ts";
 import { createReplicatedState } from "./reducer_replicated_state.ts";
 import { SettingsFollower } from "./settings_follower.ts";
+import { SettingsRoutes } from "./settings_routes.ts";
 
 /**
  * Milliseconds for which a process that is shutting down still accepts new connections.
@@ -80,6 +80,7 @@
   readonly #targets: DirectTargetPool;
   readonly #drains: DrainFollower;
   readonly #settings: SettingsFollower;
+  readonly #routes = new SettingsRoutes();
   readonly #directory: DirectoryFollower;
   readonly #registry: ProcessRegistry;
   readonly #groupLoads: GroupLoadFollower;
@@ -322,12 +323,13 @@
   #onSettings(settings: OperatorSettings): void {
     this.#peers.onStoreStateChanged();
     this.#metrics.countInvalidFields(settings.findings?.length ?? 0);
-    const routes = new RoutingTable(settings.documents);
+    const { routes, changed } = this.#routes.apply(settings.documents);
     this.#server.setIdleLimit(settings.idleLimitMs + IDLE_MARGIN_MS);
     this.#server.dispatch({
       kind: "settings_in_force",
       now: performance.now(),
       routes,
+      changed,
       coldPools: settings.coldPools,
       groups: settings.groups,
     });
--- a/src/entry/routing_table.ts
+++ b/src/entry/routing_table.ts
@@ -76,6 +76,11 @@
     return this.#byPrefix.size;
   }
 
+  /** Whether services have the same host and prefix; only one of them is found. */
+  get hasSharedPrefixes(): boolean {
+    return this.#byPrefix.size < this.#byService.size;
+  }
+
   /** Targets that operators have marked as leaving; they receive no new requests. */
   get leavingTargets(): ReadonlySet<string> {
     return this.#leavingTargets;
@@ -204,8 +209,11 @@
 
   #updateService(path: string, documents: Documents): void {
     const service = documents.get(path);
-    if (service?.kind !== "service") return;
     const organisationPath = getOrganisationPath(path);
+    if (service?.kind !== "service") {
+      this.#servicesByOrganisation.get(organisationPath)?.delete(path);
+      return;
+    }
     const siblings = this.#servicesByOrganisation.get(organisationPath) ??
       new Set();
     this.#servicesByOrganisation.set(organisationPath, siblings.add(path));
