--- a/src/direct/peers/follower_updates_test.ts
+++ b/src/direct/peers/follower_updates_test.ts
@@ -39,14 +39,14 @@
     prefix: `/${createName()}/`,
     kind: "safe",
     timeout_ms: 8000,
-    slo_ms: 403,
+    aim_ms: 403,
     priority: 1,
     service: "desk",
-    max_attempts: 2,
+    attempts: 2,
     public: false,
     sticky: true,
     resumable: true,
-    gap_aim_ms: 120,
+    pause_limit_ms: 120,
   }));
   return JSON.stringify({ version, routes });
 }
