--- a/src/direct/peers/follower_updates_test.ts
+++ b/src/direct/peers/follower_updates_test.ts
@@ -20,7 +20,7 @@
 /** A version passes the first of all entries, then the first of a failure domain. */
 const HOPS = 2;
 /** Narrowest link of an entry, in megabits per second, and entries in a domain. */
-const NARROW_LINK = { followers: 23, linkMegabitsPerSecond: 28 };
+const NARROW_LINK = { followers: 23, linkMegabitsPerSecond: 19.6 };
 const VERSION_INTERVAL_MS = 330;
 const VERSIONS = 12;
 
