--- a/src/events/catalogue.ts
+++ b/src/events/catalogue.ts
@@ -329,7 +329,7 @@
     action: NO_ACTION,
   },
   SETTINGS_SENT: {
-    code: 2824,
+    code: 2817,
     level: "info",
     text: "New settings were sent to the entries that follow this one",
     action:
