--- a/review/second/deployment.ts
+++ b/review/second/deployment.ts
@@ -24,6 +24,9 @@
 /** Exit codes of a script. */
 export const EXIT = { held: 0, broken: 1, notRun: 2 } as const;
 
+/** Milliseconds for which a script may run. */
+const LIMIT_MS = 110_000;
+
 const startedAt = performance.now();
 const recordFile = process.env.RECORD ?? "record.txt";
 
@@ -228,7 +231,8 @@
   async kill(): Promise<void> {
     const child = this.#child;
     this.#child = undefined;
-    if (child === undefined || child.exitCode !== null) return;
+    if (child === undefined) return;
+    if (child.exitCode !== null || child.signalCode !== null) return;
     const exited = new Promise((resolve) => child.once("exit", resolve));
     child.kill("SIGCONT");
     child.kill("SIGKILL");
@@ -440,6 +444,11 @@
   close: () => Promise<void>,
 ): void {
   writeFileSync(recordFile, "");
+  setTimeout(async () => {
+    record("the script takes too long");
+    await close();
+    process.exit(EXIT.notRun);
+  }, LIMIT_MS).unref();
   record(HAS_TROUBLE ? "with the disruption" : "without the disruption");
   play().then(
     async (hasHeld) => {
