Parse addresses that other processes tell once, where they are received

Cause: three copies of one pattern took any hex digits, dots, colons and brackets with five digits behind them for an address: ports above 65535, ':::8080', '::1:8080' and '[::1:8080', '[]:8080', '999.1.1.1:8080' and a mapped IPv6 address with 999 in it. The client library parses the address when the first connection is made, and throws. The same holds for links between our own processes, whose registrations had no pattern at all.

An address is now the type SocketAddress, which only tryParseSocketAddress creates, with the parser of node:net. Back ends, links and lists of processes, of VMs and of owners take only that type, so that what one registration says cannot reach a client library unparsed. A VM in the list with another address is left out, the others hold.

The processes in process_registry_test have an address in place of a host name, which no process registers.

Ruled out: the entry's choice of servers; the request was sent as to any idle server.

--- a/src/direct/group_load_follower.ts
+++ b/src/direct/group_load_follower.ts
@@ -15,6 +15,7 @@
 import type { LinkIdentity } from "../links/link_server.ts";
 import { chooseSubset } from "../policy/target_subset.ts";
 import type { ListedProcess } from "../messages/listed_process.ts";
+import type { SocketAddress } from "../messages/socket_address.ts";
 
 /**
  * Maximum number of ranks of each group that an entry follows in its own failure domain.
@@ -37,9 +38,9 @@
 /** Receives updates from the sidecars of formed groups. */
 export class GroupLoadFollower {
   readonly #options: GroupLoadFollowerOptions;
-  readonly #clients = new Map<string, LinkClient>();
+  readonly #clients = new Map<SocketAddress, LinkClient>();
   /** Addresses with an open connection. */
-  readonly #connected = new Set<string>();
+  readonly #connected = new Set<SocketAddress>();
 
   /** Connects to no process yet. */
   constructor(options: GroupLoadFollowerOptions) {
@@ -70,7 +71,7 @@
 
   #chooseProcesses(
     processes: readonly ListedProcess[],
-  ): ReadonlyMap<string, ConnectionPurpose> {
+  ): ReadonlyMap<SocketAddress, ConnectionPurpose> {
     const { name, failureDomain } = this.#options.identity;
     const near = processes.flatMap((one) =>
       one.rank === undefined || one.rank === 0 || one.group === undefined ||
@@ -83,7 +84,7 @@
       failureDomain,
       limit: MAX_NEAR_RANKS_FOLLOWED,
     });
-    const purposes = new Map<string, ConnectionPurpose>();
+    const purposes = new Map<SocketAddress, ConnectionPurpose>();
     for (const { address } of chosen) purposes.set(address, "near rank");
     for (const { address, rank } of processes) {
       if (rank === 0) purposes.set(address, "decider");
@@ -91,7 +92,7 @@
     return purposes;
   }
 
-  #dial(address: string, purpose: ConnectionPurpose): void {
+  #dial(address: SocketAddress, purpose: ConnectionPurpose): void {
     const { identity, log, onLoad, onObservation } = this.#options;
     const events = EVENTS_BY_PURPOSE[purpose];
     let reader = new LoadReader();
--- a/src/direct/listed_back_ends_test.ts
+++ b/src/direct/listed_back_ends_test.ts
@@ -8,6 +8,7 @@
 } from "../external/operator_settings.ts";
 import type { StoreItem } from "../external/watched_store.ts";
 import { ListedBackEnds } from "./listed_back_ends.ts";
+import { createSocketAddress } from "../testing/socket_addresses.ts";
 
 /** Reads values as start times; any other value is unreadable. */
 class NumberFormat extends StoreFormat {
@@ -28,7 +29,7 @@
       id: `${key}@${startedAt}`,
       name: key,
       startedAt,
-      address: `${key}:80`,
+      address: createSocketAddress(`${key}:80`),
       pool: "confirm",
       failureDomain: "a",
       concurrency: 4,
--- a/src/direct/peers/entry_peers.ts
+++ b/src/direct/peers/entry_peers.ts
@@ -31,6 +31,7 @@
   ProcessUpdate,
   StoreUpdateMessage,
 } from "../../messages/peer_types.ts";
+import type { SocketAddress } from "../../messages/socket_address.ts";
 
 /**
  * Milliseconds between two checks whether a reader should be queried or the store listed.
@@ -47,7 +48,7 @@
 export interface EntryPeersOptions {
   readonly identity: LinkIdentity;
   readonly self: ListedEntry;
-  readonly seedAddresses: readonly string[];
+  readonly seedAddresses: readonly SocketAddress[];
   /** Milliseconds for which a leaving back end may still receive requests. */
   readonly leavingLimitMs: number;
   readonly random: RandomSource;
@@ -86,7 +87,7 @@
   readonly #readerFollower: ReaderFollower;
   readonly #readerPolicy: ReaderPolicy;
   readonly #permitRequester: PermitRequester;
-  #addresses: ReadonlyMap<string, string> = new Map();
+  #addresses: ReadonlyMap<string, SocketAddress> = new Map();
   #timer: NodeJS.Timeout | undefined;
   /** The value last passed to `onFollowingReaderChanged`. */
   #reportedFollowing: boolean | undefined;
@@ -255,7 +256,7 @@
   #onReaderAnswer(
     update: StoreUpdateMessage,
     { address, askedAt }: {
-      readonly address: string;
+      readonly address: SocketAddress;
       readonly askedAt: number;
     },
   ): void {
--- a/src/direct/peers/peer_choice.ts
+++ b/src/direct/peers/peer_choice.ts
@@ -4,6 +4,7 @@
  * @module
  */
 import type { RandomSource } from "../../core/random_source.ts";
+import type { SocketAddress } from "../../messages/socket_address.ts";
 
 /**
  * Maximum number of entries queried in one round. The store may reject a third of the VMs
@@ -15,10 +16,10 @@
 /** The other entries known to this one. */
 export interface PeerCandidates {
   /** Addresses from the list of processes; empty until it was first read. */
-  readonly listed: readonly string[];
+  readonly listed: readonly SocketAddress[];
   /** Addresses from the process settings, which may be out of date. */
-  readonly seeds: readonly string[];
-  readonly ownAddress: string;
+  readonly seeds: readonly SocketAddress[];
+  readonly ownAddress: SocketAddress;
 }
 
 /**
@@ -32,19 +33,19 @@
 export function choosePeers(
   { listed, seeds, ownAddress }: PeerCandidates,
   random: RandomSource,
-): readonly string[] {
-  const isOther = (address: string) => address !== ownAddress;
+): readonly SocketAddress[] {
+  const isOther = (address: SocketAddress) => address !== ownAddress;
   const chosen = sampleAddresses(listed.filter(isOther), random);
   const extra = seeds.filter(isOther).filter((one) => !chosen.includes(one));
   return [...chosen, ...extra].slice(0, PEERS_PER_ROUND);
 }
 
 function sampleAddresses(
-  addresses: readonly string[],
+  addresses: readonly SocketAddress[],
   random: RandomSource,
-): readonly string[] {
+): readonly SocketAddress[] {
   const left = [...addresses];
-  const sample: string[] = [];
+  const sample: SocketAddress[] = [];
   while (left.length > 0 && sample.length < PEERS_PER_ROUND) {
     sample.push(...left.splice(random.nextBelow(left.length), 1));
   }
@@ -54,14 +55,14 @@
 /** An entry as registered in the store. */
 export interface ListedEntry {
   readonly name: string;
-  readonly address: string;
+  readonly address: SocketAddress;
   readonly failureDomain: string;
 }
 
 /** The entries that may read the store for one entry. */
 export interface ReaderCandidates {
   /** Host and port of each candidate, in order of preference. */
-  readonly addresses: readonly string[];
+  readonly addresses: readonly SocketAddress[];
   /**
    * Whether the entry is the first of its failure domain, which the others there query.
    */
--- a/src/direct/peers/peer_choice_test.ts
+++ b/src/direct/peers/peer_choice_test.ts
@@ -6,11 +6,16 @@
   listReaderCandidates,
   PEERS_PER_ROUND,
 } from "./peer_choice.ts";
+import { createSocketAddress } from "../../testing/socket_addresses.ts";
+import type { SocketAddress } from "../../messages/socket_address.ts";
 
-const OWN = "10.0.0.1:1";
+const OWN = createSocketAddress("10.0.0.1:1");
 
-function createAddresses(count: number): readonly string[] {
-  return Array.from({ length: count }, (_, index) => `10.0.0.${index + 1}:1`);
+function createAddresses(count: number): readonly SocketAddress[] {
+  return Array.from(
+    { length: count },
+    (_, index) => createSocketAddress(`10.0.0.${index + 1}:1`),
+  );
 }
 
 describe("choosePeers", () => {
@@ -52,7 +57,7 @@
 describe("listReaderCandidates", () => {
   const entries = ["a-1", "a-2", "b-1", "b-2", "c-1"].map((name) => ({
     name,
-    address: `${name}:1`,
+    address: createSocketAddress(`${name}:1`),
     failureDomain: name.slice(0, 1),
   }));
 
--- a/src/direct/peers/peer_client.ts
+++ b/src/direct/peers/peer_client.ts
@@ -17,12 +17,13 @@
   KnownVersions,
   StoreUpdateMessage,
 } from "../../messages/peer_types.ts";
+import type { SocketAddress } from "../../messages/socket_address.ts";
 
 /** Options of a {@link PeerClient}. */
 export interface PeerClientOptions {
   readonly identity: LinkIdentity;
   /** Host and port of the other entry. */
-  readonly address: string;
+  readonly address: SocketAddress;
   /** Returns what this entry knows already. */
   readonly getKnown: () => KnownVersions;
   readonly replicatedState: ReplicatedState;
--- a/src/direct/peers/peer_follower.ts
+++ b/src/direct/peers/peer_follower.ts
@@ -13,6 +13,7 @@
   KnownVersions,
   StoreUpdateMessage,
 } from "../../messages/peer_types.ts";
+import type { SocketAddress } from "../../messages/socket_address.ts";
 
 /**
  * Milliseconds between two rounds of queries. A leaving back end may receive requests for
@@ -28,8 +29,8 @@
 /** Options of a {@link PeerFollower}. */
 export interface PeerFollowerOptions {
   readonly identity: LinkIdentity;
-  readonly ownAddress: string;
-  readonly seedAddresses: readonly string[];
+  readonly ownAddress: SocketAddress;
+  readonly seedAddresses: readonly SocketAddress[];
   readonly random: RandomSource;
   /** Returns what this entry knows already. */
   readonly getKnown: () => KnownVersions;
@@ -41,8 +42,8 @@
 /** Queries other entries while the store does not answer. */
 export class PeerFollower {
   readonly #options: PeerFollowerOptions;
-  #listed: readonly string[] = [];
-  readonly #clients = new Map<string, PeerClient>();
+  #listed: readonly SocketAddress[] = [];
+  readonly #clients = new Map<SocketAddress, PeerClient>();
   readonly #waiting = new Set<() => void>();
   #timer: NodeJS.Timeout | undefined;
   #rounds = 0;
@@ -53,7 +54,7 @@
   }
 
   /** Sets the addresses of the entries registered in the store. */
-  setListed(addresses: readonly string[]): void {
+  setListed(addresses: readonly SocketAddress[]): void {
     this.#listed = addresses;
   }
 
@@ -103,7 +104,7 @@
     }
   }
 
-  #dial(address: string): void {
+  #dial(address: SocketAddress): void {
     const { identity, getKnown, replicatedState } = this.#options;
     const client = new PeerClient({
       address,
--- a/src/direct/peers/permit_requester.ts
+++ b/src/direct/peers/permit_requester.ts
@@ -13,6 +13,7 @@
   type PermitRequest,
   type PermitResponse,
 } from "../../policy/send_permits.ts";
+import type { SocketAddress } from "../../messages/socket_address.ts";
 
 /** Milliseconds after which an unused connection is closed. */
 const IDLE_TIMEOUT_MS = 15_000;
@@ -21,7 +22,7 @@
 export interface PermitRequesterOptions {
   readonly identity: LinkIdentity;
   /** Returns the host and port of an entry; undefined if it is no longer listed. */
-  readonly tryAddress: (entry: string) => string | undefined;
+  readonly tryAddress: (entry: string) => SocketAddress | undefined;
   /** Called once for each request. */
   readonly onOutcome: (outcome: PermitOutcome) => void;
 }
@@ -45,7 +46,7 @@
 /** Requests permits from other entries. */
 export class PermitRequester {
   readonly #options: PermitRequesterOptions;
-  readonly #issuers = new Map<string, IssuerConnection>();
+  readonly #issuers = new Map<SocketAddress, IssuerConnection>();
   readonly #pending = new Map<number, PendingRequest>();
   #queryId = 0;
 
@@ -80,7 +81,7 @@
     this.#pending.clear();
   }
 
-  #connect(address: string): IssuerConnection {
+  #connect(address: SocketAddress): IssuerConnection {
     const client = new LinkClient({
       address,
       role: "entry",
@@ -113,7 +114,7 @@
     for (const queryId of pendingQueryIds) this.#send(link, queryId);
   }
 
-  #disconnect(address: string): void {
+  #disconnect(address: SocketAddress): void {
     const issuer = this.#issuers.get(address);
     if (issuer === undefined) return;
     clearTimeout(issuer.idleTimer);
--- a/src/direct/peers/reader_follower.ts
+++ b/src/direct/peers/reader_follower.ts
@@ -11,6 +11,7 @@
   KnownVersions,
   StoreUpdateMessage,
 } from "../../messages/peer_types.ts";
+import type { SocketAddress } from "../../messages/socket_address.ts";
 
 /** Options of {@link ReaderFollower}. */
 export interface ReaderFollowerOptions {
@@ -21,16 +22,16 @@
   /** `askedAt` is when the query that the update answers was sent. */
   readonly onUpdate: (
     update: StoreUpdateMessage,
-    from: { readonly address: string; readonly askedAt?: number },
+    from: { readonly address: SocketAddress; readonly askedAt?: number },
   ) => void;
-  readonly onLost: (address: string) => void;
+  readonly onLost: (address: SocketAddress) => void;
 }
 
 /** Keeps a connection to the entry that was queried last. */
 export class ReaderFollower {
   readonly #options: ReaderFollowerOptions;
   #client: PeerClient | undefined;
-  #address: string | undefined;
+  #address: SocketAddress | undefined;
 
   /** Connects to no entry yet. */
   constructor(options: ReaderFollowerOptions) {
@@ -38,7 +39,7 @@
   }
 
   /** Queries an entry. Closes the connection to any other entry queried before. */
-  query(address: string): void {
+  query(address: SocketAddress): void {
     if (address !== this.#address) this.#dial(address);
     this.#client?.query();
   }
@@ -55,7 +56,7 @@
     this.#address = undefined;
   }
 
-  #dial(address: string): void {
+  #dial(address: SocketAddress): void {
     this.stop();
     const { identity, getKnown, replicatedState, onUpdate, onLost } =
       this.#options;
--- a/src/direct/peers/reader_policy.ts
+++ b/src/direct/peers/reader_policy.ts
@@ -17,6 +17,7 @@
  * @module
  */
 import type { ReaderCandidates } from "./peer_choice.ts";
+import type { SocketAddress } from "../../messages/socket_address.ts";
 
 /**
  * Listings of the store within the time for which a leaving back end may still receive
@@ -53,7 +54,7 @@
 /** The next action of an entry. */
 export type ReaderAction =
   | { readonly kind: "list" }
-  | { readonly kind: "ask"; readonly address: string }
+  | { readonly kind: "ask"; readonly address: SocketAddress }
   | { readonly kind: "nothing" };
 
 /** An answer of a reader. */
@@ -71,7 +72,7 @@
 }
 
 interface PendingQuery {
-  readonly address: string;
+  readonly address: SocketAddress;
   readonly askedAt: number;
 }
 
@@ -83,7 +84,7 @@
   readonly #queryIntervalMs: number;
   readonly #leavingLimitMs: number;
   #maxAgeMs: number;
-  #candidates: readonly string[] = [];
+  #candidates: readonly SocketAddress[] = [];
   readonly #failures = new Map<string, ReaderFailure>();
   #pendingQuery: PendingQuery | undefined;
   #unansweredCount = 0;
@@ -126,7 +127,11 @@
   }
 
   /** Records the answer of a reader. */
-  recordAnswer(address: string, answer: ReaderAnswer, now: number): void {
+  recordAnswer(
+    address: SocketAddress,
+    answer: ReaderAnswer,
+    now: number,
+  ): void {
     if (!this.#candidates.includes(address)) return;
     if (this.#pendingQuery?.address === address) this.#pendingQuery = undefined;
     const { askedAt, ageMs = Number.POSITIVE_INFINITY } = answer;
@@ -141,7 +146,7 @@
   }
 
   /** Records that a reader cannot be reached, or that its state is too old. */
-  recordFailure(address: string, now: number): void {
+  recordFailure(address: SocketAddress, now: number): void {
     const failureCount = (this.#failures.get(address)?.failureCount ?? 0) + 1;
     const doubled = 2 ** Math.min(failureCount - 1, MAX_PAUSE_DOUBLINGS);
     const until = now + FAILED_READER_PAUSE_MS * doubled;
--- a/src/direct/peers/reader_policy_test.ts
+++ b/src/direct/peers/reader_policy_test.ts
@@ -15,10 +15,12 @@
   type StoreReaderFleetOptions,
 } from "../../testing/store_reader_fleet.ts";
 import { ReaderPolicy } from "./reader_policy.ts";
+import { createSocketAddress } from "../../testing/socket_addresses.ts";
 
 const LEAVING_LIMIT_MS = 2000;
 const RUN_MS = 20_000;
 const ENTRIES = 9;
+const READER = createSocketAddress("reader:1");
 
 function createOptions(
   changes: Partial<StoreReaderFleetOptions> = {},
@@ -106,7 +108,8 @@
 describe("a reader that is gone", () => {
   it("is queried less and less often", () => {
     const policy = new ReaderPolicy(LEAVING_LIMIT_MS);
-    policy.setCandidates({ addresses: ["gone:1"], isFirstOfDomain: false });
+    const addresses = [createSocketAddress("gone:1")];
+    policy.setCandidates({ addresses, isFirstOfDomain: false });
     const queries: number[] = [];
     for (let now = 0; now < 60_000; now += 50) {
       const action = policy.nextAction(now);
@@ -121,7 +124,7 @@
   it("is not mistaken for the answer to a later query", () => {
     const policy = createQueried();
     policy.nextAction(400);
-    policy.recordAnswer("reader:1", { askedAt: 10, ageMs: 0 }, 410);
+    policy.recordAnswer(READER, { askedAt: 10, ageMs: 0 }, 410);
     // Nothing that the store contained after 10 ms is known.
     assert.equal(policy.nextAction(1400).kind, "ask");
     assert.equal(policy.nextAction(1415).kind, "list");
@@ -129,11 +132,11 @@
 
   function createQueried(): ReaderPolicy {
     const policy = new ReaderPolicy(LEAVING_LIMIT_MS);
-    policy.setCandidates({ addresses: ["reader:1"], isFirstOfDomain: false });
+    policy.setCandidates({ addresses: [READER], isFirstOfDomain: false });
     policy.recordListing(0);
     assert.deepEqual(policy.nextAction(10), {
       kind: "ask",
-      address: "reader:1",
+      address: READER,
     });
     return policy;
   }
@@ -141,7 +144,7 @@
   it("has an age that counts from the query, also if it is read late", () => {
     const policy = createQueried();
     policy.recordAnswer(
-      "reader:1",
+      READER,
       { askedAt: 10, ageMs: 100 },
       LEAVING_LIMIT_MS,
     );
@@ -151,13 +154,13 @@
 
   it("is not used when the reader has no state", () => {
     const policy = createQueried();
-    policy.recordAnswer("reader:1", { askedAt: 10, ageMs: undefined }, 20);
+    policy.recordAnswer(READER, { askedAt: 10, ageMs: undefined }, 20);
     assert.equal(policy.isFollowingReader, false);
   });
 
   it("makes calls to the store unnecessary while it is recent", () => {
     const policy = createQueried();
-    policy.recordAnswer("reader:1", { askedAt: 10, ageMs: 100 }, 20);
+    policy.recordAnswer(READER, { askedAt: 10, ageMs: 100 }, 20);
     assert.equal(policy.isFollowingReader, true);
     assert.equal(policy.nextAction(150).kind, "nothing");
   });
--- a/src/direct/process_registry_test.ts
+++ b/src/direct/process_registry_test.ts
@@ -7,9 +7,11 @@
 import { waitUntil } from "../testing/process_cluster.ts";
 import type { ListedProcess } from "../messages/listed_process.ts";
 import { ProcessRegistry } from "./process_registry.ts";
+import { createSocketAddress } from "../testing/socket_addresses.ts";
 
 function createProcess(name: string): ListedProcess {
-  return { name, role: "rank", address: `${name}:1`, failureDomain: "a" };
+  const address = createSocketAddress("10.0.0.1:1");
+  return { name, role: "rank", address, failureDomain: "a" };
 }
 
 function createListing(
--- a/src/direct/rank_driver.ts
+++ b/src/direct/rank_driver.ts
@@ -35,6 +35,7 @@
 import { ProcessRegistry } from "./process_registry.ts";
 import { RankMetrics, type RankMetricsSource } from "./rank_metrics.ts";
 import { SettingsFollower } from "./settings_follower.ts";
+import type { SocketAddress } from "../messages/socket_address.ts";
 
 /** Milliseconds between two polls of the engine for the group that it belongs to. */
 const POLL_INTERVAL_MS = 500;
@@ -71,7 +72,7 @@
   readonly format: StoreFormat;
   readonly engine: FormedEngine;
   /** Creates the client for the engine of another VM. */
-  readonly createEngine: (address: string) => FormedEngine;
+  readonly createEngine: (address: SocketAddress) => FormedEngine;
   readonly log: EventLog;
   readonly random: RandomSource;
 }
--- a/src/direct/superseded_instances_test.ts
+++ b/src/direct/superseded_instances_test.ts
@@ -2,6 +2,7 @@
 import { describe, it } from "node:test";
 import type { BackEndInstance } from "../messages/back_end_instance.ts";
 import { type ListedInstance, markSuperseded } from "./superseded_instances.ts";
+import { createSocketAddress } from "../testing/socket_addresses.ts";
 
 function createListed(
   id: string,
@@ -12,7 +13,7 @@
   const instance: BackEndInstance = {
     id,
     name: id,
-    address,
+    address: createSocketAddress(address),
     pool,
     failureDomain: "a",
     concurrency: 8,
--- a/src/entry/entry_reducer_test.ts
+++ b/src/entry/entry_reducer_test.ts
@@ -10,6 +10,7 @@
 } from "../testing/fixtures.ts";
 import { EntryReducer } from "./entry_reducer.ts";
 import type { CallerRequest, EntryEffect } from "./types.ts";
+import { createSocketAddress } from "../testing/socket_addresses.ts";
 
 class EntryFixture {
   readonly entry = new EntryReducer({
@@ -213,7 +214,7 @@
       now: 1,
       virtualMachines: [{
         name: "two",
-        address: "127.0.0.1:1",
+        address: createSocketAddress("127.0.0.1:1"),
         role: "target",
         failureDomain: "a",
         pool: "confirm",
--- a/src/entry/target_dialler.ts
+++ b/src/entry/target_dialler.ts
@@ -11,6 +11,7 @@
 import type { Message, WelcomeMessage } from "../messages/types.ts";
 import type { VirtualMachine } from "../external/virtual_machine_list.ts";
 import { chooseSubset, type SubsetOptions } from "../policy/target_subset.ts";
+import type { SocketAddress } from "../messages/socket_address.ts";
 
 /** Receives the events of a {@link TargetDialler}. */
 export interface TargetDiallerListener {
@@ -24,7 +25,7 @@
 export interface TargetDiallerOptions {
   readonly identity: LinkIdentity;
   /** Addresses that are dialled regardless of the list of VMs. */
-  readonly fixedAddresses: readonly string[];
+  readonly fixedAddresses: readonly SocketAddress[];
   readonly subset: SubsetOptions;
   readonly listener: TargetDiallerListener;
   readonly log: EventLog;
@@ -33,9 +34,9 @@
 /** Keeps a connection to each target. */
 export class TargetDialler {
   readonly #options: TargetDiallerOptions;
-  readonly #clients = new Map<string, LinkClient>();
+  readonly #clients = new Map<SocketAddress, LinkClient>();
   /** Addresses with an established connection. */
-  readonly #connected = new Set<string>();
+  readonly #connected = new Set<SocketAddress>();
   readonly #links = new Map<string, Link>();
 
   /** Creates a dialler, which dials the fixed addresses immediately. */
@@ -77,11 +78,11 @@
     this.#clients.clear();
   }
 
-  #isConnected(address: string): boolean {
+  #isConnected(address: SocketAddress): boolean {
     return this.#connected.has(address);
   }
 
-  #dial(address: string): void {
+  #dial(address: SocketAddress): void {
     if (this.#clients.has(address)) return;
     const { identity, listener, log } = this.#options;
     let link: Link | undefined;
--- a/src/entry/unavailable_pools_test.ts
+++ b/src/entry/unavailable_pools_test.ts
@@ -14,6 +14,7 @@
   createRefused,
   type RouteLines,
 } from "../testing/fixtures.ts";
+import { createSocketAddress } from "../testing/socket_addresses.ts";
 
 /** Creates an entry to which one rank of a group reported that the other one is lost. */
 function createFixtureWithLostRank() {
@@ -182,7 +183,7 @@
 
   it("are matched to their group by the address of the current incarnation", () => {
     const fixture = new DirectFixture([], STREAM_LINES);
-    const address = "one:80";
+    const address = createSocketAddress("one:80");
     fixture.list([
       { ...createInstance("after"), address },
       { ...createInstance("before", { state: "leaving" }), address },
--- a/src/external/contracts_test.ts
+++ b/src/external/contracts_test.ts
@@ -13,6 +13,8 @@
 import { HttpKeyValueService } from "./http_key_value_service.ts";
 import { HttpRankEngine } from "./http_rank_engine.ts";
 import { HttpVirtualMachineList } from "./http_virtual_machine_list.ts";
+import { createSocketAddress } from "../testing/socket_addresses.ts";
+import type { SocketAddress } from "../messages/socket_address.ts";
 
 /**
  * Variables with the addresses of the implementations under test. Without its variable,
@@ -119,7 +121,7 @@
   it("lists VMs with unique names", async () => {
     standIn.setVirtualMachines([{
       name: "plan-1",
-      address: "127.0.0.1:7001",
+      address: createSocketAddress("127.0.0.1:7001"),
       role: "target",
       failureDomain: "a",
       pool: "plan",
@@ -137,10 +139,12 @@
 
 describe("contract of a back end", () => {
   const standIn = new PlainServiceStandIn("contract");
-  let address: string;
+  let address: SocketAddress;
 
   before(async () => {
-    address = await startOrGetAddress("backEnd", standIn);
+    address = createSocketAddress(
+      await startOrGetAddress("backEnd", standIn),
+    );
   });
   after(() => standIn.close());
 
@@ -163,7 +167,7 @@
   readonly failure: BackEndFailure | undefined;
 }
 
-async function callBackEnd(address: string): Promise<BackEndAnswer> {
+async function callBackEnd(address: SocketAddress): Promise<BackEndAnswer> {
   const backEnd = new HttpBackEnd({ address, maxConnections: 1 });
   let status = 0;
   let text = "";
--- a/src/external/http_back_end.ts
+++ b/src/external/http_back_end.ts
@@ -15,6 +15,7 @@
   type BackEndRequest,
 } from "./back_end.ts";
 import { getEndToEndHeaders } from "../messages/http_headers.ts";
+import type { SocketAddress } from "../messages/socket_address.ts";
 import { resetWhenClosed } from "../core/socket_reset.ts";
 import {
   type AnswerHeaders,
@@ -34,8 +35,7 @@
 
 /** Options of an {@link HttpBackEnd}. */
 export interface HttpBackEndOptions {
-  /** Host and port. */
-  readonly address: string;
+  readonly address: SocketAddress;
   /** Maximum number of connections to the back end. */
   readonly maxConnections: number;
   /** Milliseconds within which a connection must be established. */
--- a/src/external/http_back_end_test.ts
+++ b/src/external/http_back_end_test.ts
@@ -4,6 +4,7 @@
 import { performance } from "node:perf_hooks";
 import { describe, it } from "node:test";
 import { HttpBackEnd } from "./http_back_end.ts";
+import { createSocketAddress } from "../testing/socket_addresses.ts";
 
 const REQUEST = {
   method: "GET",
@@ -30,7 +31,7 @@
   await once(server, "listening");
   const { port } = server.address() as AddressInfo;
   const backEnd = new HttpBackEnd({
-    address: `127.0.0.1:${port}`,
+    address: createSocketAddress(`127.0.0.1:${port}`),
     maxConnections: 1,
     connectLimitMs,
   });
--- a/src/external/http_connections.ts
+++ b/src/external/http_connections.ts
@@ -12,12 +12,12 @@
 import { Client } from "undici";
 import type { buildConnector } from "undici";
 import type { IdleLifetime } from "../policy/idle_lifetime.ts";
+import type { SocketAddress } from "../messages/socket_address.ts";
 import { PausableReading } from "./pausable_reading.ts";
 
 /** Options of {@link HttpConnections}. */
 export interface HttpConnectionsOptions {
-  /** Host and port. */
-  readonly address: string;
+  readonly address: SocketAddress;
   /** Maximum number of connections. */
   readonly maxConnections: number;
   readonly connect: buildConnector.connector;
--- a/src/external/http_connections_test.ts
+++ b/src/external/http_connections_test.ts
@@ -16,6 +16,7 @@
 import { IdleLifetime } from "../policy/idle_lifetime.ts";
 import { HttpBackEnd } from "./http_back_end.ts";
 import { getReusableMs } from "./http_connections.ts";
+import { createSocketAddress } from "../testing/socket_addresses.ts";
 
 interface StaleConnectionServerOptions {
   /**
@@ -69,7 +70,7 @@
     await once(this.#server, "listening");
     const { port } = this.#server.address() as AddressInfo;
     this.#backEnd = new HttpBackEnd({
-      address: `127.0.0.1:${port}`,
+      address: createSocketAddress(`127.0.0.1:${port}`),
       maxConnections: 48,
       lifetime,
     });
--- a/src/external/http_virtual_machine_list.ts
+++ b/src/external/http_virtual_machine_list.ts
@@ -5,6 +5,7 @@
  */
 import { request } from "undici";
 import * as z from "zod";
+import { tryParseSocketAddress } from "../messages/socket_address.ts";
 import {
   MachineListUnavailableError,
   type VirtualMachine,
@@ -13,7 +14,7 @@
 
 const CALL_TIMEOUT_MS = 3000;
 
-const LIST_SCHEMA: z.ZodType<readonly VirtualMachine[]> = z.array(z.object({
+const LIST_SCHEMA = z.array(z.object({
   name: z.string(),
   address: z.string(),
   role: z.enum(["entry", "target"]),
@@ -37,9 +38,18 @@
       const response = await request(`http://${this.#address}/v1/machines`, {
         signal: AbortSignal.timeout(CALL_TIMEOUT_MS),
       });
-      return LIST_SCHEMA.parse(JSON.parse(await response.body.text()));
+      const rows = LIST_SCHEMA.parse(JSON.parse(await response.body.text()));
+      return rows.flatMap(tryCreateMachine);
     } catch (error) {
       throw new MachineListUnavailableError(String(error));
     }
   }
 }
+
+/** Returns a row as a VM; none if no connection can be made to its address. */
+function tryCreateMachine(
+  row: z.infer<typeof LIST_SCHEMA>[number],
+): readonly VirtualMachine[] {
+  const address = tryParseSocketAddress(row.address);
+  return address === undefined ? [] : [{ ...row, address }];
+}
--- a/src/external/paused_call_test.ts
+++ b/src/external/paused_call_test.ts
@@ -5,6 +5,7 @@
 import { setTimeout as delay } from "node:timers/promises";
 import type { BackEndCall } from "./back_end.ts";
 import { HttpBackEnd } from "./http_back_end.ts";
+import { createSocketAddress } from "../testing/socket_addresses.ts";
 
 /**
  * Sizes of answers that fit into the socket's buffer and that do not; Node.js stops
@@ -71,7 +72,7 @@
   server.listen(0, "127.0.0.1");
   await once(server, "listening");
   const { port } = server.address() as AddressInfo;
-  const address = `127.0.0.1:${port}`;
+  const address = createSocketAddress(`127.0.0.1:${port}`);
   const backEnd = new HttpBackEnd({ address, maxConnections: 1 });
   const request = { method: "GET", path: "/", headers: [], limitMs };
   await new Promise<void>((resolve) => {
@@ -178,7 +179,7 @@
     server.listen(0, "127.0.0.1");
     await once(server, "listening");
     const { port } = server.address() as AddressInfo;
-    const address = `127.0.0.1:${port}`;
+    const address = createSocketAddress(`127.0.0.1:${port}`);
     const backEnd = new HttpBackEnd({ address, maxConnections: 1 });
     const request = {
       method: "GET",
--- a/src/external/virtual_machine_list.ts
+++ b/src/external/virtual_machine_list.ts
@@ -3,12 +3,13 @@
  *
  * @module
  */
+import type { SocketAddress } from "../messages/socket_address.ts";
 
 /** A virtual machine in the list. */
 export interface VirtualMachine {
   readonly name: string;
   /** Host and port of the lagoonwharf process on it. */
-  readonly address: string;
+  readonly address: SocketAddress;
   readonly role: "entry" | "target";
   readonly failureDomain: string;
   /** The platform's label for VMs of one kind; empty for entries. */
--- a/src/group/coordinator_driver.ts
+++ b/src/group/coordinator_driver.ts
@@ -23,6 +23,7 @@
   CoordinatorEvent,
 } from "./coordinator_types.ts";
 import { createFirstMap, type GroupShape, MapPlanner } from "./map_planner.ts";
+import type { SocketAddress } from "../messages/socket_address.ts";
 
 const TICK_MS = 50;
 const DEFAULT_INTERVAL_MS = 30_000;
@@ -32,7 +33,7 @@
 export interface CoordinatorDriverOptions {
   readonly identity: LinkIdentity;
   /** Addresses of the targets in front of the ranks, in rank order. */
-  readonly memberAddresses: readonly string[];
+  readonly memberAddresses: readonly SocketAddress[];
   readonly shape: GroupShape;
   /** Returns the group's settings; undefined while there are none. */
   readonly trySettings: () => GroupDocument | undefined;
@@ -72,7 +73,7 @@
     for (const client of this.#clients) client.stop();
   }
 
-  #dial(address: string, rank: number): LinkClient {
+  #dial(address: SocketAddress, rank: number): LinkClient {
     return new LinkClient({
       address,
       role: "target",
--- a/src/group/formed/decider_driver.ts
+++ b/src/group/formed/decider_driver.ts
@@ -33,6 +33,7 @@
   type RankReportMessage,
   type RankState,
 } from "../../messages/formed_group_types.ts";
+import type { SocketAddress } from "../../messages/socket_address.ts";
 
 const TICK_MS = 25;
 /**
@@ -61,7 +62,7 @@
   /** Capacity of this VM's link in each direction, in bytes per second. */
   readonly linkBytesPerSecond: number;
   /** Creates a client of an engine on another VM. */
-  readonly createEngine: (address: string) => FormedEngine;
+  readonly createEngine: (address: SocketAddress) => FormedEngine;
 }
 
 /** Runs the decider of a formed group. */
--- a/src/group/formed/rank_links.ts
+++ b/src/group/formed/rank_links.ts
@@ -21,18 +21,19 @@
   RankReportMessage,
   RankState,
 } from "../../messages/formed_group_types.ts";
+import type { SocketAddress } from "../../messages/socket_address.ts";
 
 /** Addresses of one rank's sidecar and engine. */
 export interface GroupMemberAddress {
   readonly rank: number;
   /** Address of the sidecar. */
-  readonly address: string;
-  readonly engineAddress: string;
+  readonly address: SocketAddress;
+  readonly engineAddress: SocketAddress;
 }
 
 /** Known state of a rank and of the link to its sidecar. */
 export class RankMember {
-  readonly engineAddress: string;
+  readonly engineAddress: SocketAddress;
   /** Number of the rank: as registered until the rank itself reports it. */
   rank: number;
   link: Link | undefined;
@@ -59,7 +60,7 @@
   readonly group: string;
   readonly log: EventLog;
   /** Creates a client of an engine on another VM. */
-  readonly createEngine: (address: string) => FormedEngine;
+  readonly createEngine: (address: SocketAddress) => FormedEngine;
   /** Called for each report of a rank's sidecar or engine. */
   readonly onReport: (member: RankMember, report: RankReportMessage) => void;
 }
@@ -72,7 +73,7 @@
 /** Connects a decider to the ranks of a group. */
 export class RankLinks {
   readonly #options: RankLinksOptions;
-  readonly #dialled = new Map<string, DialledMember>();
+  readonly #dialled = new Map<SocketAddress, DialledMember>();
   readonly #engines = new Map<string, FormedEngine>();
   /** Agents that execute orders directly at engines, by the engine's address. */
   readonly #remoteAgents = new Map<string, RankAgent>();
@@ -180,7 +181,7 @@
       .catch((error) => logEngineFault(log, error, { rank }));
   }
 
-  #getRemoteAgent(address: string): RankAgent {
+  #getRemoteAgent(address: SocketAddress): RankAgent {
     let agent = this.#remoteAgents.get(address);
     if (agent === undefined) {
       agent = new RankAgent(this.#getEngine(address), REMOTE_ENGINE_POLLING);
@@ -189,7 +190,7 @@
     return agent;
   }
 
-  #getEngine(address: string): FormedEngine {
+  #getEngine(address: SocketAddress): FormedEngine {
     let engine = this.#engines.get(address);
     if (engine === undefined) {
       engine = this.#options.createEngine(address);
--- a/src/group/formed/rank_links_test.ts
+++ b/src/group/formed/rank_links_test.ts
@@ -10,6 +10,7 @@
   RankOrder,
   RankReportMessage,
 } from "../../messages/formed_group_types.ts";
+import { createSocketAddress } from "../../testing/socket_addresses.ts";
 
 const RANKS = 3;
 const RANK = 2;
@@ -39,7 +40,8 @@
   /** Adds a rank whose sidecar has ended, so that its address refuses connections. */
   async start(): Promise<void> {
     const address = await findFreeAddress();
-    this.links.setMembers([{ rank: RANK, address, engineAddress: "engine" }]);
+    const engineAddress = createSocketAddress("engine");
+    this.links.setMembers([{ rank: RANK, address, engineAddress }]);
   }
 
   async send(order: RankOrder): Promise<void> {
--- a/src/group/formed/switch_recovery.ts
+++ b/src/group/formed/switch_recovery.ts
@@ -24,6 +24,7 @@
   RankReportMessage,
   RankState,
 } from "../../messages/formed_group_types.ts";
+import type { SocketAddress } from "../../messages/socket_address.ts";
 
 const TICK_MS = 25;
 /** Lower limit of the random number of the first order, above all numbers of deciders. */
@@ -38,7 +39,7 @@
   /** Executes orders at the holder's engine. */
   readonly agent: RankAgent;
   /** Creates a client of an engine on another VM. */
-  readonly createEngine: (address: string) => FormedEngine;
+  readonly createEngine: (address: SocketAddress) => FormedEngine;
 }
 
 /** Completes a held switch that the decider does not complete. */
--- a/src/group/group_participant.ts
+++ b/src/group/group_participant.ts
@@ -12,12 +12,13 @@
 import { CoordinatorDriver } from "./coordinator_driver.ts";
 import type { GroupShape } from "./map_planner.ts";
 import { MemberDriver } from "./member_driver.ts";
+import type { SocketAddress } from "../messages/socket_address.ts";
 
 /** Rank of a target's engine and the group that it belongs to. */
 export interface GroupRank extends Omit<GroupShape, "ranks"> {
   readonly rank: number;
   /** At rank 0, the addresses of the targets in front of all ranks, in rank order. */
-  readonly memberAddresses: readonly string[];
+  readonly memberAddresses: readonly SocketAddress[];
 }
 
 /** Options of a {@link GroupParticipant}. */
--- a/src/group/group_process_test.ts
+++ b/src/group/group_process_test.ts
@@ -11,6 +11,7 @@
   waitUntil,
 } from "../testing/process_cluster.ts";
 import { findFreeAddress } from "../testing/free_address.ts";
+import type { SocketAddress } from "../messages/socket_address.ts";
 
 const RANKS = 3;
 const EVEN = [10, 10, 10, 10, 10, 10];
@@ -113,7 +114,7 @@
   it("takes orders from rank 0's target only, secret or not", async () => {
     const faults: (LinkFault | undefined)[] = [];
     const unauthorized = new LinkClient({
-      address: addresses[1] as string,
+      address: addresses[1] as SocketAddress,
       role: "target",
       identity: {
         deployment: "test",
--- a/src/links/link_client.ts
+++ b/src/links/link_client.ts
@@ -18,6 +18,7 @@
   PROTOCOL_VERSION,
   type WelcomeMessage,
 } from "../messages/types.ts";
+import type { SocketAddress } from "../messages/socket_address.ts";
 import { Link } from "./link.ts";
 import { LINK_PATH, type LinkIdentity } from "./link_server.ts";
 
@@ -38,8 +39,7 @@
 
 /** Options of a {@link LinkClient}. */
 export interface LinkClientOptions {
-  /** Host and port. */
-  readonly address: string;
+  readonly address: SocketAddress;
   readonly role: LinkRole;
   readonly identity: LinkIdentity;
   readonly listener: LinkClientListener;
--- a/src/links/link_faults_test.ts
+++ b/src/links/link_faults_test.ts
@@ -11,6 +11,7 @@
 import type { Link } from "./link.ts";
 import { LinkClient } from "./link_client.ts";
 import { LINK_PATH, type LinkIdentity, LinkServer } from "./link_server.ts";
+import type { SocketAddress } from "../messages/socket_address.ts";
 
 const PACKER = new Packr({ useRecords: false });
 const IDENTITY: LinkIdentity = {
@@ -141,7 +142,7 @@
 
 describe("connections between processes of a deployment", () => {
   let listener: HttpListener;
-  let address: string;
+  let address: SocketAddress;
   let received: Message[];
   let healthyClient: LinkClient;
   let healthyLink: Link;
--- a/src/messages/back_end_instance.ts
+++ b/src/messages/back_end_instance.ts
@@ -4,6 +4,8 @@
  * @module
  */
 
+import type { SocketAddress } from "./socket_address.ts";
+
 /** One incarnation of a back end. */
 export interface BackEndInstance {
   /** Identifies the incarnation; never reused. */
@@ -12,8 +14,7 @@
   readonly name: string;
   /** Start time in Unix milliseconds of the back end's own clock, if it is known. */
   readonly startedAt?: number;
-  /** Host and port. */
-  readonly address: string;
+  readonly address: SocketAddress;
   readonly pool: string;
   readonly failureDomain: string;
   /** Requests that the back end runs concurrently. */
--- a/src/messages/peer_schema.ts
+++ b/src/messages/peer_schema.ts
@@ -5,6 +5,7 @@
  */
 import * as z from "zod";
 import { PROCESS_SCHEMA } from "./listed_process.ts";
+import { SOCKET_ADDRESS_SCHEMA } from "./socket_address.ts";
 
 const COUNT = z.number().int().nonnegative();
 
@@ -12,7 +13,7 @@
   id: z.string().min(1),
   name: z.string().min(1),
   startedAt: COUNT.optional(),
-  address: z.string().min(1),
+  address: SOCKET_ADDRESS_SCHEMA,
   pool: z.string().min(1),
   failureDomain: z.string(),
   concurrency: COUNT,
--- a/src/policy/target_subset_test.ts
+++ b/src/policy/target_subset_test.ts
@@ -2,6 +2,7 @@
 import { describe, it } from "node:test";
 import type { VirtualMachine } from "../external/virtual_machine_list.ts";
 import { chooseSubset } from "./target_subset.ts";
+import { createSocketAddress } from "../testing/socket_addresses.ts";
 
 const DOMAINS = 4;
 const TARGETS = 800;
@@ -11,7 +12,7 @@
 function createTargets(count: number): readonly VirtualMachine[] {
   return Array.from({ length: count }, (_, index): VirtualMachine => ({
     name: `target-${index}`,
-    address: `10.0.0.1:${index}`,
+    address: createSocketAddress(`10.0.0.1:${index}`),
     role: "target",
     failureDomain: String(index % DOMAINS),
     pool: "plan",
--- a/src/process/process_settings.ts
+++ b/src/process/process_settings.ts
@@ -8,11 +8,8 @@
 import { Err, Ok, type Result } from "ts-results-es";
 import { parseDocument } from "yaml";
 import * as z from "zod";
+import { SOCKET_ADDRESS_SCHEMA as ADDRESS } from "../messages/socket_address.ts";
 
-const ADDRESS = z.string().regex(
-  /^[0-9a-fA-F.:[\]]+:\d{1,5}$/,
-  "Expected an IP address and a port",
-);
 const NAME = z.string().regex(
   /^[a-z0-9][a-z0-9_-]{0,62}$/,
   "Expected lower-case letters, digits, '-' or '_'",
--- a/src/settings/schema.ts
+++ b/src/settings/schema.ts
@@ -10,6 +10,7 @@
   PRIORITIES_BY_NAME,
   PRIORITY_NAMES,
 } from "../messages/priority.ts";
+import { SOCKET_ADDRESS_SCHEMA } from "../messages/socket_address.ts";
 
 const NAME = z.string().regex(
   /^[a-z0-9][a-z0-9_-]{0,62}$/,
@@ -19,10 +20,6 @@
   /^(\/|(\/[a-z0-9][a-z0-9_-]{0,62})+)$/,
   "Expected a settings path",
 );
-const ADDRESS = z.string().regex(
-  /^[0-9a-fA-F.:[\]]+:\d{1,5}$/,
-  "Expected an IP address and a port",
-);
 
 const SHA_256 = z.string().regex(/^[0-9a-f]{64}$/, "Expected a SHA-256 in hex");
 const MAX_ATTEMPTS = 10;
@@ -74,7 +71,7 @@
   objectiveMs: integerWithin(OBJECTIVE_BOUNDS).optional(),
   pauseObjectiveMs: integerWithin(OBJECTIVE_BOUNDS).optional(),
   handover: z.enum(["lagoonwharf", "scripts"]).default("lagoonwharf"),
-  scriptsAddress: ADDRESS.optional(),
+  scriptsAddress: SOCKET_ADDRESS_SCHEMA.optional(),
   priority: PRIORITY.default(DEFAULT_PRIORITY),
   defaultDeadlineMs: integerWithin(DEADLINE_BOUNDS).default(60_000),
   longestDeadlineMs: integerWithin(DEADLINE_BOUNDS).default(600_000),
--- a/src/target/claim_keeper.ts
+++ b/src/target/claim_keeper.ts
@@ -20,6 +20,7 @@
   tryRelease,
 } from "./owner_table.ts";
 import type { OwnedSlots } from "./types.ts";
+import type { SocketAddress } from "../messages/socket_address.ts";
 
 /** Delay after a failed call, in milliseconds. */
 const RETRY_DELAY_MS = 1000;
@@ -34,7 +35,7 @@
   readonly service: KeyValueService;
   readonly pool: string;
   /** Host and port of this target. */
-  readonly address: string;
+  readonly address: SocketAddress;
   readonly targetName: string;
   readonly incarnation: string;
   /** Whether the platform provides a list of VMs; claiming a share then waits for it. */
--- a/src/target/history_fetcher.ts
+++ b/src/target/history_fetcher.ts
@@ -7,6 +7,7 @@
 import type { LinkIdentity } from "../links/link_server.ts";
 import type { LedgerSlotMessage } from "../messages/types.ts";
 import type { ReleasedSlot } from "./owner_table.ts";
+import type { SocketAddress } from "../messages/socket_address.ts";
 
 /** Milliseconds after which the previous owner counts as gone. */
 const FETCH_TIMEOUT_MS = 5000;
@@ -28,7 +29,7 @@
 
   /** Requests the histories of the given slots, each once, from their previous owners. */
   fetch(released: readonly ReleasedSlot[]): void {
-    const slotsByAddress = new Map<string, number[]>();
+    const slotsByAddress = new Map<SocketAddress, number[]>();
     for (const { slot, address } of released) {
       slotsByAddress.set(address, [...slotsByAddress.get(address) ?? [], slot]);
     }
@@ -37,7 +38,7 @@
     }
   }
 
-  #fetchFrom(address: string, slots: readonly number[]): void {
+  #fetchFrom(address: SocketAddress, slots: readonly number[]): void {
     const pendingSlots = new Set(slots);
     const client = new LinkClient({
       address,
--- a/src/target/owner_table.ts
+++ b/src/target/owner_table.ts
@@ -11,6 +11,10 @@
 import * as z from "zod";
 import { SLOT_COUNT } from "../core/idempotency_key.ts";
 import type { OwnedSlots } from "./types.ts";
+import {
+  SOCKET_ADDRESS_SCHEMA,
+  type SocketAddress,
+} from "../messages/socket_address.ts";
 
 /** The slot has no owner. */
 export interface FreeSlot {
@@ -20,7 +24,7 @@
   /** Whether the slot has never had an owner. */
   readonly isNew: boolean;
   /** Host and port of the target that released the slot and still knows its keys. */
-  readonly releasedBy?: string;
+  readonly releasedBy?: SocketAddress;
 }
 
 /** An incarnation of a target's process owns the slot. */
@@ -54,7 +58,7 @@
       kind: z.literal("free"),
       since: z.number(),
       isNew: z.boolean(),
-      releasedBy: z.string().optional(),
+      releasedBy: SOCKET_ADDRESS_SCHEMA.optional(),
     }),
     z.object({
       kind: z.literal("taken"),
@@ -87,7 +91,7 @@
   /** Wall-clock milliseconds. */
   readonly wallNow: number;
   /** Host and port at which its keys can be fetched until it exits. */
-  readonly address: string;
+  readonly address: SocketAddress;
 }
 
 /** Returns the key of a pool's owner table in the key-value service. */
@@ -198,7 +202,7 @@
 export interface ReleasedSlot {
   readonly slot: number;
   /** Host and port. */
-  readonly address: string;
+  readonly address: SocketAddress;
 }
 
 function createTakenSlot(context: ClaimContext, movedAt: number): TakenSlot {
--- a/src/target/owner_table_test.ts
+++ b/src/target/owner_table_test.ts
@@ -11,6 +11,7 @@
   tryRelease,
   UNRESTRICTED_CLAIM_DELAY_MS,
 } from "./owner_table.ts";
+import { createSocketAddress } from "../testing/socket_addresses.ts";
 
 const NOW = 1_000_000;
 
@@ -96,7 +97,7 @@
       targetName: "one",
       incarnation: "1",
       wallNow: NOW + 5,
-      address: "127.0.0.1:1",
+      address: createSocketAddress("127.0.0.1:1"),
     });
     assert.ok(released !== undefined);
     const moved = claim(released, {
--- a/src/testing/drain_fleet.ts
+++ b/src/testing/drain_fleet.ts
@@ -26,6 +26,8 @@
   createRefused,
   createRoutes,
 } from "./fixtures.ts";
+import { createSocketAddress } from "./socket_addresses.ts";
+import type { SocketAddress } from "../messages/socket_address.ts";
 
 /** When the operator drains the failure domain, in virtual milliseconds. */
 export const DRAINED_AT_MS = 4000;
@@ -90,7 +92,7 @@
 interface FleetEntry {
   readonly number: number;
   readonly name: string;
-  readonly address: string;
+  readonly address: SocketAddress;
   readonly failureDomain: string;
   readonly readerPolicy: ReaderPolicy;
   readonly reducer: EntryReducer;
@@ -171,7 +173,7 @@
     return {
       number,
       name,
-      address: `${name}:1`,
+      address: createSocketAddress(`${name}:1`),
       failureDomain,
       readerPolicy: new ReaderPolicy(leavingLimitMs),
       reducer: new EntryReducer({ failureDomain, entryName: name, random }),
@@ -249,7 +251,7 @@
     if (!isFollowingReader) this.#store.listAgain(entry.number);
   }
 
-  #query(querier: FleetEntry, address: string): void {
+  #query(querier: FleetEntry, address: SocketAddress): void {
     const peer = this.#byAddress.get(address);
     if (peer === undefined) return;
     querier.reader = address;
--- a/src/testing/fixtures.ts
+++ b/src/testing/fixtures.ts
@@ -17,6 +17,7 @@
   SubmitMessage,
 } from "../messages/types.ts";
 import { DEFAULT_PRIORITY } from "../messages/priority.ts";
+import { createSocketAddress } from "./socket_addresses.ts";
 import { checkDocument } from "../settings/check_document.ts";
 import type { SettingsDocument } from "../messages/settings_documents.ts";
 
@@ -48,20 +49,26 @@
   };
 }
 
+/** Fields of a back end, whose address may be any text. */
+type InstanceFields = Omit<BackEndInstance, "address"> & {
+  readonly address: string;
+};
+
 /** Creates a serving back end, named by its id, in the pool of {@link createRoutes}. */
 export function createInstance(
   id: string,
-  changes: Partial<BackEndInstance> = {},
+  changes: Partial<InstanceFields> = {},
 ): BackEndInstance {
+  const { address = `${id}:80`, ...others } = changes;
   return {
     id,
     name: id,
-    address: `${id}:80`,
+    address: createSocketAddress(address),
     pool: "confirm",
     failureDomain: "a",
     concurrency: 8,
     state: "serving",
-    ...changes,
+    ...others,
   };
 }
 
--- a/src/testing/free_address.ts
+++ b/src/testing/free_address.ts
@@ -11,6 +11,8 @@
 import { once } from "node:events";
 import { createServer, type Server } from "node:net";
 import process from "node:process";
+import type { SocketAddress } from "../messages/socket_address.ts";
+import { createSocketAddress } from "./socket_addresses.ts";
 
 const HOST = "127.0.0.1";
 const FIRST_PORT = 10_000;
@@ -35,7 +37,7 @@
 let currentBlock: Promise<PortBlock> | undefined;
 
 /** Returns an address that no other caller receives. */
-export async function findFreeAddress(): Promise<string> {
+export async function findFreeAddress(): Promise<SocketAddress> {
   while (true) {
     currentBlock ??= reserveBlock();
     const block = await currentBlock;
@@ -48,7 +50,7 @@
     if (server === undefined) continue;
     server.close();
     await once(server, "close");
-    return `${HOST}:${port}`;
+    return createSocketAddress(`${HOST}:${port}`);
   }
 }
 
--- a/src/testing/process_cluster.ts
+++ b/src/testing/process_cluster.ts
@@ -18,6 +18,7 @@
 import { VirtualMachineListStandIn } from "../../standins/virtual_machine_list_stand_in.ts";
 import type { VirtualMachine } from "../external/virtual_machine_list.ts";
 import { findFreeAddress } from "./free_address.ts";
+import type { SocketAddress } from "../messages/socket_address.ts";
 
 /** Token that may write every path. */
 export const TEST_TOKEN = "administrator-token-of-tests";
@@ -260,7 +261,7 @@
   #addToList(
     name: string,
     role: VirtualMachine["role"],
-    address: string,
+    address: SocketAddress,
     pool: string,
   ): void {
     const others = this.#virtualMachines.filter((virtualMachine) =>
--- a/src/testing/request_simulation.ts
+++ b/src/testing/request_simulation.ts
@@ -15,6 +15,7 @@
 import type { SimulatedCallers } from "./simulated_callers.ts";
 import { SimulatedOwnerTable } from "./simulated_owner_table.ts";
 import { getTargetName } from "./simulated_targets.ts";
+import { createSocketAddress } from "./socket_addresses.ts";
 
 export {
   type RequestSimulationOptions,
@@ -279,7 +280,7 @@
         now: this.now,
         virtualMachines: [{
           name: getTargetName(target),
-          address: "127.0.0.1:1",
+          address: createSocketAddress("127.0.0.1:1"),
           role: "target",
           failureDomain: `domain-${target}`,
           pool: SIMULATION_POOL,
--- a/src/testing/simulated_owner_table.ts
+++ b/src/testing/simulated_owner_table.ts
@@ -18,6 +18,7 @@
   SIMULATION_START_MS,
 } from "./request_simulation_model.ts";
 import { getTargetName } from "./simulated_targets.ts";
+import { createSocketAddress } from "./socket_addresses.ts";
 
 /** Milliseconds for which a VM must be gone before it loses its slots. */
 export const GONE_GRACE_MS = 60_000;
@@ -114,7 +115,7 @@
       targetName: getTargetName(target),
       incarnation: String(process.incarnation),
       wallNow: SIMULATION_START_MS + this.#model.now,
-      address: getTargetName(target),
+      address: createSocketAddress(getTargetName(target)),
     });
     if (next !== undefined) this.#table = next;
   }
--- a/src/testing/store_reader_fleet.ts
+++ b/src/testing/store_reader_fleet.ts
@@ -11,6 +11,8 @@
 } from "../direct/peers/peer_choice.ts";
 import { ReaderPolicy } from "../direct/peers/reader_policy.ts";
 import { EventQueue } from "./event_queue.ts";
+import { createSocketAddress } from "./socket_addresses.ts";
+import type { SocketAddress } from "../messages/socket_address.ts";
 
 const ACTION_INTERVAL_MS = 50;
 const STORE_DELAY_MS = 5;
@@ -134,7 +136,7 @@
     });
   }
 
-  #query(querier: Reader, address: string): void {
+  #query(querier: Reader, address: SocketAddress): void {
     const peer = this.#readers.find(({ self }) => self.address === address);
     if (peer === undefined) return;
     const askedAt = this.#now;
@@ -187,8 +189,8 @@
     (_, domain) =>
       Array.from({ length: entriesPerDomain }, (_, index) => {
         const name = `entry-${domain}-${index}`;
-        const failureDomain = `domain-${domain}`;
-        return { name, address: `${name}:1`, failureDomain };
+        const address = createSocketAddress(`${name}:1`);
+        return { name, address, failureDomain: `domain-${domain}` };
       }),
   ).flat();
 }
