Let an exception of one request or list end only that request or list

Cause: effects are performed one after the other below whatever dispatched the event. A request on arrival is below the handler of HTTP, which catches; requests that wait are sent below a tick, a list of the store or a message of another process, above which nothing catches, and Node.js ends the process. Nobody waits for the outcome of a listing of the store either.

- An attempt whose request cannot be handed to the client library fails as broken, so without a promise that it has not run.
The same for the calls of a target process.
- A back end whose adapter cannot be created is left out of the list, and a list that cannot be applied does not reject the promise that nobody handles.

--- a/src/direct/direct_entry_driver.ts
+++ b/src/direct/direct_entry_driver.ts
@@ -336,13 +336,12 @@
   }
 
   #onDirectory(directory: Directory): void {
-    const { instances, askedAt } = directory;
-    this.#targets.setInstances(instances);
+    const instances = this.#targets.setInstances(directory.instances);
     this.#server.dispatch({
       kind: "instances_listed",
       now: performance.now(),
       instances,
-      requestedAt: askedAt,
+      requestedAt: directory.askedAt,
     });
   }
 
--- a/src/direct/direct_target.ts
+++ b/src/direct/direct_target.ts
@@ -28,12 +28,15 @@
 } from "../messages/types.ts";
 import { getRefusalReason } from "../external/back_end_failures.ts";
 import type { BackEndNotice } from "../messages/back_end_notice.ts";
+import type { EventLog } from "../events/event_log.ts";
+import { tryHandle } from "../events/internal_faults.ts";
 
 /** Receives the messages about an attempt's progress and outcome. */
 export type AttemptListener = (message: AttemptMessage) => void;
 
 /** Options of a {@link DirectTarget}. */
 export interface DirectTargetOptions {
+  readonly log: EventLog;
   readonly instance: BackEndInstance;
   readonly backEnd: BackEnd;
   readonly onMessage: AttemptListener;
@@ -68,13 +71,19 @@
       this.#attempts.delete(key);
       return;
     }
-    const { instance, backEnd, onMessage, mayBegin } = this.#options;
+    const { instance, backEnd, log, onMessage, mayBegin } = this.#options;
     const attempt = new DirectAttempt(message, {
       onMessage,
       onEnded: () => this.#attempts.delete(key),
     });
     this.#attempts.set(key, attempt);
-    attempt.start(backEnd, { instance: instance.name, mayBegin });
+    const hasStarted = tryHandle(
+      log,
+      `a request to ${instance.id}`,
+      () => attempt.start(backEnd, { instance: instance.name, mayBegin }),
+    );
+    // Deferred, as an event must not be dispatched while effects are performed.
+    if (!hasStarted) queueMicrotask(() => attempt.fail());
   }
 
   #tryCall(attempt: AttemptId): BackEndCall | undefined {
@@ -107,6 +116,7 @@
   #lostPeer: string | undefined;
   #notice: BackEndNotice | undefined;
   #isCancelled = false;
+  #hasEnded = false;
 
   constructor(submit: SubmitMessage, options: DirectAttemptOptions) {
     this.#submit = submit;
@@ -152,6 +162,11 @@
     this.#call?.cancel();
   }
 
+  /** Ends the attempt, of which some bytes may have been sent. */
+  fail(): void {
+    if (!this.#hasEnded) this.#onFailed("broken");
+  }
+
   #onHead(
     status: number,
     headers: readonly Header[],
@@ -179,6 +194,7 @@
   }
 
   #onEnd(): void {
+    this.#hasEnded = true;
     this.#options.onEnded();
     this.#emit({
       kind: "answer_end",
@@ -191,6 +207,7 @@
   }
 
   #onFailed(failure: BackEndFailure): void {
+    this.#hasEnded = true;
     this.#options.onEnded();
     const submission = isNotRun(failure) ? "not-run" : "unknown";
     this.#emit({
--- a/src/direct/direct_target_pool.ts
+++ b/src/direct/direct_target_pool.ts
@@ -40,19 +40,24 @@
   }
 
   /**
-   * Applies a new list. A back end that is no longer listed is closed once its attempts
-   * have ended.
+   * Applies a new list, and returns the back ends that can be called. A back end that is
+   * no longer listed is closed once its attempts have ended.
    */
-  setInstances(instances: readonly BackEndInstance[]): void {
+  setInstances(
+    instances: readonly BackEndInstance[],
+  ): readonly BackEndInstance[] {
     const listed = new Set(instances.map(({ id }) => id));
+    const { log } = this.#options;
     for (const instance of instances) {
-      if (!this.#targets.has(instance.id)) this.#add(instance);
+      if (this.#targets.has(instance.id)) continue;
+      tryHandle(log, `back end ${instance.id}`, () => this.#add(instance));
     }
     for (const [id, target] of this.#targets) {
       if (listed.has(id) || target.inFlight > 0) continue;
       this.#targets.delete(id);
       void target.close();
     }
+    return instances.filter(({ id }) => this.#targets.has(id));
   }
 
   /** Closes all connections. */
@@ -65,6 +70,7 @@
     const { createBackEnd, log, onMessage, mayBegin } = this.#options;
     const target = new DirectTarget({
       instance,
+      log,
       backEnd: createBackEnd(instance),
       // The client library would fail the call, as if the back end had broken it off.
       onMessage: (message) =>
--- a/src/direct/directory_follower.ts
+++ b/src/direct/directory_follower.ts
@@ -6,6 +6,7 @@
 import { createHash } from "node:crypto";
 import { performance } from "node:perf_hooks";
 import type { EventLog } from "../events/event_log.ts";
+import { tryHandle } from "../events/internal_faults.ts";
 import type { BackEndInstance } from "../messages/back_end_instance.ts";
 import type { StoreFormat } from "../external/operator_settings.ts";
 import { splitRevision } from "../external/store_revision.ts";
@@ -116,16 +117,22 @@
 
   /** Lists the back ends once. Reports a failed call to `onListFailed`. */
   async list(): Promise<void> {
-    const { onListed, onListFailed } = this.#options;
+    const { log, onListFailed } = this.#options;
     const askedAt = performance.now();
     const listing = await this.#tryList();
-    if (listing === undefined) return onListFailed();
-    const instances = this.#backEnds.read(listing.items, performance.now());
-    const { revision } = listing;
+    // No caller waits for the outcome, so an exception would end the process.
+    tryHandle(log, "listed back ends", () => {
+      if (listing === undefined) onListFailed();
+      else this.#read(listing, askedAt);
+    });
+  }
+
+  #read({ items, revision }: StoreListing, askedAt: number): void {
+    const instances = this.#backEnds.read(items, performance.now());
     const content = computeContentDigest(instances);
     const listed = { instances, revision, content, askedAt };
     this.#apply(listed, "store");
-    onListed(this.#directory ?? listed);
+    this.#options.onListed(this.#directory ?? listed);
   }
 
   async #tryList(): Promise<StoreListing | undefined> {
--- a/src/direct/directory_follower_test.ts
+++ b/src/direct/directory_follower_test.ts
@@ -122,3 +122,33 @@
     assert.equal(restoreCount, 0);
   });
 });
+
+// Guards against a process that ends, as no caller waits for the outcome of a listing.
+describe("an exception while a list of back ends is applied", () => {
+  it("is logged, and the next list is applied", async () => {
+    const listing = { era: 0, revision: 5, serving: ["one"] };
+    const store = new ListedStore([
+      createListing(listing),
+      createListing({ ...listing, revision: 6, serving: ["one", "two"] }),
+    ]);
+    const log = new EventLog({ role: "entry", processName: "test" });
+    const applied: number[] = [];
+    const follower = new DirectoryFollower({
+      store,
+      format: new JsonFormat(),
+      log,
+      isKnownPool: () => true,
+      onDirectory: ({ instances }) => {
+        applied.push(instances.length);
+        if (instances.length === 1) throw new TypeError("unexpected");
+      },
+      onListed: () => undefined,
+      onListFailed: () => undefined,
+      onStoreRestored: () => undefined,
+    });
+    await follower.list();
+    await follower.list();
+    assert.deepEqual(applied, [1, 2]);
+    assert.equal(log.counts.get("INTERNAL_FAULT"), 1);
+  });
+});
--- a/src/entry/request_server.ts
+++ b/src/entry/request_server.ts
@@ -8,18 +8,20 @@
 import type { IncomingMessage, ServerResponse } from "node:http";
 import { assertNever } from "../core/debug.ts";
 import { waitForPendingReads } from "../core/event_loop.ts";
-import type { EventLog } from "../events/event_log.ts";
+import { logInternalFault, tryHandle } from "../events/internal_faults.ts";
 import { HttpListener } from "../process/http_listener.ts";
 import { MeasuredTimer } from "../process/measured_timer.ts";
-import type { Metrics } from "../process/metrics.ts";
-import type { PermitRequest } from "../policy/send_permits.ts";
 import type { RefusalName } from "../refusals/catalogue.ts";
 import { createProblem } from "../refusals/problem.ts";
 import { CallerBuffers } from "./caller_buffers.ts";
 import { CallerConnection } from "./caller_connection.ts";
-import type { CallerProtocol } from "./caller_protocol.ts";
-import type { EntryReducer } from "./entry_reducer.ts";
 import { forwardToScripts } from "./scripts_forwarder.ts";
+import { tryGetRequestId } from "./concerned_request.ts";
+import type {
+  CallerArrival,
+  CallerExchange,
+  RequestServerOptions,
+} from "./request_server_types.ts";
 import { StallGuard } from "./stall_guard.ts";
 import type { TargetLinks } from "./target_links.ts";
 import type {
@@ -40,35 +42,6 @@
 /** Milliseconds between two ticks above which the process counts as having stalled. */
 const MIN_STALL_MS = 3000;
 
-/** Options of a {@link RequestServer}. */
-export interface RequestServerOptions {
-  readonly reducer: EntryReducer;
-  readonly protocol: CallerProtocol;
-  readonly metrics: Metrics;
-  readonly log: EventLog;
-  /** Maximum bytes held for all callers together; undefined: only a limit per caller. */
-  readonly heldBytesLimit?: number;
-  /** Called after the process stalled; requests wait until the promise settles. */
-  readonly onStalled: (gapMs: number) => Promise<void>;
-  /** Called when state that is replicated to other entries has changed. */
-  readonly onReplicatedStateChanged?: () => void;
-  /** Called to request permits from another entry. */
-  readonly onPermitsRequested?: (permitRequest: PermitRequest) => void;
-}
-
-/** A caller's request that was read completely. */
-interface CallerArrival {
-  readonly connection: CallerConnection;
-  /** When the head of the request was read. */
-  readonly headReadAt: number;
-}
-
-/** A caller's request that has not been answered. */
-interface CallerExchange extends CallerArrival {
-  /** Completes the HTTP handler. */
-  readonly close: () => void;
-}
-
 /** Serves callers. */
 export class RequestServer {
   readonly #options: RequestServerOptions;
@@ -157,15 +130,31 @@
   }
 
   #reduce(event: EntryEvent): void {
-    for (const effect of this.#options.reducer.reduce(event)) {
-      this.#perform(effect);
+    let effects: readonly EntryEffect[] = [];
+    this.#guard(event, () => effects = this.#options.reducer.reduce(event));
+    for (const effect of effects) {
+      this.#guard(effect, () => this.#perform(effect));
     }
   }
 
+  /**
+   * Handles an event or effect. An exception ends the request that it concerns and no
+   * other one. Timers and connections to other processes dispatch events, too, and there
+   * an exception would end the process.
+   */
+  #guard(subject: EntryEvent | EntryEffect, handle: () => void): void {
+    if (tryHandle(this.#options.log, subject.kind, handle)) return;
+    const requestId = tryGetRequestId(subject);
+    if (requestId === undefined || !this.#exchanges.has(requestId)) return;
+    this.#abort(requestId);
+    // Deferred, as an event must not be dispatched while effects are performed.
+    setImmediate(() => this.#reportCallerGone(requestId));
+  }
+
   #planTick(): void {
     const isBusy = this.#options.reducer.inFlight > 0;
     this.#tick.schedule(() => {
-      this.#onTick();
+      tryHandle(this.#options.log, "tick", () => this.#onTick());
       this.#planTick();
     }, isBusy ? BUSY_TICK_MS : IDLE_TICK_MS);
   }
@@ -177,6 +166,7 @@
     if (gap > MIN_STALL_MS) {
       this.#options.log.write("PAUSED", { milliseconds: Math.round(gap) });
       this.#catchUp = this.#options.onStalled(gap)
+        .catch((error) => logInternalFault(this.#options.log, "stall", error))
         .finally(() => this.#catchUp = undefined);
     }
     this.#buffers?.refresh();
@@ -255,11 +245,12 @@
   #onCallerGone(requestId: number): void {
     if (!this.#exchanges.has(requestId)) return;
     this.#finish(requestId);
-    this.dispatch({
-      kind: "caller_gone",
-      now: performance.now(),
-      requestId,
-    });
+    this.#reportCallerGone(requestId);
+  }
+
+  #reportCallerGone(requestId: number): void {
+    const now = performance.now();
+    this.dispatch({ kind: "caller_gone", now, requestId });
   }
 
   #perform(effect: EntryEffect): void {
--- a/src/target/back_end_calls.ts
+++ b/src/target/back_end_calls.ts
@@ -7,7 +7,12 @@
 import { getForwardedHeaders } from "../messages/http_headers.ts";
 import type { EventLog } from "../events/event_log.ts";
 import { tryHandle } from "../events/internal_faults.ts";
-import type { BackEnd, BackEndCall } from "../external/back_end.ts";
+import type {
+  BackEnd,
+  BackEndCall,
+  BackEndListener,
+  BackEndRequest,
+} from "../external/back_end.ts";
 import type { Metrics } from "../process/metrics.ts";
 import type { StartBackEnd, TargetEvent } from "./types.ts";
 
@@ -39,15 +44,32 @@
       tryHandle(log, "an answer of the back end", () => {
         this.#options.onEvent(event);
       });
-    const startedAt = performance.now();
     metrics.countRequest();
-    const backEndCall = backEnd.start({
-      method: request.method,
-      path: request.path,
-      headers: getForwardedHeaders(request.headers),
-      body: request.body,
-      limitMs: request.remainingMs,
-    }, {
+    const hasStarted = tryHandle(log, "a call to the back end", () => {
+      const call = backEnd.start(
+        createBackEndRequest(request),
+        this.#createListener(runId, onEvent),
+      );
+      this.#calls.set(runId, call);
+    });
+    if (hasStarted) return;
+    // Deferred, as an event must not be dispatched while effects are performed.
+    queueMicrotask(() =>
+      onEvent({
+        kind: "back_end_failed",
+        now: performance.now(),
+        runId,
+        failure: "broken",
+      })
+    );
+  }
+
+  #createListener(
+    runId: number,
+    onEvent: (event: TargetEvent) => void,
+  ): BackEndListener {
+    const startedAt = performance.now();
+    return {
       onHead: (status, headers) =>
         onEvent({
           kind: "back_end_head",
@@ -65,7 +87,7 @@
         }),
       onEnd: () => {
         this.#calls.delete(runId);
-        metrics.countAnswer(performance.now() - startedAt);
+        this.#options.metrics.countAnswer(performance.now() - startedAt);
         onEvent({ kind: "back_end_end", now: performance.now(), runId });
       },
       onFailed: (failure) => {
@@ -77,8 +99,7 @@
           failure,
         });
       },
-    });
-    this.#calls.set(runId, backEndCall);
+    };
   }
 
   /** Cancels the call of a run if it is still in progress. */
@@ -86,3 +107,15 @@
     this.#calls.get(runId)?.cancel();
   }
 }
+
+function createBackEndRequest(
+  request: StartBackEnd["request"],
+): BackEndRequest {
+  return {
+    method: request.method,
+    path: request.path,
+    headers: getForwardedHeaders(request.headers),
+    body: request.body,
+    limitMs: request.remainingMs,
+  };
+}
