Let an exception while a message of a peer is handled end only that message

An entry or target whose own handler of one message threw an exception ended with all its requests: links call their listeners from the socket, above which nothing handles exceptions.

A client plans its next dial before it tells its listener that the link is closed, so that an exception there does not leave it closed for good. The timers that list the store for others and end drains are guarded, too. The timers of deciders are not: whether a switch of maps may go on after an exception there is not known, and such a process is restarted.

Test: a listener that throws at a message and at the end of the link. Before, the process of the test ended at the first one.

--- a/src/direct/drain_follower.ts
+++ b/src/direct/drain_follower.ts
@@ -6,6 +6,7 @@
  */
 import { performance } from "node:perf_hooks";
 import type { EventLog } from "../events/event_log.ts";
+import { tryHandle } from "../events/internal_faults.ts";
 import type { StoreFormat } from "../external/operator_settings.ts";
 import { splitRevision } from "../external/store_revision.ts";
 import type {
@@ -183,7 +184,11 @@
     const end = this.#drains.nextExpiry;
     if (end === undefined || end <= now) return;
     // One more millisecond, because timers may fire slightly early.
-    this.#timer = setTimeout(() => this.#update(FROM_STORE), end - now + 1);
+    this.#timer = setTimeout(
+      () =>
+        tryHandle(this.#options.log, "drains", () => this.#update(FROM_STORE)),
+      end - now + 1,
+    );
     this.#timer.unref();
   }
 }
--- a/src/direct/group_load_follower.ts
+++ b/src/direct/group_load_follower.ts
@@ -98,6 +98,7 @@
     let reader = new LoadReader();
     const client = new LinkClient({
       address,
+      log,
       role: "entry",
       identity,
       listener: {
--- a/src/direct/peers/entry_peers.ts
+++ b/src/direct/peers/entry_peers.ts
@@ -8,6 +8,7 @@
 import { performance } from "node:perf_hooks";
 import type { RandomSource } from "../../core/random_source.ts";
 import type { EventLog } from "../../events/event_log.ts";
+import { tryHandle } from "../../events/internal_faults.ts";
 import type { LinkIdentity } from "../../links/link_server.ts";
 import type {
   PermitOutcome,
@@ -110,11 +111,13 @@
     });
     this.#permitRequester = new PermitRequester({
       identity,
+      log,
       tryAddress: (entry) => this.#addresses.get(entry),
       onOutcome: options.onPermits,
     });
     this.#peerFollower = new PeerFollower({
       identity,
+      log,
       ownAddress: self.address,
       seedAddresses,
       random,
@@ -124,6 +127,7 @@
     });
     this.#readerFollower = new ReaderFollower({
       identity,
+      log,
       getKnown,
       replicatedState,
       onUpdate: (update, { address, askedAt }) => {
@@ -153,8 +157,9 @@
     this.#setFollowingReader(true);
     this.#peerFollower.start();
     this.#performNextAction();
+    const { log } = this.#options;
     this.#timer = setInterval(
-      () => this.#performNextAction(),
+      () => tryHandle(log, "reader", () => this.#performNextAction()),
       ACTION_INTERVAL_MS,
     );
   }
--- a/src/direct/peers/peer_client.ts
+++ b/src/direct/peers/peer_client.ts
@@ -3,6 +3,7 @@
  *
  * @module
  */
+import type { EventLog } from "../../events/event_log.ts";
 import { performance } from "node:perf_hooks";
 import type { Link } from "../../links/link.ts";
 import { LinkClient } from "../../links/link_client.ts";
@@ -22,6 +23,7 @@
 /** Options of a {@link PeerClient}. */
 export interface PeerClientOptions {
   readonly identity: LinkIdentity;
+  readonly log: EventLog;
   /** Host and port of the other entry. */
   readonly address: SocketAddress;
   /** Returns what this entry knows already. */
@@ -53,10 +55,11 @@
   /** Connects at once. */
   constructor(options: PeerClientOptions) {
     this.#options = options;
-    const { address, identity, replicatedState } = options;
+    const { address, identity, log, replicatedState } = options;
     this.#replicator = replicatedState.createReplicator();
     this.#client = new LinkClient({
       address,
+      log,
       role: "entry",
       identity,
       listener: {
--- a/src/direct/peers/peer_follower.ts
+++ b/src/direct/peers/peer_follower.ts
@@ -4,6 +4,7 @@
  *
  * @module
  */
+import type { EventLog } from "../../events/event_log.ts";
 import type { RandomSource } from "../../core/random_source.ts";
 import type { LinkIdentity } from "../../links/link_server.ts";
 import type { ReplicatedState } from "./replicated_state.ts";
@@ -29,6 +30,7 @@
 /** Options of a {@link PeerFollower}. */
 export interface PeerFollowerOptions {
   readonly identity: LinkIdentity;
+  readonly log: EventLog;
   readonly ownAddress: SocketAddress;
   readonly seedAddresses: readonly SocketAddress[];
   readonly random: RandomSource;
@@ -105,9 +107,10 @@
   }
 
   #dial(address: SocketAddress): void {
-    const { identity, getKnown, replicatedState } = this.#options;
+    const { identity, log, getKnown, replicatedState } = this.#options;
     const client = new PeerClient({
       address,
+      log,
       identity,
       getKnown,
       replicatedState,
--- a/src/direct/peers/peer_server.ts
+++ b/src/direct/peers/peer_server.ts
@@ -41,6 +41,7 @@
     new LinkServer(this.#listener.server, {
       identity: options.identity,
       welcome: { pool: "entries", concurrency: 0 },
+      log: options.log,
       listener: {
         onPeer: (link) => {
           this.#updates.add(link);
--- a/src/direct/peers/permit_requester.ts
+++ b/src/direct/peers/permit_requester.ts
@@ -3,6 +3,7 @@
  *
  * @module
  */
+import type { EventLog } from "../../events/event_log.ts";
 import { performance } from "node:perf_hooks";
 import type { Link } from "../../links/link.ts";
 import { LinkClient } from "../../links/link_client.ts";
@@ -21,6 +22,7 @@
 /** Options of a {@link PermitRequester}. */
 export interface PermitRequesterOptions {
   readonly identity: LinkIdentity;
+  readonly log: EventLog;
   /** Returns the host and port of an entry; undefined if it is no longer listed. */
   readonly tryAddress: (entry: string) => SocketAddress | undefined;
   /** Called once for each request. */
@@ -84,6 +86,7 @@
   #connect(address: SocketAddress): IssuerConnection {
     const client = new LinkClient({
       address,
+      log: this.#options.log,
       role: "entry",
       identity: this.#options.identity,
       listener: {
--- a/src/direct/peers/reader_follower.ts
+++ b/src/direct/peers/reader_follower.ts
@@ -4,6 +4,7 @@
  *
  * @module
  */
+import type { EventLog } from "../../events/event_log.ts";
 import type { LinkIdentity } from "../../links/link_server.ts";
 import type { ReplicatedState } from "./replicated_state.ts";
 import { PeerClient } from "./peer_client.ts";
@@ -16,6 +17,7 @@
 /** Options of {@link ReaderFollower}. */
 export interface ReaderFollowerOptions {
   readonly identity: LinkIdentity;
+  readonly log: EventLog;
   /** Returns what this entry knows already. */
   readonly getKnown: () => KnownVersions;
   readonly replicatedState: ReplicatedState;
@@ -58,11 +60,12 @@
 
   #dial(address: SocketAddress): void {
     this.stop();
-    const { identity, getKnown, replicatedState, onUpdate, onLost } =
+    const { identity, log, getKnown, replicatedState, onUpdate, onLost } =
       this.#options;
     this.#address = address;
     this.#client = new PeerClient({
       address,
+      log,
       identity,
       getKnown,
       replicatedState,
--- a/src/direct/rank_driver.ts
+++ b/src/direct/rank_driver.ts
@@ -152,6 +152,7 @@
     const { settings, log } = this.#options;
     new LinkServer(this.#listener.server, {
       identity: this.#identity,
+      log,
       welcome: { pool: settings.pool, concurrency: 1 },
       listener: {
         onPeer: (link, hello) => {
--- a/src/entry/target_dialler.ts
+++ b/src/entry/target_dialler.ts
@@ -89,6 +89,7 @@
     let name = "";
     const client = new LinkClient({
       address,
+      log,
       role: "entry",
       identity,
       listener: {
--- a/src/group/coordinator_driver.ts
+++ b/src/group/coordinator_driver.ts
@@ -76,6 +76,7 @@
   #dial(address: SocketAddress, rank: number): LinkClient {
     return new LinkClient({
       address,
+      log: this.#options.log,
       role: "target",
       identity: this.#options.identity,
       listener: {
--- a/src/group/formed/rank_links.ts
+++ b/src/group/formed/rank_links.ts
@@ -204,6 +204,7 @@
     const member = new RankMember(address);
     const client = new LinkClient({
       address: address.address,
+      log,
       role: "decider",
       identity,
       listener: {
--- a/src/links/link.ts
+++ b/src/links/link.ts
@@ -12,6 +12,8 @@
   type LinkFault,
 } from "../messages/codec.ts";
 import type { Message } from "../messages/types.ts";
+import type { EventLog } from "../events/event_log.ts";
+import { tryHandle } from "../events/internal_faults.ts";
 
 /** Milliseconds between two heartbeats. */
 const HEARTBEAT_MS = 2000;
@@ -26,9 +28,17 @@
   onClose(fault?: LinkFault): void;
 }
 
+/** Options of a {@link Link}. */
+export interface LinkOptions {
+  /** Gets the exceptions of the listener, which end neither the link nor the process. */
+  readonly log: EventLog;
+  readonly listener: LinkListener;
+}
+
 /** One connection between two processes of a deployment. */
 export class Link {
   readonly #socket: WebSocket;
+  readonly #log: EventLog;
   #listener: LinkListener;
   #outbox: Message[] = [];
   #isFlushScheduled = false;
@@ -38,8 +48,9 @@
   readonly #heartbeat: NodeJS.Timeout;
 
   /** Takes over an open socket. */
-  constructor(socket: WebSocket, listener: LinkListener) {
+  constructor(socket: WebSocket, { log, listener }: LinkOptions) {
     this.#socket = socket;
+    this.#log = log;
     this.#listener = listener;
     this.#heartbeat = setInterval(() => this.#checkHeartbeat(), HEARTBEAT_MS);
     socket.on("message", (data, isBinary) => this.#receive(data, isBinary));
@@ -103,7 +114,8 @@
   }
 
   #deliver(message: Message): void {
-    if (this.#fault === undefined) this.#listener.onMessage(message);
+    if (this.#fault !== undefined) return;
+    tryHandle(this.#log, message.kind, () => this.#listener.onMessage(message));
   }
 
   #checkHeartbeat(): void {
@@ -120,6 +132,7 @@
 
   #onClosed(): void {
     clearInterval(this.#heartbeat);
-    this.#listener.onClose(this.#fault);
+    const fault = this.#fault;
+    tryHandle(this.#log, "a closed link", () => this.#listener.onClose(fault));
   }
 }
--- a/src/links/link_client.ts
+++ b/src/links/link_client.ts
@@ -5,6 +5,7 @@
  * @module
  */
 import { WebSocket } from "ws";
+import type { EventLog } from "../events/event_log.ts";
 import { type LinkFault, MAX_FRAME_BYTES } from "../messages/codec.ts";
 import {
   createNonce,
@@ -19,7 +20,7 @@
   type WelcomeMessage,
 } from "../messages/types.ts";
 import type { SocketAddress } from "../messages/socket_address.ts";
-import { Link } from "./link.ts";
+import { Link, type LinkListener } from "./link.ts";
 import { LINK_PATH, type LinkIdentity } from "./link_server.ts";
 
 const FIRST_PAUSE_MS = 100;
@@ -42,6 +43,7 @@
   readonly address: SocketAddress;
   readonly role: LinkRole;
   readonly identity: LinkIdentity;
+  readonly log: EventLog;
   readonly listener: LinkClientListener;
 }
 
@@ -90,7 +92,7 @@
   #startHandshake(socket: WebSocket): void {
     const nonce = createNonce();
     let challenge: ChallengeMessage | undefined;
-    const link: Link = new Link(socket, {
+    const listener: LinkListener = {
       onMessage: (message) => {
         if (challenge === undefined && message.kind === "challenge") {
           challenge = message;
@@ -102,7 +104,8 @@
         }
       },
       onClose: (fault) => this.#onDialFailed(fault),
-    });
+    };
+    const link = new Link(socket, { log: this.#options.log, listener });
     this.#link = link;
   }
 
@@ -148,8 +151,8 @@
       onMessage: (message) => listener.onMessage(message),
       onClose: (fault) => {
         this.#link = undefined;
-        listener.onDisconnected(fault);
         this.#scheduleDial();
+        listener.onDisconnected(fault);
       },
     });
     listener.onConnected(link, welcome);
@@ -157,8 +160,8 @@
 
   #onDialFailed(fault?: LinkFault): void {
     this.#link = undefined;
-    this.#options.listener.onDialFailed(fault);
     this.#scheduleDial();
+    this.#options.listener.onDialFailed(fault);
   }
 
   #scheduleDial(): void {
--- a/src/links/link_faults_test.ts
+++ b/src/links/link_faults_test.ts
@@ -4,15 +4,18 @@
 import { Packr } from "msgpackr";
 import { WebSocket } from "ws";
 import { LINK_FAULT_CODES, type LinkFault } from "../messages/codec.ts";
+import { EventLog } from "../events/event_log.ts";
 import { createProof } from "../messages/handshake.ts";
 import type { Message, WelcomeMessage } from "../messages/types.ts";
 import { HttpListener } from "../process/http_listener.ts";
 import { findFreeAddress } from "../testing/free_address.ts";
+import { waitUntil } from "../testing/process_cluster.ts";
 import type { Link } from "./link.ts";
 import { LinkClient } from "./link_client.ts";
 import { LINK_PATH, type LinkIdentity, LinkServer } from "./link_server.ts";
 import type { SocketAddress } from "../messages/socket_address.ts";
 
+const log = new EventLog({ role: "target", processName: "test" });
 const PACKER = new Packr({ useRecords: false });
 const IDENTITY: LinkIdentity = {
   deployment: "test",
@@ -155,6 +158,7 @@
     new LinkServer(listener.server, {
       identity: IDENTITY,
       welcome: { pool: "plan", concurrency: 1 },
+      log,
       listener: {
         onPeer: () => ({
           onMessage: (message) => received.push(message),
@@ -169,6 +173,7 @@
         address,
         role: "entry",
         identity: { ...IDENTITY, name: "good" },
+        log,
         listener: {
           onConnected: (link, welcome) => {
             healthyLink = link;
@@ -221,6 +226,7 @@
       address,
       role: "entry",
       identity: { ...IDENTITY, secret: "another-secret-than-ours" },
+      log,
       listener: {
         onConnected: () => answers.push("connected"),
         onMessage: () => undefined,
@@ -235,3 +241,73 @@
     assert.deepEqual(answers, ["rejected"]);
   });
 });
+
+/** Guards against a process that ends because it cannot handle one message of a peer. */
+describe("an exception while a message or the end of a link is handled", () => {
+  const faultLog = new EventLog({ role: "target", processName: "test" });
+  const listener = new HttpListener();
+  const received: string[] = [];
+  let connections = 0;
+  let client: LinkClient;
+  let serverLink: Link | undefined;
+  let clientLink: Link | undefined;
+
+  before(async () => {
+    new LinkServer(listener.server, {
+      identity: IDENTITY,
+      welcome: { pool: "plan", concurrency: 1 },
+      log: faultLog,
+      listener: {
+        onPeer: (link) => {
+          serverLink = link;
+          return {
+            onMessage: ({ kind }) => {
+              if (kind === "status_request") throw new TypeError("unexpected");
+              received.push(kind);
+            },
+            onClose: () => undefined,
+          };
+        },
+        onRejected: () => undefined,
+      },
+    });
+    const address = await findFreeAddress();
+    await listener.listen(address);
+    client = new LinkClient({
+      address,
+      role: "entry",
+      identity: { ...IDENTITY, name: "peer" },
+      log: faultLog,
+      listener: {
+        onConnected: (link) => {
+          clientLink = link;
+          connections++;
+        },
+        onMessage: () => undefined,
+        onDisconnected: () => {
+          throw new TypeError("unexpected");
+        },
+        onDialFailed: () => undefined,
+      },
+    });
+    await waitUntil("it is connected", () => connections === 1);
+  });
+  after(() => {
+    client.stop();
+    listener.close();
+  });
+
+  it("is logged, and the link carries the messages that follow", async () => {
+    clientLink?.send({ kind: "status_request" });
+    clientLink?.send({ kind: "rank_load_request" });
+    await waitUntil("both arrived", () => received.length > 0);
+    assert.deepEqual(received, ["rank_load_request"]);
+    assert.equal(faultLog.counts.get("INTERNAL_FAULT"), 1);
+  });
+
+  it("is logged, and the link is dialled again", async () => {
+    serverLink?.close();
+    await waitUntil("it is connected again", () => connections === 2);
+    assert.equal(faultLog.counts.get("INTERNAL_FAULT"), 2);
+  });
+});
--- a/src/links/link_server.ts
+++ b/src/links/link_server.ts
@@ -7,6 +7,7 @@
 import type { IncomingMessage, Server } from "node:http";
 import type { Duplex } from "node:stream";
 import { WebSocketServer } from "ws";
+import type { EventLog } from "../events/event_log.ts";
 import { type LinkFault, MAX_FRAME_BYTES } from "../messages/codec.ts";
 import {
   createNonce,
@@ -18,7 +19,7 @@
   type Message,
   PROTOCOL_VERSION,
 } from "../messages/types.ts";
-import { Link } from "./link.ts";
+import { Link, type LinkListener } from "./link.ts";
 
 /** URL path of connections between processes. */
 export const LINK_PATH = "/lagoonwharf/link";
@@ -58,6 +59,7 @@
 export interface LinkServerOptions {
   readonly identity: LinkIdentity;
   readonly welcome: WelcomeDetails;
+  readonly log: EventLog;
   readonly listener: LinkServerListener;
 }
 
@@ -93,13 +95,15 @@
 
   #startHandshake(webSocket: import("ws").WebSocket): void {
     const nonce = createNonce();
-    const link: Link = new Link(webSocket, {
+    const { log } = this.#options;
+    const listener: LinkListener = {
       onMessage: (message) => this.#finishHandshake(link, nonce, message),
       onClose: (fault) => {
         clearTimeout(timeout);
         this.#options.listener.onRejected(fault);
       },
-    });
+    };
+    const link = new Link(webSocket, { log, listener });
     const timeout = setTimeout(
       () => link.close("HANDSHAKE_TIMEOUT"),
       HANDSHAKE_TIMEOUT_MS,
--- a/src/target/history_fetcher.ts
+++ b/src/target/history_fetcher.ts
@@ -3,6 +3,7 @@
  *
  * @module
  */
+import type { EventLog } from "../events/event_log.ts";
 import { LinkClient } from "../links/link_client.ts";
 import type { LinkIdentity } from "../links/link_server.ts";
 import type { LedgerSlotMessage } from "../messages/types.ts";
@@ -15,6 +16,7 @@
 /** Options of a {@link HistoryFetcher}. */
 export interface HistoryFetcherOptions {
   readonly identity: LinkIdentity;
+  readonly log: EventLog;
   readonly onHistory: (history: LedgerSlotMessage) => void;
 }
 
@@ -42,6 +44,7 @@
     const pendingSlots = new Set(slots);
     const client = new LinkClient({
       address,
+      log: this.#options.log,
       role: "successor",
       identity: this.#options.identity,
       listener: {
--- a/src/target/start_claims.ts
+++ b/src/target/start_claims.ts
@@ -34,10 +34,11 @@
 export function startClaims(
   options: StartClaimsOptions,
 ): ClaimKeeper | undefined {
-  const { settings, keyValueService, incarnation, onEvent } = options;
+  const { settings, keyValueService, incarnation, log, onEvent } = options;
   if (keyValueService === undefined || !settings.ownsKeys) return undefined;
   const fetcher = new HistoryFetcher({
     identity: { ...settings, incarnation },
+    log,
     onHistory: (history) =>
       onEvent({ kind: "history_received", now: performance.now(), history }),
   });
--- a/src/target/target_driver.ts
+++ b/src/target/target_driver.ts
@@ -122,6 +122,7 @@
         pool: options.settings.pool,
         concurrency: options.settings.concurrency,
       },
+      log: options.log,
       listener: this,
     });
   }
