Refuse a part of prompts that crashes servers with little traffic, too

Cause: a part was refused only by an entry that had itself seen 30 requests, and never if more than half of them had the part. Both stand for 'the part is rare'. At night, and after each restart, an entry has not seen 30; then such requests may also be most that there are. Other parts cannot be told apart by their number there, but by their answers: the shared parts of the same prompts have been answered, here or at another entry, and the crashing one never.

A part that is not known to be rare is now refused as well if its losses cannot be chance: other requests of the pool were answered since a minute before the first of its crashes (any such answer with the part would have cleared it), and losing a target at each of its separate crash times would be less probable than 1 in 100 at the rate at which other requests lose theirs. After three other answers three times are enough, after a single one, which any entry may have seen, five. If nothing else is answered, nothing is decided. With much traffic a part that most requests have is on every target, so only crashes of a single target at a time count there. Entries tell each other nothing new.

--- a/src/policy/poison_parts.ts
+++ b/src/policy/poison_parts.ts
@@ -6,8 +6,9 @@
  * a part that was answered not long before the crashes, or since, is not their cause. Of
  * the remaining parts, the one under which the most targets crashed is the cause, and of
  * several, the rarest: a poison part occurs in no harmless prompt. A part whose crashes
- * are all explained by another one, or by a whole request, stays allowed, and so does one
- * that most requests have.
+ * are all explained by another one, or by a whole request, stays allowed. A part that most
+ * requests have is refused only if its losses cannot be put down to chance, as other
+ * requests are answered meanwhile.
  *
  * Crashes, answers and decisions add up over all entries. No answer can clear a part that
  * all of them refuse, so after a time one entry sends one request with it to a target, to
@@ -16,12 +17,14 @@
  * @module
  */
 import { getRendezvousRank } from "../core/rendezvous_hash.ts";
+import { computeChance, isSolitary, separateInTime } from "./crash_chance.ts";
 import {
   type Crash,
   type CrashedRequest,
   CrashHistory,
 } from "./crash_history.ts";
 import { PartTraffic } from "./part_traffic.ts";
+import { PoolOutcomes } from "./pool_outcomes.ts";
 
 /** Targets that have crashed under a part before it is refused. */
 const TARGETS_TO_REFUSE = 3;
@@ -56,6 +59,11 @@
  * targets, and which parts they saw answered. In the meantime it is not sent, either.
  */
 const SETTLING_MS = 500;
+/**
+ * Maximum probability that the losses under a part have nothing to do with it, above
+ * which it is not refused unless it is rare.
+ */
+const MAX_CHANCE = 0.01;
 const ID_PREFIX = "part:";
 
 /** Returns the identifier under which crashes of a part are recorded. */
@@ -63,6 +71,11 @@
   return `${ID_PREFIX}${pool}:${part}`;
 }
 
+/** Returns the pool of a part. */
+function getPool(id: string): string {
+  return id.slice(ID_PREFIX.length, id.lastIndexOf(":"));
+}
+
 /** Whether an identifier is that of a part, not of a whole request. */
 export function isPartId(id: string): boolean {
   return id.startsWith(ID_PREFIX);
@@ -86,6 +99,7 @@
 export class PoisonParts {
   readonly #history = new CrashHistory();
   readonly #traffic = new PartTraffic();
+  readonly #outcomes = new PoolOutcomes();
   readonly #self: string;
   readonly #trials = new Map<string, Trial>();
   /** Since when parts have been the likely cause of crashes, in milliseconds. */
@@ -119,6 +133,8 @@
 
   /** Records that a request was answered; returns whether the history changed. */
   recordServed(ids: readonly string[], now: number): boolean {
+    const [first] = ids;
+    if (first !== undefined) this.#outcomes.recordAnswered(getPool(first), now);
     for (const id of ids) this.#traffic.recordServed(id, now);
     return ids.filter((id) => this.#history.recordServed(id, now)).length > 0;
   }
@@ -131,6 +147,10 @@
     crash: Crash,
     now: number,
   ): readonly string[] {
+    const [first] = ids;
+    if (first !== undefined) {
+      this.#outcomes.recordCrashed(getPool(first), crash, ids);
+    }
     return ids.filter((id) =>
       !isHarmless(this.#traffic.getServedAt(id), crash) &&
       this.#history.record(id, crash, now)
@@ -239,16 +259,60 @@
     );
   }
 
-  /** Whether enough targets have crashed under a part, and few requests have it. */
+  /**
+   * Whether enough targets have crashed under a part, which is not just one that most
+   * requests have.
+   */
   #isLikelyCause(id: string): boolean {
+    const crashes = this.#getSuspiciousCrashes(id);
+    const times = this.#history.getConsecutiveCrashes(id).length;
+    const isEnough = crashes.length >= TARGETS_TO_REFUSE_AT_ONCE ||
+      crashes.length >= TARGETS_TO_REFUSE && times >= TIMES_TO_REFUSE;
+    if (!isEnough) return false;
+    return this.#isRare(id) || this.#computeChance(id, crashes) <= MAX_CHANCE;
+  }
+
+  #isRare(id: string): boolean {
     const { requests } = this.#traffic;
-    const isRare = requests >= MIN_REQUESTS &&
+    return requests >= MIN_REQUESTS &&
       this.#traffic.countArrivals(id) <= MAX_SHARE * requests;
-    if (!isRare) return false;
-    const targets = this.#getSuspiciousCrashes(id).length;
-    const times = this.#history.getConsecutiveCrashes(id).length;
-    return targets >= TARGETS_TO_REFUSE_AT_ONCE ||
-      targets >= TARGETS_TO_REFUSE && times >= TIMES_TO_REFUSE;
+  }
+
+  /**
+   * Returns the probability that requests with a part lost their targets for other
+   * reasons. An answer since {@link HARMLESS_MS} before the first loss would have cleared
+   * the part, so all answers since then are to requests without it.
+   */
+  #computeChance(id: string, crashes: readonly Crash[]): number {
+    const since = (crashes[0]?.endedAt ?? 0) - HARMLESS_MS;
+    const pool = getPool(id);
+    const { answered, crashed } = this.#outcomes.countWithout(id, pool, since);
+    const answeredElsewhere = this.#isAnyServedSince(pool, since) ? 1 : 0;
+    return computeChance(
+      { answered: Math.max(answered, answeredElsewhere), crashed },
+      this.#countEvidence(id),
+    );
+  }
+
+  /**
+   * Returns how many of the crash times of a part say something about it. With much
+   * traffic a part that most requests have is on every target, so that a loss of several
+   * targets at one time says nothing.
+   */
+  #countEvidence(id: string): number {
+    const times = separateInTime(this.#history.getConsecutiveCrashes(id));
+    if (this.#traffic.requests < MIN_REQUESTS) return times.length;
+    const all = this.#history.requests
+      .filter((other) => getPool(other) === getPool(id))
+      .flatMap((other) => this.#history.getCrashes(other));
+    return times.filter((crash) => isSolitary(crash, all)).length;
+  }
+
+  /** Whether any entry saw a suspect part of a pool answered since a time. */
+  #isAnyServedSince(pool: string, since: number): boolean {
+    return this.#history.requests.some((id) =>
+      getPool(id) === pool && this.#history.getServedAt(id) >= since
+    );
   }
 
   #getRemainingMs(id: string, now: number): number {
--- a/src/policy/poison_parts_test.ts
+++ b/src/policy/poison_parts_test.ts
@@ -94,6 +94,52 @@
     assert.ok(!isRefused(started, POISON, crash(started, [POISON])));
   });
 
+  // Guards against crashes that go on while there is little traffic.
+  it("is refused by an entry that has seen few requests if others were answered", () => {
+    const parts = new PoisonParts("entry-1");
+    for (let number = 0; number < 3; number++) {
+      parts.recordArrival([COMMON]);
+      parts.recordServed([COMMON], FIRST_AT - 1000);
+    }
+    assert.ok(isRefused(parts, POISON, crash(parts, [COMMON, POISON])));
+    assert.ok(!isRefused(parts, COMMON, FIRST_AT + 3 * CRASH_INTERVAL_MS));
+  });
+
+  it("is refused although most requests have it if others were answered", () => {
+    const parts = createParts();
+    for (let number = 0; number < 300; number++) parts.recordArrival([POISON]);
+    for (let number = 0; number < 3; number++) {
+      parts.recordServed([RARE], FIRST_AT - 1000);
+    }
+    assert.ok(isRefused(parts, POISON, crash(parts, [POISON])));
+  });
+
+  it("is allowed if targets crashed under other requests as well", () => {
+    const parts = new PoisonParts("entry-1");
+    for (let number = 0; number < 3; number++) {
+      parts.recordServed([COMMON], FIRST_AT - 1000);
+    }
+    for (let number = 10; number < 13; number++) {
+      parts.recordCrash([RARE], createCrash(number, FIRST_AT), FIRST_AT);
+    }
+    assert.ok(!isRefused(parts, POISON, crash(parts, [POISON])));
+  });
+
+  it("is allowed if most requests have it and whole racks were lost", () => {
+    const parts = createParts();
+    for (let number = 0; number < 3; number++) {
+      parts.recordServed([RARE], FIRST_AT - 1000);
+    }
+    let now = FIRST_AT;
+    for (let time = 0; time < 3; time++) {
+      now = FIRST_AT + time * CRASH_INTERVAL_MS;
+      for (const number of [1, 2]) {
+        parts.recordCrash([COMMON], createCrash(10 * time + number, now), now);
+      }
+    }
+    assert.ok(!isRefused(parts, COMMON, settle(parts, now)));
+  });
+
   it("is allowed if a rarer part explains its crashes", () => {
     const parts = createParts();
     for (let number = 0; number < 9; number++) parts.recordArrival([RARE]);
--- a/src/testing/crashing_ranks.ts
+++ b/src/testing/crashing_ranks.ts
@@ -101,7 +101,7 @@
    */
   run(
     id: string,
-    request: { readonly crashes: boolean },
+    request: { readonly crashes: boolean; readonly answerAfterMs?: number },
     onEnd: RunListener,
   ): void {
     const rank = this.#ranks.find((one) => one.id === id);
@@ -115,7 +115,8 @@
     }
     const run: RankRun = { rank, onEnd };
     this.#runs.add(run);
-    const after = request.crashes ? CRASH_AFTER_MS : ANSWER_AFTER_MS;
+    const { answerAfterMs = ANSWER_AFTER_MS } = request;
+    const after = request.crashes ? CRASH_AFTER_MS : answerAfterMs;
     queue.after(after, () => {
       if (!this.#runs.has(run)) return;
       if (request.crashes && this.#mayStillCrash(rank.group)) {
--- a/src/testing/poison_callers.ts
+++ b/src/testing/poison_callers.ts
@@ -22,6 +22,7 @@
 /** The part with which all harmless prompts begin. */
 const COMMON_PART = "common";
 const POISON_PART = "poison";
+const POPULAR_PART = "popular";
 
 const CRASH_REASONS: ReadonlySet<RefusalName> = new Set([
   "CRASHES_TARGETS",
@@ -33,6 +34,7 @@
   readonly promptParts: readonly string[];
   /** Whether it crashes each rank that runs it. */
   readonly crashes: boolean;
+  readonly isPopular: boolean;
   readonly deadlineAt: number;
   attempts: number;
 }
@@ -89,6 +91,12 @@
     return this.#calls.get(requestId)?.crashes === true;
   }
 
+  /** Milliseconds until a request is answered; undefined: the usual time. */
+  tryGetAnswerMs(requestId: number): number | undefined {
+    const isPopular = this.#calls.get(requestId)?.isPopular === true;
+    return isPopular ? this.#options.popularPart?.answerAfterMs : undefined;
+  }
+
   /** Records that a request was answered. */
   recordServed(): void {
     this.#servedAt.push(this.#queue.now);
@@ -133,9 +141,12 @@
   }
 
   #createHarmlessParts(): readonly string[] {
-    return this.#options.hasPromptParts || this.#options.poisonPart
-      ? createHarmlessParts(this.#random)
-      : [];
+    const { hasPromptParts, poisonPart, popularPart } = this.#options;
+    if (!hasPromptParts && !poisonPart && !popularPart) return [];
+    const parts = createHarmlessParts(this.#random);
+    const isPopular = popularPart !== undefined &&
+      this.#random.nextFraction() < popularPart.share;
+    return isPopular ? [...parts, POPULAR_PART] : parts;
   }
 
   /** Sends requests that share a part; each is new, and its caller does not retry. */
@@ -160,7 +171,8 @@
     options: Pick<Call, "crashes" | "promptParts">,
   ): Call {
     const deadlineAt = this.#queue.now + CALLER_DEADLINE_MS;
-    return { body, ...options, deadlineAt, attempts: 0 };
+    const isPopular = options.promptParts.includes(POPULAR_PART);
+    return { body, ...options, isPopular, deadlineAt, attempts: 0 };
   }
 
   /** Sends a request to a random entry. */
--- a/src/testing/poison_fleet.ts
+++ b/src/testing/poison_fleet.ts
@@ -275,7 +275,9 @@
   ): void {
     const crashes = this.#callers.crashesRanks(requestId);
     if (crashes) this.#poisonSentAt.push(this.#queue.now);
-    this.#ranks.run(targetName, { crashes }, (end, lostPeer) => {
+    const answerAfterMs = this.#callers.tryGetAnswerMs(requestId);
+    const run = { crashes, answerAfterMs };
+    this.#ranks.run(targetName, run, (end, lostPeer) => {
       const attemptId = { requestId, attempt };
       // A process that has ended receives no answers.
       if (!this.#entries.includes(entry)) return;
--- a/src/testing/poison_fleet_types.ts
+++ b/src/testing/poison_fleet_types.ts
@@ -16,6 +16,14 @@
   readonly requests?: number;
 }
 
+/** A part that a fraction of the harmless prompts have. */
+export interface PopularPart {
+  /** Fraction of harmless requests that have it. */
+  readonly share: number;
+  /** Milliseconds until a request with it is answered. */
+  readonly answerAfterMs: number;
+}
+
 /** Options of a simulated fleet. */
 export interface PoisonFleetOptions {
   readonly seed: number;
@@ -37,6 +45,8 @@
   readonly hasPromptParts?: boolean;
   /** Requests that share a part of their prompts that crashes ranks. */
   readonly poisonPart?: PoisonPart;
+  /** A harmless part besides the usual ones. */
+  readonly popularPart?: PopularPart;
   /** Ranks that crash at the same time for other reasons. */
   readonly losses: readonly RankLoss[];
   /** Entries that are replaced by new processes without state. */
