Give up an event stream whose event is longer than a megabyte

Cause: the bytes after the last complete event are held until the event is complete, with no bound, and they are joined anew with each piece that arrives. They are not among those that are counted for callers, as they are not yet written for one.

An event of more than 1 MiB now ends its attempt as broken, as a gap in the stream does: it is continued at another target where that is allowed, or else cut, so that nobody takes it for complete. A held event is bounded by that for each stream; it is still not counted among the bytes held for callers, so many streams at once may hold 1 MiB each.

--- a/src/entry/answer_receiver.ts
+++ b/src/entry/answer_receiver.ts
@@ -93,9 +93,9 @@
     context: TargetEventContext,
   ): void {
     inFlight.recordChunk(context.now);
-    const { effects, hasGap } = relayChunk(inFlight, bytes);
+    const { effects, isBroken } = relayChunk(inFlight, bytes);
     this.#options.effects.push(...effects);
-    if (hasGap) this.#onAnswerBroken(inFlight, context.target, context.now);
+    if (isBroken) this.#onAnswerBroken(inFlight, context.target, context.now);
   }
 
   #finishAnswer(
--- a/src/entry/answer_relay.ts
+++ b/src/entry/answer_relay.ts
@@ -10,8 +10,8 @@
 /** Result of relaying a chunk of an answer. */
 export interface RelayedChunk {
   readonly effects: readonly EntryEffect[];
-  /** Whether events of the stream are missing or repeated. */
-  readonly hasGap: boolean;
+  /** Whether events of the stream are missing or repeated, or one is too long. */
+  readonly isBroken: boolean;
 }
 
 /**
@@ -30,10 +30,10 @@
   inFlight: InFlightRequest,
   bytes: Uint8Array,
 ): RelayedChunk {
-  if (inFlight.isHeldUntilComplete) return { effects: [], hasGap: false };
+  if (inFlight.isHeldUntilComplete) return { effects: [], isBroken: false };
   const progress = inFlight.cursor?.push(bytes);
   const effects = sendBytes(inFlight, progress?.events ?? bytes);
-  return { effects, hasGap: progress?.hasGap ?? false };
+  return { effects, isBroken: progress?.isBroken ?? false };
 }
 
 /** Relays the end of a complete answer. */
--- a/src/entry/event_stream_cursor.ts
+++ b/src/entry/event_stream_cursor.ts
@@ -10,13 +10,21 @@
 export interface StreamProgress {
   /** Complete events, byte for byte; empty if none is complete yet. */
   readonly events: Uint8Array;
-  /** Whether the numeric ids of two events are not consecutive: a gap or a repeat. */
-  readonly hasGap: boolean;
+  /**
+   * Whether the stream cannot be passed on any further: the numeric ids of two events are
+   * not consecutive (a gap or a repeat), or an event is too long.
+   */
+  readonly isBroken: boolean;
 }
 
 /** Content type of event streams. */
 export const EVENT_STREAM_TYPE = "text/event-stream";
 
+/**
+ * Maximum length of one event in bytes. The bytes of an event are held until it is
+ * complete, and a server in trouble may send one without end.
+ */
+const MAX_EVENT_BYTES = 1_048_576;
 const LINE_FEED = 0x0a;
 const CARRIAGE_RETURN = 0x0d;
 /** A line that is neither blank nor a comment. */
@@ -65,8 +73,9 @@
    *
    * @example
    * ```ts
-   * const { events, hasGap } = cursor.push(bytes);
-   * if (!hasGap) connection.write(events);
+   * const { events, isBroken } = cursor.push(bytes);
+   * connection.write(events);
+   * if (isBroken) connection.abort();
    * ```
    */
   push(bytes: Uint8Array): StreamProgress {
@@ -80,12 +89,14 @@
       end = findEventEnd(buffer, end)
     ) {
       if (!this.#tryAcceptEvent(buffer.toString("latin1", acceptedEnd, end))) {
-        return { events: buffer.subarray(0, acceptedEnd), hasGap: true };
+        return { events: buffer.subarray(0, acceptedEnd), isBroken: true };
       }
       acceptedEnd = end;
     }
-    this.#pending = buffer.subarray(acceptedEnd);
-    return { events: buffer.subarray(0, acceptedEnd), hasGap: false };
+    const pending = buffer.subarray(acceptedEnd);
+    const isTooLong = pending.length > MAX_EVENT_BYTES;
+    this.#pending = isTooLong ? EMPTY_BUFFER : pending;
+    return { events: buffer.subarray(0, acceptedEnd), isBroken: isTooLong };
   }
 
   #tryAcceptEvent(text: string): boolean {
--- a/src/entry/event_stream_cursor_test.ts
+++ b/src/entry/event_stream_cursor_test.ts
@@ -66,8 +66,27 @@
     it(`detects a gap when event ${id} follows event 2`, () => {
       const cursor = new EventStreamCursor("2");
       const progress = cursor.push(Buffer.from(createEvent(id)));
-      assert.equal(progress.hasGap, true);
+      assert.equal(progress.isBroken, true);
       assert.equal(progress.events.length, 0);
     });
   }
+
+  // Guards against a process that holds an event without end.
+  it("gives up an event of more than a megabyte, and holds no byte of it", () => {
+    const cursor = new EventStreamCursor();
+    push(cursor, createEvent(1) + "id: 2\ndata: ");
+    const piece = Buffer.alloc(65_536, "x");
+    let pieces = 0;
+    while (!cursor.push(piece).isBroken) pieces++;
+    assert.ok(pieces >= 15 && pieces <= 16, `${pieces} pieces`);
+    assert.equal(cursor.takeRemainder().length, 0);
+    assert.equal(cursor.lastEventId, "1");
+  });
+
+  it("returns long events", () => {
+    const cursor = new EventStreamCursor();
+    const event = createEvent(1, "x".repeat(1_000_000));
+    assert.equal(push(cursor, event.slice(0, 500_000)), "");
+    assert.equal(push(cursor, event.slice(500_000)), event);
+  });
 });
