Let requests wait as long as their callers can still be answered

What callers saw: with a full pool a caller with 5 s left was refused after 80 ms, another one with 5 s left after 1.7 s. Which of the two it was depended on whether the service's other callers have longer deadlines, from which the entry guessed that 5 s left are a second try, and on the service's objective, a fifth of which was the first wait. A caller with 20 s of patience was sent away after 1.7 s, because a limit that holds for streams of one deployment was a constant.

Cause: `retry_delay.ts` derived the wait from the objective and from a guess whether a request is a caller's retry, not from what its caller can use.

Change: one rule, `policy/waiting_rule.ts`. A request waits until the latest time at which its answer would usually still reach its caller: before the deadline, and before the service's new `silenceLimitMs`, less the time that answers of the service take (learnt, `policy/answer_times.ts`). What is known to last is refused at once, whichever try it is, and so is what is free at a known time that the caller is told. Targets that cannot be reached may be reached at any moment, so their requests wait.

--- a/src/entry/answer_receiver.ts
+++ b/src/entry/answer_receiver.ts
@@ -10,6 +10,7 @@
   RefusedMessage,
 } from "../messages/types.ts";
 import { relayChunk, relayHead } from "./answer_relay.ts";
+import type { AnswerTimes } from "../policy/answer_times.ts";
 import type { CrashWatch } from "./crash_watch.ts";
 import {
   createUnknownFailure,
@@ -31,6 +32,8 @@
   readonly targetUpdates: TargetUpdater;
   readonly crashes: CrashWatch;
   readonly retries: RetryPolicy;
+  /** Learns how long answers take. */
+  readonly answerTimes: AnswerTimes;
   /** Receives the effects, in order. */
   readonly effects: Pick<EntryEffect[], "push">;
 }
@@ -92,12 +95,21 @@
     bytes: Uint8Array,
     context: TargetEventContext,
   ): void {
-    inFlight.recordChunk(context.now);
+    this.#recordChunk(inFlight, context.now);
     const { effects, isBroken } = relayChunk(inFlight, bytes);
     this.#options.effects.push(...effects);
     if (isBroken) this.#onAnswerBroken(inFlight, context.target, context.now);
   }
 
+  #recordChunk(inFlight: InFlightRequest, now: number): void {
+    const { servicePath } = inFlight.route;
+    if (!inFlight.hasReceivedChunk) {
+      const sinceSentMs = now - inFlight.attemptStartedAt;
+      this.#options.answerTimes.recordFirstChunk(servicePath, sinceSentMs);
+    }
+    inFlight.recordChunk(now);
+  }
+
   #finishAnswer(
     inFlight: InFlightRequest,
     message: AnswerEndMessage,
@@ -126,6 +138,10 @@
     this.#options.effects.push(
       ...this.#options.crashes.recordServed(inFlight, context.now),
     );
+    this.#options.answerTimes.recordWhole(
+      inFlight.route.servicePath,
+      context.now - inFlight.attemptStartedAt,
+    );
     this.#dispatcher.finish(inFlight, context.now);
   }
 
--- a/src/entry/entry_reducer.ts
+++ b/src/entry/entry_reducer.ts
@@ -7,6 +7,7 @@
 import { assertNever } from "../core/debug.ts";
 import type { RandomSource } from "../core/random_source.ts";
 import { isAttemptMessage } from "../messages/types.ts";
+import { AnswerTimes } from "../policy/answer_times.ts";
 import { PoolChoice } from "../policy/pool_choice.ts";
 import type { PoolRetryLimits } from "../policy/pool_retry_budgets.ts";
 import type { TargetChoice } from "../policy/target_choice.ts";
@@ -113,7 +114,9 @@
       limits,
       warmUp: this.warmUp,
     });
+    const answerTimes = new AnswerTimes();
     this.#dispatcher = new RequestDispatcher({
+      answerTimes,
       selection: this.#selection,
       retries: this.#retries,
       crashes: this.#crashes,
@@ -124,6 +127,7 @@
       effects: this.#effects,
     });
     this.#answers = new AnswerReceiver({
+      answerTimes,
       dispatcher: this.#dispatcher,
       notices: this.#notices,
       targetUpdates: this.#targetUpdates,
--- a/src/entry/in_flight_request.ts
+++ b/src/entry/in_flight_request.ts
@@ -165,6 +165,11 @@
     return this.#longestPause;
   }
 
+  /** Whether a chunk of the answer has arrived, in this attempt or an earlier one. */
+  get hasReceivedChunk(): boolean {
+    return this.#lastChunkAt !== undefined;
+  }
+
   /** Records that a chunk of the answer arrived. */
   recordChunk(now: number): void {
     const milliseconds = now - (this.#lastChunkAt ?? now);
--- a/src/entry/request_dispatcher.ts
+++ b/src/entry/request_dispatcher.ts
@@ -4,6 +4,8 @@
  *
  * @module
  */
+import type { AnswerTimes } from "../policy/answer_times.ts";
+import { getRetryDelayMs } from "../policy/waiting_rule.ts";
 import type { PermitRequest } from "../policy/send_permits.ts";
 import type { SendLimits } from "../policy/send_limits.ts";
 import type { Admission } from "./admission.ts";
@@ -16,6 +18,7 @@
 } from "./decision_records.ts";
 import type { DrainWatch } from "./drain_watch.ts";
 import {
+  createOverallFailure,
   createUnsentFailure,
   type Failure,
   SLOW_TARGET_FAILURE,
@@ -36,6 +39,7 @@
 import type { TargetRecord } from "./target_record.ts";
 import type { TargetSelection } from "./target_selection.ts";
 import type { EntryEffect } from "./types.ts";
+import { tryCreateUnservedRequest } from "./unserved_request.ts";
 import { WaitingRequests } from "./waiting_requests.ts";
 import type { WarmUpWatch } from "./warm_up_watch.ts";
 
@@ -48,6 +52,8 @@
   readonly drains: DrainWatch;
   readonly warmUp: WarmUpWatch;
   readonly sendLimits: SendLimits;
+  /** How long answers usually take. */
+  readonly answerTimes: AnswerTimes;
   /** Receives the effects, in order. */
   readonly effects: Pick<EntryEffect[], "push">;
 }
@@ -55,12 +61,13 @@
 /** Sends admitted requests to targets, and ends those that get no answer. */
 export class RequestDispatcher {
   readonly #options: RequestDispatcherOptions;
-  readonly #waiting = new WaitingRequests();
+  readonly #waiting: WaitingRequests;
   readonly #inFlight = new Map<number, InFlightRequest>();
 
   /** Creates a dispatcher without requests. */
   constructor(options: RequestDispatcherOptions) {
     this.#options = options;
+    this.#waiting = new WaitingRequests(options.answerTimes);
   }
 
   /** Admitted requests that have not ended. */
@@ -361,7 +368,25 @@
   fail(inFlight: InFlightRequest, failure: Failure, now: number): void {
     if (inFlight.tryRestoreFallbackAnswer()) return this.finish(inFlight, now);
     this.#end(inFlight, now);
-    this.#options.effects.push(...createFailureEffects(inFlight, failure, now));
+    const retryDelayMs = this.#tryGetRetryDelayMs(inFlight, failure, now);
+    this.#options.effects.push(
+      ...createFailureEffects(inFlight, failure, { now, retryDelayMs }),
+    );
+  }
+
+  /** Returns the caller's retry delay; undefined: the refusal catalogue defines it. */
+  #tryGetRetryDelayMs(
+    inFlight: InFlightRequest,
+    failure: Failure,
+    now: number,
+  ): number | undefined {
+    const { reason, freeInMs } = createOverallFailure(inFlight, failure);
+    const unserved = tryCreateUnservedRequest(
+      inFlight,
+      { reason, freeInMs },
+      this.#options.answerTimes.get(inFlight.route.servicePath),
+    );
+    return unserved && getRetryDelayMs(unserved, now);
   }
 
   /** Ends a request whose caller has disconnected. */
--- a/src/entry/request_effects.ts
+++ b/src/entry/request_effects.ts
@@ -4,7 +4,6 @@
  * @module
  */
 import { Debug } from "../core/debug.ts";
-import { getRetryDelayMs } from "../policy/retry_delay.ts";
 import type { RefusalName } from "../refusals/catalogue.ts";
 import { createProblem } from "../refusals/problem.ts";
 import {
@@ -18,7 +17,6 @@
 } from "./failures.ts";
 import type { InFlightRequest } from "./in_flight_request.ts";
 import type { Route } from "./routing_table.ts";
-import { type RefusalCause, tryCreateRetryDetails } from "./retry_details.ts";
 import type { CallerRequest, EntryEffect, SendToTarget } from "./types.ts";
 
 /** Refuses a request that was not admitted. */
@@ -33,16 +31,22 @@
   ];
 }
 
+/** How a request is ended that gets no answer. */
+export interface FailureContext {
+  readonly now: number;
+  /** The caller's retry delay; undefined: the refusal catalogue defines it. */
+  readonly retryDelayMs: number | undefined;
+}
+
 /** Ends a request that gets no answer: refuses it, or aborts an answer that has begun. */
 export function createFailureEffects(
   inFlight: InFlightRequest,
   failure: Failure,
-  now: number,
+  { now, retryDelayMs }: FailureContext,
 ): readonly EntryEffect[] {
   const requestId = inFlight.request.id;
   if (!inFlight.isStreaming) {
     const overallFailure = createOverallFailure(inFlight, failure);
-    const retryDelayMs = tryGetRetryDelayMs(inFlight, overallFailure, now);
     const logRecord = createFailedRecord(inFlight, {
       ...failure,
       now,
@@ -108,16 +112,6 @@
   return [{ kind: "count_return", outcome: "told" }];
 }
 
-/** Returns the caller's retry delay; undefined: the refusal catalogue defines it. */
-function tryGetRetryDelayMs(
-  inFlight: InFlightRequest,
-  cause: RefusalCause,
-  now: number,
-): number | undefined {
-  const details = tryCreateRetryDetails(inFlight, cause, now);
-  return details && getRetryDelayMs(details);
-}
-
 function createRefusal(
   requestId: number,
   failure: Failure,
--- a/src/entry/retry_details.ts
+++ b/src/entry/unserved_request.ts
@@ -4,17 +4,16 @@
  *
  * @module
  */
+import type { AnswerTime } from "../policy/answer_times.ts";
 import type {
-  RetryInput,
+  CallerPatience,
   UnavailabilityReason,
-} from "../policy/retry_delay.ts";
+  UnservedRequest,
+} from "../policy/waiting_rule.ts";
 import type { RefusalName } from "../refusals/catalogue.ts";
 import type { Failure } from "./failures.ts";
 import type { InFlightRequest } from "./in_flight_request.ts";
 
-/** Objective of services whose settings have none, in milliseconds. */
-const DEFAULT_OBJECTIVE_MS = 1000;
-
 /** Unavailability reasons of the refusals after which a later retry may be served. */
 const UNAVAILABILITY_REASONS: Partial<
   Readonly<Record<RefusalName, UnavailabilityReason>>
@@ -23,8 +22,8 @@
   TARGETS_LEAVING: "outage",
   GROUP_CLOSED: "outage",
   GROUP_STALLED: "stall",
-  TARGETS_UNREACHABLE: "outage",
-  BACK_END_UNREACHABLE: "outage",
+  TARGETS_UNREACHABLE: "unreachable",
+  BACK_END_UNREACHABLE: "unreachable",
   WRONG_INSTANCE: "outage",
   NO_KEY_OWNER: "owner_away",
   DOMAINS_DRAINED: "drain",
@@ -41,20 +40,22 @@
 /** Why a request cannot be sent to a target, and for how long, if known. */
 export type RefusalCause = Pick<Failure, "reason" | "freeInMs">;
 
+/** Returns when the caller of a request leaves. */
+export function getCallerPatience(
+  { arrivedAt, deadlineAt, route }: InFlightRequest,
+): CallerPatience {
+  const { silenceLimitMs } = route.service;
+  return { arrivedAt, deadlineAt, silenceLimitMs };
+}
+
 /** Describes a request for the policy; undefined if waiting or a retry cannot help. */
-export function tryCreateRetryDetails(
+export function tryCreateUnservedRequest(
   inFlight: InFlightRequest,
   { reason, freeInMs }: RefusalCause,
-  now: number,
-): RetryInput | undefined {
+  answerTime: AnswerTime,
+): UnservedRequest | undefined {
   const cause = UNAVAILABILITY_REASONS[reason];
   if (cause === undefined) return undefined;
-  const { objectiveMs } = inFlight.route.service;
-  return {
-    cause,
-    freeInMs,
-    isRepeated: inFlight.isRepeated,
-    leftMs: Math.max(0, inFlight.deadlineAt - now),
-    objectiveMs: objectiveMs ?? DEFAULT_OBJECTIVE_MS,
-  };
+  const patience = getCallerPatience(inFlight);
+  return { cause, freeInMs, patience, answerTime };
 }
--- a/src/entry/waiting_requests.ts
+++ b/src/entry/waiting_requests.ts
@@ -5,22 +5,14 @@
  */
 import { DEFAULT_PRIORITY } from "../messages/priority.ts";
 import { FairQueue, type QueuedItem } from "../policy/fair_queue.ts";
-import { getMaxWaitMs } from "../policy/retry_delay.ts";
+import type { AnswerTimes } from "../policy/answer_times.ts";
+import { tryGetWaitEndAt } from "../policy/waiting_rule.ts";
 import type { InFlightRequest } from "./in_flight_request.ts";
-import { tryCreateRetryDetails } from "./retry_details.ts";
+import { tryCreateUnservedRequest } from "./unserved_request.ts";
 import type { NoTargetReason, Unavailability } from "./target_availability.ts";
 
 /** Maximum number of requests that wait at one entry. */
 const MAX_WAITING = 256;
-/** Reasons that mean that something the request needs is known to be unavailable. */
-const OUTAGE_REASONS: ReadonlySet<NoTargetReason> = new Set([
-  "GROUP_CLOSED",
-  "TARGETS_UNREACHABLE",
-  "DOMAINS_DRAINED",
-  "TARGETS_LEAVING",
-  "TARGETS_BACKING_OFF",
-]);
-
 interface WaitingRequest extends QueuedItem {
   readonly inFlight: InFlightRequest;
   until: number;
@@ -38,6 +30,7 @@
  * pools whose services differ in priority, and oldest first for other pools.
  */
 export class WaitingRequests {
+  readonly #answerTimes: AnswerTimes;
   readonly #byId = new Map<number, WaitingRequest>();
   /** Requests of pools with a single priority, oldest first. */
   readonly #firstInFirstOut = new FairQueue<WaitingRequest>(MAX_WAITING);
@@ -46,6 +39,11 @@
   /** Requests that more urgent ones displaced from the full queue. */
   #displaced: WaitingRequest[] = [];
 
+  /** Creates an empty queue. */
+  constructor(answerTimes: AnswerTimes) {
+    this.#answerTimes = answerTimes;
+  }
+
   /** Number of waiting requests. */
   get size(): number {
     return this.#byId.size;
@@ -57,7 +55,7 @@
     unavailability: Unavailability,
     now: number,
   ): boolean {
-    return getWaitEndAt(inFlight, unavailability, now) > now;
+    return this.#tryGetWaitEndAt(inFlight, unavailability, now) !== undefined;
   }
 
   /** Queues a request; returns false if it must be refused immediately. */
@@ -66,9 +64,9 @@
     unavailability: Unavailability,
     now: number,
   ): boolean {
-    if (!this.mayWait(inFlight, unavailability, now)) return false;
     const { reason } = unavailability;
-    const until = getWaitEndAt(inFlight, unavailability, now);
+    const until = this.#tryGetWaitEndAt(inFlight, unavailability, now);
+    if (until === undefined) return false;
     const waiting = createWaitingRequest(inFlight, { until, reason, now });
     if (this.#byId.size >= MAX_WAITING && !this.#tryDisplace(waiting)) {
       return false;
@@ -113,8 +111,8 @@
   }
 
   /**
-   * Updates the reason for which a request still waits. Once something it needs is known
-   * to be unavailable, it waits no longer than a request that arrives now.
+   * Updates the reason for which a request still waits. Once it is known that nothing can
+   * serve it while its caller waits, its wait ends.
    */
   updateReason(
     requestId: number,
@@ -125,8 +123,10 @@
     if (waiting === undefined) return;
     const { reason } = unavailability;
     waiting.reason = reason;
-    if (!OUTAGE_REASONS.has(reason)) return;
-    const until = getWaitEndAt(waiting.inFlight, unavailability, now);
+    // Each permit request would start a new wait.
+    if (reason === "TARGETS_LIMITED") return;
+    const { inFlight } = waiting;
+    const until = this.#tryGetWaitEndAt(inFlight, unavailability, now) ?? now;
     waiting.until = Math.min(waiting.until, until);
   }
 
@@ -167,6 +167,21 @@
     }
   }
 
+  /** Returns the time at which a request's wait ends; undefined if it may not wait. */
+  #tryGetWaitEndAt(
+    inFlight: InFlightRequest,
+    unavailability: Unavailability,
+    now: number,
+  ): number | undefined {
+    const answerTime = this.#answerTimes.get(inFlight.route.servicePath);
+    const unserved = tryCreateUnservedRequest(
+      inFlight,
+      unavailability,
+      answerTime,
+    );
+    return unserved && tryGetWaitEndAt(unserved, now);
+  }
+
   #queueOf({ inFlight }: WaitingRequest): FairQueue<WaitingRequest> {
     return inFlight.poolPriorities === undefined
       ? this.#firstInFirstOut
@@ -198,20 +213,3 @@
       },
   };
 }
-
-/**
- * Returns the time at which a request's wait expires, in milliseconds. Returns negative
- * infinity, so that the request does not wait, if no target can be available by then.
- */
-function getWaitEndAt(
-  inFlight: InFlightRequest,
-  { reason, freeInMs = 0 }: Unavailability,
-  now: number,
-): number {
-  // The permit is requested now, so the wait starts now, whenever the request arrived.
-  const startAt = reason === "TARGETS_LIMITED" ? now : inFlight.arrivedAt;
-  const details = tryCreateRetryDetails(inFlight, { reason }, startAt);
-  if (details === undefined) return Number.NEGATIVE_INFINITY;
-  const end = startAt + getMaxWaitMs(details);
-  return now + freeInMs < end ? end : Number.NEGATIVE_INFINITY;
-}
--- a/src/messages/settings_documents.ts
+++ b/src/messages/settings_documents.ts
@@ -73,6 +73,11 @@
    * undefined: none.
    */
   readonly pauseObjectiveMs?: number;
+  /**
+   * Milliseconds after which callers leave if they hear nothing, before the first chunk
+   * of an answer or between two; undefined: they stay until their deadline.
+   */
+  readonly silenceLimitMs?: number;
   /** Whether lagoonwharf or the old scripts serve the requests. */
   readonly handover: "lagoonwharf" | "scripts";
   /** Host and port of the old scripts. */
--- a/src/policy/admission_order.ts
+++ b/src/policy/admission_order.ts
@@ -16,7 +16,7 @@
 import type { Priority } from "../messages/priority.ts";
 import { type Arrival, ArrivalMix } from "./arrival_mix.ts";
 import { divideByWeight } from "./fair_division.ts";
-import { getMaxRetryDelayMs } from "./retry_delay.ts";
+import { getMaxRetryDelayMs } from "./waiting_rule.ts";
 
 /**
  * Ratios of load to capacity: below the first no request is deferred, from the second on
--- /dev/null
+++ b/src/policy/answer_times_test.ts
@@ -0,0 +1,30 @@
+import assert from "node:assert/strict";
+import { describe, it } from "node:test";
+import { AnswerTimes } from "./answer_times.ts";
+
+const SERVICE = "/organisations/andamaq/services/confirm";
+
+describe("answer times", () => {
+  it("are zero for a service without answers", () => {
+    const { firstChunkMs, wholeMs } = new AnswerTimes().get(SERVICE);
+    assert.deepEqual([firstChunkMs, wholeMs], [0, 0]);
+  });
+
+  it("follow a change of the service within some ten answers", () => {
+    const times = new AnswerTimes();
+    times.recordFirstChunk(SERVICE, 150);
+    times.recordWhole(SERVICE, 1000);
+    assert.deepEqual(times.get(SERVICE), { firstChunkMs: 150, wholeMs: 1000 });
+    for (let count = 0; count < 20; count++) times.recordWhole(SERVICE, 2000);
+    const { firstChunkMs, wholeMs } = times.get(SERVICE);
+    assert.equal(firstChunkMs, 150);
+    assert.ok(wholeMs > 1900 && wholeMs < 2000, `${wholeMs}`);
+  });
+
+  // Guards against long streams of one service that shorten the waits of another one.
+  it("are separate for each service", () => {
+    const times = new AnswerTimes();
+    times.recordWhole(SERVICE, 6000);
+    assert.equal(times.get(`${SERVICE}-2`).wholeMs, 0);
+  });
+});
--- a/src/settings/schema.ts
+++ b/src/settings/schema.ts
@@ -70,6 +70,7 @@
   resumable: z.boolean().default(false),
   objectiveMs: integerWithin(OBJECTIVE_BOUNDS).optional(),
   pauseObjectiveMs: integerWithin(OBJECTIVE_BOUNDS).optional(),
+  silenceLimitMs: integerWithin(DEADLINE_BOUNDS).optional(),
   handover: z.enum(["lagoonwharf", "scripts"]).default("lagoonwharf"),
   scriptsAddress: SOCKET_ADDRESS_SCHEMA.optional(),
   priority: PRIORITY.default(DEFAULT_PRIORITY),
--- a/src/testing/direct_entry_fixture.ts
+++ b/src/testing/direct_entry_fixture.ts
@@ -27,6 +27,7 @@
     "defaultDeadlineMs: 8000",
     "longestDeadlineMs: 8000",
     "objectiveMs: 400",
+    "silenceLimitMs: 2000",
   ],
 };
 /** Headers of a stream. */
