Rank waiting requests by the time that their callers have left

In pools with one priority a large organisation's requests all came before those of a small one that arrived after them. A request that arrived while others waited was sent before them.

Cause: `getPriorityAt` lowered the priority of a late request, and the queue of a single-priority pool knew no organisations. New requests were not compared with waiting ones.

Change: the priority of a request is the operators' and never changes. One queue for all pools: by priority, then organisations in turn, then by the latest time at which a request can be sent and still be answered. A full queue drops the request of the longest organisation queue that could wait longest. A request joins the queue behind others that are at least as urgent and wait for any target of its pool.

--- a/src/entry/admission_gate.ts
+++ b/src/entry/admission_gate.ts
@@ -105,7 +105,7 @@
   recordArrival(inFlight: InFlightRequest, now: number): void {
     if (inFlight.poolPriorities === undefined) return;
     this.#getOrder(inFlight.pool).recordArrival({
-      ...createOrderedRequest(inFlight, now),
+      ...createOrderedRequest(inFlight),
       now,
     });
   }
@@ -197,7 +197,7 @@
     const deferredFraction = getDeferredFraction(utilization);
     if (deferredFraction <= 0) return false;
     const state = this.#getDeferralState(inFlight);
-    const ordered = createOrderedRequest(inFlight, now);
+    const ordered = createOrderedRequest(inFlight);
     const requestFraction = this.#getOrder(inFlight.pool)
       .getDeferralProbability(ordered, {
         now,
@@ -275,10 +275,10 @@
   return isRepeated && now - arrivedAt >= MAX_RETRY_DEFERRAL_MS;
 }
 
-function createOrderedRequest(inFlight: InFlightRequest, now: number) {
+function createOrderedRequest(inFlight: InFlightRequest) {
   const { organisation, limits } = inFlight.route;
   return {
-    priority: inFlight.getPriorityAt(now),
+    priority: inFlight.priority,
     organisation,
     weight: limits.weight,
   };
--- a/src/entry/in_flight_request.ts
+++ b/src/entry/in_flight_request.ts
@@ -9,12 +9,7 @@
   AnswerHeadMessage,
   Header,
 } from "../messages/types.ts";
-import {
-  DEFAULT_PRIORITY,
-  getLatePriority,
-  PRIORITIES_BY_NAME,
-  type Priority,
-} from "../messages/priority.ts";
+import type { Priority } from "../messages/priority.ts";
 import { createPartId } from "../policy/poison_parts.ts";
 import type { Outcome } from "../refusals/types.ts";
 import { digestRequest } from "./request_digest.ts";
@@ -225,19 +220,15 @@
   }
 
   /**
-   * Returns the current priority. Late requests rank below requests that can still be on
-   * time if they compete for the same targets.
+   * The priority by which the request is ranked. An organisation's priority counts where
+   * the services of the pool differ in priority.
    */
-  getPriorityAt(now: number): Priority {
+  get priority(): Priority {
     const { poolPriorities, request, route } = this;
-    const servicePriority = request.priority ?? route.service.priority;
-    if (poolPriorities !== undefined) {
-      const own = request.priority ?? route.limits.priority ?? servicePriority;
-      return this.isLateAt(now) ? getLatePriority(own) : own;
-    }
-    const isDemoted = servicePriority === DEFAULT_PRIORITY &&
-      this.isLateAt(now);
-    return isDemoted ? PRIORITIES_BY_NAME.background : servicePriority;
+    const ofOrganisation = poolPriorities === undefined
+      ? undefined
+      : route.limits.priority;
+    return request.priority ?? ofOrganisation ?? route.service.priority;
   }
 
   /** Whether the target was tried before. */
--- a/src/entry/request_dispatcher.ts
+++ b/src/entry/request_dispatcher.ts
@@ -91,9 +91,29 @@
     this.submitOrWait(inFlight, now);
   }
 
+  /** Queues a new request if others that are as urgent wait for the same targets. */
+  #tryQueueBehindBacklog(inFlight: InFlightRequest, now: number): boolean {
+    const { attempt, request } = inFlight;
+    const isNew = attempt === 0 && request.idempotencyKey === undefined;
+    if (!isNew || !this.#waiting.hasBacklogBefore(inFlight)) return false;
+    return this.#tryWait(inFlight, { reason: "POOL_FULL" }, now);
+  }
+
+  #tryWait(
+    inFlight: InFlightRequest,
+    unavailability: Unavailability,
+    now: number,
+  ): boolean {
+    if (!this.#waiting.tryAdd(inFlight, unavailability, now)) return false;
+    const { reason } = unavailability;
+    this.#options.effects.push(createWaitsRecord(inFlight, { reason, now }));
+    return true;
+  }
+
   /** Sends a request to a target, queues it until one is available, or refuses it. */
   submitOrWait(inFlight: InFlightRequest, now: number): void {
     if (this.#tryRefuseCrashing(inFlight, now)) return;
+    if (this.#tryQueueBehindBacklog(inFlight, now)) return;
     const selected = this.#selection.select(inFlight, now);
     this.#options.effects.push(...this.#selection.gate.takeEffects());
     if (selected.isOk()) return this.#submit(inFlight, selected.value, now);
@@ -104,10 +124,7 @@
       reason,
       now,
     );
-    if (this.#waiting.tryAdd(inFlight, unavailability, now)) {
-      this.#options.effects.push(createWaitsRecord(inFlight, { reason, now }));
-      return;
-    }
+    if (this.#tryWait(inFlight, unavailability, now)) return;
     this.#failUnsent(inFlight, unavailability, now);
   }
 
@@ -127,7 +144,7 @@
 
   /** Sends the waiting requests for which a target is available, in queue order. */
   submitWaiting(now: number): void {
-    for (const inFlight of this.#waiting.all(now)) {
+    for (const inFlight of this.#waiting.all()) {
       if (this.#tryRefuseCrashing(inFlight, now)) continue;
       const { id } = inFlight.request;
       const selected = this.#selection.select(inFlight, now, {
@@ -277,9 +294,7 @@
     if (!this.#options.retries.tryTake(inFlight, failure, now)) return false;
     // The unreachable target may be the only one and may become reachable again.
     if (reason === "TARGETS_UNREACHABLE") inFlight.allowLastTargetAgain();
-    if (!this.#waiting.tryAdd(inFlight, { reason }, now)) return false;
-    this.#options.effects.push(createWaitsRecord(inFlight, { reason, now }));
-    return true;
+    return this.#tryWait(inFlight, { reason }, now);
   }
 
   /** Sends a request to another target; returns false if that is unsafe or futile. */
--- a/src/entry/submit_message.ts
+++ b/src/entry/submit_message.ts
@@ -25,7 +25,7 @@
     path: request.path,
     headers: headersOf(inFlight),
     body: request.body,
-    priority: inFlight.getPriorityAt(now),
+    priority: inFlight.priority,
     weight: route.limits.weight,
     remainingMs: deadlineAt - now,
     idempotencyKey: request.idempotencyKey,
--- a/src/entry/waiting_requests.ts
+++ b/src/entry/waiting_requests.ts
@@ -3,16 +3,29 @@
  *
  * @module
  */
-import { DEFAULT_PRIORITY } from "../messages/priority.ts";
-import { FairQueue, type QueuedItem } from "../policy/fair_queue.ts";
 import type { AnswerTimes } from "../policy/answer_times.ts";
-import { tryGetWaitEndAt } from "../policy/waiting_rule.ts";
+import { FairQueue, type QueuedItem } from "../policy/fair_queue.ts";
+import { getLatestStartAt, tryGetWaitEndAt } from "../policy/waiting_rule.ts";
 import type { InFlightRequest } from "./in_flight_request.ts";
-import { tryCreateUnservedRequest } from "./unserved_request.ts";
 import type { NoTargetReason, Unavailability } from "./target_availability.ts";
+import {
+  getCallerPatience,
+  tryCreateUnservedRequest,
+} from "./unserved_request.ts";
 
 /** Maximum number of requests that wait at one entry. */
 const MAX_WAITING = 256;
+
+/**
+ * Reasons that concern single requests, so that others of the pool need not queue behind
+ * them.
+ */
+const INDIVIDUAL_REASONS: ReadonlySet<NoTargetReason> = new Set([
+  "GROUP_BUSY",
+  "TARGETS_LIMITED",
+  "NO_KEY_OWNER",
+]);
+
 interface WaitingRequest extends QueuedItem {
   readonly inFlight: InFlightRequest;
   until: number;
@@ -26,17 +39,14 @@
 }
 
 /**
- * Queues requests until a target is available: in the order of the targets' queues for
- * pools whose services differ in priority, and oldest first for other pools.
+ * Queues requests until a target is available: by priority, then by organisations in
+ * turn, then by the time that their callers have left.
  */
 export class WaitingRequests {
   readonly #answerTimes: AnswerTimes;
   readonly #byId = new Map<number, WaitingRequest>();
-  /** Requests of pools with a single priority, oldest first. */
-  readonly #firstInFirstOut = new FairQueue<WaitingRequest>(MAX_WAITING);
-  /** Requests of pools whose services differ in priority. */
-  readonly #prioritized = new FairQueue<WaitingRequest>(MAX_WAITING);
-  /** Requests that more urgent ones displaced from the full queue. */
+  readonly #queue = new FairQueue<WaitingRequest>(MAX_WAITING);
+  /** Requests that others displaced from the full queue. */
   #displaced: WaitingRequest[] = [];
 
   /** Creates an empty queue. */
@@ -58,6 +68,18 @@
     return this.#tryGetWaitEndAt(inFlight, unavailability, now) !== undefined;
   }
 
+  /**
+   * Whether requests that are at least as urgent wait for any target of the same pool, so
+   * that a request that arrives now would get ahead of them.
+   */
+  hasBacklogBefore({ pool, priority }: InFlightRequest): boolean {
+    for (const { inFlight, reason } of this.#byId.values()) {
+      if (inFlight.pool !== pool || inFlight.priority > priority) continue;
+      if (!INDIVIDUAL_REASONS.has(reason)) return true;
+    }
+    return false;
+  }
+
   /** Queues a request; returns false if it must be refused immediately. */
   tryAdd(
     inFlight: InFlightRequest,
@@ -67,11 +89,13 @@
     const { reason } = unavailability;
     const until = this.#tryGetWaitEndAt(inFlight, unavailability, now);
     if (until === undefined) return false;
-    const waiting = createWaitingRequest(inFlight, { until, reason, now });
-    if (this.#byId.size >= MAX_WAITING && !this.#tryDisplace(waiting)) {
-      return false;
-    }
-    this.#add(waiting);
+    const waiting = this.#createWaiting(inFlight, until, reason);
+    const dropped = this.#queue.add(waiting);
+    if (dropped === waiting) return false;
+    this.#byId.set(inFlight.request.id, waiting);
+    if (dropped === undefined) return true;
+    this.#byId.delete(dropped.inFlight.request.id);
+    this.#displaced.push(dropped);
     return true;
   }
 
@@ -89,7 +113,7 @@
     const waiting = this.#byId.get(requestId);
     if (waiting === undefined) return;
     this.#byId.delete(requestId);
-    this.#queueOf(waiting).removeWhere((other) => other === waiting);
+    this.#queue.removeWhere((other) => other === waiting);
   }
 
   /** Removes a request that is sent to a target; it counts as its organisation's turn. */
@@ -97,17 +121,12 @@
     const waiting = this.#byId.get(requestId);
     if (waiting === undefined) return;
     this.#byId.delete(requestId);
-    this.#queueOf(waiting).take(waiting);
+    this.#queue.take(waiting);
   }
 
   /** Returns the waiting requests in the order in which they are to be sent. */
-  all(now: number): readonly InFlightRequest[] {
-    this.#demoteLate(now);
-    return [
-      ...this.#firstInFirstOut.listInOrder(),
-      ...this.#prioritized.listInOrder(),
-    ]
-      .map(({ inFlight }) => inFlight);
+  all(): readonly InFlightRequest[] {
+    return this.#queue.listInOrder().map(({ inFlight }) => inFlight);
   }
 
   /**
@@ -140,31 +159,24 @@
     return [...displaced, ...expired];
   }
 
-  #add(waiting: WaitingRequest): void {
-    this.#byId.set(waiting.inFlight.request.id, waiting);
-    this.#queueOf(waiting).add(waiting);
-  }
-
-  /** Displaces the least urgent request to make room for a more urgent one. */
-  #tryDisplace(waiting: WaitingRequest): boolean {
-    if (waiting.inFlight.poolPriorities === undefined) return false;
-    const last = this.#prioritized.listInOrder().at(-1);
-    if (last === undefined || last.priority <= waiting.priority) return false;
-    const displaced = this.#prioritized.tryDrop();
-    if (displaced === undefined) return false;
-    this.#byId.delete(displaced.inFlight.request.id);
-    this.#displaced.push(displaced);
-    return true;
-  }
-
-  /** Moves requests that have become late behind those that can still be on time. */
-  #demoteLate(now: number): void {
-    const late = this.#prioritized.removeWhere(({ inFlight, priority }) =>
-      inFlight.getPriorityAt(now) !== priority
-    );
-    for (const { inFlight, until, reason } of late) {
-      this.#add(createWaitingRequest(inFlight, { until, reason, now }));
-    }
+  #createWaiting(
+    inFlight: InFlightRequest,
+    until: number,
+    reason: NoTargetReason,
+  ): WaitingRequest {
+    const { priority, route } = inFlight;
+    return {
+      inFlight,
+      until,
+      reason,
+      priority,
+      organisation: route.organisation,
+      weight: route.limits.weight,
+      startBy: getLatestStartAt(
+        getCallerPatience(inFlight),
+        this.#answerTimes.get(route.servicePath),
+      ),
+    };
   }
 
   /** Returns the time at which a request's wait ends; undefined if it may not wait. */
@@ -173,43 +185,11 @@
     unavailability: Unavailability,
     now: number,
   ): number | undefined {
-    const answerTime = this.#answerTimes.get(inFlight.route.servicePath);
     const unserved = tryCreateUnservedRequest(
       inFlight,
       unavailability,
-      answerTime,
+      this.#answerTimes.get(inFlight.route.servicePath),
     );
     return unserved && tryGetWaitEndAt(unserved, now);
   }
-
-  #queueOf({ inFlight }: WaitingRequest): FairQueue<WaitingRequest> {
-    return inFlight.poolPriorities === undefined
-      ? this.#firstInFirstOut
-      : this.#prioritized;
-  }
-}
-
-function createWaitingRequest(
-  inFlight: InFlightRequest,
-  details: {
-    readonly until: number;
-    readonly reason: NoTargetReason;
-    readonly now: number;
-  },
-): WaitingRequest {
-  const { until, reason, now } = details;
-  const { poolPriorities, route } = inFlight;
-  return {
-    inFlight,
-    until,
-    reason,
-    startBy: inFlight.deadlineAt,
-    ...poolPriorities === undefined
-      ? { priority: DEFAULT_PRIORITY, organisation: "", weight: 1 }
-      : {
-        priority: inFlight.getPriorityAt(now),
-        organisation: route.organisation,
-        weight: route.limits.weight,
-      },
-  };
 }
--- a/src/messages/priority.ts
+++ b/src/messages/priority.ts
@@ -45,20 +45,6 @@
   return isPriorityName(text) ? PRIORITIES_BY_NAME[text] : undefined;
 }
 
-/**
- * Returns the priority of a request whose answer will be late: one lower than its own,
- * so that it comes after requests of its priority that can still meet their deadlines
- * and before requests of the next named priority.
- *
- * @example
- * ```ts
- * getLatePriority(5); // 6
- * ```
- */
-export function getLatePriority(priority: Priority): Priority {
-  return Math.min(LOWEST_PRIORITY, priority + 1);
-}
-
 function isPriorityName(text: string): text is PriorityName {
   return Object.hasOwn(PRIORITIES_BY_NAME, text);
 }
--- a/src/policy/fair_queue.ts
+++ b/src/policy/fair_queue.ts
@@ -1,7 +1,7 @@
 /**
  * A bounded queue with fair scheduling: by priority first, then by weight among
- * organisations, then in order of arrival. Targets queue work in it, and entries queue
- * requests that wait for a target.
+ * organisations, then by the time that an item can still wait. Targets queue work in it,
+ * and entries queue requests that wait for a target.
  *
  * @module
  */
@@ -48,6 +48,7 @@
 const MAX_IDLE_QUEUES = 1000;
 
 interface OrganisationQueue<T> {
+  /** Sorted by the time by which they must start. */
   readonly items: T[];
   /** Virtual time at which the organisation's next item is due. */
   dueAt: number;
@@ -78,9 +79,10 @@
   }
 
   /**
-   * Adds an item. When the queue is full, the newest item of the organisation with the
-   * longest queue relative to its weight is dropped, so that one organisation that floods
-   * the queue does not affect the others.
+   * Adds an item. When the queue is full, the organisation with the longest queue relative
+   * to its weight, among those at the least urgent priority, loses the item that could
+   * wait longest: the others are not affected by an organisation that floods the queue,
+   * and the caller of that item has most time left to try again.
    *
    * @returns the dropped item, which may be the added one, or undefined
    *
@@ -128,14 +130,6 @@
     }
   }
 
-  /**
-   * Removes the newest item of the longest organisation queue at the least urgent
-   * priority.
-   */
-  tryDrop(): T | undefined {
-    return this.#dropFromLongestQueue();
-  }
-
   /** Removes and returns every item for which `isUnwanted` holds. */
   removeWhere(isUnwanted: (item: T) => boolean): readonly T[] {
     const removed: T[] = [];
@@ -161,7 +155,10 @@
     if (queue.items.length === 0) {
       queue.dueAt = Math.max(queue.dueAt, lane.virtualNow);
     }
-    queue.items.push(item);
+    const later = queue.items.findIndex(({ startBy }) =>
+      startBy > item.startBy
+    );
+    queue.items.splice(later < 0 ? queue.items.length : later, 0, item);
     this.#length++;
   }
 
--- a/src/policy/fair_queue_test.ts
+++ b/src/policy/fair_queue_test.ts
@@ -90,6 +90,25 @@
     assert.deepEqual(names, ["quick", "normal", "background"]);
   });
 
+  // Guards against items that are dropped because others, which could wait, came before.
+  it("takes the item with the least time left first within an organisation", () => {
+    const queue = new FairQueue<Item>(10);
+    queue.add(createItem("patient", { startBy: 3000 }));
+    queue.add(createItem("first", { startBy: 500 }));
+    queue.add(createItem("second", { startBy: 500 }));
+    queue.add(createItem("between", { startBy: 900 }));
+    const names = takeAll(queue).map(({ name }) => name);
+    assert.deepEqual(names, ["first", "second", "between", "patient"]);
+  });
+
+  it("drops the item with most time left when it is full", () => {
+    const queue = new FairQueue<Item>(2);
+    queue.add(createItem("patient", { startBy: 3000 }));
+    queue.add(createItem("first", { startBy: 500 }));
+    const dropped = queue.add(createItem("second", { startBy: 600 }));
+    assert.equal(dropped?.name, "patient");
+  });
+
   it("drops the newest item of the longest organisation queue when it is full", () => {
     const queue = new FairQueue<Item>(2);
     queue.add(createItem("flood1", { organisation: "flood" }));
