Send waiting requests to a group at the rate that it can take

What callers saw: after a group had opened, a request that had waited or was taken for a retry was held while passes took over 0.6 of the pause that callers accept, although slots were free, and new requests were sent past it without any limit. After 1.3 s it was sent whatever it did to the others.

Cause: `late_admission.ts` limited a class of requests, late ones, because an answer in time counts more, in place of what the group is given. Its reason is real (a crowd at an opening makes all answers in progress pause), its measure was not.

Change: `policy/backlog_admission.ts` limits all requests that wait, first or repeated, new or old. An entry sends its part of what the group can take before passes reach the pause that the operator states, by the last two reports, and no more than the load from which arriving requests are deferred. It counts what it sent since the reported state was observed. Parts grow while reports show that the group gets less than it can take, since other entries may have no requests.

--- a/src/entry/admission_gate.ts
+++ b/src/entry/admission_gate.ts
@@ -12,6 +12,7 @@
   AdmissionOrder,
   getDeferralRetryDelayMs,
   getDeferredFraction,
+  getUndeferredLoad,
 } from "../policy/admission_order.ts";
 import type {
   CapacityContext,
@@ -20,7 +21,7 @@
 import type { RefusalName } from "../refusals/catalogue.ts";
 import type { GroupState } from "./group_state.ts";
 import type { InFlightRequest } from "./in_flight_request.ts";
-import type { TargetRecord } from "./target_record.ts";
+import { countSlots, type TargetRecord } from "./target_record.ts";
 import type { EntryEffect } from "./types.ts";
 
 /** Minimum interval between two log records on the same group, in milliseconds. */
@@ -111,9 +112,8 @@
   }
 
   /**
-   * Returns those of the targets that a request may be sent to now. Retries of an
-   * admitted request are not deferred, and neither is the request of a retrying caller
-   * that has waited for the maximum time.
+   * Returns those of the targets that a request may be sent to now. Further attempts of
+   * an admitted request are not deferred.
    */
   admit(
     inFlight: InFlightRequest,
@@ -177,6 +177,21 @@
     );
   }
 
+  /**
+   * Returns the load up to which requests to a group are not deferred, in requests;
+   * undefined if its capacity is not known.
+   */
+  tryGetUndeferredLoad(
+    group: GroupState,
+    pool: string,
+    context: AdmissionContext,
+  ): number | undefined {
+    const settings = this.#groups.get(pool);
+    if (settings === undefined) return undefined;
+    const utilization = tryUtilizationOf(group, { ...context, settings });
+    return utilization && getUndeferredLoad(utilization.capacity);
+  }
+
   /** Returns the counter and log effects that were recorded since the last call. */
   takeEffects(): readonly EntryEffect[] {
     const effects = this.#pendingEffects;
@@ -302,10 +317,7 @@
     now,
     pauseMs,
     idlePassMs: stepMs * stride,
-    slots: members.reduce(
-      (sum, target) => sum + (target.group === group ? target.concurrency : 0),
-      0,
-    ),
+    slots: countSlots(members, group),
   };
   return group.capacity.tryGet(inputs);
 }
--- a/src/entry/group_state.ts
+++ b/src/entry/group_state.ts
@@ -6,7 +6,7 @@
  * @module
  */
 import { GroupCapacity } from "../policy/group_capacity.ts";
-import { LateAdmission } from "../policy/late_admission.ts";
+import { BacklogAdmission } from "../policy/backlog_admission.ts";
 
 /** Whether a group ran when it was observed, and when that was. */
 export interface GroupObservation {
@@ -31,8 +31,8 @@
 /** What an entry knows of one rank group. */
 export class GroupState {
   readonly name: string;
-  /** Admits requests that are late already. */
-  readonly lateAdmission = new LateAdmission();
+  /** Limits how fast waiting requests are sent to the group. */
+  readonly backlog = new BacklogAdmission();
   /** Estimates how many requests the group can process in time. */
   readonly capacity = new GroupCapacity();
   #isOpen = true;
--- a/src/entry/in_flight_request.ts
+++ b/src/entry/in_flight_request.ts
@@ -23,9 +23,6 @@
 /** Request header with the event after which a stream continues (WHATWG HTML). */
 export const LAST_EVENT_ID_HEADER = "last-event-id";
 
-/** Fraction of the objective after which an answer that has not begun counts as late. */
-const LATE_FRACTION = 0.6;
-
 /** The message continues the answer. */
 export interface AnswerContinues {
   readonly kind: "continues";
@@ -211,14 +208,6 @@
     return this.route.service.idempotentMethods.includes(this.request.method);
   }
 
-  /** Whether the answer is unlikely to begin within the objective. */
-  isLateAt(now: number): boolean {
-    const { objectiveMs } = this.route.service;
-    return this.isRepeated ||
-      (objectiveMs !== undefined &&
-        now - this.arrivedAt > LATE_FRACTION * objectiveMs);
-  }
-
   /**
    * The priority by which the request is ranked. An organisation's priority counts where
    * the services of the pool differ in priority.
--- a/src/entry/rank_groups.ts
+++ b/src/entry/rank_groups.ts
@@ -75,11 +75,11 @@
     for (const address of ranks) this.#nameByAddress.set(address, group);
     if (isOpen) this.#lastRunningRanks.set(group, ranks);
     const state = this.#getOrCreate(group);
-    state.lateAdmission.record({ passMs, at: now });
     const load = loads.reduce(
       (sum, { running, queued }) => sum + running + queued,
       0,
     );
+    state.backlog.record({ at: now, ageMs, passMs, load });
     state.capacity.record({ at: now, epoch, passMs, load });
     return this.observe(group, { isOpen, observedAt: now - ageMs });
   }
--- a/src/entry/target_record.ts
+++ b/src/entry/target_record.ts
@@ -294,3 +294,14 @@
     this.#idleUntil.splice(0);
   }
 }
+
+/** Returns the number of requests that the ranks of a group run at once. */
+export function countSlots(
+  members: readonly TargetRecord[],
+  group: GroupState,
+): number {
+  return members.reduce(
+    (sum, target) => sum + (target.group === group ? target.concurrency : 0),
+    0,
+  );
+}
--- a/src/entry/target_selection.ts
+++ b/src/entry/target_selection.ts
@@ -19,12 +19,13 @@
 import type { TargetBackoffs } from "../policy/target_backoffs.ts";
 import { chooseSubset } from "../policy/target_subset.ts";
 import { AdmissionGate } from "./admission_gate.ts";
+import type { GroupState } from "./group_state.ts";
 import type { InFlightRequest } from "./in_flight_request.ts";
 import {
   type NoTargetReason,
   TargetAvailability,
 } from "./target_availability.ts";
-import type { TargetRecord } from "./target_record.ts";
+import { countSlots, type TargetRecord } from "./target_record.ts";
 import type { TargetRegistry } from "./target_registry.ts";
 
 /** Options of a {@link TargetSelection}. */
@@ -80,6 +81,7 @@
   /** Names of all targets that the view was chosen from, separated by spaces. */
   #viewCandidateNames = "";
   readonly #choice: TargetChoice;
+  readonly #random: RandomSource;
   readonly #entries = new EntryCount();
   readonly #prefixes = new PrefixIndex();
 
@@ -89,6 +91,7 @@
     this.#failureDomain = options.failureDomain;
     this.#entryName = options.entryName ?? "";
     this.#choice = options.choice ?? new ScoredChoice(options.random);
+    this.#random = options.random;
     this.gate = new AdmissionGate(options);
     const entryName = this.#entryName;
     this.availability = new TargetAvailability({ ...options, entryName });
@@ -113,9 +116,10 @@
       members: this.registry.servingOf(inFlight.pool),
     });
     if (admitted.length === 0) return Err("GROUP_BUSY");
-    const free = admitted.filter((target) =>
-      !isFull(target, now) && isAdmittedIfLate(inFlight, target, now)
-    );
+    const notFull = admitted.filter((target) => !isFull(target, now));
+    const free = hasWaited
+      ? this.#filterByBacklogShare(notFull, inFlight, now)
+      : notFull;
     if (free.length === 0) return Err("POOL_FULL");
     if (this.#isFullWithoutReports(inFlight, now)) return Err("POOL_FULL");
     const permitted = this.availability.filterPermitted(free, now);
@@ -187,6 +191,39 @@
     return sumOf(({ ownInFlight }) => ownInFlight) >= limit;
   }
 
+  /**
+   * Returns those of the targets whose group can take another one of the requests that
+   * wait at this entry.
+   */
+  #filterByBacklogShare(
+    targets: readonly TargetRecord[],
+    inFlight: InFlightRequest,
+    now: number,
+  ): readonly TargetRecord[] {
+    const { pool, route } = inFlight;
+    const { pauseObjectiveMs } = route.service;
+    const members = this.registry.servingOf(pool);
+    const isOpen = new Map<GroupState, boolean>();
+    return targets.filter(({ group }) => {
+      if (group === undefined) return true;
+      const known = isOpen.get(group);
+      if (known !== undefined) return known;
+      const mayAdmit = group.backlog.mayAdmit({
+        now,
+        pauseObjectiveMs,
+        slots: countSlots(members, group),
+        entries: this.#entries.getCount(now),
+        random: this.#random,
+        undeferredLoad: this.gate.tryGetUndeferredLoad(group, pool, {
+          members,
+          now,
+        }),
+      });
+      isOpen.set(group, mayAdmit);
+      return mayAdmit;
+    });
+  }
+
   /**
    * Applies a list of directly called back ends; returns those that are gone.
    */
@@ -228,7 +265,7 @@
   ): void {
     const blocks = inFlight.request.prefixBlocks ?? [];
     this.#prefixes.record(blocks, target.name);
-    if (inFlight.isLateAt(now)) target.group?.lateAdmission.recordAdmitted();
+    target.group?.backlog.recordSent(now);
     this.availability.recordSent(target, now);
   }
 
@@ -253,24 +290,6 @@
   }
 }
 
-/**
- * Whether a request is on time, or is admitted to the target's group although late.
- */
-function isAdmittedIfLate(
-  inFlight: InFlightRequest,
-  target: TargetRecord,
-  now: number,
-): boolean {
-  const { group } = target;
-  if (group === undefined || !inFlight.isLateAt(now)) return true;
-  const { pauseObjectiveMs } = inFlight.route.service;
-  return group.lateAdmission.mayAdmit(pauseObjectiveMs, {
-    now,
-    waitedMs: now - inFlight.arrivedAt,
-    hasFreeSlot: estimateLoad(target) < 1,
-  });
-}
-
 /** Whether a recently reported load shows that a target is full. */
 function isFull(target: TargetRecord, now: number): boolean {
   if (!target.hasDecider) return false;
--- a/src/policy/admission_order.ts
+++ b/src/policy/admission_order.ts
@@ -3,8 +3,8 @@
  *
  * A burst of requests of one priority, the least urgent or the most urgent, can exceed
  * what a group processes in time. Without admission control the answers of all priorities
- * are then late, although some are worth several times others, and large organisations
- * take the capacity of small ones.
+ * then pause for longer than callers accept, the most urgent ones included, and large
+ * organisations take the capacity of small ones.
  *
  * All entries receive the same load report and defer the same fraction of arriving
  * requests, so no entry has to know the demand at the others. Each entry takes that
@@ -82,6 +82,19 @@
   return Math.min(1, Math.max(0, fraction));
 }
 
+/**
+ * Returns the load up to which nothing is deferred, in requests. Requests that wait are
+ * sent up to this load: beyond it, they would be deferred anew.
+ *
+ * @example
+ * ```ts
+ * getUndeferredLoad(100); // 70
+ * ```
+ */
+export function getUndeferredLoad(capacity: number): number {
+  return DEFERRAL_START_UTILIZATION * capacity;
+}
+
 /** The input of {@link getDeferralRetryDelayMs}. */
 export interface RetryDelayInput {
   /** Milliseconds until the request's deadline. */
