Defer requests near a group's capacity whatever try they are

What callers saw: while a group was near its capacity, a request with little of the usual deadline left was let in after 1.3 s however urgent it was, and one with more time was not, both at the same entry and priority.

Cause: the gate exempted requests that it took for retries, on the belief that their callers leave after 2 s and do not try again.

Change: the exemption is gone. A deferred request waits as any other, is sent once the group has capacity left, and is refused with a time to return when it can no longer be answered.

--- a/src/entry/admission_gate.ts
+++ b/src/entry/admission_gate.ts
@@ -32,13 +32,6 @@
  */
 const UTILIZATION_RETENTION_MS = 5000;
 
-/**
- * Milliseconds after which the request of a retrying caller is deferred no longer. Such a
- * caller was told to retry at that time, does not retry again, and closes a connection
- * without an answer after two seconds.
- */
-const MAX_RETRY_DEFERRAL_MS = 1300;
-
 /** Why a request is deferred, and when its caller should retry. */
 export interface DeferralDetails {
   readonly utilization: GroupUtilization;
@@ -123,7 +116,7 @@
     const { poolPriorities, pool } = inFlight;
     const settings = this.#groups.get(pool);
     const isGated = poolPriorities !== undefined && settings !== undefined &&
-      inFlight.attempt === 0 && !hasReachedMaxDeferral(inFlight, now);
+      inFlight.attempt === 0;
     if (!isGated) return targets;
     const closed = new Set<GroupState>();
     for (const group of groupsOf(targets)) {
@@ -283,13 +276,6 @@
   }
 }
 
-function hasReachedMaxDeferral(
-  { isRepeated, arrivedAt }: InFlightRequest,
-  now: number,
-): boolean {
-  return isRepeated && now - arrivedAt >= MAX_RETRY_DEFERRAL_MS;
-}
-
 function createOrderedRequest(inFlight: InFlightRequest) {
   const { organisation, limits } = inFlight.route;
   return {
