Remove the guess which requests are callers' retries

Nothing decides by it any more; what was left of it are a field of two log lines and `lagoonwharf_returns_total`.

Change: removed, with its tests, which held the guess and nothing else. On call, `lagoonwharf_wait_until_sent_milliseconds` and `lagoonwharf_wait_until_refused_milliseconds` tell what the counter was read for: how long requests were held, and how long in vain.

--- a/src/entry/decision_records.ts
+++ b/src/entry/decision_records.ts
@@ -246,7 +246,6 @@
       attempt: inFlight.attempt,
       target: inFlight.targetName,
       status: inFlight.head?.status,
-      isRepeated: inFlight.isRepeated,
       longestPauseMs: inFlight.longestPause &&
         Math.round(inFlight.longestPause.milliseconds),
       pauseEndedMsAgo: inFlight.longestPause &&
@@ -279,7 +278,6 @@
         : undefined,
       part: details.partId,
       ...details.drains,
-      isRepeated: inFlight.isRepeated,
       returnMs: details.retryDelayMs && Math.round(details.retryDelayMs),
       load: details.utilization?.load,
       capacity: details.utilization && Math.round(details.utilization.capacity),
--- a/src/entry/entry_reducer.ts
+++ b/src/entry/entry_reducer.ts
@@ -30,7 +30,6 @@
   createForwardEffect,
 } from "./request_effects.ts";
 import { RetryPolicy } from "./retry_policy.ts";
-import { RetryingCallers } from "./retrying_callers.ts";
 import type { Route } from "./routing_table.ts";
 import type { TargetAvailability } from "./target_availability.ts";
 import { TargetUpdater } from "./target_updater.ts";
@@ -74,7 +73,6 @@
   readonly #answers: AnswerReceiver;
   /** Routes of the requests that were forwarded to the old scripts, by request id. */
   readonly #forwardedRequests = new Map<number, Route>();
-  readonly #retryingCallers = new RetryingCallers();
   readonly #digestKey: string;
   readonly #crashes: CrashWatch;
   readonly #notices: NoticeWatch;
@@ -287,7 +285,6 @@
       deadlineAt: readAt + deadlineMs,
       pool,
       poolPriorities: this.#admission.tryPrioritiesOf(pool),
-      isRepeated: this.#retryingCallers.observe(request, route, now),
       digestKey: this.#digestKey,
     });
     this.#retries.countRequest(inFlight, now);
--- a/src/entry/in_flight_request.ts
+++ b/src/entry/in_flight_request.ts
@@ -63,8 +63,6 @@
   readonly pool: string;
   /** Priorities of the pool's services, most urgent first, where they differ. */
   readonly poolPriorities?: readonly Priority[];
-  /** Whether this is a caller's retry after a refusal or a lost connection. */
-  readonly isRepeated: boolean;
   /** Key of the request's digest. */
   readonly digestKey: string;
 }
@@ -79,8 +77,6 @@
   readonly pool: string;
   /** Priorities of the pool's services, most urgent first, where they differ. */
   readonly poolPriorities: readonly Priority[] | undefined;
-  /** Whether this is a caller's retry, after which the caller does not retry again. */
-  readonly isRepeated: boolean;
   readonly #digestKey: string;
   #digest: string | undefined;
   #partIds: readonly string[] | undefined;
@@ -113,7 +109,6 @@
     this.deadlineAt = options.deadlineAt;
     this.pool = options.pool;
     this.poolPriorities = options.poolPriorities;
-    this.isRepeated = options.isRepeated;
     this.#digestKey = options.digestKey;
   }
 
--- a/src/entry/request_dispatcher.ts
+++ b/src/entry/request_dispatcher.ts
@@ -29,6 +29,7 @@
   createAnswerCounts,
   createCancelEffect,
   createFailureEffects,
+  createWaitCount,
 } from "./request_effects.ts";
 import type { RetryPolicy } from "./retry_policy.ts";
 import { createSubmitMessage } from "./submit_message.ts";
@@ -162,6 +163,7 @@
         continue;
       }
       this.#waiting.take(id);
+      this.#options.effects.push(createWaitCount(inFlight, "sent", now));
       this.#submit(inFlight, selected.value, now);
     }
   }
--- a/src/entry/request_effects.ts
+++ b/src/entry/request_effects.ts
@@ -17,7 +17,12 @@
 } from "./failures.ts";
 import type { InFlightRequest } from "./in_flight_request.ts";
 import type { Route } from "./routing_table.ts";
-import type { CallerRequest, EntryEffect, SendToTarget } from "./types.ts";
+import type {
+  CallerRequest,
+  EntryEffect,
+  SendToTarget,
+  WaitOutcome,
+} from "./types.ts";
 
 /** Refuses a request that was not admitted. */
 export function createArrivalRefusal(
@@ -52,10 +57,9 @@
       now,
       retryDelayMs,
     });
-    const counts = createRefusalCounts(inFlight, retryDelayMs);
     return [
       logRecord,
-      ...counts,
+      createWaitCount(inFlight, "refused", now),
       ...createRefusal(requestId, overallFailure, retryDelayMs),
     ];
   }
@@ -66,17 +70,21 @@
   ];
 }
 
-/** Counts the longest pause of a complete answer, and a caller's retry that it served. */
+/** Counts the longest pause of a complete answer. */
 export function createAnswerCounts(
-  { isRepeated, longestPause }: InFlightRequest,
+  { longestPause }: InFlightRequest,
 ): readonly EntryEffect[] {
-  const counts: EntryEffect[] = [];
-  if (isRepeated) counts.push({ kind: "count_return", outcome: "served" });
-  if (longestPause !== undefined) {
-    const { milliseconds } = longestPause;
-    counts.push({ kind: "count_pause", milliseconds });
-  }
-  return counts;
+  if (longestPause === undefined) return [];
+  return [{ kind: "count_pause", milliseconds: longestPause.milliseconds }];
+}
+
+/** Counts how long a request was at this entry until it was sent or refused. */
+export function createWaitCount(
+  { arrivedAt }: InFlightRequest,
+  outcome: WaitOutcome,
+  now: number,
+): EntryEffect {
+  return { kind: "count_wait", outcome, milliseconds: now - arrivedAt };
 }
 
 /** Cancels an attempt at a target. */
@@ -103,15 +111,6 @@
   return { kind: "forward_to_scripts", address, deadlineMs, request };
 }
 
-function createRefusalCounts(
-  { isRepeated }: InFlightRequest,
-  retryDelayMs: number | undefined,
-): readonly EntryEffect[] {
-  if (isRepeated) return [{ kind: "count_return", outcome: "refused" }];
-  if (retryDelayMs === undefined) return [];
-  return [{ kind: "count_return", outcome: "told" }];
-}
-
 function createRefusal(
   requestId: number,
   failure: Failure,
--- a/src/entry/request_priority_test.ts
+++ b/src/entry/request_priority_test.ts
@@ -49,7 +49,6 @@
     deadlineAt: 8000,
     pool: "confirm",
     poolPriorities: table.priorities.tryPrioritiesOf("confirm"),
-    isRepeated: false,
     digestKey: "",
   });
   return inFlight.priority;
--- a/src/entry/request_server.ts
+++ b/src/entry/request_server.ts
@@ -284,8 +284,11 @@
         return this.#options.metrics.countDeferred(effect.priority);
       case "count_stale_message":
         return this.#options.metrics.countStaleMessage();
-      case "count_return":
-        return this.#options.metrics.countCallerRetry(effect.outcome);
+      case "count_wait":
+        return this.#options.metrics.recordWait(
+          effect.outcome,
+          effect.milliseconds,
+        );
       case "count_pause":
         return this.#options.metrics.countPause(effect.milliseconds);
       case "memories_changed":
--- a/src/entry/types.ts
+++ b/src/entry/types.ts
@@ -339,16 +339,14 @@
   readonly kind: "count_stale_message";
 }
 
-/**
- * Stage of a caller's retry: `told` when a refusal carries a retry delay, then `served`
- * or `refused` when the caller has retried.
- */
-export type CallerRetryOutcome = "told" | "served" | "refused";
+/** How the time ended for which a request was at an entry only. */
+export type WaitOutcome = "sent" | "refused";
 
-/** Counts a refusal that carries a retry delay, or the outcome of a caller's retry. */
-export interface CountCallerRetry {
-  readonly kind: "count_return";
-  readonly outcome: CallerRetryOutcome;
+/** Counts how long a request was at this entry: until it was sent after a wait, or refused. */
+export interface CountWait {
+  readonly kind: "count_wait";
+  readonly outcome: WaitOutcome;
+  readonly milliseconds: number;
 }
 
 /** Counts the longest pause of an answer. */
@@ -394,7 +392,7 @@
   | CountRetry
   | CountDeferredRequest
   | CountStaleMessage
-  | CountCallerRetry
+  | CountWait
   | CountAnswerPause
   | ReplicatedStateChanged
   | RequestPermits
--- a/src/entry/waiting_requests_test.ts
+++ b/src/entry/waiting_requests_test.ts
@@ -42,7 +42,6 @@
     poolPriorities: caller.isMixed === false
       ? undefined
       : TABLE.priorities.tryPrioritiesOf("ranks"),
-    isRepeated: false,
     digestKey: "",
   });
 }
--- a/src/process/metrics.ts
+++ b/src/process/metrics.ts
@@ -3,7 +3,7 @@
  *
  * @module
  */
-import type { CallerRetryOutcome } from "../entry/types.ts";
+import type { WaitOutcome } from "../entry/types.ts";
 import type { EventLog } from "../events/event_log.ts";
 import type { LinkFault } from "../messages/codec.ts";
 import type { Priority } from "../messages/priority.ts";
@@ -70,11 +70,16 @@
     "Connections between processes that were closed for a fault",
     "reason",
   );
-  readonly #callerRetries = this.metricsPage.counter(
-    "returns_total",
-    "Callers that received a retry delay, and outcomes of their retries",
-    "outcome",
-  );
+  readonly #waits = {
+    sent: this.metricsPage.quantiles(
+      "wait_until_sent_milliseconds",
+      "How long requests that waited were held until they were sent",
+    ),
+    refused: this.metricsPage.quantiles(
+      "wait_until_refused_milliseconds",
+      "How long requests were held that were refused",
+    ),
+  };
   readonly #invalidFields = this.metricsPage.counter(
     "settings_fields_wrong_total",
     "Fields of settings whose value was not valid",
@@ -208,11 +213,9 @@
     this.#firstByteTimes.record(milliseconds);
   }
 
-  /**
-   * Counts a caller that received a retry delay, or the outcome of a caller's retry.
-   */
-  countCallerRetry(outcome: CallerRetryOutcome): void {
-    this.#callerRetries.inc({ outcome });
+  /** Records how long a request was held until it was sent after a wait, or refused. */
+  recordWait(outcome: WaitOutcome, milliseconds: number): void {
+    this.#waits[outcome].record(milliseconds);
   }
 
   /** Records the longest pause between two chunks of an answer. */
