Let work wait at a target until it could not end in time any more

What callers saw: a target refused queued work once half of the time that its caller had was over, though the work takes a fraction of that and would have been answered.

Change: work starts up to the time at which runs of its service, by their smoothed mean and deviation (RFC 6298), nearly all still end before the deadline. Work that would start later is refused, as it delays others and its caller is gone.

--- a/src/policy/answer_times.ts
+++ b/src/policy/answer_times.ts
@@ -4,12 +4,7 @@
  *
  * @module
  */
-
-/**
- * Weight of a new sample in the mean, from 0 to 1, as in the smoothed round-trip time of
- * RFC 6298.
- */
-const SMOOTHING = 1 / 8;
+import { DurationEstimate } from "./duration_estimate.ts";
 
 /** How long the answers of a service usually take after they are requested. */
 export interface AnswerTime {
@@ -17,13 +12,18 @@
   readonly firstChunkMs: number;
   /** Milliseconds until the answer is complete; 0 while none has been observed. */
   readonly wholeMs: number;
+  /** Milliseconds within which nearly all answers are complete. */
+  readonly upperWholeMs: number;
 }
 
-const UNKNOWN_TIME: AnswerTime = { firstChunkMs: 0, wholeMs: 0 };
+interface ServiceEstimates {
+  readonly firstChunk: DurationEstimate;
+  readonly whole: DurationEstimate;
+}
 
 /** Learns how long the answers of each service usually take. */
 export class AnswerTimes {
-  readonly #byService = new Map<string, AnswerTime>();
+  readonly #byService = new Map<string, ServiceEstimates>();
 
   /**
    * Returns the usual time of a service's answers, by the service's settings path.
@@ -36,24 +36,32 @@
    * ```
    */
   get(servicePath: string): AnswerTime {
-    return this.#byService.get(servicePath) ?? UNKNOWN_TIME;
+    const estimates = this.#byService.get(servicePath);
+    return {
+      firstChunkMs: estimates?.firstChunk.meanMs ?? 0,
+      wholeMs: estimates?.whole.meanMs ?? 0,
+      upperWholeMs: estimates?.whole.upperMs ?? 0,
+    };
   }
 
   /** Records the milliseconds from sending a request to the first chunk of its answer. */
   recordFirstChunk(servicePath: string, milliseconds: number): void {
-    const time = this.get(servicePath);
-    const firstChunkMs = smooth(time.firstChunkMs, milliseconds);
-    this.#byService.set(servicePath, { ...time, firstChunkMs });
+    this.#getOrCreate(servicePath).firstChunk.record(milliseconds);
   }
 
   /** Records the milliseconds from sending a request to the end of its answer. */
   recordWhole(servicePath: string, milliseconds: number): void {
-    const time = this.get(servicePath);
-    const wholeMs = smooth(time.wholeMs, milliseconds);
-    this.#byService.set(servicePath, { ...time, wholeMs });
+    this.#getOrCreate(servicePath).whole.record(milliseconds);
   }
-}
 
-function smooth(mean: number, sample: number): number {
-  return mean === 0 ? sample : mean + SMOOTHING * (sample - mean);
+  #getOrCreate(servicePath: string): ServiceEstimates {
+    let estimates = this.#byService.get(servicePath);
+    if (estimates === undefined) {
+      const firstChunk = new DurationEstimate();
+      const whole = new DurationEstimate();
+      estimates = { firstChunk, whole };
+      this.#byService.set(servicePath, estimates);
+    }
+    return estimates;
+  }
 }
--- a/src/policy/fair_queue.ts
+++ b/src/policy/fair_queue.ts
@@ -18,29 +18,10 @@
   readonly organisation: string;
   readonly weight: number;
   readonly priority: Priority;
-  /** The item is dropped unless it starts by this time, see {@link getLatestStart}. */
+  /** The item is dropped unless it starts by this time, in milliseconds. */
   readonly startBy: number;
 }
 
-/**
- * Fraction of the remaining time for which work may wait. Work that starts at the last
- * moment mostly ends too late and delays other work, and the caller of a dropped request
- * should learn of it in time to retry.
- */
-const MAX_WAIT_FRACTION = 0.5;
-
-/**
- * Returns the latest time at which work must start.
- *
- * @example
- * ```ts
- * const startBy = getLatestStart(now, request.remainingMs);
- * ```
- */
-export function getLatestStart(now: number, remainingMs: number): number {
-  return now + MAX_WAIT_FRACTION * remainingMs;
-}
-
 /**
  * Maximum number of idle organisation queues that an empty fair queue keeps. Their
  * virtual times matter little then, and there may be some ten thousand organisations.
--- a/src/policy/waiting_rule.ts
+++ b/src/policy/waiting_rule.ts
@@ -56,9 +56,12 @@
   readonly freeInMs?: number;
   readonly patience: CallerPatience;
   /** How long answers of its service usually take. */
-  readonly answerTime: AnswerTime;
+  readonly answerTime: UsualAnswerTime;
 }
 
+/** The times of an answer that decide how long its request can wait. */
+export type UsualAnswerTime = Pick<AnswerTime, "firstChunkMs" | "wholeMs">;
+
 /**
  * Milliseconds between the caller's clock and ours: the caller measures its time from
  * when it sent the request, and the answer has to reach it.
@@ -93,7 +96,7 @@
  */
 export function getLatestStartAt(
   { arrivedAt, deadlineAt, silenceLimitMs = Infinity }: CallerPatience,
-  { firstChunkMs, wholeMs }: AnswerTime,
+  { firstChunkMs, wholeMs }: UsualAnswerTime,
 ): number {
   const beforeSilenceLimit = arrivedAt + silenceLimitMs - firstChunkMs;
   const beforeDeadline = deadlineAt - wholeMs;
--- a/src/target/run.ts
+++ b/src/target/run.ts
@@ -28,6 +28,8 @@
   readonly owner: RunOwner;
   /** Fingerprint of the idempotency key. */
   readonly fingerprint?: string;
+  /** Settings path of the request's service. */
+  readonly service: string;
   readonly startedAt: number;
   /** Maximum length of an answer that is retained for a key, in bytes. */
   readonly keptAnswerBytes: number;
@@ -74,6 +76,11 @@
     return this.#options.owner;
   }
 
+  /** Settings path of the request's service. */
+  get service(): string {
+    return this.#options.service;
+  }
+
   /** Fingerprint of the idempotency key. */
   get fingerprint(): string | undefined {
     return this.#options.fingerprint;
--- a/src/target/target_reducer.ts
+++ b/src/target/target_reducer.ts
@@ -20,7 +20,8 @@
   SubmitMessage,
 } from "../messages/types.ts";
 import { TargetBackoffs } from "../policy/target_backoffs.ts";
-import { FairQueue, getLatestStart } from "../policy/fair_queue.ts";
+import { AnswerTimes } from "../policy/answer_times.ts";
+import { FairQueue } from "../policy/fair_queue.ts";
 import { isNotRun } from "../external/back_end.ts";
 import { getRefusalReason } from "../external/back_end_failures.ts";
 import type { RefusalName } from "../refusals/catalogue.ts";
@@ -52,6 +53,7 @@
   readonly organisation: string;
   readonly weight: number;
   readonly priority: SubmitMessage["priority"];
+  /** Latest time at which it can start and usually end before its deadline. */
   readonly startBy: number;
   readonly deadlineAt: number;
 }
@@ -68,6 +70,7 @@
   readonly #limits: TargetLimits;
   readonly #gate: KeyGate;
   readonly #queue: FairQueue<QueuedRequest>;
+  readonly #runTimes = new AnswerTimes();
   readonly #runs = new Map<number, Run>();
   readonly #reporter = new LoadReporter();
   readonly #openLinks = new Set<number>();
@@ -250,14 +253,15 @@
     request: SubmitMessage,
     details: { readonly now: number; readonly fingerprint?: string },
   ): void {
+    const deadlineAt = details.now + request.remainingMs;
     const dropped = this.#queue.add({
       owner,
       request,
       organisation: request.organisation,
       weight: request.weight,
       priority: request.priority,
-      startBy: getLatestStart(details.now, request.remainingMs),
-      deadlineAt: details.now + request.remainingMs,
+      startBy: deadlineAt - this.#runTimes.get(request.service).upperWholeMs,
+      deadlineAt,
       fingerprint: details.fingerprint,
     });
     if (dropped !== undefined) this.#refuseQueued(dropped, "QUEUE_FULL");
@@ -309,6 +313,7 @@
       id: this.#nextRunId++,
       owner: item.owner,
       fingerprint,
+      service: item.request.service,
       startedAt: now,
       keptAnswerBytes: this.#limits.keptAnswerBytes,
       gatherMs: this.#limits.gatherMs,
@@ -346,6 +351,7 @@
     if (run === undefined) return;
     this.#runs.delete(run.id);
     this.#reporter.recordRun(event.now - run.startedAt);
+    this.#runTimes.recordWhole(run.service, event.now - run.startedAt);
     this.#replies.replyToRun(run, run.tryFlush(event.now));
     this.#replies.replyToRun(run, run.createEnd(this.#getLoad()));
     if (this.#openLinks.has(run.owner.linkId)) {
--- a/src/target/target_replies.ts
+++ b/src/target/target_replies.ts
@@ -71,6 +71,7 @@
   replay(owner: RunOwner, answer: KeptAnswer, load: TargetLoad): void {
     const run = new Run({
       id: 0,
+      service: "",
       owner,
       startedAt: 0,
       keptAnswerBytes: 0,
