Spread the returns of callers that are refused together

What callers saw: when a group was found to have lost a rank, all requests that waited for it were refused at once and told the same time to return, so they came back as one crowd.

Cause: the retry delay was a fixed function of the time left; that arrivals are spread was taken to be enough, which holds only for callers that are refused as they arrive.

Change: where no end is known, delays cover the last quarter before the time that callers honour, in an even sequence for each entry. A time that is known is told as it is. That the delay is long stays, for another reason than before: callers retry a few times only and each try should reach far.

Evidence: `waiting_rule_test.ts`, "get retry delays that are spread": one delay for all before.

--- a/src/entry/request_dispatcher.ts
+++ b/src/entry/request_dispatcher.ts
@@ -6,6 +6,7 @@
  */
 import type { AnswerTimes } from "../policy/answer_times.ts";
 import { getRetryDelayMs } from "../policy/waiting_rule.ts";
+import { EvenSpread } from "../policy/even_spread.ts";
 import type { PermitRequest } from "../policy/send_permits.ts";
 import type { SendLimits } from "../policy/send_limits.ts";
 import type { Admission } from "./admission.ts";
@@ -63,6 +64,8 @@
 export class RequestDispatcher {
   readonly #options: RequestDispatcherOptions;
   readonly #waiting: WaitingRequests;
+  /** Spreads the retries of refused callers. */
+  readonly #retrySpread = new EvenSpread();
   readonly #inFlight = new Map<number, InFlightRequest>();
 
   /** Creates a dispatcher without requests. */
@@ -403,7 +406,9 @@
       { reason, freeInMs },
       this.#options.answerTimes.get(inFlight.route.servicePath),
     );
-    return unserved && getRetryDelayMs(unserved, now);
+    if (unserved === undefined) return undefined;
+    const spreadFraction = this.#retrySpread.next();
+    return getRetryDelayMs(unserved, { now, spreadFraction });
   }
 
   /** Ends a request whose caller has disconnected. */
--- a/src/policy/waiting_rule.ts
+++ b/src/policy/waiting_rule.ts
@@ -59,6 +59,13 @@
   readonly answerTime: UsualAnswerTime;
 }
 
+/** When a retry delay is computed, and for which of the refused callers. */
+export interface RetryContext {
+  readonly now: number;
+  /** Position of the caller among those that are refused, from 0 to 1. */
+  readonly spreadFraction: number;
+}
+
 /** The times of an answer that decide how long its request can wait. */
 export type UsualAnswerTime = Pick<AnswerTime, "firstChunkMs" | "wholeMs">;
 
@@ -69,6 +76,8 @@
 const ROUND_TRIP_MARGIN_MS = 60;
 /** Fraction of the remaining time up to which callers honour a retry delay. */
 const HONOURED_FRACTION = 1 / 3;
+/** Fraction of a retry delay over which the retries of callers are spread. */
+const RETRY_SPREAD = 0.25;
 /** Milliseconds after which one of many slots is free again, as work ends. */
 const OVERLOAD_RETRY_DELAY_MS = 1000;
 
@@ -143,25 +152,33 @@
 }
 
 /**
- * Returns the milliseconds after which the caller of a refused request should retry.
+ * Returns the milliseconds after which the caller of a refused request should retry. Where
+ * it is not known when a target will be available, that is about as late as the caller
+ * honours: callers retry a few times only, so each retry should reach far, and the next
+ * one has a third less time.
+ *
+ * The retries of callers that are refused at the same moment are spread, as all that wait
+ * are refused when their group is found to have lost a rank.
  *
  * @example
  * ```ts
  * const patience = { arrivedAt: 0, deadlineAt: 8000, silenceLimitMs: 2000 };
  * const answerTime = { firstChunkMs: 200, wholeMs: 1500 };
- * getRetryDelayMs({ cause: "outage", patience, answerTime }, 0); // 2606.7
+ * const request = { cause: "outage", patience, answerTime } as const;
+ * getRetryDelayMs(request, { now: 0, spreadFraction: 0 }); // 2606.7
+ * getRetryDelayMs(request, { now: 0, spreadFraction: 1 }); // 1955
  * ```
  */
 export function getRetryDelayMs(
   { cause, freeInMs, patience }: UnservedRequest,
-  now: number,
+  { now, spreadFraction }: RetryContext,
 ): number {
   // The end is known, so an earlier retry has no benefit, however long the backoff is.
   const hasKnownEnd = cause === "backoff" || cause === "refusal";
   if (hasKnownEnd && freeInMs !== undefined) return freeInMs;
   const longest = getMaxRetryDelayMs(Math.max(0, patience.deadlineAt - now));
-  if (cause === "overload" || cause === "limit") {
-    return Math.min(longest, freeInMs ?? OVERLOAD_RETRY_DELAY_MS);
-  }
-  return longest;
+  const isLoad = cause === "overload" || cause === "limit";
+  if (isLoad && freeInMs !== undefined) return Math.min(longest, freeInMs);
+  const latest = isLoad ? Math.min(longest, OVERLOAD_RETRY_DELAY_MS) : longest;
+  return latest * (1 - RETRY_SPREAD * spreadFraction);
 }
--- a/src/policy/waiting_rule_test.ts
+++ b/src/policy/waiting_rule_test.ts
@@ -18,6 +18,9 @@
 /** Milliseconds between two requests of the load. */
 const ARRIVAL_INTERVAL_MS = 20;
 
+/** The caller that is told to return last of those that are refused at 0. */
+const LAST_AT_ZERO = { now: 0, spreadFraction: 0 };
+
 function createPatience(
   changes: Partial<CallerPatience> = {},
 ): CallerPatience {
@@ -77,7 +80,7 @@
     if (isAvailableWithin(load, arrivedAt, waitEndAt)) return true;
     const delayMs = load.honoursDelay === false
       ? 0
-      : getRetryDelayMs(unserved, waitEndAt);
+      : getRetryDelayMs(unserved, { now: waitEndAt, spreadFraction: 0 });
     arrivedAt = waitEndAt + delayMs;
   }
   return false;
@@ -177,7 +180,7 @@
     const createBackoff = (freeInMs: number) =>
       createUnserved({ cause: "backoff", freeInMs });
     assert.equal(tryGetWaitEndAt(createBackoff(1000), 0), undefined);
-    assert.equal(getRetryDelayMs(createBackoff(1000), 0), 1000);
+    assert.equal(getRetryDelayMs(createBackoff(1000), LAST_AT_ZERO), 1000);
     // The caller could not be back by then.
     assert.equal(tryGetWaitEndAt(createBackoff(50), 0), STREAM_WAIT_MS);
   });
@@ -190,11 +193,22 @@
     }
   });
 
+  // Guards against a crowd of callers that were refused at the same moment.
+  it("get retry delays that are spread", () => {
+    for (const cause of ["outage", "drain", "overload"] as const) {
+      const [last = 0, first = 0] = [0, 1].map((spreadFraction) =>
+        getRetryDelayMs(createUnserved({ cause }), { now: 0, spreadFraction })
+      );
+      assert.equal(first / last, 0.75);
+    }
+  });
+
   it("get no longer retry delay than callers honour", () => {
     for (const deadlineAt of [50, 400, 3000, DEADLINE_MS]) {
       for (const cause of ["outage", "absence", "overload"] as const) {
         const patience = createPatience({ deadlineAt });
-        const delayMs = getRetryDelayMs(createUnserved({ cause, patience }), 0);
+        const unserved = createUnserved({ cause, patience });
+        const delayMs = getRetryDelayMs(unserved, LAST_AT_ZERO);
         assert.ok(delayMs >= 0 && delayMs <= deadlineAt / 3);
       }
     }
