--- a/src/entry/request_dispatcher.ts
+++ b/src/entry/request_dispatcher.ts
@@ -5,9 +5,6 @@
  * @module
  */
 import type { AnswerTimes } from "../policy/answer_times.ts";
-import { getRetryDelayMs } from "../policy/waiting_rule.ts";
-import { EvenSpread } from "../policy/even_spread.ts";
-import type { PermitRequest } from "../policy/send_permits.ts";
 import type { SendLimits } from "../policy/send_limits.ts";
 import type { Admission } from "./admission.ts";
 import type { AttemptEnd, CrashWatch } from "./crash_watch.ts";
@@ -19,7 +16,6 @@
 } from "./decision_records.ts";
 import type { DrainWatch } from "./drain_watch.ts";
 import {
-  createOverallFailure,
   createUnsentFailure,
   type Failure,
   SLOW_TARGET_FAILURE,
@@ -35,13 +31,14 @@
 import type { RetryPolicy } from "./retry_policy.ts";
 import { createSubmitMessage } from "./submit_message.ts";
 import type {
+  NoTargetReason,
   TargetAvailability,
   Unavailability,
 } from "./target_availability.ts";
 import type { TargetRecord } from "./target_record.ts";
 import type { TargetSelection } from "./target_selection.ts";
 import type { EntryEffect } from "./types.ts";
-import { tryCreateUnservedRequest } from "./unserved_request.ts";
+import { UnservedRefusals } from "./unserved_refusals.ts";
 import { WaitingRequests } from "./waiting_requests.ts";
 import type { WarmUpWatch } from "./warm_up_watch.ts";
 
@@ -64,14 +61,14 @@
 export class RequestDispatcher {
   readonly #options: RequestDispatcherOptions;
   readonly #waiting: WaitingRequests;
-  /** Spreads the retries of refused callers. */
-  readonly #retrySpread = new EvenSpread();
+  readonly #refusals: UnservedRefusals;
   readonly #inFlight = new Map<number, InFlightRequest>();
 
   /** Creates a dispatcher without requests. */
   constructor(options: RequestDispatcherOptions) {
     this.#options = options;
     this.#waiting = new WaitingRequests(options.answerTimes);
+    this.#refusals = new UnservedRefusals(options);
   }
 
   /** Admitted requests that have not ended. */
@@ -123,11 +120,7 @@
     if (selected.isOk()) return this.#submit(inFlight, selected.value, now);
     const reason = selected.error;
     if (reason === "TARGETS_LIMITED" && !this.#tryPermit(inFlight, now)) return;
-    const unavailability = this.#availability.describeUnavailability(
-      inFlight,
-      reason,
-      now,
-    );
+    const unavailability = this.#describe(inFlight, reason, now);
     if (this.#tryWait(inFlight, unavailability, now)) return;
     this.#failUnsent(inFlight, unavailability, now);
   }
@@ -157,11 +150,7 @@
       if (selected.isErr()) {
         const reason = selected.error;
         if (reason === "TARGETS_LIMITED") this.#tryPermit(inFlight, now);
-        const unavailability = this.#availability.describeUnavailability(
-          inFlight,
-          reason,
-          now,
-        );
+        const unavailability = this.#describe(inFlight, reason, now);
         this.#waiting.updateReason(id, unavailability, now);
         continue;
       }
@@ -176,9 +165,12 @@
    * request and returns false if no suitable target has a permit left.
    */
   #tryPermit(inFlight: InFlightRequest, now: number): boolean {
+    const { effects } = this.#options;
     const count = 1 + this.#waiting.countOf("TARGETS_LIMITED");
     const plan = this.#selection.planPermits(inFlight, count, now);
-    if (plan.kind === "ask") this.#requestPermits(plan.request);
+    if (plan.kind === "ask") {
+      effects.push({ kind: "ask_permits", permitRequest: plan.request });
+    }
     if (plan.kind !== "none") return true;
     const isKeyed = inFlight.request.idempotencyKey !== undefined;
     const failure = createUnsentFailure("TARGETS_LIMITED", isKeyed);
@@ -186,13 +178,6 @@
     return false;
   }
 
-  #requestPermits(permitRequest: PermitRequest): void {
-    this.#options.effects.push({
-      kind: "ask_permits",
-      permitRequest,
-    });
-  }
-
   #submit(
     inFlight: InFlightRequest,
     target: TargetRecord,
@@ -209,7 +194,8 @@
       message: createSubmitMessage(inFlight, now),
     });
     const permitRequest = this.#availability.tryPlanAhead(inFlight.pool, now);
-    if (permitRequest !== undefined) this.#requestPermits(permitRequest);
+    if (permitRequest === undefined) return;
+    this.#options.effects.push({ kind: "ask_permits", permitRequest });
   }
 
   #failUnsent(
@@ -217,21 +203,8 @@
     unavailability: Unavailability,
     now: number,
   ): void {
-    const { reason } = unavailability;
-    const isKeyed = inFlight.request.idempotencyKey !== undefined;
-    const drains = reason === "DOMAINS_DRAINED"
-      ? this.#options.drains.getDetails(now)
-      : undefined;
-    const failure = createUnsentFailure(reason, isKeyed);
-    const deferral = this.#selection.gate.tryDeferralDetails(
-      inFlight,
-      reason,
-      now,
-    );
-    const freeInMs = reason === "TARGETS_BACKING_OFF"
-      ? this.#availability.trySampleRetryDelayMs(unavailability)
-      : undefined;
-    this.fail(inFlight, { ...failure, freeInMs, ...deferral, drains }, now);
+    const failure = this.#refusals.createFailure(inFlight, unavailability, now);
+    this.fail(inFlight, failure, now);
   }
 
   /** Retries after a failed attempt if that is safe, or queues or refuses the request. */
@@ -273,11 +246,7 @@
       this.#availability.isWholePoolBackingOff(inFlight.pool, now);
     if (!isBackingOff) return false;
     const reason = "TARGETS_BACKING_OFF";
-    const unavailability = this.#availability.describeUnavailability(
-      inFlight,
-      reason,
-      now,
-    );
+    const unavailability = this.#describe(inFlight, reason, now);
     this.#failUnsent(inFlight, unavailability, now);
     return true;
   }
@@ -343,15 +312,19 @@
   /** Refuses waiting requests whose wait has expired. */
   refuseExpired(now: number): void {
     for (const { inFlight, reason } of this.#waiting.takeExpired(now)) {
-      const unavailability = this.#availability.describeUnavailability(
-        inFlight,
-        reason,
-        now,
-      );
+      const unavailability = this.#describe(inFlight, reason, now);
       this.#failUnsent(inFlight, unavailability, now);
     }
   }
 
+  #describe(
+    inFlight: InFlightRequest,
+    reason: NoTargetReason,
+    now: number,
+  ): Unavailability {
+    return this.#availability.describeUnavailability(inFlight, reason, now);
+  }
+
   #recordChoice(
     inFlight: InFlightRequest,
     target: TargetRecord,
@@ -388,29 +361,12 @@
   fail(inFlight: InFlightRequest, failure: Failure, now: number): void {
     if (inFlight.tryRestoreFallbackAnswer()) return this.finish(inFlight, now);
     this.#end(inFlight, now);
-    const retryDelayMs = this.#tryGetRetryDelayMs(inFlight, failure, now);
+    const retryDelayMs = this.#refusals.tryGetDelayMs(inFlight, failure, now);
     this.#options.effects.push(
       ...createFailureEffects(inFlight, failure, { now, retryDelayMs }),
     );
   }
 
-  /** Returns the caller's retry delay; undefined: the refusal catalogue defines it. */
-  #tryGetRetryDelayMs(
-    inFlight: InFlightRequest,
-    failure: Failure,
-    now: number,
-  ): number | undefined {
-    const { reason, freeInMs } = createOverallFailure(inFlight, failure);
-    const unserved = tryCreateUnservedRequest(
-      inFlight,
-      { reason, freeInMs },
-      this.#options.answerTimes.get(inFlight.route.servicePath),
-    );
-    if (unserved === undefined) return undefined;
-    const spreadFraction = this.#retrySpread.next();
-    return getRetryDelayMs(unserved, { now, spreadFraction });
-  }
-
   /** Ends a request whose caller has disconnected. */
   drop(inFlight: InFlightRequest, now: number): void {
     this.#end(inFlight, now);
