--- a/src/entry/unavailable_pools_test.ts
+++ b/src/entry/unavailable_pools_test.ts
@@ -42,7 +42,7 @@
     assert.equal(tryGetProblem(fixture.tick(1940))?.reason, "POOL_FULL");
   });
 
-  it("let a caller's retry wait until they are available", () => {
+  it("let a request with less time left wait until they are available", () => {
     const fixture = new DirectFixture(["one"], STREAM_LINES);
     fixture.reportLoad([createRow("one")], { isOpen: false });
     assert.equal(
@@ -55,7 +55,7 @@
     assert.equal(getSent(effects).target, "one");
   });
 
-  it("refuse a first request immediately while a rank of their group is lost", () => {
+  it("refuse a request immediately while a rank of their group is lost", () => {
     const fixture = new DirectFixture(["one", "two"], STREAM_LINES);
     fixture.reportLoad([createRow("one"), createRow("two")]);
     fixture.list([createInstance("one")]);
@@ -67,7 +67,7 @@
     assert.equal(problem?.retryAfterSeconds, 2.6);
   });
 
-  it("let a first request wait as long as its caller does while no rank is known to be lost", () => {
+  it("let a request wait as long as its caller does while no rank is known to be lost", () => {
     const fixture = new DirectFixture(["one"], STREAM_LINES);
     fixture.reportLoad([createRow("one")], { isOpen: false });
     assert.equal(
@@ -83,7 +83,7 @@
     assert.equal(problem?.retryAfterSeconds, 1.96);
   });
 
-  it("refuse a first request as soon as a rank is known to be lost", () => {
+  it("refuse a waiting request as soon as a rank is known to be lost", () => {
     const fixture = new DirectFixture(["one", "two"], STREAM_LINES);
     fixture.reportLoad([createRow("one"), createRow("two")]);
     fixture.observeGroup(false, 5);
@@ -97,7 +97,7 @@
 
   // Guards against requests that wait for a group although a target has reported the loss
   // of one of its ranks, because the platform's list does not show it yet.
-  it("refuse a first request immediately if a target names the lost rank", () => {
+  it("refuse a request immediately if a target names the lost rank", () => {
     const { fixture, refusal } = createFixtureWithLostRank();
     assert.equal(tryGetProblem(refusal)?.reason, "GROUP_CLOSED");
     const next = tryGetProblem(fixture.request({ id: 2, deadlineMs: 8022 }));
@@ -123,7 +123,7 @@
     assert.equal(tryGetProblem(next), undefined);
   });
 
-  it("serve a first request as soon as their group is running again", () => {
+  it("serve a waiting request as soon as their group is running again", () => {
     const fixture = new DirectFixture(["one"], STREAM_LINES);
     fixture.reportLoad([createRow("one")], { isOpen: false });
     fixture.request({ deadlineMs: 8022 });
@@ -167,7 +167,7 @@
     assert.equal(problem?.submission, "not-run");
   });
 
-  it("let a caller's retry wait again after a target refused it", () => {
+  it("let a request wait again after a target refused it", () => {
     const fixture = new DirectFixture(["one", "two"], STREAM_LINES);
     fixture.listRanks(["one", "two"]);
     const first = getSent(fixture.request({ deadlineMs: 5000 }));
