Limit waiting requests by a group's share only at its opening

Cause: as long as anything waited, entries sent only what passes within the pause allow, and new requests queued behind. Passes that are long for another reason do not become short by that, so the queue never emptied.

Change: shares count for two seconds after a group has opened, by when all who waited for it are sent or told to return, and in pools whose services differ in priority, where what is left is kept for the more urgent.

--- a/src/entry/group_state.ts
+++ b/src/entry/group_state.ts
@@ -28,6 +28,12 @@
  */
 const OBSERVATION_PRECEDENCE_MS = 700;
 
+/**
+ * Milliseconds for which a group counts as having just opened. Requests that waited for it
+ * are sent by then, or their callers are told to return.
+ */
+const OPENING_MS = 2000;
+
 /** What an entry knows of one rank group. */
 export class GroupState {
   readonly name: string;
@@ -36,6 +42,7 @@
   /** Estimates how many requests the group can process in time. */
   readonly capacity = new GroupCapacity();
   #isOpen = true;
+  #openedAt = Number.NEGATIVE_INFINITY;
   #observedAt = Number.NEGATIVE_INFINITY;
 
   /**
@@ -50,6 +57,11 @@
     return now - this.#observedAt;
   }
 
+  /** Whether the group has just opened, so that a crowd may wait for it. */
+  hasJustOpened(now: number): boolean {
+    return now - this.#openedAt < OPENING_MS;
+  }
+
   /** Whether the group is known not to run, so that requests would only wait. */
   isClosed(now: number): boolean {
     return !this.#isOpen && this.ageAt(now) < MAX_CLOSED_OBSERVATION_AGE_MS;
@@ -73,6 +85,9 @@
     if (observation.observedAt < this.#observedAt) return false;
     const hasChanged = observation.isOpen !== this.#isOpen;
     this.#isOpen = observation.isOpen;
+    if (hasChanged && observation.isOpen) {
+      this.#openedAt = observation.observedAt;
+    }
     this.#observedAt = observation.observedAt;
     return hasChanged;
   }
--- a/src/entry/target_selection.ts
+++ b/src/entry/target_selection.ts
@@ -196,19 +196,23 @@
 
   /**
    * Returns those of the targets whose group can take another one of the requests that
-   * wait at this entry.
+   * wait at this entry. Passes that stay too long for other reasons do not become shorter
+   * by refusals, so the share of a group counts only while it has just opened, and where
+   * more urgent requests need what is left of its capacity.
    */
   #filterByBacklogShare(
     targets: readonly TargetRecord[],
     inFlight: InFlightRequest,
     now: number,
   ): readonly TargetRecord[] {
-    const { pool, route } = inFlight;
+    const { pool, poolPriorities, route } = inFlight;
+    const isMixed = poolPriorities !== undefined;
     const { pauseObjectiveMs } = route.service;
     const members = this.registry.servingOf(pool);
     const isOpen = new Map<GroupState, boolean>();
     return targets.filter(({ group }) => {
       if (group === undefined) return true;
+      if (!isMixed && !group.hasJustOpened(now)) return true;
       const known = isOpen.get(group);
       if (known !== undefined) return known;
       const mayAdmit = group.backlog.mayAdmit({
@@ -217,10 +221,9 @@
         slots: countSlots(members, group),
         entries: this.#entries.getCount(now),
         random: this.#random,
-        undeferredLoad: this.gate.tryGetUndeferredLoad(group, pool, {
-          members,
-          now,
-        }),
+        undeferredLoad: isMixed
+          ? this.gate.tryGetUndeferredLoad(group, pool, { members, now })
+          : undefined,
       });
       isOpen.set(group, mayAdmit);
       return mayAdmit;
--- a/src/entry/unavailable_pools_test.ts
+++ b/src/entry/unavailable_pools_test.ts
@@ -141,6 +141,31 @@
     assert.equal(getSent(effects).message.priority, PRIORITIES_BY_NAME.normal);
   });
 
+  // Guards against refusals for as long as passes are too long, whatever their cause:
+  // with few requests they would be as long, and callers would get no answer.
+  it("get waiting requests while passes are long unless they have just opened", () => {
+    const countSent = (openedAt: number) => {
+      const fixture = new DirectFixture(["one"], {
+        service: [...STREAM_LINES.service ?? [], "pauseObjectiveMs: 120"],
+      });
+      fixture.listRanks(["one"]);
+      fixture.observeGroup(false, openedAt - 100);
+      fixture.observeGroup(true, openedAt);
+      const report = (running: number, now: number) =>
+        fixture.reportLoad([createRow("one", { running })], {
+          now,
+          passMs: 200,
+        });
+      report(10, 5000);
+      for (let id = 1; id <= 4; id++) {
+        fixture.request({ id, deadlineMs: 8000 });
+      }
+      return getAllSent(report(4, 5100)).length;
+    };
+    assert.equal(countSent(0), 4);
+    assert.equal(countSent(4900), 0);
+  });
+
   // Guards against requests that stay behind because one before them cannot be sent.
   it("get the requests behind one that was tried at all of their targets", () => {
     const fixture = new DirectFixture(["one"], STREAM_LINES);
--- a/src/testing/direct_entry_fixture.ts
+++ b/src/testing/direct_entry_fixture.ts
@@ -88,7 +88,11 @@
 
   reportLoad(
     loads: readonly RankLoadRow[],
-    options: { readonly isOpen?: boolean; readonly now?: number } = {},
+    options: {
+      readonly isOpen?: boolean;
+      readonly now?: number;
+      readonly passMs?: number;
+    } = {},
   ): readonly EntryEffect[] {
     return this.entry.reduce({
       kind: "group_load_told",
@@ -98,6 +102,7 @@
         group: "group",
         isOpen: options.isOpen ?? true,
         ageMs: 0,
+        passMs: options.passMs,
         loads,
       },
     });
