--- a/src/policy/backlog_admission.ts
+++ b/src/policy/backlog_admission.ts
@@ -5,12 +5,13 @@
  * All ranks run each pass together, so each further request lengthens every pass, and
  * every answer in progress would pause for longer than its caller accepts.
  *
- * While requests wait, each entry therefore sends only its share of what the group can
- * take before its passes reach the pause objective. That follows from the decider's last
- * reports: passes take at most as long, relative to the reported ones, as there are more
- * requests than before them, since a part of each pass does not depend on them. The bound
- * thus rises with each report of short passes, and is low while little is known of a
- * group that has just opened.
+ * Each entry therefore sends only its share of what the group can take before its passes
+ * reach the pause objective. `target_selection.ts` decides when that applies: while a
+ * group has just opened, or while more urgent requests need its capacity. What a group
+ * can take follows from the decider's last reports: passes take at most as long, relative
+ * to the reported ones, as there are more requests than before them, since a part of each
+ * pass does not depend on them. The bound thus rises with each report of short passes, and
+ * is low while little is known of a group that has just opened.
  *
  * Entries without waiting requests do not use their share. As long as reports show that
  * the group gets less than it can take, every entry's share grows.
