Compile programs ahead with settings that they accept

What operators saw: each start of a process compiled what it needs once more. The build printed one line, 'Cannot compile the entry program ahead of time'.

Cause: the build starts each program once with port 0 in its settings. Since addresses are parsed where they are received, port 0 is rejected, so the program ended at once and only the code that reads settings was compiled ahead.

Change: the build chooses ports that are free.

--- a/scripts/compiled_program.ts
+++ b/scripts/compiled_program.ts
@@ -8,6 +8,7 @@
  * @module
  */
 import { spawnSync } from "node:child_process";
+import { once } from "node:events";
 import {
   copyFileSync,
   mkdtempSync,
@@ -15,6 +16,7 @@
   rmSync,
   writeFileSync,
 } from "node:fs";
+import { type AddressInfo, createServer } from "node:net";
 import { tmpdir } from "node:os";
 import { join } from "node:path";
 import process from "node:process";
@@ -22,33 +24,43 @@
 
 const LAUNCHER = "scripts/launcher.cjs";
 const DEPLOY_FILE = "deploy/system.toml";
+const HOST = "127.0.0.1";
 /** Address on which no process listens. */
-const UNUSED_ADDRESS = "127.0.0.1:9";
-/** Address with a port that the operating system chooses. */
-const ANY_PORT_ADDRESS = "127.0.0.1:0";
+const UNUSED_ADDRESS = `${HOST}:9`;
 
 /** Role in the deploy file whose program is compiled. */
 export type CompiledRole = "entry" | "rank";
 
-const COMMON_SETTINGS = {
-  name: "compiled",
-  deployment: "compiled",
-  secret: "only-for-one-start-at-the-build",
-  failureDomain: "none",
-  storeAddress: UNUSED_ADDRESS,
-  peerAddress: ANY_PORT_ADDRESS,
-} as const;
+/** Returns an address that is free now; the program accepts no port 0. */
+async function findFreeAddress(): Promise<string> {
+  const server = createServer().listen(0, HOST);
+  await once(server, "listening");
+  const { port } = server.address() as AddressInfo;
+  server.close();
+  await once(server, "close");
+  return `${HOST}:${port}`;
+}
 
 /** Settings that are enough for a process to start and run without a store. */
-const SETTINGS: Readonly<Record<CompiledRole, object>> = {
-  entry: {
-    ...COMMON_SETTINGS,
-    callerAddress: ANY_PORT_ADDRESS,
-    readyAddress: ANY_PORT_ADDRESS,
+async function createSettings(role: CompiledRole): Promise<object> {
+  const common = {
+    name: "compiled",
+    deployment: "compiled",
+    secret: "only-for-one-start-at-the-build",
+    failureDomain: "none",
+    storeAddress: UNUSED_ADDRESS,
+    peerAddress: await findFreeAddress(),
+  };
+  if (role === "rank") {
+    return { ...common, engineAddress: UNUSED_ADDRESS, pool: "none" };
+  }
+  return {
+    ...common,
+    callerAddress: await findFreeAddress(),
+    readyAddress: await findFreeAddress(),
     poolRetries: { share: 0.2, slack: 90, windowMs: 10_000 },
-  },
-  rank: { ...COMMON_SETTINGS, engineAddress: UNUSED_ADDRESS, pool: "none" },
-};
+  };
+}
 
 /**
  * Returns the Node.js flags with which the deploy file runs a role. Node.js rejects code
@@ -74,15 +86,18 @@
  *
  * @example
  * ```ts
- * writeCompiledProgram("entry", "target");
+ * await writeCompiledProgram("entry", "target");
  * ```
  */
-export function writeCompiledProgram(role: CompiledRole, folder: string): void {
+export async function writeCompiledProgram(
+  role: CompiledRole,
+  folder: string,
+): Promise<void> {
   const launcher = join(folder, `${role}.cjs`);
   copyFileSync(LAUNCHER, launcher);
   const temporaryFolder = mkdtempSync(join(tmpdir(), "lagoonwharf-compile-"));
   const settingsFile = join(temporaryFolder, "settings.yaml");
-  writeFileSync(settingsFile, stringify(SETTINGS[role]));
+  writeFileSync(settingsFile, stringify(await createSettings(role)));
   const flags = readNodeFlags(readFileSync(DEPLOY_FILE, "utf8"), role);
   const { status, stdout, stderr } = spawnSync(
     process.execPath,
--- a/scripts/compiled_program_test.ts
+++ b/scripts/compiled_program_test.ts
@@ -1,7 +1,10 @@
 import assert from "node:assert/strict";
-import { readFileSync } from "node:fs";
+import { existsSync, mkdtempSync, readFileSync, rmSync } from "node:fs";
+import { tmpdir } from "node:os";
+import { join } from "node:path";
 import { describe, it } from "node:test";
 import { readNodeFlags } from "./compiled_program.ts";
+import { buildRoleProgram } from "./role_program.ts";
 
 describe("Node.js flags of a role in the deploy file", () => {
   it("reads the flags between the command and the program", () => {
@@ -19,3 +22,18 @@
     assert.ok(readNodeFlags(deployFile, "rank").length > 0);
   });
 });
+
+// Guards against settings that the program rejects when it is started at the build: what
+// a start needs was then compiled at each start, which only a line of the build told.
+describe("the program of a role", () => {
+  for (const role of ["entry", "rank"] as const) {
+    it(`of ${role} is compiled ahead`, async ({ mock }) => {
+      const { mock: warnings } = mock.method(console, "warn");
+      const folder = mkdtempSync(join(tmpdir(), "lagoonwharf-program-"));
+      await buildRoleProgram(role, folder);
+      assert.ok(existsSync(join(folder, `${role}_program.compiled`)));
+      assert.equal(warnings.callCount(), 0);
+      rmSync(folder, { recursive: true });
+    });
+  }
+});
