--- a/src/events/catalogue.ts
+++ b/src/events/catalogue.ts
@@ -546,6 +546,13 @@
     action:
       "If `bodyBytes` is large, find out which callers send large bodies. Add entries.",
   },
+  CONNECTION_CLOSED: {
+    code: 2854,
+    level: "warn",
+    text: "A client's connection was closed because of a limit",
+    action:
+      "Find out which clients do not behave: `reason` says which limit they met. `too_many_connections` may also be too few entries.",
+  },
   INTERNAL_FAULT: {
     code: 2901,
     level: "error",
--- a/src/process/text_pages.ts
+++ b/src/process/text_pages.ts
@@ -34,21 +34,34 @@
  * ```
  */
 export function createTextPages(pages: TextPages): RequestListener {
+  const reading = new Map<string, Promise<TextPage>>();
   return (incoming, outgoing) => {
-    void readPage(pages, incoming).then(({ status, text }) => {
+    void findPage(pages, incoming, reading).then(({ status, text }) => {
       outgoing.writeHead(status, { "content-type": "text/plain" }).end(text);
     });
   };
 }
 
-async function readPage(
+/** Finds a page; requests that arrive while it is made get the same text. */
+async function findPage(
   pages: TextPages,
   { method, url = "/" }: IncomingMessage,
+  reading: Map<string, Promise<TextPage>>,
 ): Promise<TextPage> {
   const path = url.split("?", 1)[0] as string;
   const read = Object.hasOwn(pages, path) ? pages[path] : undefined;
   const isReadMethod = method === "GET" || method === "HEAD";
   if (read === undefined || !isReadMethod) return NOT_FOUND;
+  const page = reading.get(path) ?? readPage(read);
+  reading.set(path, page);
+  const result = await page;
+  reading.delete(path);
+  return result;
+}
+
+async function readPage(
+  read: () => TextPage | Promise<TextPage>,
+): Promise<TextPage> {
   try {
     return await read();
   } catch {
