Keep connections of clients from taking all descriptors

What callers saw: 3,000 silent connections at any address of an entry took 2,057 to 2,562 descriptors, more than the 2,069 less 200 of the smallest VM; neither callers nor servers can be connected then.

Cause: nothing bounded the connections of a listener, and nothing closed one that never sent a request.

Change: callers may have 0.6 of `descriptorLimit` (new, filled in from the platform's `max_fds`; 65,536 if it is not set), the ready address 64, the metrics address 32, others 768. One more closes the connection that has served nothing for the longest; if requests are served on all, the one that has waited the longest for its client. So whoever comes last is not the one who is turned away. A connection on which nothing is sent is closed after the idle limit, also before its first request.

--- a/src/direct/direct_entry_driver.ts
+++ b/src/direct/direct_entry_driver.ts
@@ -19,16 +19,17 @@
   StoreFormat,
 } from "../external/operator_settings.ts";
 import type { WatchedStore } from "../external/watched_store.ts";
-import { HttpListener } from "../process/http_listener.ts";
+import type { HttpListener } from "../process/http_listener.ts";
 import { Metrics } from "../process/metrics.ts";
 import type { DirectEntryProcessSettings } from "../process/process_settings.ts";
 import type { Drainable } from "../process/shutdown.ts";
-import { createTextPages, type TextPage } from "../process/text_pages.ts";
+import type { TextPage } from "../process/text_pages.ts";
 import { CountedStore } from "./counted_store.ts";
 import { type Directory, DirectoryFollower } from "./directory_follower.ts";
 import { DrainFollower } from "./drain_follower.ts";
 import { DirectTargetPool } from "./direct_target_pool.ts";
 import { GroupLoadFollower } from "./group_load_follower.ts";
+import { createPageListener } from "./page_listener.ts";
 import { EntryPeers } from "./peers/entry_peers.ts";
 import type { ListedProcess } from "../messages/listed_process.ts";
 import { ProcessRegistry } from "./process_registry.ts";
@@ -120,6 +121,7 @@
       metrics: this.#metrics,
       log,
       heldBytesLimit: settings.heldBytesLimit,
+      descriptorLimit: settings.descriptorLimit,
       onStalled: () => this.#catchUp(),
       onReplicatedStateChanged: () => this.#peers.onReplicatedStateChanged(),
       onPermitsRequested: (request) => this.#peers.requestPermits(request),
@@ -247,9 +249,11 @@
         }),
     });
     const { pages } = this.#metrics;
-    this.#metricsPage = new HttpListener(createTextPages(pages));
-    this.#health = new HttpListener(
-      createTextPages({ ...pages, "/ready": () => this.#readyPage() }),
+    this.#metricsPage = createPageListener("metrics", pages, log);
+    this.#health = createPageListener(
+      "ready",
+      { ...pages, "/ready": () => this.#readyPage() },
+      log,
     );
   }
 
--- a/src/direct/rank_driver.ts
+++ b/src/direct/rank_driver.ts
@@ -28,9 +28,9 @@
 import { MeasuredTimer } from "../process/measured_timer.ts";
 import type { RankProcessSettings } from "../process/process_settings.ts";
 import type { Drainable } from "../process/shutdown.ts";
-import { createTextPages } from "../process/text_pages.ts";
 import { CountedStore } from "./counted_store.ts";
 import { EntrySubscribers } from "./entry_subscribers.ts";
+import { createPageListener } from "./page_listener.ts";
 import type { ListedProcess } from "../messages/listed_process.ts";
 import { ProcessRegistry } from "./process_registry.ts";
 import { RankMetrics, type RankMetricsSource } from "./rank_metrics.ts";
@@ -102,8 +102,10 @@
     const { settings, format, log } = options;
     this.#metrics = new RankMetrics(() => this.#readMetrics(), log);
     this.#timer = new MeasuredTimer(this.#metrics.loopDelays);
-    this.#metricsListener = new HttpListener(
-      createTextPages(this.#metrics.pages),
+    this.#metricsListener = createPageListener(
+      "metrics",
+      this.#metrics.pages,
+      log,
     );
     const store = new CountedStore({
       store: options.store,
--- a/src/entry/request_server.ts
+++ b/src/entry/request_server.ts
@@ -9,12 +9,13 @@
 import { assertNever } from "../core/debug.ts";
 import { waitForPendingReads } from "../core/event_loop.ts";
 import { logInternalFault, tryHandle } from "../events/internal_faults.ts";
-import { HttpListener } from "../process/http_listener.ts";
+import type { HttpListener } from "../process/http_listener.ts";
 import { MeasuredTimer } from "../process/measured_timer.ts";
 import type { RefusalName } from "../refusals/catalogue.ts";
 import { createProblem } from "../refusals/problem.ts";
 import { CallerBuffers } from "./caller_buffers.ts";
 import { CallerConnection } from "./caller_connection.ts";
+import { createCallerListener } from "./caller_listener.ts";
 import { forwardToScripts } from "./scripts_forwarder.ts";
 import { tryGetRequestId } from "./concerned_request.ts";
 import type {
@@ -74,8 +75,9 @@
         onCut: (caller, connection) =>
           void this.#abortSlowCaller(caller, connection),
       });
-    this.#listener = new HttpListener((incoming, outgoing) =>
-      this.#onRequest(incoming, outgoing)
+    this.#listener = createCallerListener(
+      (incoming, outgoing) => this.#onRequest(incoming, outgoing),
+      options,
     );
   }
 
@@ -170,6 +172,7 @@
         .finally(() => this.#catchUp = undefined);
     }
     this.#buffers?.refresh();
+    this.#listener.checkConnections(now);
     this.dispatch({ kind: "tick", now });
   }
 
--- a/src/entry/request_server_types.ts
+++ b/src/entry/request_server_types.ts
@@ -18,6 +18,8 @@
   readonly log: EventLog;
   /** Maximum bytes held for all callers together; undefined: only a limit per caller. */
   readonly heldBytesLimit?: number;
+  /** Open files and sockets that the process may have; undefined: not limited. */
+  readonly descriptorLimit?: number;
   /** Called after the process stalled; requests wait until the promise settles. */
   readonly onStalled: (gapMs: number) => Promise<void>;
   /** Called when state that is replicated to other entries has changed. */
--- a/src/process/process_settings.ts
+++ b/src/process/process_settings.ts
@@ -120,6 +120,8 @@
   /** Milliseconds for which requests may still be sent to a leaving back end. */
   leavingLimitMs: z.number().min(100).max(600_000).default(2000),
   heldBytesLimit: HELD_BYTES_LIMIT,
+  /** Open files and sockets that the platform allows the process. */
+  descriptorLimit: z.number().int().min(512).default(65_536),
   /** Limits on the retries of all entries together. */
   poolRetries: z.strictObject({
     share: z.number().min(0),
