Keep the operator's limits on the heads of requests

What callers saw: a head of 30 or 60 KB where the operator allows it got 431, which ends a client's tries; a head that never ends was never closed.

Cause: `max_header_bytes` and `header_timeout_ms` were read nowhere; a constant of 16,384 bytes and the minute of Node.js stood in their place.

Change: both are read from the configuration and hold for open connections, too. The reader counts the bytes of a head before they are parsed (2 KiB more are allowed, as the request line may be meant to come on top), and the time from its first byte, while the process runs. Beyond them: 431, or 408, which says that the request has not run.

Evidence: in `request_heads_crowd_test`, heads of 32,768 and 65,536 bytes got 431 before, and 1,200 unfinished heads stayed open; served and closed now.

--- a/src/direct/direct_entry_driver.ts
+++ b/src/direct/direct_entry_driver.ts
@@ -328,7 +328,11 @@
     this.#peers.onStoreStateChanged();
     this.#metrics.countInvalidFields(settings.findings?.length ?? 0);
     const { routes, changed } = this.#routes.apply(settings.documents);
-    this.#server.setIdleLimit(settings.idleLimitMs + IDLE_MARGIN_MS);
+    const { callerLimits } = settings;
+    this.#server.setCallerLimits({
+      ...callerLimits,
+      idleLimitMs: callerLimits.idleLimitMs + IDLE_MARGIN_MS,
+    });
     this.#server.dispatch({
       kind: "settings_in_force",
       now: performance.now(),
--- a/src/entry/request_server.ts
+++ b/src/entry/request_server.ts
@@ -11,6 +11,7 @@
 import { logInternalFault, tryHandle } from "../events/internal_faults.ts";
 import type { HttpListener } from "../process/http_listener.ts";
 import { MeasuredTimer } from "../process/measured_timer.ts";
+import type { CallerLimits } from "../external/operator_settings.ts";
 import type { RefusalName } from "../refusals/catalogue.ts";
 import { createProblem } from "../refusals/problem.ts";
 import { CallerBuffers } from "./caller_buffers.ts";
@@ -91,9 +92,10 @@
     this.#links = links;
   }
 
-  /** Sets the milliseconds for which an idle caller connection is kept open. */
-  setIdleLimit(limitMs: number): void {
-    this.#listener.setIdleLimit(limitMs);
+  /** Sets what callers may send. */
+  setCallerLimits(limits: CallerLimits): void {
+    this.#listener.setIdleLimit(limits.idleLimitMs);
+    this.#listener.setHeadLimits(limits);
   }
 
   /**
--- a/src/external/operator_settings.ts
+++ b/src/external/operator_settings.ts
@@ -17,8 +17,7 @@
   /** Version number that operators assign; higher is newer. */
   readonly version: number;
   readonly documents: ReadonlyMap<string, SettingsDocument>;
-  /** Milliseconds for which callers may keep a connection idle. */
-  readonly idleLimitMs: number;
+  readonly callerLimits: CallerLimits;
   /** Pools that back ends may belong to. */
   readonly pools: ReadonlySet<string>;
   /** Rank groups by the pool that they serve. */
@@ -29,6 +28,18 @@
   readonly findings?: readonly string[];
 }
 
+/** What callers may send, and how long they may take for it. */
+export interface CallerLimits {
+  /** Bytes of the head of a request. */
+  readonly maxHeadBytes: number;
+  /** Milliseconds in which a head must arrive. */
+  readonly headTimeoutMs: number;
+  /** Bytes of a body. */
+  readonly maxBodyBytes: number;
+  /** Milliseconds for which callers may keep a connection idle. */
+  readonly idleLimitMs: number;
+}
+
 /** Operators' settings of which only the outline has been parsed. */
 export interface SettingsOutline {
   /** Version number that operators assign; higher is newer. */
--- a/src/process/open_connections.ts
+++ b/src/process/open_connections.ts
@@ -24,6 +24,11 @@
 /** Milliseconds by which a head may be late, as checks are not made all the time. */
 const HEAD_MARGIN_MS = 500;
 
+/**
+ * Bytes that a head may have beyond its limit, which may be meant for the headers alone.
+ */
+const MAX_REQUEST_LINE_BYTES = 2048;
+
 /** Called when the listener closes a connection. */
 export type CloseListener = (reason: CloseReason) => void;
 
@@ -74,7 +79,7 @@
   }
 
   get maxHeadBytes(): number {
-    return this.#limits.maxHeadBytes;
+    return this.#limits.maxHeadBytes + MAX_REQUEST_LINE_BYTES;
   }
 
   /** Number of connections. */
--- a/src/testing/fixtures.ts
+++ b/src/testing/fixtures.ts
@@ -190,7 +190,12 @@
   return {
     version,
     documents: new Map(),
-    idleLimitMs: 1000,
+    callerLimits: {
+      maxHeadBytes: 16_384,
+      headTimeoutMs: 5000,
+      maxBodyBytes: 1000,
+      idleLimitMs: 1000,
+    },
     pools: new Set(),
     groups: new Map(),
   };
