Give up requests that hold memory without getting on

What callers saw: once bodies that stop short of their end filled three quarters of `heldBytesLimit`, every further body was refused until they left. 1,200 requests that wait, each with a head of 15 KB of short headers, ended an entry. A body of over 8 MiB got 413, which ends a client's tries, although the operator allows up to 16 MiB.

Cause: whoever came last was refused, whoever stopped held his part; a head of short headers occupies some thirty times its bytes, and none of it was counted; the largest body had to fit into its part of the limit, and was bounded below what operators write.

Change: a body that does not get on is refused in place of the one that needs room: under 4 KiB in a second, or larger and over a second old; the one that held most for the longest first. What a head occupies beyond 8 KiB counts with the bodies. One body at a time may be larger than its part, up to 16 MiB, while answers and other bodies are small; it counts as a quarter, and is refused if answers come to need its memory. The operator's limit ends the reading of a body that is too long.

`held_bytes_test` has the rule.

--- a/src/entry/caller_buffers.ts
+++ b/src/entry/caller_buffers.ts
@@ -20,6 +20,12 @@
 import type { AttemptId, PausableAnswers } from "./target_links.ts";
 import type { EntryEvent } from "./types.ts";
 
+/**
+ * Bytes of a head that are not counted. Many requests with usual heads may wait while
+ * bodies fill their part of the limit.
+ */
+const FREE_HEAD_BYTES = 8192;
+
 /** Options of {@link CallerBuffers}. */
 export interface CallerBuffersOptions {
   /** Maximum bytes to hold for all callers together. */
@@ -71,24 +77,46 @@
     });
   }
 
-  /** Creates a meter that counts the caller's request body while it is read. */
-  createMeter(caller: number): BodyMeter {
+  /**
+   * Creates a meter that counts the caller's request while it is read; `headBytes` are
+   * those that its head occupies.
+   */
+  createMeter(caller: number, headBytes: number): BodyMeter {
+    const countedHeadBytes = Math.max(0, headBytes - FREE_HEAD_BYTES);
+    let heldBytes = 0;
     return {
       mayRead: (declaredBytes) => {
-        const mayRead = this.#held.canReadBody(declaredBytes);
-        if (!mayRead) this.#logRefusedBody(caller, declaredBytes);
-        return mayRead;
-      },
-      tryCount: (bytes) => {
+        const bytes = declaredBytes + countedHeadBytes;
         const { isAllowed, actions } = this.#held
-          .addBodyBytes(caller, bytes, performance.now());
+          .makeRoomForBody(caller, bytes, performance.now());
         this.#execute(actions);
+        if (!isAllowed) this.#logRefusedBody(caller, declaredBytes);
+        else if (countedHeadBytes > 0) {
+          this.#addBodyBytes(caller, countedHeadBytes);
+        }
+        return isAllowed;
+      },
+      tryHold: (bytes) => {
+        const isAllowed = this.#addBodyBytes(caller, bytes - heldBytes);
+        heldBytes = bytes;
         if (!isAllowed) this.#logRefusedBody(caller, undefined);
         return isAllowed;
       },
     };
   }
 
+  /** Keeps a request that was read completely from being given up. */
+  completeBody(caller: number): void {
+    this.#held.completeBody(caller);
+  }
+
+  #addBodyBytes(caller: number, bytes: number): boolean {
+    const { isAllowed, actions } = this.#held
+      .addBodyBytes(caller, bytes, performance.now());
+    this.#execute(actions);
+    return isAllowed;
+  }
+
   /** Sets the attempt that produces the answer; pauses it if the caller is paused. */
   setSource(
     attempt: AttemptId,
@@ -163,6 +191,11 @@
         case "cut":
           this.#cut(action);
           break;
+        case "refuse_body":
+          this.#logRefusedBody(action.caller, undefined);
+          this.#callers.get(action.caller)?.connection
+            .stopReading("BODIES_FILL_MEMORY");
+          break;
       }
     }
   }
--- a/src/entry/caller_connection.ts
+++ b/src/entry/caller_connection.ts
@@ -11,21 +11,31 @@
 import type { ProblemDetails } from "../refusals/types.ts";
 import { resetWhenClosed } from "../core/socket_reset.ts";
 import { BodyBuffer } from "./body_buffer.ts";
-import { BODY_BOUNDS } from "../settings/schema.ts";
 import type { CallerProtocol } from "./caller_protocol.ts";
 import type { CallerRequest } from "./types.ts";
 
-/** Upper bound on the body size of every service, in bytes; settings can lower it. */
-const MAX_BODY_BYTES = BODY_BOUNDS.max;
 /** Unsent bytes above which a caller is too slow. */
 const MAX_UNSENT_BYTES = 4 * 1024 * 1024;
 
+/**
+ * Bytes of memory for each name and each value of a header, besides its characters: the
+ * text itself, and its places in the lists and maps that are made of them.
+ */
+const HEADER_TEXT_BYTES = 100;
+
 /** Counts a request body against the memory limit of bodies. */
 export interface BodyMeter {
   /** Whether a body of this length may be read; the length is 0 if it is unknown. */
   mayRead(declaredBytes: number): boolean;
-  /** Counts bytes that were read; returns false if the rest may not be read. */
-  tryCount(bytes: number): boolean;
+  /** Sets the bytes held of the body; returns false if the rest may not be read. */
+  tryHold(bytes: number): boolean;
+}
+
+/** Limits on a request that is read. */
+export interface ReadOptions {
+  readonly meter: BodyMeter | undefined;
+  /** Bytes of the largest body that any service allows. */
+  readonly maxBodyBytes: number;
 }
 
 /** One caller's HTTP exchange. */
@@ -36,6 +46,7 @@
   /** Whether the answer has neither a length nor chunks, as for callers of HTTP/1.0. */
   #endsWithConnection = false;
   #onBufferChange: (() => void) | undefined;
+  #stopReading: ((reason: RefusalName) => void) | undefined;
 
   /** Creates a connection for an exchange whose request has not been read. */
   constructor(
@@ -87,6 +98,14 @@
     });
   }
 
+  /** Bytes of memory that the head of the request occupies, estimated. */
+  get headBytes(): number {
+    const { rawHeaders } = this.#incoming;
+    let bytes = rawHeaders.length * HEADER_TEXT_BYTES;
+    for (const text of rawHeaders) bytes += text.length;
+    return bytes;
+  }
+
   /** Whether the request has an idempotency key, valid or not. */
   get isKeyed(): boolean {
     return this.#incoming.headers["idempotency-key"] !== undefined;
@@ -106,14 +125,14 @@
    *
    * @example
    * ```ts
-   * const request = await connection.read(id);
+   * const request = await connection.read(id, { meter, maxBodyBytes });
    * ```
    */
   async read(
     id: number,
-    meter?: BodyMeter,
+    options: ReadOptions,
   ): Promise<Result<CallerRequest, RefusalName>> {
-    const body = await this.#readBody(meter);
+    const body = await this.#readBody(options);
     if (body.isErr()) return body;
     const fields = this.#protocol.read(this.#incoming.headers, body.value);
     if (fields.isErr()) return fields;
@@ -127,6 +146,11 @@
     });
   }
 
+  /** Ends {@link read} with a refusal if the body has not been read completely. */
+  stopReading(reason: RefusalName): void {
+    this.#stopReading?.(reason);
+  }
+
   /**
    * Starts a streamed answer. Without a length it is sent in chunks, however the back end
    * marks its end: if this process is killed, the last chunk is missing, while the end of
@@ -190,6 +214,7 @@
       this.#outgoing.setHeader("connection", "close");
     }
     this.#outgoing.end(body);
+    this.#onBufferChange?.();
   }
 
   /**
@@ -197,35 +222,44 @@
    * in chunks of one byte.
    */
   #readBody(
-    meter: BodyMeter | undefined,
+    { meter, maxBodyBytes }: ReadOptions,
   ): Promise<Result<Uint8Array, RefusalName>> {
-    if (meter?.mayRead(this.#declaredBytes) === false) {
+    const declaredBytes = this.#declaredBytes;
+    if (declaredBytes > maxBodyBytes) {
+      return Promise.resolve(Err("BODY_TOO_LARGE"));
+    }
+    if (meter?.mayRead(declaredBytes) === false) {
       return Promise.resolve(Err("BODIES_FILL_MEMORY"));
     }
     const body = new BodyBuffer();
     return new Promise((resolve) => {
+      const finish = (result: Result<Uint8Array, RefusalName>) => {
+        this.#incoming.off("data", onData);
+        this.#stopReading = undefined;
+        resolve(result);
+      };
       const onData = (piece: Uint8Array) => {
-        const heldBytes = body.heldBytes;
         body.append(piece);
-        if (body.length > MAX_BODY_BYTES) return refuse("BODY_TOO_LARGE");
-        const isHeld = meter?.tryCount(body.heldBytes - heldBytes) ?? true;
-        if (!isHeld) refuse("BODIES_FILL_MEMORY");
-      };
-      const refuse = (reason: RefusalName) => {
-        this.#incoming.off("data", onData);
-        resolve(Err(reason));
+        if (body.length > maxBodyBytes) return finish(Err("BODY_TOO_LARGE"));
+        const isHeld = meter?.tryHold(body.heldBytes) ?? true;
+        if (!isHeld) finish(Err("BODIES_FILL_MEMORY"));
       };
+      this.#stopReading = (reason) => finish(Err(reason));
       this.#incoming.on("data", onData);
-      this.#incoming.once("end", () => resolve(Ok(body.take())));
+      this.#incoming.once("end", () => {
+        const bytes = body.take();
+        if (bytes.length > 0) meter?.tryHold(bytes.length);
+        finish(Ok(bytes));
+      });
       // The caller has left, or its body was malformed.
-      this.#incoming.once("error", () => refuse("BAD_BODY"));
+      this.#incoming.once("error", () => this.stopReading("BAD_BODY"));
+      this.#incoming.once("close", () => this.stopReading("BAD_BODY"));
     });
   }
 
-  /** Body size by the headers, in bytes; 0: unknown, or more than any service allows. */
+  /** Body size by the headers, in bytes; 0 if it is unknown. */
   get #declaredBytes(): number {
-    const bytes = Number(this.#incoming.headers["content-length"] ?? 0);
-    return bytes <= MAX_BODY_BYTES ? bytes : 0;
+    return Number(this.#incoming.headers["content-length"] ?? 0);
   }
 }
 
--- a/src/entry/held_bytes.ts
+++ b/src/entry/held_bytes.ts
@@ -4,6 +4,7 @@
  *
  * @module
  */
+import { HeldBodies } from "./held_bodies.ts";
 
 /** Unsent bytes of one caller above which its back end is paused. */
 export const PAUSE_THRESHOLD_BYTES = 64 * 1024;
@@ -13,6 +14,14 @@
 const STALL_TIMEOUT_MS = 1000;
 /** Share of the limit that bodies may occupy, so that they don't displace answers. */
 const MAX_BODY_SHARE = 0.75;
+/**
+ * Share of the limit up to which a large body counts, of which there may be one: a body
+ * that a service allows may be larger than the limit.
+ */
+const LARGE_BODY_SHARE = 0.25;
+/** Shares of the limit that answers and other bodies may occupy beside a large body. */
+const MAX_ANSWERS_BESIDE = 0.5;
+const MAX_BODIES_BESIDE = 0.25;
 
 /** Pauses the back end of a caller's answer. */
 export interface PauseAnswer {
@@ -40,8 +49,20 @@
   readonly heldBytes: number;
 }
 
+/** Refuses a request whose body is not complete. */
+export interface RefuseBody {
+  readonly kind: "refuse_body";
+  readonly caller: number;
+  /** Bytes that the process held of the body. */
+  readonly bodyBytes: number;
+}
+
 /** An action that keeps the held bytes within the limit. */
-export type HeldBytesAction = PauseAnswer | ResumeAnswer | CutCaller;
+export type HeldBytesAction =
+  | PauseAnswer
+  | ResumeAnswer
+  | CutCaller
+  | RefuseBody;
 
 /** Whether a request body may be read, and the actions that make room for it. */
 export interface BodyDecision {
@@ -69,11 +90,12 @@
 export class HeldBytes {
   readonly limitBytes: number;
   readonly #callers = new Map<number, SlowCaller>();
-  readonly #bodies = new Map<number, number>();
+  readonly #bodies = new HeldBodies();
   /** Callers that are being cut off; updates of their answers are ignored. */
   readonly #cutCallers = new Set<number>();
+  /** The caller whose body may be larger than the share of all bodies. */
+  #largeBodyCaller: number | undefined;
   #answerBytes = 0;
-  #bodyBytes = 0;
   #pausedCount = 0;
 
   /** Creates an empty tracker; `limitBytes` bounds the sum over all callers. */
@@ -88,12 +110,12 @@
 
   /** Bytes of request bodies. */
   get bodyBytes(): number {
-    return this.#bodyBytes;
+    return this.#bodies.bytes;
   }
 
   /** Bytes held in total. */
   get heldBytes(): number {
-    return this.#answerBytes + this.#bodyBytes;
+    return this.#answerBytes + this.#bodies.bytes;
   }
 
   /** Number of callers whose back ends are paused. */
@@ -147,18 +169,36 @@
     return this.#canHold(declaredBytes);
   }
 
+  /** Makes room for a request body; the length is 0 if unknown. */
+  makeRoomForBody(
+    caller: number,
+    declaredBytes: number,
+    now: number,
+  ): BodyDecision {
+    const actions = this.#refuseUntilWithinLimit(caller, declaredBytes, now);
+    const isAllowed = this.#canHold(declaredBytes) ||
+      this.#tryAllowLargeBody(caller, declaredBytes);
+    return { isAllowed, actions };
+  }
+
   /** Adds bytes of a request body that were read. */
   addBodyBytes(caller: number, bytes: number, now: number): BodyDecision {
-    this.#bodies.set(caller, (this.#bodies.get(caller) ?? 0) + bytes);
-    this.#bodyBytes += bytes;
-    const actions = this.#cutStalledUntilWithinLimit(now);
-    return { isAllowed: this.#canHold(0), actions };
+    this.#bodies.add(caller, bytes, now);
+    if (!this.#canHold(0)) this.#tryAllowLargeBody(caller, 0);
+    const cuts = this.#cutStalledUntilWithinLimit(now);
+    const refusals = this.#refuseUntilWithinLimit(caller, 0, now);
+    return { isAllowed: this.#canHold(0), actions: [...cuts, ...refusals] };
+  }
+
+  /** Keeps a request body that was read completely. */
+  completeBody(caller: number): void {
+    this.#bodies.complete(caller);
   }
 
   /** Releases the bytes of the caller's request body. */
   releaseBody(caller: number): void {
-    this.#bodyBytes -= this.#bodies.get(caller) ?? 0;
-    this.#bodies.delete(caller);
+    this.#bodies.release(caller);
+    if (this.#largeBodyCaller === caller) this.#largeBodyCaller = undefined;
   }
 
   /** Releases all bytes of a caller whose answer was sent or whose connection closed. */
@@ -169,8 +209,48 @@
   }
 
   #canHold(moreBytes: number): boolean {
-    return this.heldBytes + moreBytes <= this.limitBytes &&
-      this.#bodyBytes + moreBytes <= MAX_BODY_SHARE * this.limitBytes;
+    const bodyBytes = this.#countedBodyBytes + moreBytes;
+    return this.#answerBytes + bodyBytes <= this.limitBytes &&
+      bodyBytes <= MAX_BODY_SHARE * this.limitBytes;
+  }
+
+  /** Bytes of all bodies, of which a large one counts in part. */
+  get #countedBodyBytes(): number {
+    if (this.#largeBodyCaller === undefined) return this.#bodies.bytes;
+    const largeBytes = this.#bodies.getBytes(this.#largeBodyCaller);
+    const countedBytes = LARGE_BODY_SHARE * this.limitBytes;
+    return this.#bodies.bytes - Math.max(0, largeBytes - countedBytes);
+  }
+
+  get #isOverLimit(): boolean {
+    return this.#answerBytes + this.#countedBodyBytes > this.limitBytes;
+  }
+
+  /** Allows one body to be larger than the share of all bodies while others are small. */
+  #tryAllowLargeBody(caller: number, moreBytes: number): boolean {
+    if (this.#largeBodyCaller === caller) return true;
+    const bytes = this.#bodies.getBytes(caller);
+    const isLarge = bytes + moreBytes > LARGE_BODY_SHARE * this.limitBytes;
+    const hasRoom = this.#largeBodyCaller === undefined &&
+      this.#answerBytes <= MAX_ANSWERS_BESIDE * this.limitBytes &&
+      this.#bodies.bytes - bytes <= MAX_BODIES_BESIDE * this.limitBytes;
+    if (isLarge && hasRoom) this.#largeBodyCaller = caller;
+    return isLarge && hasRoom;
+  }
+
+  /** Refuses a large body that is not complete when answers need its memory. */
+  #refuseLargeBody(): readonly RefuseBody[] {
+    const caller = this.#largeBodyCaller;
+    const isNeeded = this.#answerBytes > MAX_ANSWERS_BESIDE * this.limitBytes;
+    if (caller === undefined || !isNeeded) return [];
+    if (this.#bodies.isComplete(caller)) return [];
+    return [this.#refuseBody(caller)];
+  }
+
+  #refuseBody(caller: number): RefuseBody {
+    const bodyBytes = this.#bodies.getBytes(caller);
+    this.releaseBody(caller);
+    return { kind: "refuse_body", caller, bodyBytes };
   }
 
   #planFlowControl(
@@ -203,9 +283,12 @@
     if (state.pausedAt !== undefined) this.#pausedCount--;
   }
 
-  #cutUntilWithinLimit(now: number): readonly CutCaller[] {
-    const actions = [...this.#cutStalledUntilWithinLimit(now)];
-    while (this.heldBytes > this.limitBytes) {
+  #cutUntilWithinLimit(now: number): readonly HeldBytesAction[] {
+    const actions: HeldBytesAction[] = [
+      ...this.#refuseLargeBody(),
+      ...this.#cutStalledUntilWithinLimit(now),
+    ];
+    while (this.#isOverLimit) {
       const caller = this.#tryFindLargest(() => true);
       if (caller === undefined) break;
       actions.push(this.#cutCaller(caller, now));
@@ -215,7 +298,7 @@
 
   #cutStalledUntilWithinLimit(now: number): readonly CutCaller[] {
     const actions: CutCaller[] = [];
-    while (this.heldBytes > this.limitBytes) {
+    while (this.#isOverLimit) {
       const caller = this.#tryFindLargest(({ progressAt }) =>
         now - progressAt >= STALL_TIMEOUT_MS
       );
@@ -225,6 +308,22 @@
     return actions;
   }
 
+  /** Gives up bodies that do not get on until `moreBytes` fit. */
+  #refuseUntilWithinLimit(
+    caller: number,
+    moreBytes: number,
+    now: number,
+  ): readonly RefuseBody[] {
+    const actions: RefuseBody[] = [];
+    const bytes = this.#bodies.getBytes(caller) + moreBytes;
+    while (!this.#canHold(moreBytes)) {
+      const victim = this.#bodies.tryFindVictim({ caller, bytes }, now);
+      if (victim === undefined) break;
+      actions.push(this.#refuseBody(victim));
+    }
+    return actions;
+  }
+
   #tryFindLargest(
     isCandidate: (state: SlowCaller) => boolean,
   ): number | undefined {
--- a/src/entry/held_bytes_test.ts
+++ b/src/entry/held_bytes_test.ts
@@ -107,3 +107,69 @@
     assert.deepEqual(late.actions.map(describeAction), ["cut 1"]);
   });
 });
+
+describe("request bodies that do not get on", () => {
+  const LARGE = 0.7 * LIMIT;
+
+  // Guards against ordinary callers that are refused for bodies that never end.
+  it("are given up for others, the one that held most for the longest first", () => {
+    const held = new HeldBytes(LIMIT);
+    held.addBodyBytes(1, 0.1 * LIMIT, 0);
+    held.addBodyBytes(2, 0.6 * LIMIT, 0);
+    const early = held.makeRoomForBody(3, 0.1 * LIMIT, 900);
+    assert.deepEqual(early, { isAllowed: false, actions: [] });
+    const late = held.makeRoomForBody(3, 0.1 * LIMIT, 1000);
+    assert.ok(late.isAllowed);
+    assert.deepEqual(late.actions.map(describeAction), ["refuse_body 2"]);
+  });
+
+  it("are given up although they grow by a few bytes", () => {
+    const held = new HeldBytes(LIMIT);
+    held.addBodyBytes(1, LARGE, 0);
+    for (let now = 0; now < 2000; now += 100) held.addBodyBytes(1, 1, now);
+    const { actions } = held.makeRoomForBody(2, 0.1 * LIMIT, 2000);
+    assert.deepEqual(actions.map(describeAction), ["refuse_body 1"]);
+  });
+
+  it("are kept if they are complete", () => {
+    const held = new HeldBytes(LIMIT);
+    held.addBodyBytes(1, LARGE, 0);
+    held.completeBody(1);
+    assert.deepEqual(held.makeRoomForBody(2, 0.1 * LIMIT, 9000), {
+      isAllowed: false,
+      actions: [],
+    });
+  });
+});
+
+describe("one request body that is larger than the limit", () => {
+  const DECLARED = 1.5 * LIMIT;
+
+  it("is read, and leaves room for small ones and for answers", () => {
+    const held = new HeldBytes(LIMIT);
+    assert.ok(held.makeRoomForBody(1, DECLARED, 0).isAllowed);
+    for (let now = 0; now < 15; now++) {
+      assert.ok(held.addBodyBytes(1, 0.1 * LIMIT, now).isAllowed);
+    }
+    held.completeBody(1);
+    assert.ok(held.addBodyBytes(2, 0.1 * LIMIT, 20).isAllowed);
+    assert.deepEqual(updateUnsent(held, 3, 400, 20), ["pause 3"]);
+  });
+
+  it("is refused beside another one, and beside large answers", () => {
+    const held = new HeldBytes(LIMIT);
+    assert.ok(held.makeRoomForBody(1, DECLARED, 0).isAllowed);
+    assert.ok(!held.makeRoomForBody(2, DECLARED, 0).isAllowed);
+    held.release(1);
+    updateUnsent(held, 3, 600, 0);
+    assert.ok(!held.makeRoomForBody(2, DECLARED, 0).isAllowed);
+  });
+
+  it("is refused when answers need its memory before it is complete", () => {
+    const held = new HeldBytes(LIMIT);
+    held.makeRoomForBody(1, DECLARED, 0);
+    held.addBodyBytes(1, LIMIT, 0);
+    const actions = updateUnsent(held, 2, 600, 10);
+    assert.deepEqual(actions, ["pause 2", "refuse_body 1"]);
+  });
+});
--- a/src/entry/request_server.ts
+++ b/src/entry/request_server.ts
@@ -14,6 +14,7 @@
 import type { CallerLimits } from "../external/operator_settings.ts";
 import type { RefusalName } from "../refusals/catalogue.ts";
 import { createProblem } from "../refusals/problem.ts";
+import { BODY_BOUNDS } from "../settings/schema.ts";
 import { CallerBuffers } from "./caller_buffers.ts";
 import { CallerConnection } from "./caller_connection.ts";
 import { createCallerListener } from "./caller_listener.ts";
@@ -49,6 +50,7 @@
   readonly #options: RequestServerOptions;
   readonly #exchanges = new Map<number, CallerExchange>();
   readonly #listener: HttpListener;
+  #maxBodyBytes = BODY_BOUNDS.max;
   readonly #buffers: CallerBuffers | undefined;
   readonly #stallGuard = new StallGuard({
     now: () => performance.now(),
@@ -96,6 +98,7 @@
   setCallerLimits(limits: CallerLimits): void {
     this.#listener.setIdleLimit(limits.idleLimitMs);
     this.#listener.setHeadLimits(limits);
+    this.#maxBodyBytes = limits.maxBodyBytes;
   }
 
   /**
@@ -193,8 +196,12 @@
     if (this.#isClosing) connection.closeAfterAnswer();
     const id = this.#nextRequestId++;
     this.#buffers?.open(id, connection);
-    const meter = this.#buffers?.createMeter(id);
-    const request = await connection.read(id, meter);
+    const meter = this.#buffers?.createMeter(id, connection.headBytes);
+    const request = await connection.read(id, {
+      meter,
+      maxBodyBytes: this.#maxBodyBytes,
+    });
+    this.#buffers?.completeBody(id);
     if (request.isErr()) {
       this.#buffers?.finish(id);
       return this.#refuseUnread(connection, request.error);
--- a/src/settings/schema.ts
+++ b/src/settings/schema.ts
@@ -28,7 +28,7 @@
 /** Bounds of deadlines in milliseconds. */
 export const DEADLINE_BOUNDS = { min: 10, max: 3_600_000 };
 /** Bounds of the size of request bodies, which entries hold in memory. */
-export const BODY_BOUNDS = { min: 0, max: 8_388_608 };
+export const BODY_BOUNDS = { min: 0, max: 16_777_216 };
 
 /** An integer within bounds. */
 function integerWithin(
