Refuse bodies that arrive after their callers stopped waiting

What callers saw: nothing; the entry kept a request whose body never ended, with its connection, for as long as the client stayed.

Cause: nobody waited for a body with a clock.

Change: a body has the time that its caller waits, from the end of the head, or ten minutes where no deadline is named. Then 408 `BODY_TOO_LATE`, which says that the request has not run, and the connection is closed. The time for which the process stalled is not counted, as what arrived then has not been read.

Evidence: 50 unfinished bodies with a deadline of one second were never closed before (the fixture waits 30 s), and are closed now; then an ordinary caller is served.

--- a/src/entry/caller_connection.ts
+++ b/src/entry/caller_connection.ts
@@ -146,6 +146,11 @@
     });
   }
 
+  /** Milliseconds that the caller waits, if its head says so. */
+  get deadlineMs(): number | undefined {
+    return this.#protocol.getDeadlineMs(this.#incoming.headers);
+  }
+
   /** Ends {@link read} with a refusal if the body has not been read completely. */
   stopReading(reason: RefusalName): void {
     this.#stopReading?.(reason);
--- a/src/entry/caller_protocol.ts
+++ b/src/entry/caller_protocol.ts
@@ -34,6 +34,9 @@
     body: Uint8Array,
   ): Result<CallerRequestFields, RefusalName>;
 
+  /** Returns the milliseconds that the caller waits; undefined if it names none. */
+  abstract getDeadlineMs(headers: IncomingHttpHeaders): number | undefined;
+
   /** Returns the request headers that a refusal repeats. */
   abstract refusalHeaders(headers: IncomingHttpHeaders): readonly Header[];
 }
@@ -69,6 +72,10 @@
     });
   }
 
+  override getDeadlineMs(headers: IncomingHttpHeaders): number | undefined {
+    return readDeadline(headers[DEADLINE_HEADER]).unwrapOr(undefined);
+  }
+
   override refusalHeaders(): readonly Header[] {
     return [];
   }
--- a/src/entry/request_server.ts
+++ b/src/entry/request_server.ts
@@ -26,6 +26,7 @@
   RequestServerOptions,
 } from "./request_server_types.ts";
 import { StallGuard } from "./stall_guard.ts";
+import { UnreadRequests } from "./unread_requests.ts";
 import type { TargetLinks } from "./target_links.ts";
 import type {
   CallerRequest,
@@ -49,6 +50,7 @@
 export class RequestServer {
   readonly #options: RequestServerOptions;
   readonly #exchanges = new Map<number, CallerExchange>();
+  readonly #unread = new UnreadRequests();
   readonly #listener: HttpListener;
   #maxBodyBytes = BODY_BOUNDS.max;
   readonly #buffers: CallerBuffers | undefined;
@@ -178,6 +180,7 @@
     }
     this.#buffers?.refresh();
     this.#listener.checkConnections(now);
+    this.#unread.refuseLate(now, gap > MIN_STALL_MS ? gap : 0);
     this.dispatch({ kind: "tick", now });
   }
 
@@ -197,10 +200,12 @@
     const id = this.#nextRequestId++;
     this.#buffers?.open(id, connection);
     const meter = this.#buffers?.createMeter(id, connection.headBytes);
+    this.#unread.add(id, connection, headReadAt);
     const request = await connection.read(id, {
       meter,
       maxBodyBytes: this.#maxBodyBytes,
     });
+    this.#unread.delete(id);
     this.#buffers?.completeBody(id);
     if (request.isErr()) {
       this.#buffers?.finish(id);
--- a/src/refusals/catalogue.ts
+++ b/src/refusals/catalogue.ts
@@ -73,6 +73,11 @@
     title: "No target serves this request now",
     retryAfterSeconds: 2,
   },
+  BODY_TOO_LATE: {
+    code: 4010,
+    status: 408,
+    title: "The body did not arrive within the time of its request",
+  },
   ORGANISATION_RATE: {
     code: 5004,
     status: 429,
