Bound connections of processes until they are authenticated

What operators would see: at an address for other processes, 20 connections that send a frame of 15 MiB without its end took over 360 MB, and any number could be open. Clients cannot reach these addresses on the users' platform.

Cause: frames of up to 16 MiB were taken before the handshake, and only its time was bounded.

Change: until it is authenticated, a connection may send 16 KiB; 768 may be open, the oldest is closed for one more. All 720 entries of the size planned for may still connect at once.

--- a/src/direct/peers/peer_server.ts
+++ b/src/direct/peers/peer_server.ts
@@ -7,7 +7,11 @@
 import { performance } from "node:perf_hooks";
 import type { EventLog } from "../../events/event_log.ts";
 import type { Link } from "../../links/link.ts";
-import { type LinkIdentity, LinkServer } from "../../links/link_server.ts";
+import {
+  LINK_LISTENER_OPTIONS,
+  type LinkIdentity,
+  LinkServer,
+} from "../../links/link_server.ts";
 import { HttpListener } from "../../process/http_listener.ts";
 import type { PermitResponse } from "../../policy/send_permits.ts";
 import type { ReplicatedState } from "./replicated_state.ts";
@@ -28,7 +32,7 @@
 /** Answers the queries of other entries. */
 export class PeerServer {
   readonly #options: PeerServerOptions;
-  readonly #listener = new HttpListener();
+  readonly #listener = new HttpListener(undefined, LINK_LISTENER_OPTIONS);
   readonly #updates: FollowerUpdates;
 
   /** Does not listen yet. */
--- a/src/direct/rank_driver.ts
+++ b/src/direct/rank_driver.ts
@@ -22,7 +22,11 @@
   type RankState,
 } from "../messages/formed_group_types.ts";
 import type { Link } from "../links/link.ts";
-import { type LinkIdentity, LinkServer } from "../links/link_server.ts";
+import {
+  LINK_LISTENER_OPTIONS,
+  type LinkIdentity,
+  LinkServer,
+} from "../links/link_server.ts";
 import type { Message } from "../messages/types.ts";
 import { HttpListener } from "../process/http_listener.ts";
 import { MeasuredTimer } from "../process/measured_timer.ts";
@@ -83,7 +87,7 @@
   readonly #store: WatchedStore;
   readonly #identity: LinkIdentity;
   readonly #agent: RankAgent;
-  readonly #listener = new HttpListener();
+  readonly #listener = new HttpListener(undefined, LINK_LISTENER_OPTIONS);
   readonly #settings: SettingsFollower;
   #registry: ProcessRegistry | undefined;
   #decider: DeciderDriver | undefined;
--- a/src/links/link_server.ts
+++ b/src/links/link_server.ts
@@ -27,6 +27,19 @@
 /** Milliseconds in which a connection must be authenticated. */
 const HANDSHAKE_TIMEOUT_MS = 5000;
 
+/**
+ * Connections that may be without authentication at the same time. After a loss of power
+ * all entries may connect to one process at once.
+ */
+const MAX_UNAUTHENTICATED = 768;
+/** Bytes that a connection may send before it is authenticated. */
+const MAX_HANDSHAKE_BYTES = 16_384;
+
+/** Options of a listener that serves nothing else; each connection is upgraded at once. */
+export const LINK_LISTENER_OPTIONS = {
+  limits: { maxConnections: MAX_UNAUTHENTICATED },
+} as const;
+
 /** The identity of this process towards its peers. */
 export interface LinkIdentity {
   readonly deployment: string;
@@ -67,8 +80,8 @@
 export class LinkServer {
   readonly #server: WebSocketServer;
   readonly #options: LinkServerOptions;
-  /** Timers of connections that are not authenticated yet. */
-  readonly #handshakeTimers = new WeakMap<Link, NodeJS.Timeout>();
+  /** Connections that are not authenticated yet, the oldest first. */
+  readonly #handshakes = new Map<Link, Handshake>();
 
   /** Handles upgrade requests of an HTTP server. */
   constructor(http: Server, options: LinkServerOptions) {
@@ -89,27 +102,31 @@
       return;
     }
     this.#server.handleUpgrade(request, socket, head, (webSocket) => {
-      this.#startHandshake(webSocket);
+      this.#startHandshake(webSocket, socket);
     });
   }
 
-  #startHandshake(webSocket: import("ws").WebSocket): void {
+  #startHandshake(webSocket: import("ws").WebSocket, socket: Duplex): void {
     const nonce = createNonce();
     const { log } = this.#options;
     const listener: LinkListener = {
       onMessage: (message) => this.#finishHandshake(link, nonce, message),
       onClose: (fault) => {
-        clearTimeout(timeout);
+        this.#endHandshake(link);
         this.#options.listener.onRejected(fault);
       },
     };
     const link = new Link(webSocket, { log, listener });
-    const timeout = setTimeout(
-      () => link.close("HANDSHAKE_TIMEOUT"),
-      HANDSHAKE_TIMEOUT_MS,
-    );
+    this.#handshakes.set(link, new Handshake(link, socket));
     link.send({ kind: "challenge", protocol: PROTOCOL_VERSION, nonce });
-    this.#handshakeTimers.set(link, timeout);
+    if (this.#handshakes.size <= MAX_UNAUTHENTICATED) return;
+    const [oldest] = this.#handshakes.keys();
+    oldest?.terminate("HANDSHAKE_TIMEOUT");
+  }
+
+  #endHandshake(link: Link): void {
+    this.#handshakes.get(link)?.end();
+    this.#handshakes.delete(link);
   }
 
   #finishHandshake(link: Link, nonce: string, message: Message): void {
@@ -118,7 +135,7 @@
       link.close(fault ?? "UNEXPECTED_MESSAGE");
       return;
     }
-    clearTimeout(this.#handshakeTimers.get(link));
+    this.#endHandshake(link);
     const { identity, welcome, listener } = this.#options;
     link.send({
       kind: "welcome",
@@ -151,3 +168,31 @@
     return isAuthenticated ? undefined : "WRONG_PROOF";
   }
 }
+
+/** Limits what a connection may take until it is authenticated. */
+class Handshake {
+  readonly #socket: Duplex;
+  readonly #onData: (bytes: Uint8Array) => void;
+  readonly #timeout: NodeJS.Timeout;
+  #receivedBytes = 0;
+
+  constructor(link: Link, socket: Duplex) {
+    this.#socket = socket;
+    this.#onData = ({ length }) => {
+      this.#receivedBytes += length;
+      // A frame is held until it is complete, and may be long.
+      if (this.#receivedBytes <= MAX_HANDSHAKE_BYTES) return;
+      link.terminate("UNEXPECTED_MESSAGE");
+    };
+    socket.on("data", this.#onData);
+    this.#timeout = setTimeout(
+      () => link.close("HANDSHAKE_TIMEOUT"),
+      HANDSHAKE_TIMEOUT_MS,
+    );
+  }
+
+  end(): void {
+    clearTimeout(this.#timeout);
+    this.#socket.off("data", this.#onData);
+  }
+}
