Allow each head its own time, and close only clients that are ahead

What callers would see: a client that always has the next head under way when a read ends was closed with 408 after the time of one head, however many requests it had sent meanwhile; a body that waited for a later turn could be taken for requests sent ahead.

Cause: the time of a head began anew only when a read ended between two requests, and the bound on bytes sent ahead did not ask what they were.

--- a/src/process/connection_reader.ts
+++ b/src/process/connection_reader.ts
@@ -30,8 +30,8 @@
 const MAX_PARTIAL_END = SECTION_END.length - 1;
 const NO_BYTES = Buffer.alloc(0);
 /**
- * Bytes of a chunked body that are parsed at once. Trailers are counted by pieces without
- * bytes of the body.
+ * Bytes of a chunked body that are parsed at once. The trailers in a piece are counted by
+ * its lines, which is exact only if the piece has little of the body.
  */
 const CHUNKED_PIECE_BYTES = 8192;
 
@@ -96,7 +96,7 @@
   readonly #open = new Set<ServerResponse>();
   #phase: ReadingPhase = "none";
   #request: ObservedRequest | undefined;
-  /** Bytes that were read and not parsed. */
+  /** Bytes that were read and not parsed: requests ahead, or work of a later turn. */
   #rest: Buffer = NO_BYTES;
   /** The last bytes that were parsed of the current section. */
   #sectionTail: Buffer = NO_BYTES;
@@ -105,7 +105,7 @@
   /** Lines of headers or trailers among them. */
   #sectionLines = 0;
   #bodyBytes = 0;
-  /** Pieces in which the parser has passed on the body. */
+  /** Pieces in which the parser has passed on bodies; a chunk is one at least. */
   #bodyPieces = 0;
   #isParsing = false;
 
@@ -212,7 +212,8 @@
       ? bytes
       : Buffer.concat([this.#rest, bytes]);
     this.#parseRest();
-    if (this.#rest.length > MAX_READ_AHEAD_BYTES) {
+    const isAhead = this.#phase === "none";
+    if (isAhead && this.#rest.length > MAX_READ_AHEAD_BYTES) {
       this.#owner.onExcess(this, "ahead");
     }
   }
--- a/src/process/connection_reader_test.ts
+++ b/src/process/connection_reader_test.ts
@@ -213,6 +213,23 @@
     assert.match(String(await once(later, "data")), /^HTTP\/1.1 200 /);
   });
 
+  it("allow each head its time, though the next one has always begun", async () => {
+    const limits = { headTimeoutMs: 1000 };
+    const socket = await connectTo(answer, { limits });
+    const received = collect(socket);
+    listener?.checkConnections(0);
+    socket.write("GET /");
+    for (let second = 1; second <= 6; second++) {
+      await sleep(20);
+      listener?.checkConnections(second * 1000);
+      socket.write(" HTTP/1.1\r\nHost: a\r\n\r\nGET /");
+      await waitUntil(
+        "the request is answered",
+        () => getBodies(received.text).length === second,
+      );
+    }
+  });
+
   it("close the connection that has been of no use for the longest", async () => {
     const limits = { maxConnections: 2 };
     const first = await connectTo(answer, { limits });
--- a/src/process/open_connections.ts
+++ b/src/process/open_connections.ts
@@ -24,9 +24,7 @@
 /** Milliseconds by which a head may be late, as checks are not made all the time. */
 const HEAD_MARGIN_MS = 500;
 
-/**
- * Bytes that a head may have beyond its limit, which may be meant for the headers alone.
- */
+/** Bytes that a head may have beyond its limit, which may mean its headers alone. */
 const MAX_REQUEST_LINE_BYTES = 2048;
 
 /** Called when the listener closes a connection. */
@@ -38,6 +36,7 @@
   quietSince: number | undefined;
   /** Since when it has unfinished bytes. */
   unfinishedSince: number | undefined;
+  /** Since when it has sent a head that is not complete. */
   headSince: number | undefined;
   /** When the latest request was parsed. */
   requestAt: number;
@@ -145,7 +144,12 @@
     this.#openRequests += change;
     const times = this.#connections.get(reader);
     if (times === undefined) return;
-    if (change === 1) times.requestAt = this.#now;
+    if (change === 1) {
+      times.requestAt = this.#now;
+      // The bytes that follow belong to another head.
+      times.headSince = undefined;
+      times.unfinishedSince = undefined;
+    }
     this.#setQuiet(reader, times, reader.openRequests === 0);
   }
 
