Count the bytes of a head that begins behind a body

They were forgotten where a short body and the start of the next head were parsed together. Read from the code; the head was at most 8 KiB longer than its limit.

--- a/src/process/connection_reader.ts
+++ b/src/process/connection_reader.ts
@@ -306,7 +306,7 @@
     const isChunked = this.#phase === "body" &&
       this.#leftBodyBytes === undefined;
     if (!isHead && !isChunked) return this.#startSection();
-    if (bodyPieces > 0) this.#startSection();
+    if (isChunked && bodyPieces > 0) this.#startSection();
     this.#sectionTail = getTail(this.#sectionTail, piece);
     const chunkLines = LINES_PER_CHUNK * bodyPieces;
     const lines = Math.max(0, countLines(piece) - chunkLines);
