Give up bodies only where that helps, and only if they do not arrive

What callers would see: a body larger than its part of the limit had every body refused that did not get on, though it is read beside them; and a body that arrives in small pieces at up to 64 KiB a second counted as one that does not get on.

Cause: room was made before it was asked whether the body may exceed its part; progress was read from the memory held, which grows by blocks, in place of what arrived.

Both only apply while bodies fill their part.

--- a/src/entry/caller_buffers.ts
+++ b/src/entry/caller_buffers.ts
@@ -96,7 +96,10 @@
         }
         return isAllowed;
       },
-      tryHold: (bytes) => {
+      tryHold: (bytes, receivedBytes) => {
+        this.#held
+          .recordBodyProgress(caller, receivedBytes, performance.now());
+        if (bytes === heldBytes) return true;
         const isAllowed = this.#addBodyBytes(caller, bytes - heldBytes);
         heldBytes = bytes;
         if (!isAllowed) this.#logRefusedBody(caller, undefined);
--- a/src/entry/caller_connection.ts
+++ b/src/entry/caller_connection.ts
@@ -27,8 +27,11 @@
 export interface BodyMeter {
   /** Whether a body of this length may be read; the length is 0 if it is unknown. */
   mayRead(declaredBytes: number): boolean;
-  /** Sets the bytes held of the body; returns false if the rest may not be read. */
-  tryHold(bytes: number): boolean;
+  /**
+   * Sets the bytes held of the body, of which `receivedBytes` have arrived; returns false
+   * if the rest may not be read.
+   */
+  tryHold(bytes: number, receivedBytes: number): boolean;
 }
 
 /** Limits on a request that is read. */
@@ -246,14 +249,15 @@
       const onData = (piece: Uint8Array) => {
         body.append(piece);
         if (body.length > maxBodyBytes) return finish(Err("BODY_TOO_LARGE"));
-        const isHeld = meter?.tryHold(body.heldBytes) ?? true;
+        const isHeld = meter?.tryHold(body.heldBytes, body.length) ??
+          true;
         if (!isHeld) finish(Err("BODIES_FILL_MEMORY"));
       };
       this.#stopReading = (reason) => finish(Err(reason));
       this.#incoming.on("data", onData);
       this.#incoming.once("end", () => {
         const bytes = body.take();
-        if (bytes.length > 0) meter?.tryHold(bytes.length);
+        if (bytes.length > 0) meter?.tryHold(bytes.length, bytes.length);
         finish(Ok(bytes));
       });
       // The caller has left, or its body was malformed.
--- a/src/entry/held_bodies.ts
+++ b/src/entry/held_bodies.ts
@@ -57,8 +57,15 @@
       return;
     }
     body.bytes += bytes;
-    if (body.bytes - body.progressBytes < PROGRESS_BYTES) return;
-    body.progressBytes = body.bytes;
+    this.recordProgress(caller, body.bytes, now);
+  }
+
+  /** Records how many bytes of a body have arrived. */
+  recordProgress(caller: number, bytes: number, now: number): void {
+    const body = this.#bodies.get(caller);
+    if (body === undefined) return;
+    if (bytes - body.progressBytes < PROGRESS_BYTES) return;
+    body.progressBytes = bytes;
     body.progressAt = now;
   }
 
--- a/src/entry/held_bytes.ts
+++ b/src/entry/held_bytes.ts
@@ -175,16 +175,22 @@
     declaredBytes: number,
     now: number,
   ): BodyDecision {
+    if (this.#tryFit(caller, declaredBytes)) {
+      return { isAllowed: true, actions: [] };
+    }
     const actions = this.#refuseUntilWithinLimit(caller, declaredBytes, now);
-    const isAllowed = this.#canHold(declaredBytes) ||
-      this.#tryAllowLargeBody(caller, declaredBytes);
-    return { isAllowed, actions };
+    return { isAllowed: this.#tryFit(caller, declaredBytes), actions };
+  }
+
+  /** Records how much of a request body has arrived. */
+  recordBodyProgress(caller: number, receivedBytes: number, now: number): void {
+    this.#bodies.recordProgress(caller, receivedBytes, now);
   }
 
   /** Adds bytes of a request body that were read. */
   addBodyBytes(caller: number, bytes: number, now: number): BodyDecision {
     this.#bodies.add(caller, bytes, now);
-    if (!this.#canHold(0)) this.#tryAllowLargeBody(caller, 0);
+    this.#tryFit(caller, 0);
     const cuts = this.#cutStalledUntilWithinLimit(now);
     const refusals = this.#refuseUntilWithinLimit(caller, 0, now);
     return { isAllowed: this.#canHold(0), actions: [...cuts, ...refusals] };
@@ -208,6 +214,12 @@
     this.#cutCallers.delete(caller);
   }
 
+  /** Whether bytes fit without giving up others; they may make the body a large one. */
+  #tryFit(caller: number, moreBytes: number): boolean {
+    return this.#canHold(moreBytes) ||
+      this.#tryAllowLargeBody(caller, moreBytes);
+  }
+
   #canHold(moreBytes: number): boolean {
     const bodyBytes = this.#countedBodyBytes + moreBytes;
     return this.#answerBytes + bodyBytes <= this.limitBytes &&
--- a/src/entry/held_bytes_test.ts
+++ b/src/entry/held_bytes_test.ts
@@ -131,6 +131,16 @@
     assert.deepEqual(actions.map(describeAction), ["refuse_body 1"]);
   });
 
+  it("are kept if they arrive, though no more memory is held for them", () => {
+    const held = new HeldBytes(LIMIT);
+    held.addBodyBytes(1, LARGE, 0);
+    for (let second = 1; second <= 5; second++) {
+      held.recordBodyProgress(1, LARGE + second * 4 * KIB, second * 1000);
+    }
+    const larger = held.makeRoomForBody(2, 0.74 * LIMIT, 5500);
+    assert.deepEqual(larger, { isAllowed: false, actions: [] });
+  });
+
   it("are kept if they are complete", () => {
     const held = new HeldBytes(LIMIT);
     held.addBodyBytes(1, LARGE, 0);
@@ -156,6 +166,13 @@
     assert.deepEqual(updateUnsent(held, 3, 400, 20), ["pause 3"]);
   });
 
+  it("leaves small ones alone that do not get on", () => {
+    const held = new HeldBytes(LIMIT);
+    held.addBodyBytes(1, 0.1 * LIMIT, 0);
+    const decision = held.makeRoomForBody(2, DECLARED, 9000);
+    assert.deepEqual(decision, { isAllowed: true, actions: [] });
+  });
+
   it("is refused beside another one, and beside large answers", () => {
     const held = new HeldBytes(LIMIT);
     assert.ok(held.makeRoomForBody(1, DECLARED, 0).isAllowed);
