Fail answers without a length that are reset during an upload

Callers received part of an answer as a whole 200: a server answered a long upload early with a head without a length and two bytes, and reset the connection while the request was still being written.

Cause: a reset that arrives together with bytes of the answer is reported as an orderly end, and the check at that moment writes no bytes to see whether the connection was reset. While earlier writes are in progress, that write waits behind them in the stream and never reaches the kernel, so the check cannot fail.

An answer that ends with its connection now ends when the request is sent: the empty write stands behind the rest, and the end is passed to the client library when it succeeds. After a reset the pending write fails instead. A server may still end its answer early and read on. The error of a reset is passed to the library as one that does not complete an answer, so the flag that told the end of a call about the reset is no longer needed.

What is not known: whether bytes that the kernel has accepted will be read, if the end arrives in order and the reset only later.

Before, 'fails if the connection is reset 0 ms later' and 'fails if the connection is closed while bytes are unread' failed with 'whole' in place of 'broken'; 'fails if its server does not read the rest after the end' failed as the caller had given up the rest of its request by then.

--- a/src/external/http_back_end.ts
+++ b/src/external/http_back_end.ts
@@ -23,7 +23,6 @@
   type HttpConnection,
   HttpConnections,
 } from "./http_connections.ts";
-import { isReset } from "./pausable_reading.ts";
 
 const CONNECT_TIMEOUT_MS = 2000;
 /**
@@ -49,7 +48,6 @@
   readonly #connections: HttpConnections;
   readonly #lifetime: IdleLifetime;
   readonly #connectLimitMs: number;
-  readonly #resets = new ResetDetector();
 
   /** Creates a back end that connects on the first call. */
   constructor(options: HttpBackEndOptions) {
@@ -59,7 +57,7 @@
     this.#connections = new HttpConnections({
       address: options.address,
       maxConnections: options.maxConnections,
-      connect: this.#resets.createConnector(this.#connectLimitMs),
+      connect: createConnector(this.#connectLimitMs),
       lifetime: this.#lifetime,
     });
   }
@@ -76,7 +74,6 @@
       connection,
       connections: this.#connections,
       lifetime: this.#lifetime,
-      resets: this.#resets,
     });
     connection.client.dispatch({
       method: request.method as Dispatcher.HttpMethod,
@@ -92,50 +89,15 @@
   }
 }
 
-/**
- * Detects that a connection is being reset. The client library treats an answer without
- * a length as complete when its connection is reset, and reports its end while it
- * handles the reset; only an orderly close makes such an answer complete.
- */
-class ResetDetector {
-  #isResetting = false;
-
-  /** Whether the current event loop callback handles the reset of a connection. */
-  get isResetting(): boolean {
-    return this.#isResetting;
-  }
-
-  /**
-   * Creates connections whose errors are handled here before the library handles them.
-   */
-  createConnector(limitMs: number): buildConnector.connector {
-    const connect = buildConnector({ timeout: limitMs });
-    return (options, callback) =>
-      connect(options, (...result) => {
-        const [, socket] = result;
-        if (socket) {
-          socket.on("error", () => this.#onError());
-          this.#detectResetAtEnd(socket);
-          resetWhenAborted(socket);
-        }
-        callback(...result);
-      });
-  }
-
-  /**
-   * Detects a reset that libuv reports as an orderly end, as it does if the reset
-   * arrives together with unread bytes (`POLLHUP` after a partial read).
-   */
-  #detectResetAtEnd(socket: Socket): void {
-    socket.prependListener("end", () => {
-      if (isReset(socket)) this.#onError();
+/** Creates connections on which the answer to a request can end before the request. */
+function createConnector(limitMs: number): buildConnector.connector {
+  const connect = buildConnector({ timeout: limitMs, allowHalfOpen: true });
+  return (options, callback) =>
+    connect(options, (...result) => {
+      const [, socket] = result;
+      if (socket) resetWhenAborted(socket);
+      callback(...result);
     });
-  }
-
-  #onError(): void {
-    this.#isResetting = true;
-    queueMicrotask(() => this.#isResetting = false);
-  }
 }
 
 /**
@@ -170,7 +132,6 @@
   readonly connection: HttpConnection;
   readonly connections: HttpConnections;
   readonly lifetime: IdleLifetime;
-  readonly resets: ResetDetector;
 }
 
 class HttpBackEndCall implements Dispatcher.DispatchHandler, BackEndCall {
@@ -251,6 +212,8 @@
     this.#listener.onConnectionReusable?.(this.#reusableMs);
     const endsWithConnection = headers["content-length"] === undefined &&
       headers["transfer-encoding"] === undefined;
+    const { end } = this.#options.connection;
+    if (end !== undefined) end.endsAnswer = endsWithConnection;
     this.#listener.onHead(status, getEndToEndHeaders(headers), {
       endsWithConnection,
     });
@@ -268,13 +231,11 @@
   onResponseEnd(): void {
     this.#deliver();
     if (!this.#finish()) return;
-    const { connection, connections, resets } = this.#options;
-    const isReusable = this.#reusableMs > 0 && !resets.isResetting;
-    if (isReusable) {
+    const { connection, connections } = this.#options;
+    if (this.#reusableMs > 0) {
       connections.release(connection, this.#reusableMs, performance.now());
     } else connections.discard(connection);
-    if (resets.isResetting) this.#listener.onFailed("broken");
-    else this.#listener.onEnd();
+    this.#listener.onEnd();
   }
 
   onResponseError(
@@ -344,6 +305,8 @@
     if (this.#isFinished) return false;
     // The connection may be reused for another call.
     if (this.#isPaused) this.resume();
+    const { end } = this.#options.connection;
+    if (end !== undefined) end.endsAnswer = false;
     this.#isFinished = true;
     clearTimeout(this.#timeout);
     return true;
--- a/src/external/http_connections.ts
+++ b/src/external/http_connections.ts
@@ -13,6 +13,7 @@
 import type { buildConnector } from "undici";
 import type { IdleLifetime } from "../policy/idle_lifetime.ts";
 import type { SocketAddress } from "../messages/socket_address.ts";
+import { ConnectionEnd } from "./connection_end.ts";
 import { PausableReading } from "./pausable_reading.ts";
 
 /** Options of {@link HttpConnections}. */
@@ -52,6 +53,7 @@
   #reusableMs = 0;
   #isDisconnected = false;
   #reading: PausableReading | undefined;
+  #end: ConnectionEnd | undefined;
 
   /** Creates the state of a connection that was not used yet. */
   constructor(client: Client) {
@@ -67,9 +69,15 @@
     return this.#reading;
   }
 
+  /** The end of the connection; undefined before it is connected. */
+  get end(): ConnectionEnd | undefined {
+    return this.#end;
+  }
+
   /** Called with the connected socket, from which nothing was read yet. */
   onConnected(socket: Socket): void {
     this.#reading = new PausableReading(socket);
+    this.#end = new ConnectionEnd(socket);
   }
 
   /** Whether the server closed the connection during a call. */
--- a/src/external/pausable_reading.ts
+++ b/src/external/pausable_reading.ts
@@ -10,10 +10,9 @@
  *
  * @module
  */
-import { Buffer } from "node:buffer";
 import type { Socket } from "node:net";
+import { isReset } from "./connection_end.ts";
 
-const EMPTY = Buffer.alloc(0);
 /**
  * Milliseconds between two checks for a reset. Node.js does not detect a reset while
  * its buffer is full, as it does not read then.
@@ -65,10 +64,9 @@
   }
 
   #detectReset(): void {
-    if (this.#socket.writable && this.#socket.writableLength === 0) {
-      // Called for its write, which makes a reset socket emit `error`.
-      isReset(this.#socket);
-    }
+    // Called for its write, which makes a reset socket emit `error`. Without it, writes in
+    // progress do.
+    if (this.#socket.writableLength === 0) isReset(this.#socket);
   }
 
   #stopResetCheck(): void {
@@ -76,17 +74,3 @@
     this.#resetCheck = undefined;
   }
 }
-
-/**
- * Returns whether a socket was reset. A write of zero bytes sends nothing, but fails on
- * a socket that was reset; the socket's `error` event follows.
- *
- * @example
- * ```ts
- * socket.prependListener("end", () => console.log(isReset(socket)));
- * ```
- */
-export function isReset(socket: Socket): boolean {
-  if (socket.writable) socket.write(EMPTY);
-  return socket.errored !== null;
-}
