Fail answers with transfer codings that are not decoded

Callers received a whole 200 with the framing of the chunks as its body, or with a coded body whose coding was not named: a server answered with a `Transfer-Encoding` other than plain `chunked`.

Cause: the client library decodes chunks only if they are named alone. With any other coding, with more than one, with a parameter or without a name it reads until the connection is closed and passes on what came, as if the header were missing; the header itself concerns one connection and is not passed on.

The call now fails at the head of such an answer: 502 for callers, as the request has run. No request offers these codings, so no sound server uses them.

--- a/src/external/http_back_end.ts
+++ b/src/external/http_back_end.ts
@@ -17,6 +17,7 @@
 import { getEndToEndHeaders } from "../messages/http_headers.ts";
 import type { SocketAddress } from "../messages/socket_address.ts";
 import { resetWhenClosed } from "../core/socket_reset.ts";
+import { isReadableHead } from "./answer_head.ts";
 import {
   type AnswerHeaders,
   getReusableMs,
@@ -200,12 +201,15 @@
   }
 
   onResponseStart(
-    _controller: Dispatcher.DispatchController,
+    controller: Dispatcher.DispatchController,
     status: number,
     headers: AnswerHeaders,
   ): void {
     // Informational (1xx) responses precede the final one.
     if (status < 200 || this.#isFinished) return;
+    if (!isReadableHead(headers)) {
+      return controller.abort(new Error("The answer can't be read"));
+    }
     this.#hasHead = true;
     if (this.#isPaused) this.pause();
     this.#reusableMs = this.#getReusableMs(headers);
