Fail answers whose status HTTP does not define

Callers received answers with status 600 or 999 as they were. Statuses 000 to 199 and ones that are not three digits failed before.

Cause: the client library accepts any three digits. By RFC 9110 a status above 599 is invalid, and a recipient treats it like a 5xx; what the server meant by it, and whether the body belongs to it, is unknown. The call now fails like those with other invalid statuses: 502 for callers, as the request may have run.

Before, 'with status 600' and 'with status 999' failed with these statuses in place of 502 on the safe route, which the test calls first.

--- a/src/external/http_back_end.ts
+++ b/src/external/http_back_end.ts
@@ -207,7 +207,7 @@
   ): void {
     // Informational (1xx) responses precede the final one.
     if (status < 200 || this.#isFinished) return;
-    if (!isReadableHead(headers)) {
+    if (!isReadableHead(status, headers)) {
       return controller.abort(new Error("The answer can't be read"));
     }
     this.#hasHead = true;
