Parse answers of servers in pieces, one a turn of the event loop

A faulty server held up the callers of all other services of an entry: while six requests received header lines, interim answers, small chunks, trailers or lines of an event without end, a request to a sound service took 0.2 to 1.1 s.

Cause: the client library parses all that one read brought, up to 64 KiB, before anything else runs. Lines, interim answers and chunks cost much more by the byte than a body, and after too many header lines the library goes on and creates an error for each further one.

Reads now return 4 KiB a turn of the event loop for each connection, except of a body of known length. Answers whose head and body come in smaller reads, as the events of streams do, are read as before.

--- a/src/external/http_back_end.ts
+++ b/src/external/http_back_end.ts
@@ -32,7 +32,6 @@
  * processes the request mostly resets the connection later.
  */
 const STALE_RESET_LIMIT_MS = 100;
-
 /** Options of an {@link HttpBackEnd}. */
 export interface HttpBackEndOptions {
   readonly address: SocketAddress;
@@ -216,8 +215,9 @@
     this.#listener.onConnectionReusable?.(this.#reusableMs);
     const endsWithConnection = headers["content-length"] === undefined &&
       headers["transfer-encoding"] === undefined;
-    const { end } = this.#options.connection;
+    const { end, reading } = this.#options.connection;
     if (end !== undefined) end.endsAnswer = endsWithConnection;
+    if (headers["content-length"] !== undefined) reading?.startBody();
     this.#listener.onHead(status, getEndToEndHeaders(headers), {
       endsWithConnection,
     });
@@ -309,8 +309,9 @@
     if (this.#isFinished) return false;
     // The connection may be reused for another call.
     if (this.#isPaused) this.resume();
-    const { end } = this.#options.connection;
+    const { end, reading } = this.#options.connection;
     if (end !== undefined) end.endsAnswer = false;
+    reading?.endAnswer();
     this.#isFinished = true;
     clearTimeout(this.#timeout);
     return true;
--- a/src/external/pausable_reading.ts
+++ b/src/external/pausable_reading.ts
@@ -1,5 +1,6 @@
 /**
- * Pauses and resumes reading from the connection of a call.
+ * Pauses and resumes reading from the connection of a call, and divides the work of
+ * parsing among the turns of the event loop.
  *
  * The client library's own `pause` stops its parser. If an answer that ends with its
  * connection is closed or reset while the parser is paused, an assertion in the library
@@ -18,18 +19,31 @@
  * its buffer is full, as it does not read then.
  */
 const RESET_CHECK_INTERVAL_MS = 500;
+/**
+ * Bytes of one connection that are parsed in one turn of the event loop, except of a body
+ * of known length. The library parses all that one read brought, up to 64 KiB, which
+ * takes long if it is thousands of header lines, interim answers or chunks.
+ */
+const PIECE_BYTES = 4096;
 
-/** Controls reading from one socket. */
+/** Controls when the client library reads from one socket, and how much at once. */
 export class PausableReading {
   readonly #socket: Socket;
+  /** Returns what Node.js has received. */
+  readonly #read: Socket["read"];
   #isPaused = false;
+  #isInPieces = true;
+  #hasReadPiece = false;
   #resetCheck: NodeJS.Timeout | undefined;
 
   /** Takes over a socket that was not yet passed to the client library. */
   constructor(socket: Socket) {
     this.#socket = socket;
-    const read = socket.read.bind(socket);
-    socket.read = (size?: number) => this.#isPaused ? null : read(size);
+    this.#read = socket.read.bind(socket);
+    socket.read = (size?: number) => {
+      if (this.#isPaused) return null;
+      return this.#isInPieces ? this.#readPiece() : this.#read(size);
+    };
     socket.once("close", () => this.#stopResetCheck());
   }
 
@@ -38,6 +52,16 @@
     return this.#socket.readableLength;
   }
 
+  /** Called when a body of known length begins. */
+  startBody(): void {
+    this.#isInPieces = false;
+  }
+
+  /** Called when an answer has ended; the next bytes belong to another head. */
+  endAnswer(): void {
+    this.#isInPieces = true;
+  }
+
   /** Stops passing data to the client library. */
   pause(): void {
     if (this.#isPaused || this.#socket.destroyed) return;
@@ -57,10 +81,26 @@
     if (!this.#isPaused) return;
     this.#isPaused = false;
     this.#stopResetCheck();
+    setImmediate(() => this.#continue());
+  }
+
+  /** Returns one piece, if there was none in this turn of the event loop. */
+  #readPiece(): unknown {
+    if (this.#hasReadPiece) return null;
+    const { readableLength } = this.#socket;
+    if (readableLength <= PIECE_BYTES) return this.#read();
+    this.#hasReadPiece = true;
     setImmediate(() => {
-      const shouldRead = !this.#isPaused && !this.#socket.destroyed;
-      if (shouldRead) this.#socket.emit("readable");
+      this.#hasReadPiece = false;
+      this.#continue();
     });
+    return this.#read(PIECE_BYTES);
+  }
+
+  /** Has the library read what was received. */
+  #continue(): void {
+    const shouldRead = !this.#isPaused && !this.#socket.destroyed;
+    if (shouldRead) this.#socket.emit("readable");
   }
 
   #detectReset(): void {
