Fail calls after a hundred interim answers

A server that sent interim (1xx) answers without end had an entry parse them until the time limit of the request, which on some routes is a minute.

Cause: interim answers were dropped without a limit. The client library limits the size of one head only, and each interim answer has its own.

The call now fails at the hundred-and-first, like one whose head is too large. A server that reports its progress every few seconds sends fewer.

'after more interim answers fail' was written with the limit; without it the answer counts as complete. Answers after a hundred interim ones stay whole.

--- a/src/external/http_back_end.ts
+++ b/src/external/http_back_end.ts
@@ -32,6 +32,12 @@
  * processes the request mostly resets the connection later.
  */
 const STALE_RESET_LIMIT_MS = 100;
+/**
+ * Interim (1xx) answers to one request. A server that reports its progress every few
+ * seconds sends fewer, and each takes as much processor time as a final head.
+ */
+const MAX_INTERIM_ANSWERS = 100;
+
 /** Options of an {@link HttpBackEnd}. */
 export interface HttpBackEndOptions {
   readonly address: SocketAddress;
@@ -145,6 +151,7 @@
   #reusableMs = 0;
   /** Data of the answer that was not passed on yet. */
   #received: Uint8Array[] = [];
+  #interimAnswers = 0;
   #hasHead = false;
   #isCancelled = false;
   #isWithheld = false;
@@ -204,8 +211,8 @@
     status: number,
     headers: AnswerHeaders,
   ): void {
-    // Informational (1xx) responses precede the final one.
-    if (status < 200 || this.#isFinished) return;
+    if (this.#isFinished) return;
+    if (status < 200) return this.#onInterimAnswer(controller);
     if (!isReadableHead(status, headers)) {
       return controller.abort(new Error("The answer can't be read"));
     }
@@ -254,6 +261,12 @@
     this.#listener.onFailed(this.#getFailure());
   }
 
+  #onInterimAnswer(controller: Dispatcher.DispatchController): void {
+    this.#interimAnswers++;
+    if (this.#interimAnswers <= MAX_INTERIM_ANSWERS) return;
+    controller.abort(new Error("Too many interim answers"));
+  }
+
   /**
    * Passes on what was received in one turn of the event loop as one piece: a server may
    * send chunks of single bytes, each of which costs as much as a large one.
--- a/src/external/http_back_end_test.ts
+++ b/src/external/http_back_end_test.ts
@@ -104,6 +104,22 @@
     });
   }
 
+  const interim = "HTTP/1.1 103 Early Hints\r\n\r\n";
+  it("after a hundred interim answers are complete", async () => {
+    const result = await callServer((socket) =>
+      socket.end(`${interim.repeat(100)}${UNFRAMED}whole`)
+    );
+    assert.deepEqual(result, { outcome: "whole", body: "whole" });
+  });
+
+  // Parsing them would take processor time until the time limit of the call.
+  it("after more interim answers fail", async () => {
+    const result = await callServer((socket) =>
+      socket.end(`${interim.repeat(101)}${UNFRAMED}whole`)
+    );
+    assert.equal(result.outcome, "broken");
+  });
+
   it("that are not HTTP fail", async () => {
     const result = await callServer((socket) => socket.end("nonsense\r\n\r\n"));
     assert.equal(result.outcome, "broken");
