Pass on no request that can't end before a planned stop

In a planned stop in calm, requests that had waited in the entry for a place at a server were passed on, ran, and were cut without an answer at the end of the grace period, among them ones that may not be repeated.

Cause: whether an entry that stops takes a request is decided when it arrives, in the first 3.2 s after the signal. When a place became free, or an attempt had failed, it was sent without regard to the time left.

The reducer now knows when the process ends, and checks each request at the moment at which it would be sent, for the first time or again. One that ends by its deadline is always sent. While requests are accepted, others are sent if answers of their service usually take no longer than the time left, so that a stop refuses hardly more of them than before. After that only those that have waited or failed are left, and they are sent if even the longest of the latest answers would end. What can't end is refused with 503 while that is true; a failed attempt that can't be repeated in time ends as it failed.

Requests that were in flight at the signal are answered as before.

--- a/src/direct/direct_entry_driver.ts
+++ b/src/direct/direct_entry_driver.ts
@@ -293,9 +293,9 @@
     });
   }
 
-  drain(onDrained: () => void): void {
+  drain(onDrained: () => void, limitMs: number): void {
     this.#isDraining = true;
-    this.#server.startClosing();
+    this.#server.startClosing(limitMs);
     setTimeout(
       () => this.#server.drain(onDrained),
       UNREADY_BEFORE_CLOSING_MS,
--- a/src/entry/entry_driver.ts
+++ b/src/entry/entry_driver.ts
@@ -140,8 +140,9 @@
     });
   }
 
-  drain(onDrained: () => void): void {
+  drain(onDrained: () => void, limitMs: number): void {
     this.#isDraining = true;
+    this.#server.startClosing(limitMs);
     this.#server.drain(onDrained);
   }
 
--- a/src/entry/entry_reducer.ts
+++ b/src/entry/entry_reducer.ts
@@ -8,6 +8,7 @@
 import type { RandomSource } from "../core/random_source.ts";
 import { isAttemptMessage } from "../messages/types.ts";
 import { AnswerTimes } from "../policy/answer_times.ts";
+import { ShutdownWindow } from "../policy/shutdown_window.ts";
 import { PoolChoice } from "../policy/pool_choice.ts";
 import type { PoolRetryLimits } from "../policy/pool_retry_budgets.ts";
 import type { TargetChoice } from "../policy/target_choice.ts";
@@ -22,6 +23,7 @@
 import { createCallerLeftRecord } from "./decision_records.ts";
 import { DrainWatch } from "./drain_watch.ts";
 import { createUnknownFailure } from "./failures.ts";
+import { ForwardedRequests } from "./forwarded_requests.ts";
 import { InFlightRequest } from "./in_flight_request.ts";
 import { NoticeWatch } from "./notice_watch.ts";
 import { RequestDispatcher } from "./request_dispatcher.ts";
@@ -30,7 +32,7 @@
   createForwardEffect,
 } from "./request_effects.ts";
 import { RetryPolicy } from "./retry_policy.ts";
-import type { Route } from "./routing_table.ts";
+import { SendRules } from "./send_rules.ts";
 import type { TargetAvailability } from "./target_availability.ts";
 import { TargetUpdater } from "./target_updater.ts";
 import { TargetRegistry } from "./target_registry.ts";
@@ -71,8 +73,7 @@
   readonly #pools: PoolChoice;
   readonly #dispatcher: RequestDispatcher;
   readonly #answers: AnswerReceiver;
-  /** Routes of the requests that were forwarded to the old scripts, by request id. */
-  readonly #forwardedRequests = new Map<number, Route>();
+  readonly #forwardedRequests = new ForwardedRequests(this.#admission);
   readonly #digestKey: string;
   readonly #crashes: CrashWatch;
   readonly #notices: NoticeWatch;
@@ -80,6 +81,7 @@
   /** Tracks which targets are warming up. */
   readonly warmUp = new WarmUpWatch();
   readonly #targetUpdates: TargetUpdater;
+  readonly #shutdown = new ShutdownWindow();
   #isDraining = false;
   #isDrained = false;
   #comparedAt = 0;
@@ -122,6 +124,11 @@
       drains: this.#drains,
       warmUp: this.warmUp,
       sendLimits,
+      sendRules: new SendRules({
+        answerTimes,
+        crashes: this.#crashes,
+        shutdown: this.#shutdown,
+      }),
       effects: this.#effects,
     });
     this.#answers = new AnswerReceiver({
@@ -208,7 +215,7 @@
       case "settings_in_force":
         return this.#onSettingsInForce(event);
       case "scripts_finished":
-        return this.#onScriptsFinished(event.requestId);
+        return this.#forwardedRequests.finish(event.requestId);
       case "instances_listed":
         this.#effects.push(...this.#targetUpdates.recordInstances(event));
         this.#effects.push(...this.#drains.onTargetsListed());
@@ -245,9 +252,11 @@
         return this.#retries.setLimits(event.limits);
       case "tick":
         return this.#onTick(event.now);
+      case "shutdown_planned":
+        return this.#shutdown.plan(event.endAt);
       case "drain_requested":
         this.#isDraining = true;
-        return;
+        return this.#shutdown.stopAccepting();
       default:
         assertNever(event);
     }
@@ -275,7 +284,7 @@
       route.service.longestDeadlineMs,
     );
     if (route.service.handover === "scripts") {
-      this.#forwardedRequests.set(request.id, route);
+      this.#forwardedRequests.add(request.id, route);
       this.#effects.push(createForwardEffect(request, route, deadlineMs));
       return;
     }
@@ -351,13 +360,6 @@
     }
   }
 
-  #onScriptsFinished(requestId: number): void {
-    const route = this.#forwardedRequests.get(requestId);
-    if (route === undefined) return;
-    this.#forwardedRequests.delete(requestId);
-    this.#admission.release(route);
-  }
-
   #onTick(now: number): void {
     this.#effects.push(...this.warmUp.advanceTo(now));
     this.#effects.push(...this.#notices.advanceTo(now));
--- a/src/entry/request_dispatcher.ts
+++ b/src/entry/request_dispatcher.ts
@@ -36,6 +36,7 @@
   Unavailability,
 } from "./target_availability.ts";
 import type { TargetRecord } from "./target_record.ts";
+import type { SendRules } from "./send_rules.ts";
 import type { Selection, TargetSelection } from "./target_selection.ts";
 import type { EntryEffect } from "./types.ts";
 import { UnservedRefusals } from "./unserved_refusals.ts";
@@ -55,6 +56,7 @@
   readonly drains: DrainWatch;
   readonly warmUp: WarmUpWatch;
   readonly sendLimits: SendLimits;
+  readonly sendRules: SendRules;
   /** How long answers usually take. */
   readonly answerTimes: AnswerTimes;
   /** Receives the effects, in order. */
@@ -116,7 +118,7 @@
 
   /** Sends a request to a target, queues it until one is available, or refuses it. */
   submitOrWait(inFlight: InFlightRequest, now: number): void {
-    if (this.#tryRefuseCrashing(inFlight, now)) return;
+    if (this.#tryRefuse(inFlight, now)) return;
     if (this.#tryQueueBehindBacklog(inFlight, now)) return;
     const selected = this.#selection.select(inFlight, now);
     this.#options.effects.push(...this.#selection.gate.takeEffects());
@@ -128,16 +130,11 @@
     this.#failUnsent(inFlight, unavailability, now);
   }
 
-  /**
-   * Refuses a request if targets have crashed under it or a part of its prompt. It would
-   * crash the next target too, and all other requests there or in its group would lose
-   * their answers.
-   */
-  #tryRefuseCrashing(inFlight: InFlightRequest, now: number): boolean {
-    const refusal = this.#options.crashes.tryFindRefusal(inFlight, now);
-    if (refusal === undefined) return false;
-    const failure = createUnsentFailure(refusal.reason, inFlight.isKeyed);
-    this.fail(inFlight, { ...failure, ...refusal }, now);
+  /** Refuses a request that must not be sent to any target. */
+  #tryRefuse(inFlight: InFlightRequest, now: number): boolean {
+    const failure = this.#options.sendRules.tryFindFailure(inFlight, now);
+    if (failure === undefined) return false;
+    this.fail(inFlight, failure, now);
     return true;
   }
 
@@ -145,7 +142,7 @@
   submitWaiting(now: number): void {
     const blockedQueues = new Map<string, Selection>();
     for (const inFlight of this.#waiting.all()) {
-      if (this.#tryRefuseCrashing(inFlight, now)) continue;
+      if (this.#tryRefuse(inFlight, now)) continue;
       // Hundreds may wait for the same targets; what blocks one blocks those behind it.
       const queue = tryGetCommonQueue(inFlight);
       const selected = blockedQueues.get(queue ?? "") ??
@@ -286,6 +283,7 @@
     const hasCrashedTarget = failure.submission === "unknown" &&
       this.#options.crashes.hasCrashed(inFlight);
     const canRetry = !hasCrashedTarget &&
+      this.#options.sendRules.endsInTime(inFlight, now) &&
       this.#availability.hasAlternative(inFlight, now) &&
       this.#options.retries.tryTake(inFlight, failure, now);
     if (!canRetry) return false;
--- a/src/entry/request_server.ts
+++ b/src/entry/request_server.ts
@@ -113,14 +113,16 @@
     this.#planTick();
   }
 
-  /** Closes caller connections after their next answer; requests are still served. */
-  startClosing(): void {
+  /** Closes caller connections after their next answer; the process ends by `limitMs`. */
+  startClosing(limitMs: number): void {
     this.#isClosing = true;
+    const now = performance.now();
+    this.dispatch({ kind: "shutdown_planned", now, endAt: now + limitMs });
   }
 
   /** Refuses new requests; calls `onDrained` when none are in flight any more. */
   drain(onDrained: () => void): void {
-    this.startClosing();
+    this.#isClosing = true;
     this.#onDrained = onDrained;
     this.#listener.stopListening();
     this.dispatch({ kind: "drain_requested", now: performance.now() });
--- a/src/entry/types.ts
+++ b/src/entry/types.ts
@@ -23,6 +23,7 @@
 import type { ColdPools } from "../policy/warm_up_limits.ts";
 import type { PoolRetryLimits } from "../policy/pool_retry_budgets.ts";
 import type { RefusalName } from "../refusals/catalogue.ts";
+import type { ShutdownEvent } from "./shutdown_events.ts";
 import type { ProblemDetails } from "../refusals/types.ts";
 import type { BackEndInstance } from "../messages/back_end_instance.ts";
 import type { EventName } from "../events/catalogue.ts";
@@ -227,12 +228,6 @@
   readonly now: number;
 }
 
-/** The process was asked to shut down. */
-export interface EntryDrainRequested {
-  readonly kind: "drain_requested";
-  readonly now: number;
-}
-
 /** Every event that an entry handles. */
 export type EntryEvent =
   | RequestArrived
@@ -256,7 +251,7 @@
   | PermitOutcomeReceived
   | PoolRetriesLimited
   | EntryTick
-  | EntryDrainRequested;
+  | ShutdownEvent;
 
 /** Sends a message to a target. */
 export interface SendToTarget {
--- a/src/policy/answer_times.ts
+++ b/src/policy/answer_times.ts
@@ -5,6 +5,7 @@
  * @module
  */
 import { DurationEstimate } from "./duration_estimate.ts";
+import { LongestRecent } from "./longest_recent.ts";
 
 /** How long the answers of a service usually take after they are requested. */
 export interface AnswerTime {
@@ -14,11 +15,14 @@
   readonly wholeMs: number;
   /** Milliseconds within which nearly all answers are complete. */
   readonly upperWholeMs: number;
+  /** Milliseconds of the longest recent answer; 0 while none has been observed. */
+  readonly longestMs: number;
 }
 
 interface ServiceEstimates {
   readonly firstChunk: DurationEstimate;
   readonly whole: DurationEstimate;
+  readonly longest: LongestRecent;
 }
 
 /** Learns how long the answers of each service usually take. */
@@ -41,6 +45,7 @@
       firstChunkMs: estimates?.firstChunk.meanMs ?? 0,
       wholeMs: estimates?.whole.meanMs ?? 0,
       upperWholeMs: estimates?.whole.upperMs ?? 0,
+      longestMs: estimates?.longest.milliseconds ?? 0,
     };
   }
 
@@ -51,7 +56,9 @@
 
   /** Records the milliseconds from sending a request to the end of its answer. */
   recordWhole(servicePath: string, milliseconds: number): void {
-    this.#getOrCreate(servicePath).whole.record(milliseconds);
+    const { whole, longest } = this.#getOrCreate(servicePath);
+    whole.record(milliseconds);
+    longest.record(milliseconds);
   }
 
   #getOrCreate(servicePath: string): ServiceEstimates {
@@ -59,7 +66,7 @@
     if (estimates === undefined) {
       const firstChunk = new DurationEstimate();
       const whole = new DurationEstimate();
-      estimates = { firstChunk, whole };
+      estimates = { firstChunk, whole, longest: new LongestRecent() };
       this.#byService.set(servicePath, estimates);
     }
     return estimates;
--- a/src/policy/answer_times_test.ts
+++ b/src/policy/answer_times_test.ts
@@ -21,6 +21,16 @@
     assert.ok(wholeMs > 1900 && wholeMs < 2000, `${wholeMs}`);
   });
 
+  // Guards against a request that counts as short because the latest ones were.
+  it("include the longest of some hundred answers, and forget it later", () => {
+    const times = new AnswerTimes();
+    times.recordWhole(SERVICE, 6000);
+    for (let count = 0; count < 127; count++) times.recordWhole(SERVICE, 100);
+    assert.equal(times.get(SERVICE).longestMs, 6000);
+    for (let count = 0; count < 256; count++) times.recordWhole(SERVICE, 100);
+    assert.equal(times.get(SERVICE).longestMs, 100);
+  });
+
   // Guards against long streams of one service that shorten the waits of another one.
   it("are separate for each service", () => {
     const times = new AnswerTimes();
--- a/src/process/shutdown.ts
+++ b/src/process/shutdown.ts
@@ -9,8 +9,11 @@
 
 /** A process that can be drained and closed. */
 export interface Drainable {
-  /** Starts to drain; calls `onDrained` once no request is in flight. */
-  drain(onDrained: () => void): void;
+  /**
+   * Starts to drain; calls `onDrained` once no request is in flight. After `limitMs`
+   * milliseconds the process ends in any case.
+   */
+  drain(onDrained: () => void, limitMs: number): void;
   /** Number of requests in flight. */
   readonly inFlight: number;
   /** Closes the process immediately. */
@@ -58,11 +61,12 @@
     }
     isDraining = true;
     options.log.write("DRAINING", { inFlight: drainable.inFlight });
-    setTimeout(() => void end(EXIT_CUT), options.drainLimitMs);
+    const { drainLimitMs } = options;
+    setTimeout(() => void end(EXIT_CUT), drainLimitMs);
     drainable.drain(() => {
       options.log.write("DRAINED");
       void end(EXIT_CLEAN);
-    });
+    }, drainLimitMs);
   }
   process.on("SIGTERM", onSignal);
   process.on("SIGINT", onSignal);
