Bound the answers that are kept whole

A store, an engine or another service that sends bytes without end would fill the memory of the process that calls it: of such an answer all was kept until the time limit of the call, 1.5 s for the store, and 30 s more for a watch.

Cause: answers for callers are passed on as they arrive, with limits on what is held, but answers that a process reads itself were joined without a limit.

The call now fails when the answer exceeds 8 MiB. Pages of the store have about 1 MB, and a watch that brings more is followed by a listing.

Bytes without end of servers behind an entry were bounded already, which the test of endless answers shows.

--- a/src/external/fetch_answer.ts
+++ b/src/external/fetch_answer.ts
@@ -11,6 +11,12 @@
 } from "./back_end.ts";
 import type { Header } from "../messages/types.ts";
 
+/**
+ * Bytes of the largest answer that is kept whole. Pages of lists are a fraction of it, and
+ * a process with 200 MB of memory can hold a few at the same time.
+ */
+const MAX_ANSWER_BYTES = 8 * 1024 * 1024;
+
 /** A complete answer. */
 export interface CompleteAnswer {
   readonly status: number;
@@ -38,7 +44,7 @@
 /**
  * Calls a back end and awaits its complete answer. The client library's own promises
  * are not used, as their streams and signals take as much processor time as the call
- * itself.
+ * itself. An answer that is too large to be kept fails the call.
  *
  * @example
  * ```ts
@@ -57,6 +63,7 @@
     let status = 0;
     let headers: readonly Header[] = [];
     let text = "";
+    let byteCount = 0;
     // The call may fail before `start` returns.
     let call: BackEndCall | undefined = undefined;
     const onAbort = () => call?.cancel();
@@ -68,7 +75,11 @@
         status = answeredStatus;
         headers = answeredHeaders;
       },
-      onData: (bytes) => text += decoder.decode(bytes, { stream: true }),
+      onData: (bytes) => {
+        byteCount += bytes.length;
+        if (byteCount > MAX_ANSWER_BYTES) call?.cancel();
+        else text += decoder.decode(bytes, { stream: true });
+      },
       onEnd: () => {
         removeAbortListener();
         resolve({ status, headers, text: text + decoder.decode() });
