Read the answers of the old scripts like those of back ends

Callers of services that the old scripts handle received part of an answer as a whole one if the connection to the scripts was reset, and coded bytes as the body if the transfer coding was not plain `chunked`.

Cause: the forwarder used the client library's own request function, which has neither check: it completes an answer without a length when its connection is reset, in an upload or not.

The forwarder now calls the scripts as a back end is called, so that all checks of answers apply to both. It still sends each request once, and ends an answer that does not begin or continue for the time of the deadline.

'without a length is cut if the connection is reset' failed before with the part as the whole, and 'with a transfer coding that is not decoded is refused' with 200. The other three cases of the new test passed before.

--- a/src/entry/request_server.ts
+++ b/src/entry/request_server.ts
@@ -18,7 +18,7 @@
 import { CallerBuffers } from "./caller_buffers.ts";
 import { CallerConnection } from "./caller_connection.ts";
 import { createCallerListener } from "./caller_listener.ts";
-import { forwardToScripts } from "./scripts_forwarder.ts";
+import { ScriptsForwarder } from "./scripts_forwarder.ts";
 import { tryGetRequestId } from "./concerned_request.ts";
 import type {
   CallerArrival,
@@ -51,6 +51,7 @@
   readonly #options: RequestServerOptions;
   readonly #exchanges = new Map<number, CallerExchange>();
   readonly #unread = new UnreadRequests();
+  readonly #scripts = new ScriptsForwarder();
   readonly #listener: HttpListener;
   #maxBodyBytes = BODY_BOUNDS.max;
   readonly #buffers: CallerBuffers | undefined;
@@ -132,6 +133,7 @@
   close(): void {
     this.#tick.stop();
     this.#listener.close();
+    void this.#scripts.close();
   }
 
   /** Passes an event to the reducer and performs the effects. */
@@ -343,7 +345,7 @@
     const { id } = effect.request;
     const exchange = this.#exchanges.get(id);
     if (exchange === undefined) return;
-    await forwardToScripts(effect, exchange.connection);
+    await this.#scripts.forward(effect, exchange.connection);
     this.#finish(id);
     this.dispatch({
       kind: "scripts_finished",
--- a/src/entry/types.ts
+++ b/src/entry/types.ts
@@ -17,6 +17,7 @@
 } from "../messages/formed_group_types.ts";
 import type { GroupSettings } from "../external/operator_settings.ts";
 import type { CrashedRequest } from "../policy/crash_history.ts";
+import type { SocketAddress } from "../messages/socket_address.ts";
 import type { PermitOutcome, PermitRequest } from "../policy/send_permits.ts";
 import type { LeavingTarget } from "../policy/leaving_targets.ts";
 import type { TargetLimit } from "../policy/target_limits.ts";
@@ -263,7 +264,7 @@
 /** Forwards a request unchanged to the old scripts. */
 export interface ForwardToScripts {
   readonly kind: "forward_to_scripts";
-  readonly address: string;
+  readonly address: SocketAddress;
   readonly deadlineMs: number;
   readonly request: CallerRequest;
 }
--- a/src/messages/settings_documents.ts
+++ b/src/messages/settings_documents.ts
@@ -4,6 +4,7 @@
  * @module
  */
 import type { Priority } from "./priority.ts";
+import type { SocketAddress } from "./socket_address.ts";
 
 /** Limits of an organisation. Path: `/organisations/NAME`. */
 export interface OrganisationDocument {
@@ -81,7 +82,7 @@
   /** Whether lagoonwharf or the old scripts serve the requests. */
   readonly handover: "lagoonwharf" | "scripts";
   /** Host and port of the old scripts. */
-  readonly scriptsAddress?: string;
+  readonly scriptsAddress?: SocketAddress;
   readonly priority: Priority;
   /** Deadline for requests that specify none, in milliseconds. */
   readonly defaultDeadlineMs: number;
