Read the answers of services and engines like those of back ends

The key-value service, the list of VMs or an engine that sends bytes without end would fill the memory of the process that calls it. An answer with a transfer coding that is not decoded was read as if it had none.

Cause: their clients used the client library's own request function, which knows neither the checks of answers nor a limit on what it joins.

Answers that are cut, in order or by a reset, were rejected before as well: the JSON text of a list, a revision or a load is not complete without its last character.

--- a/src/external/http_key_value_service.ts
+++ b/src/external/http_key_value_service.ts
@@ -3,7 +3,6 @@
  *
  * @module
  */
-import { type Dispatcher, request } from "undici";
 import * as z from "zod";
 import {
   type KeyValueEntry,
@@ -13,6 +12,8 @@
   type SwapOutcome,
   type WatchOptions,
 } from "./key_value_service.ts";
+import type { CompleteAnswer } from "./fetch_answer.ts";
+import { type JsonCall, JsonService } from "./json_service.ts";
 
 const CALL_TIMEOUT_MS = 3000;
 /** Milliseconds for which a watch may wait at the service. */
@@ -23,17 +24,16 @@
 
 /** A key-value service that is accessed with JSON over HTTP. */
 export class HttpKeyValueService extends KeyValueService {
-  readonly #address: string;
+  readonly #service: JsonService;
 
   /** Creates a client for the service at `address`, a host and port. */
   constructor(address: string) {
     super();
-    this.#address = address;
+    this.#service = new JsonService(address);
   }
 
   override async tryRead(key: string): Promise<KeyValueEntry | undefined> {
-    const signal = AbortSignal.timeout(CALL_TIMEOUT_MS);
-    return await this.#read(this.#url(key), signal);
+    return await this.#read({ path: getPath(key), limitMs: CALL_TIMEOUT_MS });
   }
 
   override async watch(
@@ -41,9 +41,11 @@
     options: WatchOptions,
   ): Promise<KeyValueEntry | undefined> {
     const query = `?after=${options.knownRevision}&waitMs=${WATCH_WAIT_MS}`;
-    const limit = AbortSignal.timeout(WATCH_WAIT_MS + CALL_TIMEOUT_MS);
-    const signal = AbortSignal.any([options.signal, limit]);
-    return await this.#read(this.#url(key) + query, signal);
+    return await this.#read({
+      path: getPath(key) + query,
+      limitMs: WATCH_WAIT_MS + CALL_TIMEOUT_MS,
+      signal: options.signal,
+    });
   }
 
   override async compareAndSwap(
@@ -58,48 +60,40 @@
   }
 
   async #swap(key: string, options: SwapOptions): Promise<SwapOutcome> {
-    const response = await request(this.#url(key), {
+    const { status, text } = await this.#service.call({
       method: "PUT",
-      headers: { "content-type": "application/json" },
-      body: JSON.stringify(options),
-      signal: AbortSignal.timeout(CALL_TIMEOUT_MS),
+      path: getPath(key),
+      body: options,
+      limitMs: CALL_TIMEOUT_MS,
     });
-    const body = await response.body.text();
-    if (response.statusCode === 200) {
-      const { revision } = REVISION_SCHEMA.parse(JSON.parse(body));
+    if (status === 200) {
+      const { revision } = REVISION_SCHEMA.parse(JSON.parse(text));
       return { kind: "swapped", revision };
     }
-    if (response.statusCode === 409) {
-      const { revision } = REVISION_SCHEMA.parse(JSON.parse(body));
+    if (status === 409) {
+      const { revision } = REVISION_SCHEMA.parse(JSON.parse(text));
       return { kind: "conflict", revision };
     }
-    return { kind: "unknown", cause: `Status ${response.statusCode}` };
+    return { kind: "unknown", cause: `Status ${status}` };
   }
 
-  async #read(
-    url: string,
-    signal: AbortSignal,
-  ): Promise<KeyValueEntry | undefined> {
+  async #read(call: JsonCall): Promise<KeyValueEntry | undefined> {
     try {
-      const response = await request(url, { signal });
-      return await readEntry(response);
+      return readEntry(await this.#service.call(call));
     } catch (error) {
       throw new KeyValueUnavailableError(String(error));
     }
   }
+}
 
-  #url(key: string): string {
-    return `http://${this.#address}/v1/values/${encodeURIComponent(key)}`;
-  }
+function getPath(key: string): string {
+  return `/v1/values/${encodeURIComponent(key)}`;
 }
 
-async function readEntry(
-  response: Dispatcher.ResponseData,
-): Promise<KeyValueEntry | undefined> {
-  const body = await response.body.text();
-  if (response.statusCode === 404) return undefined;
-  if (response.statusCode !== 200) {
-    throw new KeyValueUnavailableError(`Status ${response.statusCode}`);
-  }
-  return ENTRY_SCHEMA.parse(JSON.parse(body));
+function readEntry(
+  { status, text }: CompleteAnswer,
+): KeyValueEntry | undefined {
+  if (status === 404) return undefined;
+  if (status !== 200) throw new KeyValueUnavailableError(`Status ${status}`);
+  return ENTRY_SCHEMA.parse(JSON.parse(text));
 }
--- a/src/external/http_rank_engine.ts
+++ b/src/external/http_rank_engine.ts
@@ -3,7 +3,6 @@
  *
  * @module
  */
-import { request } from "undici";
 import * as z from "zod";
 import { ENGINE_STATE_SCHEMA } from "../messages/group_schema.ts";
 import type {
@@ -11,6 +10,7 @@
   EngineState,
   RankLoad,
 } from "../messages/group_types.ts";
+import { type JsonCall, JsonService } from "./json_service.ts";
 import { EngineUnavailableError, RankEngine } from "./rank_engine.ts";
 
 const CALL_TIMEOUT_MS = 2000;
@@ -24,12 +24,12 @@
 
 /** A rank's engine that is accessed with JSON over HTTP. */
 export class HttpRankEngine extends RankEngine {
-  readonly #address: string;
+  readonly #service: JsonService;
 
   /** Creates a client for the engine at `address`, a host and port. */
   constructor(address: string) {
     super();
-    this.#address = address;
+    this.#service = new JsonService(address);
   }
 
   override async readState(): Promise<EngineState> {
@@ -44,32 +44,24 @@
     order: EngineOrder,
     fencingNumber: number,
   ): Promise<EngineState> {
-    const answer = await this.#call("/group/orders", {
+    const answer = await this.#call({
       method: "POST",
-      body: JSON.stringify({ order, fencingNumber }),
-      signal: AbortSignal.timeout(ORDER_TIMEOUT_MS),
+      path: "/group/orders",
+      body: { order, fencingNumber },
+      limitMs: ORDER_TIMEOUT_MS,
     });
     return ENGINE_STATE_SCHEMA.parse(answer);
   }
 
   async #get(path: string): Promise<unknown> {
-    const signal = AbortSignal.timeout(CALL_TIMEOUT_MS);
-    return await this.#call(path, { method: "GET", signal });
+    return await this.#call({ path, limitMs: CALL_TIMEOUT_MS });
   }
 
-  async #call(
-    path: string,
-    options: {
-      readonly method: "GET" | "POST";
-      readonly body?: string;
-      readonly signal: AbortSignal;
-    },
-  ): Promise<unknown> {
+  async #call(call: JsonCall): Promise<unknown> {
     try {
-      const response = await request(`http://${this.#address}${path}`, options);
-      if (response.statusCode === 200) return await response.body.json();
-      await response.body.dump();
-      throw new Error(`Status ${response.statusCode}`);
+      const { status, text } = await this.#service.call(call);
+      if (status === 200) return JSON.parse(text);
+      throw new Error(`Status ${status}`);
     } catch (error) {
       throw new EngineUnavailableError(String(error));
     }
--- a/src/external/http_virtual_machine_list.ts
+++ b/src/external/http_virtual_machine_list.ts
@@ -3,9 +3,9 @@
  *
  * @module
  */
-import { request } from "undici";
 import * as z from "zod";
 import { tryParseSocketAddress } from "../messages/socket_address.ts";
+import { JsonService } from "./json_service.ts";
 import {
   MachineListUnavailableError,
   type VirtualMachine,
@@ -25,20 +25,21 @@
 
 /** A list of virtual machines that is read as JSON over HTTP. */
 export class HttpVirtualMachineList extends VirtualMachineList {
-  readonly #address: string;
+  readonly #service: JsonService;
 
   /** Creates a client for the list at `address`, a host and port. */
   constructor(address: string) {
     super();
-    this.#address = address;
+    this.#service = new JsonService(address);
   }
 
   override async read(): Promise<readonly VirtualMachine[]> {
     try {
-      const response = await request(`http://${this.#address}/v1/machines`, {
-        signal: AbortSignal.timeout(CALL_TIMEOUT_MS),
+      const { text } = await this.#service.call({
+        path: "/v1/machines",
+        limitMs: CALL_TIMEOUT_MS,
       });
-      const rows = LIST_SCHEMA.parse(JSON.parse(await response.body.text()));
+      const rows = LIST_SCHEMA.parse(JSON.parse(text));
       return rows.flatMap(tryCreateMachine);
     } catch (error) {
       throw new MachineListUnavailableError(String(error));
