Reject lists of VMs that come with an error status

A list of VMs in an answer with status 500 was applied: a service in trouble that answers with an error and an empty list would make all processes believe that all VMs are gone.

Cause: the client of the list parsed the body whatever the status was. It now accepts status 200 only, like the clients of the key-value service and of engines.

'an answer of the list of VMs fails if it has status 500' failed before, as the list was returned; the same cases of the other two services passed.

--- a/src/external/http_virtual_machine_list.ts
+++ b/src/external/http_virtual_machine_list.ts
@@ -35,10 +35,11 @@
 
   override async read(): Promise<readonly VirtualMachine[]> {
     try {
-      const { text } = await this.#service.call({
+      const { status, text } = await this.#service.call({
         path: "/v1/machines",
         limitMs: CALL_TIMEOUT_MS,
       });
+      if (status !== 200) throw new Error(`Status ${status}`);
       const rows = LIST_SCHEMA.parse(JSON.parse(text));
       return rows.flatMap(tryCreateMachine);
     } catch (error) {
--- a/src/external/service_answers_test.ts
+++ b/src/external/service_answers_test.ts
@@ -1,6 +1,7 @@
 /**
  * Guards against broken answers of the platform's services and of engines that a process
- * takes for whole ones, or keeps until its memory is full.
+ * takes for whole ones, or keeps until its memory is full. A part of a list would make it
+ * believe that the other VMs are gone.
  */
 import assert from "node:assert/strict";
 import { Buffer } from "node:buffer";
@@ -45,6 +46,8 @@
     socket.write(OK + text.slice(0, -1));
     setTimeout(() => socket.resetAndDestroy(), 20);
   },
+  "has status 500": (socket, text) =>
+    socket.end(OK.replace("200", "500") + text),
   "has a transfer coding": (socket, text) =>
     socket.end(`HTTP/1.1 200 OK\r\nTransfer-Encoding: gzip\r\n\r\n${text}`),
   "has no end": (socket) => {
