Answer the requests that an entry can't finish before its end

A request that was still at work at the end of a planned stop ended with a closed connection and no answer.

Cause: the process closed all connections without ending what was in flight. The reducer now ends each request first: one that may have run with 502, one that was sent nowhere with 503, as its promise holds. An answer that has begun is cut as before, so that it does not look whole.

The endings at a deadline move to the same part, as the reducer had grown.

--- a/src/entry/entry_reducer.ts
+++ b/src/entry/entry_reducer.ts
@@ -31,6 +31,7 @@
   createArrivalRefusal,
   createForwardEffect,
 } from "./request_effects.ts";
+import { RequestEndings } from "./request_endings.ts";
 import { RetryPolicy } from "./retry_policy.ts";
 import { SendRules } from "./send_rules.ts";
 import type { TargetAvailability } from "./target_availability.ts";
@@ -73,6 +74,7 @@
   readonly #pools: PoolChoice;
   readonly #dispatcher: RequestDispatcher;
   readonly #answers: AnswerReceiver;
+  readonly #endings: RequestEndings;
   readonly #forwardedRequests = new ForwardedRequests(this.#admission);
   readonly #digestKey: string;
   readonly #crashes: CrashWatch;
@@ -131,6 +133,10 @@
       }),
       effects: this.#effects,
     });
+    this.#endings = new RequestEndings({
+      dispatcher: this.#dispatcher,
+      registry,
+    });
     this.#answers = new AnswerReceiver({
       answerTimes,
       dispatcher: this.#dispatcher,
@@ -257,6 +263,8 @@
       case "drain_requested":
         this.#isDraining = true;
         return this.#shutdown.stopAccepting();
+      case "shutdown_ended":
+        return this.#endings.failAll(event.now);
       default:
         assertNever(event);
     }
@@ -370,20 +378,7 @@
     }
     this.#dispatcher.refuseExpired(now);
     this.#dispatcher.submitWaiting(now);
-    for (const inFlight of this.#dispatcher.inFlight) {
-      if (inFlight.deadlineAt > now) continue;
-      this.#countMissingFirstByte(inFlight, now);
-      this.#dispatcher.recordLostAttempt(inFlight, { now, isBroken: false });
-      this.#dispatcher.cancel(inFlight);
-      this.#dispatcher.fail(inFlight, createUnknownFailure("DEADLINE"), now);
-    }
-  }
-
-  /** Counts a failure of a target without a first byte in time, as it may be frozen. */
-  #countMissingFirstByte(inFlight: InFlightRequest, now: number): void {
-    if (inFlight.head !== undefined) return;
-    const target = this.registry.tryGet(inFlight.targetName ?? "");
-    target?.recordAttempt(true, now);
+    this.#endings.failExpired(now);
   }
 
   #refuse(request: CallerRequest, reason: RefusalName): void {
--- a/src/entry/request_server.ts
+++ b/src/entry/request_server.ts
@@ -123,14 +123,14 @@
 
   /** Refuses new requests; calls `onDrained` when none are in flight any more. */
   drain(onDrained: () => void): void {
-    this.#isClosing = true;
     this.#onDrained = onDrained;
     this.#listener.stopListening();
     this.dispatch({ kind: "drain_requested", now: performance.now() });
   }
 
-  /** Closes all connections. */
+  /** Ends all requests and closes all connections. */
   close(): void {
+    this.#reduce({ kind: "shutdown_ended", now: performance.now() });
     this.#tick.stop();
     this.#listener.close();
     void this.#scripts.close();
--- a/src/entry/shutdown_events.ts
+++ b/src/entry/shutdown_events.ts
@@ -18,5 +18,14 @@
   readonly now: number;
 }
 
+/** The process ends now, whether all requests have ended or not. */
+export interface EntryShutdownEnded {
+  readonly kind: "shutdown_ended";
+  readonly now: number;
+}
+
 /** Every event of the shutdown of an entry. */
-export type ShutdownEvent = EntryShutdownPlanned | EntryDrainRequested;
+export type ShutdownEvent =
+  | EntryShutdownPlanned
+  | EntryDrainRequested
+  | EntryShutdownEnded;
--- a/src/entry/shutdown_test.ts
+++ b/src/entry/shutdown_test.ts
@@ -75,3 +75,26 @@
     });
   }
 });
+
+describe("the end of an entry", () => {
+  function endWith(targets: readonly string[]) {
+    const fixture = createEnding(targets);
+    fixture.request({ deadlineMs: DEADLINE_MS });
+    return fixture.entry.reduce({ kind: "shutdown_ended", now: END_AT });
+  }
+
+  it("answers a request that may have run with 502, and cancels it", () => {
+    const effects = endWith(["one"]);
+    assert.equal(tryGetProblem(effects)?.reason, "ENTRY_ENDED");
+    assert.equal(tryGetProblem(effects)?.status, 502);
+    assert.equal(getAllSent(effects).length, 0);
+    const [cancel] = effects.filter(({ kind }) => kind === "send");
+    assert.ok(cancel?.kind === "send" && cancel.message.kind === "cancel");
+  });
+
+  it("answers a request that was sent nowhere with 503", () => {
+    const problem = tryGetProblem(endWith([]));
+    assert.equal(problem?.reason, "ENTRY_DRAINING");
+    assert.equal(problem?.status, 503);
+  });
+});
--- a/src/refusals/catalogue.ts
+++ b/src/refusals/catalogue.ts
@@ -55,6 +55,11 @@
     title: "This entry is shutting down",
     retryAfterSeconds: 1,
   },
+  ENTRY_ENDED: {
+    code: 5044,
+    status: 502,
+    title: "This entry ended before the answer was complete",
+  },
   NO_SETTINGS: {
     code: 5002,
     status: 503,
