Refuse fewer repeatable requests late in a planned stop

Once no further requests were accepted, all that waited were refused as soon as the longest of the latest answers would no longer end, short ones too. That is right for requests that may not be repeated, which are lost if they are cut. One that may be repeated is now sent if it usually ends: its caller gets a 502 in the other cases and can send it again.

--- a/src/entry/send_rules.ts
+++ b/src/entry/send_rules.ts
@@ -40,8 +40,9 @@
     if (inFlight.isStreaming) return true;
     const { answerTimes, shutdown } = this.#options;
     const answerTime = answerTimes.get(inFlight.route.servicePath);
-    const { deadlineAt } = inFlight;
-    return shutdown.mayPassOn({ deadlineAt, answerTime }, now);
+    const { deadlineAt, isIdempotent, route } = inFlight;
+    const isRepeatable = isIdempotent || route.service.resumable;
+    return shutdown.mayPassOn({ deadlineAt, answerTime, isRepeatable }, now);
   }
 
   /**
--- a/src/policy/shutdown_window.ts
+++ b/src/policy/shutdown_window.ts
@@ -18,6 +18,8 @@
   readonly deadlineAt: number;
   /** How long answers of its service take. */
   readonly answerTime: ExpectedAnswerTime;
+  /** Whether its caller may send it again, or have it continued, if it is cut. */
+  readonly isRepeatable: boolean;
 }
 
 /** The time until a process ends. */
@@ -40,10 +42,10 @@
    * Returns whether a request that is passed on now will end before the process: at its
    * deadline at the latest, else as fast as answers of its service do.
    *
-   * A request that has just arrived is refused only if it would usually not end, as most
-   * of them are short of the longest. Once no others are accepted, what is left has waited
-   * or failed before, and counts as one of the longest; so does one of which nothing is
-   * known.
+   * A request that may be repeated is refused if it would usually not end; one that may
+   * not, once no others are accepted, if it would not end as one of the longest. Most that
+   * have just arrived are shorter, and refusing them costs their callers a retry. One of
+   * which nothing is known is passed on while others are accepted.
    *
    * @example
    * ```ts
@@ -51,14 +53,18 @@
    * window.plan(8000);
    * window.stopAccepting();
    * const answerTime = { wholeMs: 500, longestMs: 3000 };
-   * window.mayPassOn({ deadlineAt: 9000, answerTime }, 4000); // true
-   * window.mayPassOn({ deadlineAt: 9000, answerTime }, 5500); // false
+   * const request = { deadlineAt: 9000, answerTime, isRepeatable: false };
+   * window.mayPassOn(request, 4000); // true
+   * window.mayPassOn(request, 5500); // false
    * ```
    */
-  mayPassOn({ deadlineAt, answerTime }: PendingRequest, now: number): boolean {
+  mayPassOn(request: PendingRequest, now: number): boolean {
+    const { deadlineAt, answerTime, isRepeatable } = request;
     if (deadlineAt <= this.#endAt) return true;
     const { wholeMs, longestMs } = answerTime;
-    if (this.#isAccepting) return now + wholeMs <= this.#endAt;
-    return longestMs > 0 && now + longestMs <= this.#endAt;
+    const isKnown = longestMs > 0;
+    if (!isKnown && !this.#isAccepting) return false;
+    const isUsual = isRepeatable || this.#isAccepting;
+    return now + (isUsual ? wholeMs : longestMs) <= this.#endAt;
   }
 }
