--- a/src/entry/send_rules.ts
+++ b/src/entry/send_rules.ts
@@ -37,8 +37,8 @@
    * begun is continued in any case: what is left of it is more than nothing.
    */
   endsInTime(inFlight: InFlightRequest, now: number): boolean {
-    if (inFlight.isStreaming) return true;
     const { answerTimes, shutdown } = this.#options;
+    if (!shutdown.isPlanned || inFlight.isStreaming) return true;
     const answerTime = answerTimes.get(inFlight.route.servicePath);
     const { deadlineAt, isIdempotent, route } = inFlight;
     const isRepeatable = isIdempotent || route.service.resumable;
--- a/src/policy/shutdown_window.ts
+++ b/src/policy/shutdown_window.ts
@@ -28,6 +28,11 @@
   #endAt = Infinity;
   #isAccepting = true;
 
+  /** Whether the process shuts down. */
+  get isPlanned(): boolean {
+    return this.#endAt < Infinity;
+  }
+
   /** Sets when the process ends, in milliseconds. */
   plan(endAt: number): void {
     this.#endAt = endAt;
