Divide the parsing of answers by lines, not by turns alone

An answer in chunks that was complete, and whose connection was reset right after its last chunk, failed if it was longer than 4 KiB. That came with the reading in pieces: one piece was parsed in a turn of the event loop, and what was received of the rest was lost when the reset was read.

Pieces are now parsed on in the same turn until 1000 lines have been, over all connections. Lines stand for what takes time; an answer of long lines is parsed at once, as before. Each connection gets one piece a turn in any case.

--- a/src/external/early_answer_test.ts
+++ b/src/external/early_answer_test.ts
@@ -177,3 +177,22 @@
     });
   });
 }
+
+// What the caller has received of an answer in chunks is lost if it is not parsed before
+// the reset that follows.
+describe("an early answer in chunks of 30 KB", () => {
+  it("is whole if the connection is reset after its last chunk", async () => {
+    const size = 30_000;
+    await repeat(async () => {
+      const { outcome, body } = await upload(async (connection) => {
+        await connection.receive(READ_BYTES);
+        const head = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+        const chunk = `${size.toString(16)}\r\n${"x".repeat(size)}\r\n`;
+        connection.server.write(`${head}${chunk}0\r\n\r\n`);
+        connection.server.resetAndDestroy();
+      });
+      assert.equal(outcome, "whole");
+      assert.equal(body.length, size);
+    });
+  });
+});
--- a/src/external/pausable_reading.ts
+++ b/src/external/pausable_reading.ts
@@ -11,8 +11,11 @@
  *
  * @module
  */
+import type { Buffer } from "node:buffer";
 import type { Socket } from "node:net";
+import { countLines } from "../core/count_lines.ts";
 import { isReset } from "./connection_end.ts";
+import { TurnBudget } from "./turn_budget.ts";
 
 /**
  * Milliseconds between two checks for a reset. Node.js does not detect a reset while
@@ -20,11 +23,18 @@
  */
 const RESET_CHECK_INTERVAL_MS = 500;
 /**
- * Bytes of one connection that are parsed in one turn of the event loop, except of a body
- * of known length. The library parses all that one read brought, up to 64 KiB, which
- * takes long if it is thousands of header lines, interim answers or chunks.
+ * Bytes that are parsed at once, except of a body of known length. The library parses all
+ * that one read returns, up to 64 KiB, which takes long if it is thousands of header
+ * lines, interim answers or chunks.
  */
 const PIECE_BYTES = 4096;
+/**
+ * Lines that are parsed in one turn of the event loop, over all connections. They stand
+ * for what takes time: header lines, interim answers, chunks, and lines of events.
+ */
+const MAX_LINES_PER_TURN = 1000;
+
+const LINES_BUDGET = new TurnBudget(MAX_LINES_PER_TURN);
 
 /** Controls when the client library reads from one socket, and how much at once. */
 export class PausableReading {
@@ -33,7 +43,9 @@
   readonly #read: Socket["read"];
   #isPaused = false;
   #isInPieces = true;
+  /** Whether a piece was read since the last wait for another turn. */
   #hasReadPiece = false;
+  #isWaiting = false;
   #resetCheck: NodeJS.Timeout | undefined;
 
   /** Takes over a socket that was not yet passed to the client library. */
@@ -84,17 +96,28 @@
     setImmediate(() => this.#continue());
   }
 
-  /** Returns one piece, if there was none in this turn of the event loop. */
-  #readPiece(): unknown {
-    if (this.#hasReadPiece) return null;
+  /** Returns the next piece, if it may be parsed in this turn of the event loop. */
+  #readPiece(): Buffer | null {
+    if (this.#isWaiting) return null;
     const { readableLength } = this.#socket;
     if (readableLength <= PIECE_BYTES) return this.#read();
+    if (this.#hasReadPiece && LINES_BUDGET.isSpent) {
+      this.#waitForNextTurn();
+      return null;
+    }
     this.#hasReadPiece = true;
+    const piece: Buffer = this.#read(PIECE_BYTES);
+    LINES_BUDGET.spend(countLines(piece));
+    return piece;
+  }
+
+  #waitForNextTurn(): void {
+    this.#isWaiting = true;
     setImmediate(() => {
+      this.#isWaiting = false;
       this.#hasReadPiece = false;
       this.#continue();
     });
-    return this.#read(PIECE_BYTES);
   }
 
   /** Has the library read what was received. */
--- a/src/process/connection_reader.ts
+++ b/src/process/connection_reader.ts
@@ -9,6 +9,7 @@
 import { Buffer } from "node:buffer";
 import type { ServerResponse } from "node:http";
 import type { Socket } from "node:net";
+import { countLines } from "../core/count_lines.ts";
 import { Debug } from "../core/debug.ts";
 import {
   MAX_READ_AHEAD_BYTES,
@@ -35,7 +36,6 @@
  */
 const CHUNKED_PIECE_BYTES = 8192;
 
-const LINE_FEED = 10;
 /** Lines of one chunk: its length, and the end of its bytes. */
 const LINES_PER_CHUNK = 2;
 /** Bytes of memory for each line of a head, besides its characters. */
@@ -364,16 +364,6 @@
   return { length, sectionBytes: length };
 }
 
-function countLines(bytes: Buffer): number {
-  let lines = 0;
-  let at = bytes.indexOf(LINE_FEED);
-  while (at >= 0) {
-    lines++;
-    at = bytes.indexOf(LINE_FEED, at + 1);
-  }
-  return lines;
-}
-
 /** Returns the last bytes of a section that may be the start of its end. */
 function getTail(before: Buffer, piece: Buffer): Buffer {
   const bytes = piece.length >= MAX_PARTIAL_END
